--- /dev/null
+++ b/api/chat.go
@@ -0,0 +1,60 @@
+package api
+
+import "encoding/json"
+
+// Message is one turn of a chat.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// ChatRequest is the part of a chat-completions request that the system and
+// its stand-in engines read. Other fields pass through untouched.
+type ChatRequest struct {
+	Model     string    `json:"model"`
+	Messages  []Message `json:"messages"`
+	MaxTokens int       `json:"max_tokens,omitempty"`
+	Stream    bool      `json:"stream,omitempty"`
+	// CacheSalt separates the prompt caches of customers.
+	CacheSalt string `json:"cache_salt,omitempty"`
+	// Resume continues a stream that was cut: the tokens already delivered.
+	Resume *Resume `json:"resume,omitempty"`
+}
+
+// Resume is the exact position from which an engine continues.
+type Resume struct {
+	Text   string `json:"text"`
+	Tokens int    `json:"tokens"`
+}
+
+// ChatChoice is one answer of a chat completion.
+type ChatChoice struct {
+	Index        int      `json:"index"`
+	Message      *Message `json:"message,omitempty"`
+	Delta        *Message `json:"delta,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+// Usage counts tokens.
+type Usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	CachedTokens     int `json:"cached_tokens"` // prompt tokens found in the cache
+}
+
+// ChatResponse is a chat completion, whole or one chunk of a stream.
+type ChatResponse struct {
+	ID      string       `json:"id"`
+	Object  string       `json:"object"`
+	Model   string       `json:"model"`
+	Choices []ChatChoice `json:"choices"`
+	Usage   *Usage       `json:"usage,omitempty"`
+}
+
+// BatchLine is one line of a batch input file.
+type BatchLine struct {
+	CustomID string          `json:"custom_id"`
+	Method   string          `json:"method"`
+	URL      string          `json:"url"`
+	Body     json.RawMessage `json:"body"`
+}
--- /dev/null
+++ b/cmd/dandelionrelay/main.go
@@ -0,0 +1,5 @@
+// Command dandelionrelay runs every role of the system and the operator's
+// verbs.
+package main
+
+func main() {}
--- /dev/null
+++ b/config/state.go
@@ -0,0 +1,168 @@
+// Package config holds the desired state of the system: its types, strict
+// loading with findings, versions, deltas and the follower of the log.
+package config
+
+import (
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// State is the whole desired state. It is read-only once published.
+type State struct {
+	Customers   map[string]Customer   `json:"customers"`
+	Keys        map[string]Key        `json:"keys"`
+	Routes      map[string]Route      `json:"routes"`
+	Deployments map[string]Deployment `json:"deployments"`
+}
+
+// Customer is a tenant with its share of the system.
+type Customer struct {
+	Rate   float64 `json:"rate"`             // requests per second over the whole fleet
+	Burst  float64 `json:"burst"`            // requests
+	Weight float64 `json:"weight,omitempty"` // fair share weight; 0 means 1
+}
+
+// Key is one credential of a customer. Only its digest is kept.
+type Key struct {
+	Customer  string `json:"customer"`
+	Digest    string `json:"digest"` // lower-case hex SHA-256 of the key
+	Withdrawn bool   `json:"withdrawn,omitempty"`
+}
+
+// Route leads requests to a deployment: chat and completion calls by model,
+// calls to plain services by path prefix. Exactly one of the two is set.
+type Route struct {
+	Model      string   `json:"model,omitempty"`
+	PathPrefix string   `json:"path_prefix,omitempty"`
+	Deployment string   `json:"deployment"`
+	Open       bool     `json:"open,omitempty"`       // needs no key
+	Idempotent bool     `json:"idempotent,omitempty"` // calls may be repeated
+	Timeout    Duration `json:"timeout,omitempty"`    // 0 means DefaultTimeout
+	Customers  []string `json:"customers,omitempty"`  // who may use it; empty means all
+}
+
+// Kind says what stands behind a deployment.
+type Kind string
+
+// The kinds of endpoints.
+const (
+	KindModel Kind = "model" // a model engine that batches continuously
+	KindPlain Kind = "plain" // any other HTTP service
+)
+
+// Deployment describes a group of like endpoints.
+type Deployment struct {
+	Kind         Kind   `json:"kind"`
+	Model        string `json:"model,omitempty"`
+	Slots        int    `json:"slots"`                   // requests that one endpoint runs at once
+	ObeysFencing bool   `json:"obeys_fencing,omitempty"` // refuses orders with an old number
+	CanResume    bool   `json:"can_resume,omitempty"`    // continues a stream from given tokens
+}
+
+// DefaultTimeout is the deadline of a request on a route that sets none.
+const DefaultTimeout = 60 * time.Second
+
+// Duration is a time.Duration written in JSON as a string such as "1.5s".
+type Duration time.Duration
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	if err != nil {
+		return err
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Snapshot is one version of the desired state with its indexes. It is
+// immutable.
+type Snapshot struct {
+	Version uint64
+	State   *State
+	keys    map[string]string // digest -> key id
+	models  map[string]string // model -> route id
+	paths   []string          // route ids with a path prefix, longest prefix first
+}
+
+// NewSnapshot indexes state. The caller gives up the right to change it.
+func NewSnapshot(version uint64, state *State) *Snapshot {
+	s := &Snapshot{
+		Version: version,
+		State:   state,
+		keys:    make(map[string]string, len(state.Keys)),
+		models:  make(map[string]string, len(state.Routes)),
+	}
+	for id, k := range state.Keys {
+		s.keys[k.Digest] = id
+	}
+	for id, r := range state.Routes {
+		if r.Model != "" {
+			s.models[r.Model] = id
+			continue
+		}
+		s.paths = append(s.paths, id)
+	}
+	slices.SortFunc(s.paths, func(a, b string) int {
+		pa, pb := state.Routes[a].PathPrefix, state.Routes[b].PathPrefix
+		if len(pa) != len(pb) {
+			return len(pb) - len(pa)
+		}
+		return strings.Compare(a, b)
+	})
+	return s
+}
+
+// KeyByDigest returns the key with the given digest, withdrawn or not.
+func (s *Snapshot) KeyByDigest(digest string) (id string, key Key, ok bool) {
+	id, ok = s.keys[digest]
+	return id, s.State.Keys[id], ok
+}
+
+// RouteByModel returns the route of a model.
+func (s *Snapshot) RouteByModel(model string) (id string, route Route, ok bool) {
+	id, ok = s.models[model]
+	return id, s.State.Routes[id], ok
+}
+
+// RouteByPath returns the route with the longest path prefix that matches.
+func (s *Snapshot) RouteByPath(path string) (id string, route Route, ok bool) {
+	for _, id := range s.paths {
+		r := s.State.Routes[id]
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return id, r, true
+		}
+	}
+	return "", Route{}, false
+}
+
+// Source gives the snapshot in force.
+type Source interface {
+	// Current returns the snapshot in force. It is never nil; version 0 is
+	// the empty state before the first one is known.
+	Current() *Snapshot
+}
+
+// Holder is a Source that is swapped atomically. The zero value holds the
+// empty version 0.
+type Holder struct{ p atomic.Pointer[Snapshot] }
+
+var empty = NewSnapshot(0, &State{})
+
+// Current implements Source.
+func (h *Holder) Current() *Snapshot {
+	if s := h.p.Load(); s != nil {
+		return s
+	}
+	return empty
+}
+
+// Set puts s in force.
+func (h *Holder) Set(s *Snapshot) { h.p.Store(s) }
--- /dev/null
+++ b/invariant/invariant.go
@@ -0,0 +1,92 @@
+// Package invariant holds the promises of the system as named assertions that
+// are checked inside the running program. A violation is counted and handed
+// to the handler: logged in production, failing the run under test.
+package invariant
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+)
+
+// Name identifies one promise.
+type Name string
+
+// The promises. docs/PROOFS.md has a row for each.
+const (
+	ItemCompletesOnce     Name = "item_completes_once"
+	ResultReadable        Name = "result_readable"
+	CancelStops           Name = "cancel_stops"
+	OnlineBeforeBatch     Name = "online_before_batch"
+	CustomerOfKey         Name = "customer_of_key"
+	NoKeyAtEndpoint       Name = "no_key_at_endpoint"
+	WithdrawnKeyStops     Name = "withdrawn_key_stops"
+	RateBound             Name = "rate_bound"
+	AnswerMatchesRequest  Name = "answer_matches_request"
+	NotRunIsTrue          Name = "not_run_is_true"
+	AtMostOnce            Name = "at_most_once"
+	NoWorkWhenLeaving     Name = "no_work_when_leaving"
+	ShutdownCutsNothing   Name = "shutdown_cuts_nothing"
+	ConfigNeverReverts    Name = "config_never_reverts"
+	AcknowledgedIsDurable Name = "acknowledged_is_durable"
+)
+
+// All lists every promise in the order of docs/PROOFS.md.
+var All = []Name{
+	ItemCompletesOnce, ResultReadable, CancelStops, OnlineBeforeBatch,
+	CustomerOfKey, NoKeyAtEndpoint, WithdrawnKeyStops, RateBound,
+	AnswerMatchesRequest, NotRunIsTrue, AtMostOnce, NoWorkWhenLeaving,
+	ShutdownCutsNothing, ConfigNeverReverts, AcknowledgedIsDurable,
+}
+
+// Violation is one broken promise. Detail never holds a key or a prompt.
+type Violation struct {
+	Name   Name
+	Detail string
+}
+
+// Error implements error.
+func (v Violation) Error() string {
+	return fmt.Sprintf("invariant %s violated: %s", v.Name, v.Detail)
+}
+
+// Set counts the violations of one process. The zero value is not usable;
+// a nil Set accepts calls and counts nothing.
+type Set struct {
+	counts map[Name]*atomic.Uint64
+	mu     sync.Mutex
+	onFail func(Violation)
+}
+
+// New returns a Set that hands each violation to onFail, which may be nil.
+func New(onFail func(Violation)) *Set {
+	s := &Set{counts: make(map[Name]*atomic.Uint64, len(All)), onFail: onFail}
+	for _, n := range All {
+		s.counts[n] = new(atomic.Uint64)
+	}
+	return s
+}
+
+// Check records a violation of n unless ok is true, and returns ok. The
+// detail is formatted only on a violation.
+func (s *Set) Check(ok bool, n Name, format string, args ...any) bool {
+	if ok || s == nil {
+		return ok
+	}
+	s.counts[n].Add(1)
+	if s.onFail == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onFail(Violation{Name: n, Detail: fmt.Sprintf(format, args...)})
+	return false
+}
+
+// Count returns the number of violations of n so far.
+func (s *Set) Count(n Name) uint64 {
+	if s == nil {
+		return 0
+	}
+	return s.counts[n].Load()
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,75 @@
+package peer
+
+import (
+	"net"
+	"net/rpc"
+	"sync"
+)
+
+// Server serves net/rpc services to peers.
+type Server struct {
+	rpc   *rpc.Server
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+	done  bool
+}
+
+// NewServer returns a Server without services.
+func NewServer() *Server {
+	return &Server{rpc: rpc.NewServer(), conns: make(map[net.Conn]struct{})}
+}
+
+// Register adds the methods of service under name. It panics if service has
+// no suitable method, which is a fault of the program.
+func (s *Server) Register(name string, service any) {
+	if err := s.rpc.RegisterName(name, service); err != nil {
+		panic(err)
+	}
+}
+
+// Serve accepts connections on l until l or the server is closed.
+func (s *Server) Serve(l net.Listener) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go s.ServeConn(conn)
+	}
+}
+
+// ServeConn serves one connection until it ends.
+func (s *Server) ServeConn(conn net.Conn) {
+	if !s.add(conn) {
+		_ = conn.Close()
+		return
+	}
+	defer s.remove(conn)
+	s.rpc.ServeCodec(serverCodec{newCodec(conn)})
+}
+
+func (s *Server) add(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.done {
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	return true
+}
+
+func (s *Server) remove(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
+// Close ends all connections.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.done = true
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+}
