--- /dev/null
+++ b/membership/membership.go
@@ -0,0 +1,73 @@
+// Package membership gives each process its view of the other instances.
+package membership
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"dandelionrelay/platform"
+)
+
+// Members is a view of the instances. Slices are sorted by id and read-only.
+type Members interface {
+	// Entries returns the entries that are not known to be gone.
+	Entries() []platform.Instance
+	// Endpoints returns the sidecars of a deployment that are not known to be
+	// gone; leaving ones are included.
+	Endpoints(deployment string) []platform.Instance
+}
+
+// Static is a Members that never changes unless it is assigned to.
+type Static []platform.Instance
+
+// Entries implements Members.
+func (s Static) Entries() []platform.Instance {
+	return s.sorted(func(i platform.Instance) bool { return i.Role == platform.RoleEntry })
+}
+
+// Endpoints implements Members.
+func (s Static) Endpoints(deployment string) []platform.Instance {
+	return s.sorted(func(i platform.Instance) bool {
+		return i.Role == platform.RoleSidecar && i.Deployment == deployment
+	})
+}
+
+func (s Static) sorted(keep func(platform.Instance) bool) []platform.Instance {
+	var out []platform.Instance
+	for _, i := range s {
+		if keep(i) {
+			out = append(out, i)
+		}
+	}
+	slices.SortFunc(out, func(a, b platform.Instance) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// Rank orders members for key by rendezvous hashing, the preferred one first.
+// The order of the others does not change when one goes.
+func Rank(key string, members []platform.Instance) []platform.Instance {
+	out := slices.Clone(members)
+	slices.SortFunc(out, func(a, b platform.Instance) int {
+		ha, hb := score(key, a.ID), score(key, b.ID)
+		if ha > hb || ha == hb && a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+func score(key, id string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(id)
+	return d.Sum64()
+}
--- /dev/null
+++ b/standin/platform/instances.go
@@ -0,0 +1,60 @@
+package platform
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"dandelionrelay/platform"
+)
+
+// Instances is a platform.Instances in memory whose readers see each change
+// only after a lag.
+type Instances struct {
+	lag time.Duration
+
+	mu      sync.Mutex
+	down    bool
+	changes []change
+	current []platform.Instance // as readers see it
+}
+
+type change struct {
+	visible time.Time
+	list    []platform.Instance
+}
+
+// NewInstances returns an empty list with a lag.
+func NewInstances(lag time.Duration) *Instances {
+	return &Instances{lag: lag}
+}
+
+// SetDown makes every read fail, or work again.
+func (i *Instances) SetDown(down bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.down = down
+}
+
+// Set replaces the list; readers see it after the lag.
+func (i *Instances) Set(list []platform.Instance) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.changes = append(i.changes, change{visible: time.Now().Add(i.lag), list: slices.Clone(list)})
+}
+
+// List implements platform.Instances.
+func (i *Instances) List(context.Context) ([]platform.Instance, error) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.down {
+		return nil, platform.Unavailable.New("list instances")
+	}
+	now := time.Now()
+	for len(i.changes) > 0 && !i.changes[0].visible.After(now) {
+		i.current = i.changes[0].list
+		i.changes = i.changes[1:]
+	}
+	return slices.Clone(i.current), nil
+}
--- /dev/null
+++ b/standin/platform/log.go
@@ -0,0 +1,187 @@
+// Package platform is a stand-in for the platform that the system runs on: a
+// log, an instance list and a weight store in memory, with injected faults,
+// and an HTTP server and client for them. It is for tests and demonstrations.
+package platform
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"dandelionrelay/platform"
+)
+
+// Faults are the failures that a Log shows. The zero value shows none.
+type Faults struct {
+	Down       bool          // every call fails, nothing is stored
+	LoseAnswer float64       // probability that an append is stored but its answer lost
+	Refuse     float64       // probability that an append is neither stored nor answered
+	Delay      time.Duration // added to each append
+}
+
+// Log is a platform.Log in memory.
+type Log struct {
+	retention time.Duration // 0: for ever
+
+	mu      sync.Mutex
+	rnd     *rand.Rand
+	faults  Faults
+	streams map[string]*stream
+	appends uint64
+}
+
+type stream struct {
+	oldest  platform.Offset
+	records []platform.Record
+	grown   chan struct{} // closed at the next append
+}
+
+// NewLog returns an empty log that keeps records for retention, or for ever
+// if it is 0. Faults are drawn from seed.
+func NewLog(retention time.Duration, seed uint64) *Log {
+	return &Log{
+		retention: retention,
+		rnd:       rand.New(rand.NewPCG(seed, 0)),
+		streams:   make(map[string]*stream),
+	}
+}
+
+// SetFaults replaces the faults shown from now on.
+func (l *Log) SetFaults(f Faults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = f
+}
+
+// Appends returns the number of records stored so far.
+func (l *Log) Appends() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends
+}
+
+// Append implements platform.Log.
+func (l *Log) Append(ctx context.Context, name, id string, data []byte) (platform.Offset, error) {
+	l.mu.Lock()
+	delay := l.faults.Delay
+	l.mu.Unlock()
+	if err := sleep(ctx, delay); err != nil {
+		return 0, unavailable("append", name)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.faults.Down || l.happens(l.faults.Refuse) {
+		return 0, unavailable("append", name)
+	}
+	s := l.stream(name)
+	offset := s.oldest + platform.Offset(len(s.records))
+	record := platform.Record{Offset: offset, ID: id, Time: time.Now(), Data: append([]byte(nil), data...)}
+	s.records = append(s.records, record)
+	l.appends++
+	close(s.grown)
+	s.grown = make(chan struct{})
+	if l.happens(l.faults.LoseAnswer) {
+		return 0, unavailable("append", name)
+	}
+	return offset, nil
+}
+
+// Read implements platform.Log.
+func (l *Log) Read(ctx context.Context, name string, from platform.Offset, limit int, wait time.Duration) ([]platform.Record, error) {
+	var timeout <-chan time.Time
+	for {
+		records, grown, err := l.read(name, from, limit)
+		if err != nil || len(records) > 0 || wait <= 0 {
+			return records, err
+		}
+		if timeout == nil {
+			timeout = time.After(wait)
+		}
+		select {
+		case <-grown:
+		case <-timeout:
+			return nil, nil
+		case <-ctx.Done():
+			return nil, unavailable("read", name)
+		}
+	}
+}
+
+func (l *Log) read(name string, from platform.Offset, limit int) ([]platform.Record, chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.faults.Down {
+		return nil, nil, unavailable("read", name)
+	}
+	s := l.stream(name)
+	l.expire(s)
+	if from < s.oldest {
+		return nil, nil, &platform.ExpiredError{Stream: name, From: from, Oldest: s.oldest}
+	}
+	start := int(from - s.oldest)
+	if start >= len(s.records) {
+		return nil, s.grown, nil
+	}
+	end := min(len(s.records), start+limit)
+	return append([]platform.Record(nil), s.records[start:end]...), nil, nil
+}
+
+// Bounds implements platform.Log.
+func (l *Log) Bounds(_ context.Context, name string) (oldest, next platform.Offset, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.faults.Down {
+		return 0, 0, unavailable("bounds", name)
+	}
+	s := l.stream(name)
+	l.expire(s)
+	return s.oldest, s.oldest + platform.Offset(len(s.records)), nil
+}
+
+// stream returns the stream with that name. The caller holds the lock.
+func (l *Log) stream(name string) *stream {
+	s, ok := l.streams[name]
+	if !ok {
+		s = &stream{oldest: 1, grown: make(chan struct{})}
+		l.streams[name] = s
+	}
+	return s
+}
+
+// expire drops records past retention. The caller holds the lock.
+func (l *Log) expire(s *stream) {
+	if l.retention == 0 {
+		return
+	}
+	limit := time.Now().Add(-l.retention)
+	n := 0
+	for n < len(s.records) && s.records[n].Time.Before(limit) {
+		n++
+	}
+	s.records = s.records[n:]
+	s.oldest += platform.Offset(n)
+}
+
+// happens draws an event of probability p. The caller holds the lock.
+func (l *Log) happens(p float64) bool {
+	return p > 0 && l.rnd.Float64() < p
+}
+
+func unavailable(op, stream string) error {
+	return platform.Unavailable.New("%s %s", op, stream)
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
