--- /dev/null
+++ b/standin/platform/server.go
@@ -0,0 +1,137 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"dandelionrelay/api"
+	"dandelionrelay/platform"
+	"dandelionrelay/platform/client"
+)
+
+// PathFaults sets the faults of the log (PUT, a FaultSettings document).
+const PathFaults = "/standin/faults"
+
+// maxRecordBytes bounds one record.
+const maxRecordBytes = 8 << 20
+
+// FaultSettings is the document that sets the faults shown from now on.
+type FaultSettings struct {
+	Down       bool    `json:"down,omitempty"`
+	LoseAnswer float64 `json:"lose_answer,omitempty"` // probability
+	Refuse     float64 `json:"refuse,omitempty"`      // probability
+	DelayMS    int     `json:"delay_ms,omitempty"`    // milliseconds
+	ListDown   bool    `json:"list_down,omitempty"`   // the instance list fails
+}
+
+// Server serves a stand-in platform over HTTP.
+type Server struct {
+	log            *Log
+	instances      *Instances
+	loadsPerMinute int
+	mux            *http.ServeMux
+}
+
+// NewServer returns the HTTP interface of log and instances. The weight store
+// admits loadsPerMinute loads.
+func NewServer(log *Log, instances *Instances, loadsPerMinute int) *Server {
+	s := &Server{log: log, instances: instances, loadsPerMinute: loadsPerMinute, mux: http.NewServeMux()}
+	s.mux.HandleFunc("POST "+client.PathRecords, s.append)
+	s.mux.HandleFunc("GET "+client.PathRecords, s.read)
+	s.mux.HandleFunc("GET "+client.PathBounds, s.bounds)
+	s.mux.HandleFunc("GET "+client.PathInstances, s.list)
+	s.mux.HandleFunc("PUT "+client.PathInstances, s.setInstances)
+	s.mux.HandleFunc("GET "+client.PathWeights, s.weights)
+	s.mux.HandleFunc("PUT "+PathFaults, s.setFaults)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+func (s *Server) append(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRecordBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	offset, err := s.log.Append(r.Context(), r.FormValue("stream"), r.FormValue("id"), data)
+	answer(w, client.Appended{Offset: offset}, err)
+}
+
+func (s *Server) read(w http.ResponseWriter, r *http.Request) {
+	from, err1 := strconv.ParseUint(r.FormValue("from"), 10, 64)
+	limit, err2 := strconv.Atoi(r.FormValue("limit"))
+	wait, err3 := strconv.Atoi(r.FormValue("wait_ms"))
+	if err := errors.Join(err1, err2, err3); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	waitFor := time.Duration(wait) * time.Millisecond
+	records, err := s.log.Read(r.Context(), r.FormValue("stream"), platform.Offset(from), limit, waitFor)
+	answer(w, client.Records{Records: records}, err)
+}
+
+func (s *Server) bounds(w http.ResponseWriter, r *http.Request) {
+	oldest, next, err := s.log.Bounds(r.Context(), r.FormValue("stream"))
+	answer(w, client.Bounds{Oldest: oldest, Next: next}, err)
+}
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	list, err := s.instances.List(r.Context())
+	answer(w, client.InstanceList{Instances: list}, err)
+}
+
+func (s *Server) weights(w http.ResponseWriter, _ *http.Request) {
+	answer(w, client.Weights{LoadsPerMinute: s.loadsPerMinute}, nil)
+}
+
+func (s *Server) setInstances(w http.ResponseWriter, r *http.Request) {
+	var list client.InstanceList
+	if err := json.NewDecoder(r.Body).Decode(&list); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.instances.Set(list.Instances)
+	answer(w, list, nil)
+}
+
+func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f FaultSettings
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.log.SetFaults(Faults{
+		Down:       f.Down,
+		LoseAnswer: f.LoseAnswer,
+		Refuse:     f.Refuse,
+		Delay:      time.Duration(f.DelayMS) * time.Millisecond,
+	})
+	s.instances.SetDown(f.ListDown)
+	answer(w, f, nil)
+}
+
+// answer writes v, or the status that err stands for.
+func answer(w http.ResponseWriter, v any, err error) {
+	var expired *platform.ExpiredError
+	switch {
+	case errors.As(err, &expired):
+		api.WriteJSON(w, http.StatusGone, client.Bounds{Oldest: expired.Oldest})
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	default:
+		api.WriteJSON(w, http.StatusOK, v)
+	}
+}
+
+// LoadsPerMinute is a platform.Weights with a fixed rate.
+type LoadsPerMinute int
+
+// LoadsPerMinute implements platform.Weights.
+func (n LoadsPerMinute) LoadsPerMinute(context.Context) (int, error) { return int(n), nil }
--- /dev/null
+++ b/standin/platform/server_test.go
@@ -0,0 +1,71 @@
+package platform_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	. "github.com/onsi/gomega"
+
+	"dandelionrelay/platform"
+	"dandelionrelay/platform/client"
+	standin "dandelionrelay/standin/platform"
+)
+
+func TestClientAndServerAgree(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	log := standin.NewLog(0, 1)
+	instances := standin.NewInstances(0)
+	server := httptest.NewServer(standin.NewServer(log, instances, 6))
+	defer server.Close()
+	c := client.New(server.URL, nil)
+
+	offset, err := c.Append(ctx, "jobs/01", "a", []byte("one"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(offset).To(Equal(platform.Offset(1)))
+	records, err := c.Read(ctx, "jobs/01", 1, 10, 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(records).To(HaveLen(1))
+	g.Expect(records[0].Data).To(Equal([]byte("one")))
+	records, err = c.Read(ctx, "jobs/01", 2, 10, time.Millisecond)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(records).To(BeEmpty())
+	oldest, next, err := c.Bounds(ctx, "jobs/01")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect([]platform.Offset{oldest, next}).To(Equal([]platform.Offset{1, 2}))
+
+	instances.Set([]platform.Instance{{ID: "e1", Role: platform.RoleEntry, State: platform.Live}})
+	list, err := c.List(ctx)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(list).To(HaveLen(1))
+	loads, err := c.LoadsPerMinute(ctx)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(loads).To(Equal(6))
+
+	log.SetFaults(standin.Faults{LoseAnswer: 1})
+	_, err = c.Append(ctx, "jobs/01", "b", nil)
+	g.Expect(errorx.IsOfType(err, platform.Unavailable)).To(BeTrue())
+	log.SetFaults(standin.Faults{})
+	records, err = c.Read(ctx, "jobs/01", 2, 10, 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(records).To(HaveLen(1), "a lost answer leaves the record stored")
+}
+
+func TestExpiredOffsetsNameTheOldest(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	log := standin.NewLog(time.Nanosecond, 1)
+	server := httptest.NewServer(standin.NewServer(log, standin.NewInstances(0), 1))
+	defer server.Close()
+	c := client.New(server.URL, nil)
+	_, err := c.Append(ctx, "config", "a", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	var expired *platform.ExpiredError
+	g.Eventually(func() error {
+		_, err := c.Read(ctx, "config", 1, 1, 0)
+		return err
+	}).Should(BeAssignableToTypeOf(expired))
+}
