--- a/api/api.go
+++ b/api/api.go
@@ -8,6 +8,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -86,6 +87,23 @@
 	Message string `json:"message"`
 }
 
+// String returns the finding on one line, its place first.
+func (f Finding) String() string {
+	var b strings.Builder
+	b.WriteString(f.File)
+	if f.Line > 0 {
+		b.WriteString(":" + strconv.Itoa(f.Line))
+	}
+	if f.Pointer != "" {
+		b.WriteString(" " + f.Pointer)
+	}
+	if b.Len() > 0 {
+		b.WriteString(": ")
+	}
+	b.WriteString(f.Message)
+	return b.String()
+}
+
 // Error implements error.
 func (e *Error) Error() string { return string(e.Code) + ": " + e.Message }
 
--- /dev/null
+++ b/front/front.go
@@ -0,0 +1,124 @@
+// Package front turns HTTP requests of callers into pipeline calls and
+// answers the errors that come back. It is the only place that reads callers'
+// bodies.
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"dandelionrelay/api"
+	"dandelionrelay/config"
+	"dandelionrelay/pipeline"
+)
+
+// BodyTimeout is the time within which a caller must have sent its body.
+const BodyTimeout = 30 * time.Second
+
+// Front is an http.Handler before a pipeline.
+type Front struct {
+	handle   pipeline.Handler
+	source   config.Source
+	maxBody  int64 // bytes
+	log      zerolog.Logger
+	answered *prometheus.CounterVec
+	seconds  *prometheus.HistogramVec
+}
+
+// New returns a Front that hands calls to handle and refuses bodies of more
+// than maxBody bytes. Its metrics go to reg.
+func New(handle pipeline.Handler, source config.Source, maxBody int64, log zerolog.Logger, reg prometheus.Registerer) *Front {
+	f := &Front{
+		handle:  handle,
+		source:  source,
+		maxBody: maxBody,
+		log:     log,
+		answered: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "relay_requests_total",
+			Help: "Requests answered, by customer, error code (empty: none) and outcome.",
+		}, []string{"customer", "code", "outcome"}),
+		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "relay_request_duration_seconds",
+			Help:    "Time from the request read to its answer sent, by route.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 17),
+		}, []string{"route"}),
+	}
+	reg.MustRegister(f.answered, f.seconds)
+	return f
+}
+
+// ServeHTTP implements http.Handler.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := uuid.NewString()
+	w.Header().Set(api.HeaderRequestID, id)
+	c := &pipeline.Call{W: w, R: r, ID: id, Received: time.Now()}
+	err := f.readBody(c)
+	if err == nil {
+		c.Received = time.Now()
+		c.Snapshot = f.source.Current()
+		err = f.run(r.Context(), c)
+	}
+	f.finish(c, err)
+}
+
+// readBody reads the whole body, bounded in size and time.
+func (f *Front) readBody(c *pipeline.Call) *api.Error {
+	control := http.NewResponseController(c.W)
+	// Recorders in tests know no deadlines; real connections all do.
+	_ = control.SetReadDeadline(c.Received.Add(BodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(c.W, c.R.Body, f.maxBody))
+	_ = control.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return api.NewError(http.StatusRequestEntityTooLarge, api.CodeTooLarge, "the body exceeds the limit of this service")
+	case err != nil:
+		return api.NewError(http.StatusBadRequest, api.CodeBadRequest, "the body could not be read in time")
+	}
+	c.Body = body
+	return nil
+}
+
+// run calls the pipeline. A panic there fails this call only.
+func (f *Front) run(ctx context.Context, c *pipeline.Call) (err *api.Error) {
+	defer func() {
+		p := recover()
+		if p == nil {
+			return
+		}
+		if p == http.ErrAbortHandler {
+			panic(p)
+		}
+		f.log.Error().Str("request", c.ID).Interface("panic", p).Stack().Msg("request handler panicked")
+		err = api.NewError(http.StatusInternalServerError, api.CodeInternal, "internal error").WithOutcome(api.Unknown)
+	}()
+	return f.handle(ctx, c)
+}
+
+// finish answers err, if any, and accounts for the call.
+func (f *Front) finish(c *pipeline.Call, err *api.Error) {
+	took := time.Since(c.Received)
+	f.seconds.WithLabelValues(c.RouteID).Observe(took.Seconds())
+	event := f.log.Debug().Str("request", c.ID).Str("customer", c.Customer).Str("route", c.RouteID).Dur("took_ms", took)
+	if err == nil {
+		f.answered.WithLabelValues(c.Customer, "", string(api.Done)).Inc()
+		event.Msg("request answered")
+		return
+	}
+	f.answered.WithLabelValues(c.Customer, string(err.Code), string(err.Outcome)).Inc()
+	event.Str("code", string(err.Code)).Str("outcome", string(err.Outcome)).Msg("request refused or failed")
+	if c.Started {
+		// The answer is under way and can't be changed any more: the caller
+		// must see that it is not whole.
+		panic(http.ErrAbortHandler)
+	}
+	err.RequestID = c.ID
+	api.WriteError(c.W, err)
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,199 @@
+// Package settings reads the settings of each process from a JSON file and
+// checks them at start. docs/SETTINGS.md documents every field.
+package settings
+
+import (
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+
+	"dandelionrelay/api"
+	"dandelionrelay/config"
+	"dandelionrelay/platform"
+)
+
+// Process is what every process of the system needs to know of itself.
+type Process struct {
+	ID          string `json:"id"`                  // as on the platform's instance list
+	DataCentre  string `json:"data_centre"`         // as on the platform's instance list
+	HTTPAddr    string `json:"http_addr"`           // ip:port, serves callers or entries
+	RPCAddr     string `json:"rpc_addr"`            // ip:port, serves peers
+	OpsAddr     string `json:"ops_addr"`            // ip:port, serves metrics, health and administration
+	PlatformURL string `json:"platform_url"`        // http://ip:port of the platform
+	LogLevel    string `json:"log_level,omitempty"` // debug, info, warn or error; default info
+	TLS         *TLS   `json:"tls,omitempty"`       // between peers; none: plain TCP
+}
+
+// TLS names the PEM files with which peers authenticate each other.
+type TLS struct {
+	CertFile string `json:"cert_file"`
+	KeyFile  string `json:"key_file"`
+	CAFile   string `json:"ca_file"` // signs the certificates of all peers
+}
+
+// Entry is the settings of an entry.
+type Entry struct {
+	Process
+	MaxBodyBytes int64           `json:"max_body_bytes,omitempty"` // of a request; default 4 MiB
+	DrainDelay   config.Duration `json:"drain_delay,omitempty"`    // unready before closing the listener; default 2s
+	DrainTimeout config.Duration `json:"drain_timeout,omitempty"`  // for requests under way; default 5m
+	Operators    []Operator      `json:"operators,omitempty"`      // who may administer
+}
+
+// Operator is a person or a tool that may use the administration interface.
+type Operator struct {
+	Name   string `json:"name"`
+	Digest string `json:"digest"` // lower-case hex SHA-256 of the operator's token
+}
+
+// Sidecar is the settings of a sidecar.
+type Sidecar struct {
+	Process
+	Deployment   string          `json:"deployment"`              // of the endpoint beside it
+	EndpointURL  string          `json:"endpoint_url"`            // http://ip:port of the endpoint
+	DrainTimeout config.Duration `json:"drain_timeout,omitempty"` // for streams under way; default 5m
+}
+
+// Platform is the settings of the stand-in platform.
+type Platform struct {
+	HTTPAddr       string              `json:"http_addr"`                  // ip:port
+	Retention      config.Duration     `json:"retention,omitempty"`        // of log records; 0: for ever
+	ListLag        config.Duration     `json:"list_lag,omitempty"`         // of the instance list
+	LoadsPerMinute int                 `json:"loads_per_minute,omitempty"` // of the weight store; default 6
+	Seed           uint64              `json:"seed,omitempty"`             // of injected faults
+	Instances      []platform.Instance `json:"instances,omitempty"`        // at start
+}
+
+// Engine is the settings of a stand-in engine.
+type Engine struct {
+	HTTPAddr     string          `json:"http_addr"`               // ip:port
+	Model        string          `json:"model"`                   // served
+	StepBase     config.Duration `json:"step_base,omitempty"`     // time of a step; default 5ms
+	StepPerSlot  config.Duration `json:"step_per_slot,omitempty"` // added for each running request; default 0.2ms
+	ObeysFencing bool            `json:"obeys_fencing,omitempty"` // refuses orders with an old number
+}
+
+// Defaults of optional fields.
+const (
+	DefaultMaxBodyBytes   = 4 << 20
+	DefaultDrainDelay     = 2 * time.Second
+	DefaultDrainTimeout   = 5 * time.Minute
+	DefaultLoadsPerMinute = 6
+	DefaultStepBase       = 5 * time.Millisecond
+	DefaultStepPerSlot    = 200 * time.Microsecond
+)
+
+// checker is a settings document that fills in defaults and finds its faults.
+type checker interface {
+	check(f *findings)
+}
+
+// findings collects the faults of one file.
+type findings struct {
+	file string
+	list []api.Finding
+}
+
+func (f *findings) add(pointer, message string) {
+	f.list = append(f.list, api.Finding{File: f.file, Pointer: pointer, Message: message})
+}
+
+func (f *findings) required(pointer, value string) {
+	if value == "" {
+		f.add(pointer, "is required")
+	}
+}
+
+func (f *findings) addr(pointer, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		f.add(pointer, "must be ip:port, not "+strconv.Quote(value))
+	}
+}
+
+func (f *findings) url(pointer, value string) {
+	u, err := url.Parse(value)
+	if err != nil || u.Scheme != "http" || u.Path != "" {
+		f.add(pointer, "must be http://ip:port, not "+strconv.Quote(value))
+		return
+	}
+	if _, err := netip.ParseAddrPort(u.Host); err != nil {
+		f.add(pointer, "must be http://ip:port, not "+strconv.Quote(value))
+	}
+}
+
+func (f *findings) notNegative(pointer string, value int64) {
+	if value < 0 {
+		f.add(pointer, "must not be negative")
+	}
+}
+
+// orDefault replaces a zero value.
+func orDefault[T comparable](value *T, byDefault T) {
+	var zero T
+	if *value == zero {
+		*value = byDefault
+	}
+}
+
+func (p *Process) check(f *findings) {
+	f.required("/id", p.ID)
+	f.required("/data_centre", p.DataCentre)
+	f.addr("/http_addr", p.HTTPAddr)
+	f.addr("/rpc_addr", p.RPCAddr)
+	f.addr("/ops_addr", p.OpsAddr)
+	f.url("/platform_url", p.PlatformURL)
+	orDefault(&p.LogLevel, "info")
+	switch p.LogLevel {
+	case "debug", "info", "warn", "error":
+	default:
+		f.add("/log_level", "must be debug, info, warn or error")
+	}
+	if p.TLS != nil {
+		f.required("/tls/cert_file", p.TLS.CertFile)
+		f.required("/tls/key_file", p.TLS.KeyFile)
+		f.required("/tls/ca_file", p.TLS.CAFile)
+	}
+}
+
+func (e *Entry) check(f *findings) {
+	e.Process.check(f)
+	f.notNegative("/max_body_bytes", e.MaxBodyBytes)
+	f.notNegative("/drain_delay", int64(e.DrainDelay))
+	f.notNegative("/drain_timeout", int64(e.DrainTimeout))
+	orDefault(&e.MaxBodyBytes, DefaultMaxBodyBytes)
+	orDefault(&e.DrainDelay, config.Duration(DefaultDrainDelay))
+	orDefault(&e.DrainTimeout, config.Duration(DefaultDrainTimeout))
+	for i, o := range e.Operators {
+		at := "/operators/" + strconv.Itoa(i)
+		f.required(at+"/name", o.Name)
+		if len(o.Digest) != 64 {
+			f.add(at+"/digest", "must be 64 hex digits")
+		}
+	}
+}
+
+func (s *Sidecar) check(f *findings) {
+	s.Process.check(f)
+	f.required("/deployment", s.Deployment)
+	f.url("/endpoint_url", s.EndpointURL)
+	f.notNegative("/drain_timeout", int64(s.DrainTimeout))
+	orDefault(&s.DrainTimeout, config.Duration(DefaultDrainTimeout))
+}
+
+func (p *Platform) check(f *findings) {
+	f.addr("/http_addr", p.HTTPAddr)
+	f.notNegative("/retention", int64(p.Retention))
+	f.notNegative("/list_lag", int64(p.ListLag))
+	f.notNegative("/loads_per_minute", int64(p.LoadsPerMinute))
+	orDefault(&p.LoadsPerMinute, DefaultLoadsPerMinute)
+}
+
+func (e *Engine) check(f *findings) {
+	f.addr("/http_addr", e.HTTPAddr)
+	f.required("/model", e.Model)
+	f.notNegative("/step_base", int64(e.StepBase))
+	f.notNegative("/step_per_slot", int64(e.StepPerSlot))
+	orDefault(&e.StepBase, config.Duration(DefaultStepBase))
+	orDefault(&e.StepPerSlot, config.Duration(DefaultStepPerSlot))
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,56 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"dandelionrelay/config"
+	"dandelionrelay/settings"
+)
+
+func write(t *testing.T, text string) string {
+	path := filepath.Join(t.TempDir(), "s.json")
+	NewWithT(t).Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+	return path
+}
+
+func TestDefaultsAreFilledIn(t *testing.T) {
+	g := NewWithT(t)
+	s, err := settings.LoadEntry(write(t, `{"id":"e1","data_centre":"a","http_addr":"127.0.0.1:1",
+		"rpc_addr":"127.0.0.1:2","ops_addr":"127.0.0.1:3","platform_url":"http://127.0.0.1:4"}`))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.MaxBodyBytes).To(BeEquivalentTo(settings.DefaultMaxBodyBytes))
+	g.Expect(s.DrainDelay).To(Equal(config.Duration(2 * time.Second)))
+	g.Expect(s.LogLevel).To(Equal("info"))
+}
+
+func TestAllFindingsAreReportedWithTheirPlace(t *testing.T) {
+	g := NewWithT(t)
+	path := write(t, `{"id":"","data_centre":"a","http_addr":"localhost:1","rpc_addr":"127.0.0.1:2",
+		"ops_addr":"127.0.0.1:3","platform_url":"https://127.0.0.1:4","log_level":"loud",
+		"operators":[{"name":"x","digest":"00"}]}`)
+	_, err := settings.LoadEntry(path)
+	var pointers []string
+	for _, f := range err.(settings.FindingsError) {
+		g.Expect(f.File).To(Equal(path))
+		pointers = append(pointers, f.Pointer)
+	}
+	g.Expect(pointers).To(Equal([]string{"/id", "/http_addr", "/platform_url", "/log_level", "/operators/0/digest"}))
+}
+
+func TestUnknownFieldsAndWrongTypesHaveALine(t *testing.T) {
+	g := NewWithT(t)
+	_, err := settings.LoadPlatform(write(t, "{\n\"http_addr\":\"127.0.0.1:1\",\n\"speed\":1}"))
+	g.Expect(err).To(HaveLen(1))
+	g.Expect(err.(settings.FindingsError)[0].Line).To(Equal(3))
+	g.Expect(err).To(MatchError(ContainSubstring(`unknown field "speed"`)))
+	_, err = settings.LoadPlatform(write(t, "{\n\"http_addr\":7}"))
+	g.Expect(err.(settings.FindingsError)[0].Line).To(Equal(2))
+	g.Expect(err.(settings.FindingsError)[0].Pointer).To(Equal("/http_addr"))
+	_, err = settings.LoadPlatform(write(t, `{"http_addr":"127.0.0.1:1"} {}`))
+	g.Expect(err).To(MatchError(ContainSubstring("more than one document")))
+}
