--- /dev/null
+++ b/sidecar/request.go
@@ -0,0 +1,64 @@
+package sidecar
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"dandelionrelay/api"
+)
+
+// defaultDeadline applies to requests that carry none.
+const defaultDeadline = time.Minute
+
+// request is one online request from an entry.
+type request struct {
+	ID         string
+	Attempt    string
+	Customer   string // empty on an open route
+	Idempotent bool
+	Deadline   time.Time
+	Method     string
+	Path       string // with the query
+	Header     http.Header
+	Body       []byte
+}
+
+// readRequest reads the whole request of an entry.
+func (s *Sidecar) readRequest(w http.ResponseWriter, r *http.Request, now time.Time) (*request, *api.Error) {
+	req := &request{
+		ID:         r.Header.Get(api.HeaderRequestID),
+		Attempt:    r.Header.Get(api.HeaderAttemptID),
+		Customer:   r.Header.Get(api.HeaderCustomer),
+		Idempotent: r.Header.Get(api.HeaderIdempotent) == "1",
+		Deadline:   now.Add(defaultDeadline),
+		Method:     r.Method,
+		Path:       r.URL.RequestURI(),
+		Header:     r.Header,
+	}
+	if req.Attempt == "" {
+		return nil, api.NewError(http.StatusBadRequest, api.CodeBadRequest, "no attempt id")
+	}
+	if d := r.Header.Get(api.HeaderDeployment); d != "" && d != s.settings.Deployment {
+		return nil, api.NewError(http.StatusMisdirectedRequest, api.CodeNoEndpoint, "endpoint belongs to another deployment")
+	}
+	if v := r.Header.Get(api.HeaderDeadline); v != "" {
+		ms, err := strconv.ParseInt(v, 10, 64)
+		if err != nil {
+			return nil, api.NewError(http.StatusBadRequest, api.CodeBadRequest, "malformed deadline")
+		}
+		req.Deadline = now.Add(time.Duration(ms) * time.Millisecond)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.settings.MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, api.NewError(http.StatusRequestEntityTooLarge, api.CodeTooLarge, "request body is too large")
+	}
+	if err != nil {
+		return nil, api.NewError(http.StatusBadRequest, api.CodeBadRequest, "request body is cut short")
+	}
+	req.Body = body
+	return req, nil
+}
--- /dev/null
+++ b/sidecar/settings.go
@@ -0,0 +1,79 @@
+// Package sidecar is the process beside each endpoint. It keeps the work that
+// the endpoint has admitted at what it can run, queues the rest with online
+// requests before batch items, and is the only one that calls the endpoint.
+package sidecar
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"dandelionrelay/config"
+	"dandelionrelay/invariant"
+)
+
+// Defaults of Settings.
+const (
+	DefaultMaxBodyBytes = 8 << 20
+	idleConnTimeout     = 30 * time.Second
+	dialTimeout         = 500 * time.Millisecond
+)
+
+// Settings of one sidecar.
+type Settings struct {
+	ID           string // instance id, unique per start
+	Deployment   string // of the endpoint beside it
+	Endpoint     string // base URL of the endpoint, with an IP address
+	MaxBodyBytes int64  // largest request body; 0 means DefaultMaxBodyBytes
+}
+
+// Deps are what a sidecar works with.
+type Deps struct {
+	Config     config.Source
+	Invariants *invariant.Set // may be nil
+	Logger     zerolog.Logger
+	// Dial opens connections to the endpoint; nil means TCP.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+// Sidecar serves entries on behalf of one endpoint. It is an http.Handler.
+type Sidecar struct {
+	settings  Settings
+	deps      Deps
+	base      *url.URL
+	transport *http.Transport
+	attempts  *attempts
+	drain     drainState
+}
+
+// New returns a sidecar, or an error if the endpoint's URL is malformed.
+func New(settings Settings, deps Deps) (*Sidecar, error) {
+	base, err := url.Parse(settings.Endpoint)
+	if err != nil {
+		return nil, err
+	}
+	if settings.MaxBodyBytes == 0 {
+		settings.MaxBodyBytes = DefaultMaxBodyBytes
+	}
+	if deps.Dial == nil {
+		dialer := &net.Dialer{Timeout: dialTimeout}
+		deps.Dial = dialer.DialContext
+	}
+	s := &Sidecar{
+		settings: settings,
+		deps:     deps,
+		base:     base,
+		attempts: newAttempts(),
+		transport: &http.Transport{
+			DialContext:         deps.Dial,
+			DisableCompression:  true,
+			MaxIdleConnsPerHost: 256,
+			IdleConnTimeout:     idleConnTimeout,
+		},
+	}
+	return s, nil
+}
