--- /dev/null
+++ b/config/load.go
@@ -0,0 +1,30 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+
+	"dandelionrelay/api"
+)
+
+// LoadDir reads all *.json files of a directory as one desired state. It
+// returns every finding with its file, line and JSON pointer; the state is
+// usable only if there are none.
+func LoadDir(dir string) (*State, []api.Finding) {
+	names, err := filepath.Glob(filepath.Join(dir, "*.json"))
+	if err != nil || len(names) == 0 {
+		return nil, []api.Finding{{File: dir, Message: "no *.json files found"}}
+	}
+	files := make(map[string][]byte, len(names))
+	var findings []api.Finding
+	for _, name := range names {
+		b, err := os.ReadFile(name)
+		if err != nil {
+			findings = append(findings, api.Finding{File: name, Message: err.Error()})
+			continue
+		}
+		files[filepath.Base(name)] = b
+	}
+	state, more := LoadFiles(files)
+	return state, append(findings, more...)
+}
--- /dev/null
+++ b/config/load_test.go
@@ -0,0 +1,101 @@
+package config_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"dandelionrelay/api"
+	"dandelionrelay/config"
+)
+
+const goodDigest = "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad"
+
+// TestLoadReportsEveryFindingWithItsPlace breaks each rule once and wants all
+// findings in one go, each at its file, line and pointer.
+func TestLoadReportsEveryFindingWithItsPlace(t *testing.T) {
+	files := map[string][]byte{
+		"a.json": []byte(`{
+  "customers": {
+    "north": {"rate": -1, "burst": 0.5, "wieght": 2},
+    "south": {"rate": "fast", "burst": 1, "weight": -1}
+  },
+  "keys": {
+    "k1": {"customer": "nobody", "digest": "` + goodDigest + `"},
+    "k2": {"customer": "north", "digest": "` + goodDigest + `"},
+    "k3": {"customer": "north", "digest": "ABC"}
+  },
+  "colours": {}
+}`),
+		"b.json": []byte(`{
+  "customers": {
+    "north": {"rate": 1, "burst": 1}
+  },
+  "deployments": {
+    "m": {"kind": "model", "slots": 0},
+    "p": {"kind": "plain", "slots": 1},
+    "q": {"kind": "odd", "slots": 1, "Slots": 2}
+  },
+  "routes": {
+    "r1": {"model": "x", "deployment": "gone"},
+    "r2": {"model": "x", "deployment": "p"},
+    "r3": {"path_prefix": "/a/", "deployment": "p", "timeout": "soon"},
+    "r4": {"path_prefix": "/a", "deployment": "p", "customers": ["north", "east"]},
+    "r5": {"path_prefix": "/v1/x", "deployment": "m", "model": "y"},
+    "r6": {"path_prefix": "a/../b", "deployment": "p"},
+    "r7": []
+  }
+}`),
+		"c.json": []byte("{\n\"keys\": {]\n}"),
+	}
+	_, findings := config.LoadFiles(files)
+	want := []string{
+		"a.json:3 /customers/north/burst must be 1 request or more",
+		"a.json:3 /customers/north/rate must be more than 0",
+		"a.json:3 /customers/north/wieght unknown field",
+		"a.json:4 /customers/south/rate ",
+		"a.json:4 /customers/south/weight must not be negative",
+		"a.json:7 /keys/k1/customer customer \"nobody\" is not defined",
+		"a.json:8 /keys/k2/digest same digest as key \"k1\"",
+		"a.json:9 /keys/k3/digest must be the SHA-256 digest",
+		"a.json:11 /colours unknown section",
+		"b.json:3 /customers/north defined twice; first in a.json line 3",
+		"b.json:6 /deployments/m/model ",
+		"b.json:6 /deployments/m/slots must be 1 or more",
+		"b.json:8 /deployments/q/Slots unknown field",
+		"b.json:8 /deployments/q/kind must be",
+		"b.json:11 /routes/r1/deployment deployment \"gone\" is not defined",
+		"b.json:12 /routes/r2/deployment a route by model needs a model deployment",
+		"b.json:12 /routes/r2/model route \"r1\" has the same model",
+		"b.json:13 /routes/r3/timeout ",
+		"b.json:14 /routes/r4/path_prefix clashes with route \"r3\"",
+		"b.json:14 /routes/r4/customers/1 customer \"east\" is not defined",
+		"b.json:15 /routes/r5 needs either model or path_prefix",
+		"b.json:15 /routes/r5/path_prefix /v1 is served by the system itself",
+		"b.json:16 /routes/r6/path_prefix must be a clean absolute path",
+		"b.json:17 /routes/r7 must be a JSON object",
+		"c.json:2 not valid JSON",
+	}
+	g := gomega.NewWithT(t)
+	for _, w := range want {
+		g.Expect(has(findings, w)).To(gomega.BeTrue(), "missing %q in:\n%s", w, list(findings))
+	}
+}
+
+func has(findings []api.Finding, want string) bool {
+	for _, f := range findings {
+		if strings.HasPrefix(strings.Replace(f.String(), ": ", " ", 1), want) {
+			return true
+		}
+	}
+	return false
+}
+
+func list(findings []api.Finding) string {
+	var b strings.Builder
+	for _, f := range findings {
+		b.WriteString(f.String() + "\n")
+	}
+	return b.String()
+}
--- a/config/state.go
+++ b/config/state.go
@@ -132,11 +132,12 @@
 	return id, s.State.Routes[id], ok
 }
 
-// RouteByPath returns the route with the longest path prefix that matches.
+// RouteByPath returns the route with the longest path prefix that matches
+// whole segments of path.
 func (s *Snapshot) RouteByPath(path string) (id string, route Route, ok bool) {
 	for _, id := range s.paths {
 		r := s.State.Routes[id]
-		if strings.HasPrefix(path, r.PathPrefix) {
+		if under(path, strings.TrimRight(r.PathPrefix, "/")) {
 			return id, r, true
 		}
 	}
