--- /dev/null
+++ b/limit/claim.go
@@ -0,0 +1,166 @@
+package limit
+
+import (
+	"strconv"
+	"time"
+
+	"dandelionrelay/membership"
+	"dandelionrelay/platform"
+)
+
+// Times of claiming and handing over.
+const (
+	claimStagger = time.Second      // the next in rank claims this much later
+	settleTime   = 10 * time.Second // an entry must be listed so long before it is handed shares
+	maxHandover  = 8                // partitions handed to new entries in one record
+)
+
+// sighting is when an instance was first and last seen listed.
+type sighting struct{ first, last time.Time }
+
+// Plan is what an entry wants recorded. The partitions to hand over must be
+// closed first, with Table.Closing and Minter.Close.
+type Plan struct {
+	Claims    []Claim
+	Handovers []Handover
+}
+
+// Handover gives a partition to another entry.
+type Handover struct {
+	Partition int
+	To        string // instance id
+	Addr      string // ip:port for peers
+}
+
+// Empty reports whether there is nothing to record.
+func (p Plan) Empty() bool { return len(p.Claims) == 0 && len(p.Handovers) == 0 }
+
+// Plan decides what this entry should record, given the platform's list. If
+// leaving, it hands over what it holds. The log must have been read to its
+// end.
+func (t *Table) Plan(now time.Time, listed []platform.Instance, leaving bool) Plan {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.observe(now)
+	live := t.note(now, listed)
+	var p Plan
+	if t.down || !t.certain(now) {
+		return p
+	}
+	for i := range t.slots {
+		t.plan(now, i, live, leaving, &p)
+	}
+	return p
+}
+
+// note takes in the platform's list and returns the live entries.
+func (t *Table) note(now time.Time, listed []platform.Instance) []platform.Instance {
+	var live []platform.Instance
+	for _, in := range listed {
+		if in.Role != platform.RoleEntry {
+			continue
+		}
+		seen, ok := t.seen[in.ID]
+		if !ok {
+			seen.first = now
+		}
+		seen.last = now
+		t.seen[in.ID] = seen
+		if in.State == platform.Live {
+			live = append(live, in)
+		}
+	}
+	for id, seen := range t.seen {
+		if now.Sub(seen.last) > 10*GoneAfter {
+			delete(t.seen, id)
+		}
+	}
+	return live
+}
+
+func (t *Table) plan(now time.Time, i int, live []platform.Instance, leaving bool, p *Plan) {
+	s := &t.slots[i]
+	switch {
+	case s.holder == t.self:
+		t.planOwn(now, i, live, leaving, p)
+	case leaving || !t.mayClaim(now, s):
+	case t.turn(now, i, live):
+		p.Claims = append(p.Claims, Claim{Partition: i, Epoch: s.epoch + 1, Holder: t.self, Addr: t.addr})
+	}
+}
+
+// planOwn renews what this entry holds, or hands it over.
+func (t *Table) planOwn(now time.Time, i int, live []platform.Instance, leaving bool, p *Plan) {
+	s := &t.slots[i]
+	if s.closing || s.stale || now.Sub(s.updated) > RenewEvery {
+		p.Claims = append(p.Claims, Claim{Partition: i, Epoch: s.epoch + 1, Holder: t.self, Addr: t.addr})
+		return
+	}
+	to, ok := t.successor(i, live)
+	if !ok || now.Before(s.tenure.From) && s.tenure.Carry == nil {
+		return
+	}
+	seen := t.seen[to.ID]
+	if !leaving && (len(p.Handovers) >= maxHandover || now.Sub(seen.first) < settleTime) {
+		return
+	}
+	p.Handovers = append(p.Handovers, Handover{Partition: i, To: to.ID, Addr: to.RPCAddr})
+}
+
+// successor returns the first in rank for partition i, unless it is this
+// entry or there is none.
+func (t *Table) successor(i int, live []platform.Instance) (platform.Instance, bool) {
+	ranked := membership.Rank(rankKey(i), live)
+	if len(ranked) == 0 || ranked[0].ID == t.self {
+		return platform.Instance{}, false
+	}
+	return ranked[0], true
+}
+
+// mayClaim reports whether a partition that others hold is free to be taken
+// over: its holder is gone from the list, or nobody is known to hold it.
+func (t *Table) mayClaim(now time.Time, s *slot) bool {
+	if s.holder == "" {
+		return t.whole || now.Sub(t.started) > RenewEvery+TakeoverWait
+	}
+	last := t.seen[s.holder].last
+	if last.Before(s.updated) {
+		last = s.updated
+	}
+	return now.Sub(last) > GoneAfter
+}
+
+// turn reports whether this entry is to claim partition i: the first in rank
+// at once, the others later in case the first does not.
+func (t *Table) turn(now time.Time, i int, live []platform.Instance) bool {
+	for rank, in := range membership.Rank(rankKey(i), live) {
+		if in.ID != t.self {
+			continue
+		}
+		s := &t.slots[i]
+		since := s.updated
+		if last := t.seen[s.holder].last; last.After(since) {
+			since = last
+		}
+		if since.Before(t.started) {
+			since = t.started
+		}
+		return rank == 0 || now.Sub(since) > GoneAfter+time.Duration(rank)*claimStagger
+	}
+	return false
+}
+
+// Closing says that this entry is about to close its shares of a partition,
+// and returns the tenure to close.
+func (t *Table) Closing(now time.Time, partition int) (Tenure, uint64, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := &t.slots[partition]
+	if s.holder != t.self || s.closing || !t.certain(now) {
+		return Tenure{}, 0, false
+	}
+	s.closing = true
+	return s.tenure, s.epoch, true
+}
+
+func rankKey(partition int) string { return "limits/" + strconv.Itoa(partition) }
--- /dev/null
+++ b/limit/fleet_test.go
@@ -0,0 +1,190 @@
+package limit
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"dandelionrelay/config"
+	"dandelionrelay/invariant"
+	"dandelionrelay/peer"
+	"dandelionrelay/platform"
+	standin "dandelionrelay/standin/platform"
+)
+
+// fleet is some entries with their Service over pipes, inside a synctest
+// bubble, with a global ledger of admissions.
+type fleet struct {
+	t         *testing.T
+	log       *standin.Log
+	instances *standin.Instances
+	config    config.Holder
+	ledger    *Ledger
+
+	mu      sync.Mutex
+	entries map[string]*node
+	cut     map[string]bool // "from to"
+	lost    int             // index of the next call whose answer is lost; see dial
+}
+
+type node struct {
+	*Service
+	id     string
+	server *peer.Server
+	stop   context.CancelFunc
+	done   chan struct{}
+}
+
+func newFleet(t *testing.T, seed uint64, customers map[string]config.Customer, ids ...string) *fleet {
+	f := &fleet{
+		t: t, log: standin.NewLog(0, seed), instances: standin.NewInstances(0),
+		ledger: NewLedger(0), entries: make(map[string]*node), cut: make(map[string]bool),
+	}
+	f.config.Set(config.NewSnapshot(1, &config.State{Customers: customers}))
+	for _, id := range ids {
+		f.start(id)
+	}
+	f.list()
+	return f
+}
+
+func (f *fleet) start(id string) *node {
+	ctx, stop := context.WithCancel(f.t.Context())
+	n := &node{id: id, server: peer.NewServer(), stop: stop, done: make(chan struct{})}
+	n.Service = NewService(Options{
+		Self: f.instance(id, platform.Live), Log: f.log, Instances: f.instances, Config: &f.config,
+		Pool:       peer.NewPool(func(_ context.Context, addr string) (net.Conn, error) { return f.dial(id, addr) }),
+		Invariants: invariant.New(func(v invariant.Violation) { f.t.Error(v) }),
+	})
+	n.server.Register("Limit", n.RPC())
+	f.mu.Lock()
+	f.entries[id] = n
+	f.mu.Unlock()
+	go func() {
+		defer close(n.done)
+		n.Run(ctx)
+	}()
+	return n
+}
+
+func (f *fleet) instance(id string, state platform.InstanceState) platform.Instance {
+	return platform.Instance{ID: id, Role: platform.RoleEntry, State: state, RPCAddr: id}
+}
+
+// list tells the platform's list which entries run.
+func (f *fleet) list() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []platform.Instance
+	for id, n := range f.entries {
+		state := platform.Live
+		if n.leaving.Load() {
+			state = platform.Leaving
+		}
+		list = append(list, f.instance(id, state))
+	}
+	f.instances.Set(list)
+}
+
+func (f *fleet) dial(from, to string) (net.Conn, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n, ok := f.entries[to]
+	if !ok || f.cut[from+" "+to] {
+		return nil, errorx.IllegalState.New("%s cannot reach %s", from, to)
+	}
+	near, far := net.Pipe()
+	go n.server.ServeConn(far)
+	return near, nil
+}
+
+// kill ends an entry at once.
+func (f *fleet) kill(id string) {
+	f.mu.Lock()
+	n := f.entries[id]
+	delete(f.entries, id)
+	f.mu.Unlock()
+	n.stop()
+	n.server.Close()
+	n.Pool.Close()
+	<-n.done
+}
+
+func (f *fleet) close() {
+	for id := range f.entries {
+		f.kill(id)
+	}
+}
+
+// admit sends one request of a customer through an entry and returns whether
+// it was admitted and the Retry-After of the refusal.
+func (f *fleet) admit(id, customer string) (bool, time.Duration) {
+	f.t.Helper()
+	c := f.config.Current().State.Customers[customer]
+	l := Limits{Rate: c.Rate, Burst: c.Burst}
+	ok, wait, _ := f.entries[id].Admit(f.t.Context(), customer, l)
+	if ok && !f.ledger.Admitted(time.Now(), customer, l) {
+		f.t.Errorf("customer %s got more than %+v", customer, l)
+	}
+	return ok, wait
+}
+
+// bubble runs body with a fleet of three entries that have taken their shares.
+func bubble(t *testing.T, customers map[string]config.Customer, body func(f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, customers, "a", "b", "c")
+		defer f.close()
+		time.Sleep(2 * time.Second)
+		body(f)
+	})
+}
+
+func TestSingleCallerInsideItsRateIsNeverRefused(t *testing.T) {
+	for _, l := range []Limits{{10, 1}, {0.5, 1}, {0.5, 3}, {7, 2}, {40, 30}, {100, 200}} {
+		for _, spread := range []int{1, 3} {
+			t.Run(fmt.Sprintf("rate %g burst %g over %d", l.Rate, l.Burst, spread), func(t *testing.T) {
+				bubble(t, map[string]config.Customer{"x": {Rate: l.Rate, Burst: l.Burst}}, func(f *fleet) {
+					for round := range 3 {
+						for i := range int(l.Burst) {
+							if ok, _ := f.admit(string(rune('a'+i%spread)), "x"); !ok {
+								t.Fatalf("round %d: request %d of the burst was refused", round, i)
+							}
+						}
+						for i := range 50 {
+							time.Sleep(time.Duration(float64(time.Second) / l.Rate))
+							if ok, _ := f.admit(string(rune('a'+i%spread)), "x"); !ok {
+								t.Fatalf("round %d: request %d at the rate was refused", round, i)
+							}
+						}
+						time.Sleep(time.Duration(float64(time.Second) * l.Burst / l.Rate))
+					}
+				})
+			})
+		}
+	}
+}
+
+func TestBurstBeyondIsRefusedWithRetryAfter(t *testing.T) {
+	bubble(t, map[string]config.Customer{"x": {Rate: 0.5, Burst: 3}}, func(f *fleet) {
+		for range 3 {
+			if ok, _ := f.admit("a", "x"); !ok {
+				t.Fatal("refused inside the burst")
+			}
+		}
+		ok, wait := f.admit("b", "x")
+		if ok || wait < 1900*time.Millisecond || wait > 2*time.Second {
+			t.Fatalf("admitted %v, retry after %v", ok, wait)
+		}
+		time.Sleep(wait)
+		if ok, _ := f.admit("c", "x"); !ok {
+			t.Fatal("refused at the promised time")
+		}
+	})
+}
--- /dev/null
+++ b/limit/follow.go
@@ -0,0 +1,151 @@
+package limit
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/google/uuid"
+
+	"dandelionrelay/platform"
+)
+
+// Times and bounds of following the log.
+const (
+	pollWait    = 500 * time.Millisecond // of one read at the end of the log
+	pollPause   = 100 * time.Millisecond // between reads that reached the end
+	callTimeout = time.Second            // of one call to the platform
+	readLimit   = 256                    // records in one read
+	listEvery   = time.Second            // between reads of the instance list
+)
+
+// follower replays the stream into the table and records what the table
+// plans. It belongs to one goroutine.
+type follower struct {
+	s      *Service
+	next   platform.Offset // 0: to be looked up
+	listed time.Time       // when the list was last read
+}
+
+func newFollower(s *Service) *follower { return &follower{s: s} }
+
+func (f *follower) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := f.round(ctx); err != nil {
+			f.s.table.Failed(time.Now())
+		}
+		sleep(ctx, pollPause)
+	}
+}
+
+// round reads to the end of the log and records what is due.
+func (f *follower) round(ctx context.Context) error {
+	if f.next == 0 {
+		if err := f.locate(ctx); err != nil {
+			return err
+		}
+	}
+	if err := f.read(ctx); err != nil {
+		return err
+	}
+	if f.s.leaving.Load() || time.Since(f.listed) >= listEvery {
+		return f.record(ctx)
+	}
+	return nil
+}
+
+// locate starts the replay at the oldest record kept.
+func (f *follower) locate(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	oldest, _, err := f.s.Log.Bounds(ctx, Stream)
+	if err != nil {
+		return err
+	}
+	f.next = oldest
+	f.s.table.Restart(time.Now(), oldest == 1)
+	return nil
+}
+
+// read applies records until a read finds none, which confirms that the end
+// was reached.
+func (f *follower) read(ctx context.Context) error {
+	wait := pollWait
+	if f.s.leaving.Load() {
+		wait = 0
+	}
+	for {
+		start := time.Now()
+		records, err := f.readOnce(ctx, wait)
+		if err != nil {
+			return err
+		}
+		if len(records) == 0 {
+			f.s.table.Confirm(start, time.Now())
+			return nil
+		}
+		wait = 0
+		for _, r := range records {
+			f.apply(r)
+		}
+	}
+}
+
+func (f *follower) readOnce(ctx context.Context, wait time.Duration) ([]platform.Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	records, err := f.s.Log.Read(ctx, Stream, f.next, readLimit, wait)
+	var expired *platform.ExpiredError
+	if errors.As(err, &expired) {
+		f.next = 0
+	}
+	return records, err
+}
+
+func (f *follower) apply(r platform.Record) {
+	f.next = r.Offset + 1
+	record, err := DecodeRecord(r.Data)
+	if err != nil {
+		return // nobody can read it: all readers pass over it alike
+	}
+	f.s.table.Apply(time.Now(), record)
+}
+
+// record appends what the table plans. A lost answer needs no care: the
+// record is read back, or planned again.
+func (f *follower) record(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	list, err := f.s.Instances.List(ctx)
+	if err != nil {
+		return nil // says nothing about the log
+	}
+	now := time.Now()
+	f.listed = now
+	r := f.prepare(now, f.s.table.Plan(now, list, f.s.leaving.Load()))
+	if len(r.Claims) == 0 {
+		return nil
+	}
+	data, err := r.Encode()
+	if err != nil {
+		return err
+	}
+	_, err = f.s.Log.Append(ctx, Stream, uuid.NewString(), data)
+	return err
+}
+
+// prepare closes the shares that are to be handed over and returns the record.
+func (f *follower) prepare(now time.Time, p Plan) *Record {
+	r := &Record{Claims: p.Claims}
+	for _, h := range p.Handovers {
+		tenure, epoch, ok := f.s.table.Closing(now, h.Partition)
+		if !ok {
+			continue
+		}
+		carry := f.s.minter.Close(now, h.Partition, tenure)
+		r.Claims = append(r.Claims, Claim{
+			Partition: h.Partition, Epoch: epoch + 1, Holder: h.To, Addr: h.Addr, Carry: carry,
+		})
+	}
+	return r
+}
--- /dev/null
+++ b/limit/gather.go
@@ -0,0 +1,233 @@
+package limit
+
+import "time"
+
+// Gather is one request's way to a token. It belongs to one goroutine.
+type Gather struct {
+	taker    *Taker
+	customer string
+	limits   Limits
+	single   bool
+	sources  []source
+	held     []heldGrant
+	asked    time.Time // when the asks under way were made
+	ready    time.Time // no grant held may be used before
+	rounds   int
+}
+
+// source is one share as this request has seen it.
+type source struct {
+	share  int
+	holder string
+	addr   string
+	epoch  uint64
+	asked  bool
+	failed bool    // it did not answer, or does not hold the share
+	left   float64 // tokens that it could still grant when it answered
+}
+
+// heldGrant is a grant in hand.
+type heldGrant struct {
+	source  int // index in Gather.sources
+	reply   TakeReply
+	expires time.Time
+}
+
+// Ask is a call to make to a holder.
+type Ask struct {
+	Holder string // instance id
+	Addr   string // ip:port
+	Args   TakeArgs
+	source int
+}
+
+// Action says what to do next for a request.
+type Action int
+
+// The actions.
+const (
+	Admit  Action = iota // the request is admitted now; then call Finish
+	Query                // make the asks, pass on each answer, then call Next
+	Wait                 // call Next after Step.Wait
+	Refuse               // a token will exist after Step.Wait; call Finish
+)
+
+// Step is the next thing to do for a request.
+type Step struct {
+	Action Action
+	Asks   []Ask
+	Wait   time.Duration
+	// Unavailable says with Refuse that no holder could be asked.
+	Unavailable bool
+}
+
+// rotate makes turn choose the share to ask first, and has the others asked
+// only if that one has no token.
+func (g *Gather) rotate(turn uint64) {
+	g.single = true
+	n := len(g.sources)
+	if n == 0 {
+		return
+	}
+	first := int(turn % uint64(n))
+	g.sources = append(g.sources[first:n:n], g.sources[:first]...)
+}
+
+// Next returns what to do at now, when all asks have been answered or given
+// up.
+func (g *Gather) Next(now time.Time) Step {
+	have := g.have(now)
+	if have >= 1-epsilon {
+		if now.Before(g.ready) {
+			return Step{Action: Wait, Wait: g.ready.Sub(now)}
+		}
+		return Step{Action: Admit}
+	}
+	if g.rounds >= maxRounds {
+		return g.refuse(1 - have)
+	}
+	asks := g.asks(1 - have)
+	if len(asks) == 0 {
+		return g.refuse(1 - have)
+	}
+	g.rounds++
+	g.asked = now
+	return Step{Action: Query, Asks: asks}
+}
+
+// have returns the tokens in hand and forgets grants that have expired.
+func (g *Gather) have(now time.Time) float64 {
+	sum := 0.0
+	kept := g.held[:0]
+	for _, h := range g.held {
+		if now.Before(h.expires) {
+			sum += h.reply.Amount
+			kept = append(kept, h)
+		}
+	}
+	g.held = kept
+	return sum
+}
+
+// asks returns the calls that could bring the missing part of a token.
+func (g *Gather) asks(missing float64) []Ask {
+	fresh := g.unasked()
+	if len(fresh) > 0 {
+		if g.single && g.rounds == 0 {
+			fresh = fresh[:1]
+		}
+		asks := make([]Ask, 0, len(fresh))
+		for _, i := range fresh {
+			asks = append(asks, g.ask(i, missing/float64(len(fresh))))
+		}
+		return asks
+	}
+	total := g.left()
+	if total < missing-epsilon {
+		return nil
+	}
+	var asks []Ask
+	for i, s := range g.sources {
+		if !s.failed && s.left > epsilon {
+			asks = append(asks, g.ask(i, missing*s.left/total))
+		}
+	}
+	return asks
+}
+
+func (g *Gather) unasked() []int {
+	var out []int
+	for i, s := range g.sources {
+		if !s.asked {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// left returns the tokens that the sources could still grant.
+func (g *Gather) left() float64 {
+	sum := 0.0
+	for _, s := range g.sources {
+		if !s.failed && s.left > epsilon {
+			sum += s.left
+		}
+	}
+	return sum
+}
+
+func (g *Gather) ask(i int, amount float64) Ask {
+	s := &g.sources[i]
+	s.asked = true
+	return Ask{
+		Holder: s.holder, Addr: s.addr, source: i,
+		Args: TakeArgs{Customer: g.customer, Share: s.share, Epoch: s.epoch, Amount: amount},
+	}
+}
+
+// Answer takes in the answer to an ask. Each ask has at most one.
+func (g *Gather) Answer(now time.Time, a Ask, r TakeReply) {
+	g.taker.answered(now, a.Holder, true)
+	s := &g.sources[a.source]
+	s.failed = !r.Held
+	s.left = r.Left
+	if r.Grant == 0 {
+		return
+	}
+	g.held = append(g.held, heldGrant{source: a.source, reply: r, expires: g.asked.Add(GrantLife)})
+	if ready := now.Add(r.Wait); ready.After(g.ready) {
+		g.ready = ready
+	}
+}
+
+// Lost says that an ask was not answered.
+func (g *Gather) Lost(now time.Time, a Ask) {
+	g.taker.answered(now, a.Holder, false)
+	g.sources[a.source].failed = true
+}
+
+// refuse returns the refusal, with the time until the missing part of a token
+// will have been minted by the shares that answered.
+func (g *Gather) refuse(missing float64) Step {
+	answered := 0
+	for _, s := range g.sources {
+		if s.asked && !s.failed {
+			answered++
+		}
+	}
+	if answered == 0 {
+		return Step{Action: Refuse, Wait: TakeoverWait, Unavailable: true}
+	}
+	rate := g.limits.part().Rate * float64(answered)
+	if rate <= 0 || g.limits.Burst < 1 {
+		return Step{Action: Refuse, Wait: time.Hour}
+	}
+	seconds := max(0, missing-g.left()) / rate
+	return Step{Action: Refuse, Wait: max(time.Millisecond, time.Duration(seconds*float64(time.Second)))}
+}
+
+// Return is a message that ends grants at one holder.
+type Return struct {
+	Holder string
+	Addr   string
+	Args   SettleArgs
+}
+
+// Finish returns the messages that end the grants in hand: as spent if the
+// request was admitted, else to be given back.
+func (g *Gather) Finish(admitted bool) []Return {
+	var out []Return
+	for _, h := range g.held {
+		if admitted && !h.reply.Settle {
+			continue
+		}
+		s := g.sources[h.source]
+		settlement := Settlement{Customer: g.customer, Share: s.share, Tenure: h.reply.Tenure, Grant: h.reply.Grant}
+		if !admitted {
+			settlement.Unused = h.reply.Amount
+		}
+		out = append(out, Return{Holder: s.holder, Addr: s.addr, Args: SettleArgs{Grants: []Settlement{settlement}}})
+	}
+	g.held = nil
+	return out
+}
--- /dev/null
+++ b/limit/messages.go
@@ -0,0 +1,46 @@
+package limit
+
+import "time"
+
+// Names of the RPC methods of the limit service.
+const (
+	MethodTake   = "Limit.Take"
+	MethodSettle = "Limit.Settle"
+)
+
+// TakeArgs asks the holder of a share for tokens.
+type TakeArgs struct {
+	Customer string
+	Share    int     // from 0
+	Epoch    uint64  // of the share's partition, as the taker knows it
+	Amount   float64 // tokens
+	Partial  bool    // less than Amount is welcome
+}
+
+// TakeReply grants tokens. A grant may be used once, not before Wait after
+// the reply came, and not after GrantLife after the ask was sent.
+type TakeReply struct {
+	Held    bool    // the answerer holds the share and may mint; else the rest is unset
+	Grant   uint64  // 0: nothing was granted
+	Tenure  uint64  // of the holder, to be given back in Settle
+	Amount  float64 // tokens granted
+	Wait    time.Duration
+	Left    float64 // tokens that could still be granted now
+	Pending float64 // tokens in other grants, some of which may come back
+	Settle  bool    // an early Settle lets the share refill sooner
+}
+
+// SettleArgs ends grants. Unknown grants are ignored.
+type SettleArgs struct{ Grants []Settlement }
+
+// Settlement says that a grant was spent, except for Unused tokens.
+type Settlement struct {
+	Customer string
+	Share    int
+	Tenure   uint64
+	Grant    uint64
+	Unused   float64
+}
+
+// SettleReply acknowledges a Settle.
+type SettleReply struct{}
