--- a/limit/fleet_test.go
+++ b/limit/fleet_test.go
@@ -30,7 +30,6 @@
 	mu      sync.Mutex
 	entries map[string]*node
 	cut     map[string]bool // "from to"
-	lost    int             // index of the next call whose answer is lost; see dial
 }
 
 type node struct {
