--- a/front/front.go
+++ b/front/front.go
@@ -24,22 +24,22 @@
 
 // Front is an http.Handler before a pipeline.
 type Front struct {
-	handle   pipeline.Handler
-	source   config.Source
-	maxBody  int64 // bytes
-	log      zerolog.Logger
+	handle  pipeline.Handler
+	source  config.Source
+	maxBody int64 // bytes; 0: the pipeline reads the body itself
+	log     zerolog.Logger
+	metrics *Metrics
+}
+
+// Metrics counts what fronts answer. The fronts of a process share one.
+type Metrics struct {
 	answered *prometheus.CounterVec
 	seconds  *prometheus.HistogramVec
 }
 
-// New returns a Front that hands calls to handle and refuses bodies of more
-// than maxBody bytes. Its metrics go to reg.
-func New(handle pipeline.Handler, source config.Source, maxBody int64, log zerolog.Logger, reg prometheus.Registerer) *Front {
-	f := &Front{
-		handle:  handle,
-		source:  source,
-		maxBody: maxBody,
-		log:     log,
+// NewMetrics returns the metrics of fronts, registered with reg.
+func NewMetrics(reg prometheus.Registerer) *Metrics {
+	m := &Metrics{
 		answered: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "relay_requests_total",
 			Help: "Requests answered, by customer, error code (empty: none) and outcome.",
@@ -50,8 +50,14 @@
 			Buckets: prometheus.ExponentialBuckets(0.001, 2, 17),
 		}, []string{"route"}),
 	}
-	reg.MustRegister(f.answered, f.seconds)
-	return f
+	reg.MustRegister(m.answered, m.seconds)
+	return m
+}
+
+// New returns a Front that hands calls to handle and refuses bodies of more
+// than maxBody bytes. With maxBody 0 the pipeline reads the body itself.
+func New(handle pipeline.Handler, source config.Source, maxBody int64, log zerolog.Logger, m *Metrics) *Front {
+	return &Front{handle: handle, source: source, maxBody: maxBody, log: log, metrics: m}
 }
 
 // ServeHTTP implements http.Handler.
@@ -70,6 +76,9 @@
 
 // readBody reads the whole body, bounded in size and time.
 func (f *Front) readBody(c *pipeline.Call) *api.Error {
+	if f.maxBody == 0 {
+		return nil
+	}
 	control := http.NewResponseController(c.W)
 	// Recorders in tests know no deadlines; real connections all do.
 	_ = control.SetReadDeadline(c.Received.Add(BodyTimeout))
@@ -105,14 +114,14 @@
 // finish answers err, if any, and accounts for the call.
 func (f *Front) finish(c *pipeline.Call, err *api.Error) {
 	took := time.Since(c.Received)
-	f.seconds.WithLabelValues(c.RouteID).Observe(took.Seconds())
+	f.metrics.seconds.WithLabelValues(c.RouteID).Observe(took.Seconds())
 	event := f.log.Debug().Str("request", c.ID).Str("customer", c.Customer).Str("route", c.RouteID).Dur("took_ms", took)
 	if err == nil {
-		f.answered.WithLabelValues(c.Customer, "", string(api.Done)).Inc()
+		f.metrics.answered.WithLabelValues(c.Customer, "", string(api.Done)).Inc()
 		event.Msg("request answered")
 		return
 	}
-	f.answered.WithLabelValues(c.Customer, string(err.Code), string(err.Outcome)).Inc()
+	f.metrics.answered.WithLabelValues(c.Customer, string(err.Code), string(err.Outcome)).Inc()
 	event.Str("code", string(err.Code)).Str("outcome", string(err.Outcome)).Msg("request refused or failed")
 	if c.Started {
 		// The answer is under way and can't be changed any more: the caller
--- /dev/null
+++ b/ops/ops.go
@@ -0,0 +1,71 @@
+// Package ops serves what operators watch of a process: metrics, health,
+// readiness and profiles.
+package ops
+
+import (
+	"net/http"
+	"net/http/pprof"
+	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
+
+	"dandelionrelay/invariant"
+)
+
+// Ready says whether the process wants new work. The zero value says no.
+type Ready struct{ yes atomic.Bool }
+
+// Set changes the answer.
+func (r *Ready) Set(yes bool) { r.yes.Store(yes) }
+
+// Get returns the answer.
+func (r *Ready) Get() bool { return r.yes.Load() }
+
+// Handler returns the mux with /metrics, /healthz, /readyz and /debug/pprof/.
+func Handler(reg *prometheus.Registry, ready *Ready) *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusOK)
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !ready.Get() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	mux.HandleFunc("/debug/pprof/", pprof.Index)
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	return mux
+}
+
+// NewRegistry returns a registry with the metrics of the Go runtime and of the
+// process.
+func NewRegistry() *prometheus.Registry {
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(collectors.NewGoCollector())
+	reg.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return reg
+}
+
+// Invariants returns the invariants of a process: a violation is logged and
+// counted in relay_invariant_violations_total.
+func Invariants(reg prometheus.Registerer, log zerolog.Logger) *invariant.Set {
+	violations := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "relay_invariant_violations_total",
+		Help: "Violations of the promises of the system, by invariant.",
+	}, []string{"invariant"})
+	reg.MustRegister(violations)
+	for _, name := range invariant.All {
+		violations.WithLabelValues(string(name))
+	}
+	return invariant.New(func(v invariant.Violation) {
+		violations.WithLabelValues(string(v.Name)).Inc()
+		log.Error().Str("invariant", string(v.Name)).Str("detail", v.Detail).Msg("invariant violated")
+	})
+}
