Entry and sidecar as processes, command line, local example

Joins the landed filters in entry.compose and starts both roles and the stand-ins from settings files. The demonstration is not built yet and says so.

--- /dev/null
+++ b/cli/cli.go
@@ -0,0 +1,86 @@
+// Package cli is the command line: the roles, the operator's verbs, the
+// stand-ins and the demonstration.
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/alecthomas/kong"
+)
+
+// Exit codes of the command.
+const (
+	ExitOK       = 0
+	ExitFailure  = 1 // the work could not be done
+	ExitUsage    = 2 // the command line is wrong
+	ExitFindings = 3 // the input has faults, all of which were printed
+	ExitConflict = 4 // somebody else's change came first
+)
+
+// App is the whole command line.
+type App struct {
+	Entry   EntryCmd   `cmd:"" help:"Run an entry: it admits callers' requests and sends them to endpoints." group:"Roles"`
+	Sidecar SidecarCmd `cmd:"" help:"Run a sidecar beside an endpoint." group:"Roles"`
+	Standin StandinCmd `cmd:"" help:"Run a stand-in for the platform or for an endpoint (tests, demonstrations)." group:"Stand-ins"`
+	Demo    DemoCmd    `cmd:"" help:"Run the whole system in one process on loopback and show what it does." group:"Stand-ins"`
+	Version VersionCmd `cmd:"" help:"Print the version." group:"Operator"`
+}
+
+// Env is what verbs need of their surroundings.
+type Env struct {
+	Ctx    context.Context
+	Stdout io.Writer
+	Stderr io.Writer
+}
+
+// exitError carries an exit code with the error to print.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+func (e *exitError) Unwrap() error { return e.err }
+
+// Run parses args and runs the verb; it returns the exit code.
+func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	env := &Env{Ctx: ctx, Stdout: stdout, Stderr: stderr}
+	var app App
+	parser, err := kong.New(&app,
+		kong.Name("dandelionrelay"),
+		kong.Description("Serves online and batch inference on one fleet."),
+		kong.Writers(stdout, stderr),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
+		kong.Bind(env),
+	)
+	if err != nil {
+		panic(err) // a fault of the program: the grammar above is constant
+	}
+	parsed, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintf(stderr, "dandelionrelay: %v\n", err)
+		return ExitUsage
+	}
+	return exitCode(parsed.Run(env), stderr)
+}
+
+func exitCode(err error, stderr io.Writer) int {
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintf(stderr, "dandelionrelay: %v\n", err)
+	var coded *exitError
+	if errors.As(err, &coded) {
+		return coded.code
+	}
+	return ExitFailure
+}
+
+// Main runs the command line of this process and ends it.
+func Main() {
+	os.Exit(Run(context.Background(), os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/cli/standin.go
@@ -0,0 +1,73 @@
+package cli
+
+import (
+	"fmt"
+	"time"
+
+	"dandelionrelay/settings"
+	"dandelionrelay/standin/engine"
+	"dandelionrelay/standin/plain"
+	standin "dandelionrelay/standin/platform"
+)
+
+// StandinCmd groups the stand-ins.
+type StandinCmd struct {
+	Platform StandinPlatformCmd `cmd:"" help:"Stand-in platform: log, instance list and weight store in memory."`
+	Engine   StandinEngineCmd   `cmd:"" help:"Stand-in model engine with continuous batching."`
+	Plain    StandinPlainCmd    `cmd:"" help:"Stand-in plain service."`
+}
+
+// StandinPlatformCmd runs the stand-in platform.
+type StandinPlatformCmd struct {
+	Settings string `required:"" help:"Settings file (JSON)." placeholder:"FILE"`
+}
+
+// Run implements the verb.
+func (c *StandinPlatformCmd) Run(env *Env) error {
+	s, err := settings.LoadPlatform(c.Settings)
+	if err != nil {
+		return findingsExit(err)
+	}
+	log := standin.NewLog(time.Duration(s.Retention), s.Seed)
+	instances := standin.NewInstances(time.Duration(s.ListLag))
+	instances.Set(s.Instances)
+	return serveStandin(env, s.HTTPAddr, standin.NewServer(log, instances, s.LoadsPerMinute))
+}
+
+// StandinEngineCmd runs a stand-in engine.
+type StandinEngineCmd struct {
+	Settings string `required:"" help:"Settings file (JSON)." placeholder:"FILE"`
+}
+
+// Run implements the verb.
+func (c *StandinEngineCmd) Run(env *Env) error {
+	s, err := settings.LoadEngine(c.Settings)
+	if err != nil {
+		return findingsExit(err)
+	}
+	e := engine.New(engine.Options{
+		Model:        s.Model,
+		StepBase:     time.Duration(s.StepBase),
+		StepSlope:    time.Duration(s.StepPerSlot),
+		ObeysFencing: s.ObeysFencing,
+	})
+	defer e.Close()
+	return serveStandin(env, s.HTTPAddr, e)
+}
+
+// StandinPlainCmd runs a stand-in plain service.
+type StandinPlainCmd struct {
+	Addr string `required:"" help:"Address to serve on." placeholder:"IP:PORT"`
+}
+
+// Run implements the verb.
+func (c *StandinPlainCmd) Run(env *Env) error {
+	return serveStandin(env, c.Addr, plain.New())
+}
+
+// findingsExit gives err, the findings of an input, its exit code.
+func findingsExit(err error) error {
+	return &exitError{code: ExitFindings, err: err}
+}
+
+func notYet(what string) error { return fmt.Errorf("%s: not built yet", what) }
--- a/cmd/dandelionrelay/main.go
+++ b/cmd/dandelionrelay/main.go
@@ -2,4 +2,6 @@
 // verbs.
 package main
 
-func main() {}
+import "dandelionrelay/cli"
+
+func main() { cli.Main() }
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,139 @@
+// Package entry composes an entry: the pipeline that callers' requests pass
+// through, the batch interface, and the services for peers. Read compose
+// first: it joins the filters in one place.
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"dandelionrelay/authn"
+	"dandelionrelay/config"
+	"dandelionrelay/dispatch"
+	"dandelionrelay/front"
+	"dandelionrelay/invariant"
+	"dandelionrelay/limit"
+	"dandelionrelay/membership"
+	"dandelionrelay/ops"
+	"dandelionrelay/peer"
+	"dandelionrelay/pipeline"
+	"dandelionrelay/platform"
+	"dandelionrelay/route"
+	"dandelionrelay/settings"
+)
+
+// Deps is what an Entry works with.
+type Deps struct {
+	Log        platform.Log
+	Instances  platform.Instances
+	Dial       peer.Dialer // to peers and sidecars; nil means TCP
+	Logger     zerolog.Logger
+	Registry   *prometheus.Registry
+	Invariants *invariant.Set
+}
+
+// Entry is one entry, not yet listening.
+type Entry struct {
+	settings *settings.Entry
+	deps     Deps
+	holder   config.Holder
+	follower *config.Follower
+	view     *membership.View
+	limits   *limit.Service
+	pool     *peer.Pool
+	peers    *peer.Server
+	ready    ops.Ready
+	callers  http.Handler
+	ops      http.Handler
+}
+
+// New composes an entry. Nothing runs before Run.
+func New(s *settings.Entry, d Deps) *Entry {
+	if d.Dial == nil {
+		d.Dial = peer.DialTCP
+	}
+	e := &Entry{settings: s, deps: d, peers: peer.NewServer(), pool: peer.NewPool(d.Dial)}
+	e.follower = config.NewFollower(d.Log, &e.holder, d.Invariants, e.configChanged)
+	e.view = membership.NewView(d.Instances)
+	e.limits = limit.NewService(limit.Options{
+		Self:       e.self(),
+		Log:        d.Log,
+		Instances:  d.Instances,
+		Config:     &e.holder,
+		Pool:       e.pool,
+		Invariants: d.Invariants,
+	})
+	e.peers.Register("Limit", e.limits.RPC())
+	e.compose()
+	return e
+}
+
+// self is this entry as the platform lists it.
+func (e *Entry) self() platform.Instance {
+	return platform.Instance{
+		ID:         e.settings.ID,
+		Role:       platform.RoleEntry,
+		DataCentre: e.settings.DataCentre,
+		State:      platform.Live,
+		HTTPAddr:   e.settings.HTTPAddr,
+		RPCAddr:    e.settings.RPCAddr,
+	}
+}
+
+// compose joins the filters: callers' requests pass through them from first
+// to last.
+func (e *Entry) compose() {
+	checks := e.deps.Invariants
+	dispatcher := dispatch.New(dispatch.Deps{
+		Members:    e.view,
+		Transport:  e.transport(),
+		Invariants: checks,
+	})
+	online := pipeline.Chain(dispatcher.Handle,
+		authn.Identify(&e.holder),
+		route.Filter(),
+		authn.Authorize(&e.holder, checks),
+		limit.Filter(e.limits),
+	)
+	metrics := front.NewMetrics(e.deps.Registry)
+	logger := e.deps.Logger
+	e.callers = front.New(online, &e.holder, e.settings.MaxBodyBytes, logger, metrics)
+	e.ops = ops.Handler(e.deps.Registry, &e.ready)
+}
+
+// transport returns the transport to sidecars.
+func (e *Entry) transport() http.RoundTripper {
+	t := dispatch.NewTransport()
+	t.DialContext = dialer(e.deps.Dial)
+	return t
+}
+
+// configChanged is called with each new version in force here.
+func (e *Entry) configChanged(s *config.Snapshot) {
+	e.deps.Logger.Info().Uint64("version", s.Version).Msg("configuration in force")
+	e.ready.Set(true)
+}
+
+// Callers returns the handler for callers.
+func (e *Entry) Callers() http.Handler { return e.callers }
+
+// Ops returns the handler for operators.
+func (e *Entry) Ops() http.Handler { return e.ops }
+
+// Peers returns the server for peers.
+func (e *Entry) Peers() *peer.Server { return e.peers }
+
+// Run does the background work until ctx ends.
+func (e *Entry) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { e.follower.Run(ctx) })
+	wg.Go(func() { e.view.Run(ctx) })
+	wg.Go(func() { e.limits.Run(ctx) })
+	wg.Wait()
+	e.pool.Close()
+	e.peers.Close()
+}
