--- a/api/batch.go
+++ b/api/batch.go
@@ -7,6 +7,8 @@
 	Job     string
 	Item    int // index of the item in its job, from 0
 	Attempt string
+	// CustomID is the caller's name of the item; its result carries it.
+	CustomID string
 }
 
 // Work is one batch item handed to a sidecar.
@@ -57,7 +59,10 @@
 type ReportArgs struct {
 	Endpoint string
 	Results  []Result
-	Running  []WorkRef // this owner's work that still runs here: its heartbeat
+	// Running is the heartbeat: work that runs here, and work that ended
+	// whose result no owner has accepted yet. What it does not name for long
+	// is handed out again.
+	Running []WorkRef
 }
 
 // ReportReply says which running work is to be stopped, as its job was
--- /dev/null
+++ b/jobs/appender.go
@@ -0,0 +1,72 @@
+package jobs
+
+import (
+	"context"
+	"time"
+
+	"dandelionrelay/api"
+	"dandelionrelay/platform"
+)
+
+// Bounds on settling the fate of an append whose answer was lost.
+const (
+	appendTries   = 4
+	appendTimeout = 5 * time.Second
+)
+
+// appender appends to one stream and settles lost answers.
+type appender struct {
+	log    platform.Log
+	stream string
+	from   platform.Offset // the records of this appender lie at or after it
+}
+
+func newAppender(ctx context.Context, log platform.Log, stream string) (*appender, error) {
+	_, next, err := log.Bounds(ctx, stream)
+	if err != nil {
+		return nil, err
+	}
+	return &appender{log: log, stream: stream, from: next}, nil
+}
+
+// append stores data and returns its offset. If the answer is lost it reads on
+// for id, and appends again if it is not there: all records of this package
+// may be repeated. With outcome NotRun the record is certainly not stored;
+// with Unknown it may be, now or later.
+func (a *appender) append(ctx context.Context, id string, data []byte) (platform.Offset, api.Outcome) {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	outcome := api.Outcome(api.NotRun)
+	for range appendTries {
+		offset, err := a.log.Append(ctx, a.stream, id, data)
+		if err == nil {
+			a.from = offset + 1
+			return offset, api.Done
+		}
+		outcome = api.Unknown
+		if offset, ok := a.find(ctx, id); ok {
+			return offset, api.Done
+		}
+		if !pause(ctx, retryPause) {
+			break
+		}
+	}
+	return 0, outcome
+}
+
+// find reads on for a record.
+func (a *appender) find(ctx context.Context, id string) (platform.Offset, bool) {
+	for from := a.from; ; {
+		records, err := a.log.Read(ctx, a.stream, from, readBatch, 0)
+		if err != nil || len(records) == 0 {
+			return 0, false
+		}
+		for _, r := range records {
+			if r.ID == id {
+				a.from = r.Offset + 1
+				return r.Offset, true
+			}
+			from = r.Offset + 1
+		}
+	}
+}
--- /dev/null
+++ b/jobs/http.go
@@ -0,0 +1,277 @@
+package jobs
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"mime"
+	"net/http"
+	"time"
+
+	"dandelionrelay/api"
+)
+
+// HeaderIdempotencyKey is the caller's key for a submission.
+const HeaderIdempotencyKey = "Idempotency-Key"
+
+// maxDocumentBytes bounds the JSON document that asks for a job.
+const maxDocumentBytes = 64 << 10
+
+// outputPrefix makes the id of an output file from that of its job.
+const outputPrefix = "output-"
+
+type customerKey struct{}
+
+// WithCustomer returns a context that says for which customer a request to
+// the Handler runs.
+func WithCustomer(ctx context.Context, customer string) context.Context {
+	return context.WithValue(ctx, customerKey{}, customer)
+}
+
+func customerOf(r *http.Request) string {
+	customer, _ := r.Context().Value(customerKey{}).(string)
+	return customer
+}
+
+// Handler serves the files and batches interface to customers. The caller is
+// authenticated before: see WithCustomer.
+type Handler struct {
+	s   *Service
+	mux *http.ServeMux
+}
+
+// handlerFunc answers a request of a customer, or returns the error with which
+// to answer.
+type handlerFunc func(w http.ResponseWriter, r *http.Request, customer string) *api.Error
+
+// NewHandler returns the Handler of a service.
+func NewHandler(s *Service) *Handler {
+	h := &Handler{s: s, mux: http.NewServeMux()}
+	h.handle("POST /v1/files", h.postFile)
+	h.handle("GET /v1/files/{id}", h.getFile)
+	h.handle("GET /v1/files/{id}/content", h.getContent)
+	h.handle("POST /v1/batches", h.postBatch)
+	h.handle("GET /v1/batches", h.list)
+	h.handle("GET /v1/batches/{id}", h.get)
+	h.handle("GET /v1/batches/{id}/results", h.getResults)
+	h.handle("POST /v1/batches/{id}/cancel", h.postCancel)
+	h.handle("DELETE /v1/batches/{id}", h.delete)
+	return h
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.mux.ServeHTTP(w, r)
+}
+
+func (h *Handler) handle(pattern string, f handlerFunc) {
+	h.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		customer := customerOf(r)
+		if customer == "" {
+			api.WriteError(w, api.NewError(http.StatusUnauthorized, api.CodeNoKey, "batch jobs need a key"))
+			return
+		}
+		if e := f(w, r, customer); e != nil {
+			e.RequestID = w.Header().Get(api.HeaderRequestID)
+			api.WriteError(w, e)
+		}
+	})
+}
+
+func (h *Handler) postFile(w http.ResponseWriter, r *http.Request, customer string) *api.Error {
+	body, name, e := fileBody(r)
+	if e != nil {
+		return e
+	}
+	f, _, e := h.s.Accept(r.Context(), &Submission{
+		Customer: customer,
+		Key:      r.Header.Get(HeaderIdempotencyKey),
+		Name:     name,
+		Body:     body,
+	})
+	if e != nil {
+		return e
+	}
+	api.WriteJSON(w, http.StatusOK, newFileDocument(f))
+	return nil
+}
+
+// fileBody returns the file in a request, whose body is the file itself or a
+// form with the fields purpose and file, in this order.
+func fileBody(r *http.Request) (io.Reader, string, *api.Error) {
+	media, _, _ := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	if media != "multipart/form-data" {
+		return r.Body, "", nil
+	}
+	form, err := r.MultipartReader()
+	if err != nil {
+		return nil, "", badRequest("the form could not be read: " + err.Error())
+	}
+	for {
+		part, err := form.NextPart()
+		if errors.Is(err, io.EOF) {
+			return nil, "", badRequest("the form has no field file")
+		}
+		if err != nil {
+			return nil, "", badRequest("the form could not be read: " + err.Error())
+		}
+		switch part.FormName() {
+		case "file":
+			return part, part.FileName(), nil
+		case "purpose":
+			purpose, _ := io.ReadAll(io.LimitReader(part, 64))
+			if string(purpose) != "batch" {
+				return nil, "", badRequest("purpose must be batch")
+			}
+		}
+	}
+}
+
+func (h *Handler) getFile(w http.ResponseWriter, r *http.Request, customer string) *api.Error {
+	f, err := h.s.File(r.Context(), customer, r.PathValue("id"))
+	if err != nil {
+		return unavailable()
+	}
+	if f.ID == "" {
+		return noFile(r.PathValue("id"))
+	}
+	api.WriteJSON(w, http.StatusOK, newFileDocument(f))
+	return nil
+}
+
+// jobRequest is the document that asks for a job.
+type jobRequest struct {
+	InputFileID      string            `json:"input_file_id"`
+	Endpoint         string            `json:"endpoint"`
+	CompletionWindow string            `json:"completion_window"`
+	Metadata         map[string]string `json:"metadata"`
+}
+
+func (h *Handler) postBatch(w http.ResponseWriter, r *http.Request, customer string) *api.Error {
+	key := r.Header.Get(HeaderIdempotencyKey)
+	media, _, _ := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	if media == "application/jsonl" || media == "application/x-ndjson" {
+		return h.postLines(w, r, customer, key)
+	}
+	var in jobRequest
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxDocumentBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&in); err != nil {
+		return badRequest("the body is not a batch document: " + err.Error())
+	}
+	params := &JobParams{Endpoint: in.Endpoint, Window: in.CompletionWindow, Metadata: in.Metadata}
+	v, e := h.s.Submit(r.Context(), customer, key, in.InputFileID, params)
+	if e != nil {
+		return e
+	}
+	api.WriteJSON(w, http.StatusOK, newJobDocument(v))
+	return nil
+}
+
+// postLines takes a job whose items are the body of the request.
+func (h *Handler) postLines(w http.ResponseWriter, r *http.Request, customer, key string) *api.Error {
+	query := r.URL.Query()
+	_, v, e := h.s.Accept(r.Context(), &Submission{
+		Customer: customer,
+		Key:      key,
+		Body:     r.Body,
+		Job:      &JobParams{Endpoint: query.Get("endpoint"), Window: query.Get("completion_window")},
+	})
+	if e != nil {
+		return e
+	}
+	api.WriteJSON(w, http.StatusOK, newJobDocument(v))
+	return nil
+}
+
+func (h *Handler) list(w http.ResponseWriter, r *http.Request, customer string) *api.Error {
+	views, err := h.s.List(r.Context(), customer)
+	if err != nil {
+		return unavailable()
+	}
+	api.WriteJSON(w, http.StatusOK, newListDocument(views))
+	return nil
+}
+
+func (h *Handler) get(w http.ResponseWriter, r *http.Request, customer string) *api.Error {
+	v, e := h.find(r, customer)
+	if e != nil {
+		return e
+	}
+	api.WriteJSON(w, http.StatusOK, newJobDocument(v))
+	return nil
+}
+
+// find returns the job that a request names.
+func (h *Handler) find(r *http.Request, customer string) (View, *api.Error) {
+	id := r.PathValue("id")
+	v, err := h.s.Get(r.Context(), customer, id)
+	if err != nil {
+		return v, unavailable()
+	}
+	if v.ID == "" {
+		return v, api.NewError(http.StatusNotFound, api.CodeNotFound, "no such batch: "+id)
+	}
+	return v, nil
+}
+
+func (h *Handler) postCancel(w http.ResponseWriter, r *http.Request, customer string) *api.Error {
+	return h.end(w, r, customer, factCancel)
+}
+
+func (h *Handler) delete(w http.ResponseWriter, r *http.Request, customer string) *api.Error {
+	return h.end(w, r, customer, factDelete)
+}
+
+// end cancels or deletes a job and answers once that is durable.
+func (h *Handler) end(w http.ResponseWriter, r *http.Request, customer string, kind factKind) *api.Error {
+	v, e := h.find(r, customer)
+	if e != nil {
+		return e
+	}
+	if e := h.s.end(r.Context(), v.ID, kind); e != nil {
+		return e
+	}
+	if kind == factDelete {
+		api.WriteJSON(w, http.StatusOK, deletedDocument{ID: v.ID, Object: "batch", Deleted: true})
+		return nil
+	}
+	if after, err := h.s.Get(r.Context(), customer, v.ID); err == nil && after.ID != "" {
+		v = after
+	}
+	api.WriteJSON(w, http.StatusOK, newJobDocument(v))
+	return nil
+}
+
+// end appends the end of a job.
+func (s *Service) end(ctx context.Context, id string, kind factKind) *api.Error {
+	n, _ := partitionOf(jobPrefix, id)
+	a, err := newAppender(ctx, s.o.Log, streamName(n))
+	if err != nil {
+		return logDown()
+	}
+	_, outcome := a.append(ctx, s.nextNonce(), encodeFacts([]fact{{Kind: kind, Job: id}}))
+	switch outcome {
+	case api.Done:
+		return nil
+	case api.NotRun:
+		return logDown()
+	default:
+		return api.NewError(http.StatusServiceUnavailable, api.CodeLogDown,
+			"the log did not confirm: send the request again").
+			WithOutcome(api.Unknown).WithRetryAfter(logRetryAfter)
+	}
+}
+
+func badRequest(message string) *api.Error {
+	return api.NewError(http.StatusBadRequest, api.CodeBadRequest, message)
+}
+
+// ownerRetryAfter is when to come back while a partition is taken over.
+const ownerRetryAfter = 2 * time.Second
+
+func unavailable() *api.Error {
+	return api.NewError(http.StatusServiceUnavailable, api.CodeOverloaded, "the job's state can't be read now").
+		WithRetryAfter(ownerRetryAfter)
+}
--- /dev/null
+++ b/jobs/lines.go
@@ -0,0 +1,176 @@
+package jobs
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/sha256"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+
+	"dandelionrelay/api"
+	"dandelionrelay/config"
+)
+
+// lineReader reads a file line by line in bounded memory.
+type lineReader struct {
+	r     *bufio.Reader
+	line  int
+	bytes int64
+}
+
+// next returns the next line without its end. It returns a nil line for one
+// that is longer than MaxItemBytes. The line is valid until the next call.
+func (l *lineReader) next() ([]byte, error) {
+	l.line++
+	b, err := l.r.ReadSlice('\n')
+	l.bytes += int64(len(b))
+	if err == nil || errors.Is(err, io.EOF) && len(b) > 0 {
+		return bytes.TrimRight(b, "\r\n"), nil
+	}
+	if !errors.Is(err, bufio.ErrBufferFull) {
+		return nil, err
+	}
+	for errors.Is(err, bufio.ErrBufferFull) {
+		b, err = l.r.ReadSlice('\n')
+		l.bytes += int64(len(b))
+	}
+	if err != nil && !errors.Is(err, io.EOF) {
+		return nil, err
+	}
+	return nil, nil
+}
+
+// checker checks the lines of one file and collects what is wrong with them.
+type checker struct {
+	snapshot *config.Snapshot
+	customer string
+	endpoint string // URL that all lines must have; empty: any
+	name     string // of the file
+	targets  []target
+	seen     map[[16]byte]int // digest of a custom_id -> its line
+	findings []api.Finding
+	faults   int
+}
+
+func newChecker(snapshot *config.Snapshot, customer, endpoint, name string) *checker {
+	return &checker{
+		snapshot: snapshot,
+		customer: customer,
+		endpoint: endpoint,
+		name:     name,
+		seen:     make(map[[16]byte]int),
+	}
+}
+
+// fault notes a finding; only the first MaxFindings are named.
+func (c *checker) fault(line int, pointer, format string, args ...any) {
+	c.faults++
+	if len(c.findings) >= MaxFindings {
+		return
+	}
+	c.findings = append(c.findings, api.Finding{
+		File:    c.name,
+		Line:    line,
+		Pointer: pointer,
+		Message: fmt.Sprintf(format, args...),
+	})
+}
+
+// check returns the item of a line, or false after noting what is wrong.
+func (c *checker) check(line int, b []byte) (chunkItem, json.RawMessage, bool) {
+	if b == nil {
+		c.fault(line, "", "line exceeds %d bytes", MaxItemBytes)
+		return chunkItem{}, nil, false
+	}
+	before := c.faults
+	var in api.BatchLine
+	decoder := json.NewDecoder(bytes.NewReader(b))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&in); err != nil {
+		c.fault(line, "", "not a batch item: %v", err)
+		return chunkItem{}, nil, false
+	}
+	if decoder.More() {
+		c.fault(line, "", "more than one JSON value")
+	}
+	c.checkID(line, in.CustomID)
+	if in.Method != http.MethodPost {
+		c.fault(line, "/method", "must be %s", http.MethodPost)
+	}
+	if c.endpoint != "" && in.URL != c.endpoint {
+		c.fault(line, "/url", "%q is not the endpoint %q of the job", in.URL, c.endpoint)
+	}
+	index := c.target(line, &in)
+	item := chunkItem{CustomID: in.CustomID, Target: index, Size: len(in.Body)}
+	return item, in.Body, c.faults == before
+}
+
+func (c *checker) checkID(line int, id string) {
+	if id == "" || len(id) > MaxCustomID {
+		c.fault(line, "/custom_id", "must have 1 to %d bytes", MaxCustomID)
+		return
+	}
+	digest := sha256.Sum256([]byte(id))
+	short := [16]byte(digest[:16])
+	if first, ok := c.seen[short]; ok {
+		c.fault(line, "/custom_id", "%q is already used in line %d", id, first)
+		return
+	}
+	if len(c.seen) < MaxItems {
+		c.seen[short] = line
+	}
+}
+
+// modelPaths are the URLs whose route is found by the model in the body.
+var modelPaths = []string{"/v1/chat/completions", "/v1/completions"}
+
+// target returns the index of where a line goes.
+func (c *checker) target(line int, in *api.BatchLine) int {
+	if len(in.Body) == 0 || in.Body[0] != '{' {
+		c.fault(line, "/body", "must be an object")
+		return 0
+	}
+	var route config.Route
+	var ok bool
+	if slices.Contains(modelPaths, in.URL) {
+		var body struct {
+			Model string `json:"model"`
+		}
+		if err := json.Unmarshal(in.Body, &body); err != nil || body.Model == "" {
+			c.fault(line, "/body/model", "must name a model")
+			return 0
+		}
+		if _, route, ok = c.snapshot.RouteByModel(body.Model); !ok {
+			c.fault(line, "/body/model", "no route for model %q", body.Model)
+			return 0
+		}
+	} else if _, route, ok = c.snapshot.RouteByPath(in.URL); !ok || !strings.HasPrefix(in.URL, "/") {
+		c.fault(line, "/url", "no route for %q", in.URL)
+		return 0
+	}
+	if len(route.Customers) > 0 && !slices.Contains(route.Customers, c.customer) {
+		c.fault(line, "/url", "the customer may not use this route")
+		return 0
+	}
+	return c.targetIndex(line, target{route.Deployment, in.URL, route.Idempotent})
+}
+
+// maxTargets is the number of different targets in one file.
+const maxTargets = 64
+
+func (c *checker) targetIndex(line int, t target) int {
+	if i := slices.Index(c.targets, t); i >= 0 {
+		return i
+	}
+	if len(c.targets) == maxTargets {
+		c.fault(line, "/url", "more than %d different targets in one file", maxTargets)
+		return 0
+	}
+	c.targets = append(c.targets, t)
+	return len(c.targets) - 1
+}
--- /dev/null
+++ b/jobs/partition.go
@@ -0,0 +1,377 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"dandelionrelay/api"
+	"dandelionrelay/invariant"
+	"dandelionrelay/platform"
+)
+
+// readBatch is the number of records asked for at once.
+const readBatch = 8
+
+// readWait is how long a read waits for the next record.
+const readWait = 10 * time.Second
+
+// retryPause is the time between two tries while the log is down.
+const retryPause = time.Second
+
+// partition drives the owner of one stream: it replays the stream, appends
+// what the owner decides, and wakes those who wait.
+type partition struct {
+	s      *Service
+	number int
+	stream string
+	cancel context.CancelFunc
+	kick   chan struct{} // facts were queued
+
+	mu      sync.Mutex
+	owner   *owner
+	writer  writer
+	owned   bool
+	ready   bool          // replayed to the end
+	handOut time.Time     // no work is handed out before
+	used    time.Time     // last asked for anything
+	changed chan struct{} // closed when the table changes
+}
+
+func newPartition(s *Service, number int) *partition {
+	return &partition{
+		s:       s,
+		number:  number,
+		stream:  streamName(number),
+		kick:    make(chan struct{}, 1),
+		owner:   newOwner(s.o.Invariants, NewTable(s.o.Invariants), s.nextNonce()),
+		writer:  writer{nonce: s.nextNonce()},
+		used:    time.Now(),
+		changed: make(chan struct{}),
+	}
+}
+
+// run drives the partition until ctx ends.
+func (p *partition) run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { p.replay(ctx) })
+	wg.Go(func() { p.write(ctx) })
+	wg.Go(func() { p.tick(ctx) })
+	wg.Go(func() { p.carry(ctx) })
+	wg.Wait()
+}
+
+// replay follows the stream.
+func (p *partition) replay(ctx context.Context) {
+	end, ok := p.begin(ctx)
+	if !ok {
+		return
+	}
+	for ctx.Err() == nil {
+		p.mu.Lock()
+		from := p.owner.table.next
+		if !p.ready && from >= end {
+			p.becomeReady()
+		}
+		p.mu.Unlock()
+		records, err := p.s.o.Log.Read(ctx, p.stream, from, readBatch, readWait)
+		if err != nil {
+			end = p.readFailed(ctx, err, end)
+			continue
+		}
+		p.apply(records)
+	}
+}
+
+// begin finds where the stream starts and ends.
+func (p *partition) begin(ctx context.Context) (end platform.Offset, ok bool) {
+	for ctx.Err() == nil {
+		oldest, next, err := p.s.o.Log.Bounds(ctx, p.stream)
+		if err == nil {
+			p.mu.Lock()
+			p.owner.table.Start(oldest)
+			p.mu.Unlock()
+			return next, true
+		}
+		pause(ctx, retryPause)
+	}
+	return 0, false
+}
+
+// readFailed waits, or starts again from an empty table if records expired
+// before they were read: what they said was carried, or is over.
+func (p *partition) readFailed(ctx context.Context, err error, end platform.Offset) platform.Offset {
+	var expired *platform.ExpiredError
+	if !errors.As(err, &expired) {
+		pause(ctx, retryPause)
+		return end
+	}
+	p.mu.Lock()
+	p.ready = false
+	p.owner = newOwner(p.s.o.Invariants, NewTable(p.s.o.Invariants), p.s.nextNonce())
+	p.mu.Unlock()
+	next, _ := p.begin(ctx)
+	return next
+}
+
+// becomeReady ends the first replay. The caller holds the lock.
+func (p *partition) becomeReady() {
+	p.ready = true
+	p.owner.table.Show()
+	p.handOut = time.Now()
+	if len(p.owner.openJobs()) > 0 {
+		p.handOut = p.handOut.Add(TakeoverGrace)
+	}
+	p.wake()
+}
+
+func (p *partition) apply(records []platform.Record) {
+	if len(records) == 0 {
+		return
+	}
+	p.mu.Lock()
+	for _, r := range records {
+		if err := p.owner.table.Apply(r); err != nil {
+			p.s.badRecord(p.stream, r.Offset, err)
+		}
+	}
+	p.wake()
+	p.mu.Unlock()
+	p.s.wake()
+}
+
+// wake lets go all who wait for a change. The caller holds the lock.
+func (p *partition) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// submit queues facts for the log.
+func (p *partition) submit(facts []fact) {
+	if len(facts) == 0 {
+		return
+	}
+	p.mu.Lock()
+	p.writer.add(facts)
+	p.mu.Unlock()
+	select {
+	case p.kick <- struct{}{}:
+	default:
+	}
+}
+
+// write appends groups until ctx ends.
+func (p *partition) write(ctx context.Context) {
+	for ctx.Err() == nil {
+		p.mu.Lock()
+		g, wait := p.writer.take(time.Now())
+		p.mu.Unlock()
+		if g != nil {
+			p.appendGroup(ctx, g)
+			continue
+		}
+		if wait > 0 {
+			pause(ctx, wait)
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-p.kick:
+		}
+	}
+}
+
+// appendGroup appends g and tells the writer.
+func (p *partition) appendGroup(ctx context.Context, g *group) {
+	if !p.appendRecord(ctx, g.id, g.data) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.writer.stored(g)
+}
+
+// appendRecord appends a record until it is known to be stored; false means
+// that ctx ended before. Repeats are harmless: of equal facts the first
+// counts.
+func (p *partition) appendRecord(ctx context.Context, id string, data []byte) bool {
+	for ctx.Err() == nil {
+		if _, err := p.s.o.Log.Append(ctx, p.stream, id, data); err == nil {
+			return true
+		}
+		pause(ctx, retryPause)
+		p.mu.Lock()
+		_, found := p.owner.table.Stored(id)
+		p.mu.Unlock()
+		if found {
+			return true
+		}
+	}
+	return false
+}
+
+// tick drives what follows from the passing of time.
+func (p *partition) tick(ctx context.Context) {
+	for pause(ctx, time.Second) {
+		now := time.Now()
+		p.mu.Lock()
+		var facts []fact
+		if p.ready && p.owned && !now.Before(p.handOut) {
+			facts = p.owner.tick(now)
+		}
+		if p.ready {
+			p.owner.table.Forget(now)
+		}
+		p.mu.Unlock()
+		p.complete(ctx, facts)
+		p.submit(facts)
+		p.s.wake()
+	}
+}
+
+// complete fills in the custom ids that facts lack.
+func (p *partition) complete(ctx context.Context, facts []fact) {
+	for i := range facts {
+		f := &facts[i]
+		if f.Kind != factDone || f.CustomID != "" {
+			continue
+		}
+		p.mu.Lock()
+		j := p.owner.table.Job(f.Job)
+		if j == nil {
+			p.mu.Unlock()
+			continue
+		}
+		found := j.file.chunkOf(f.Item)
+		if found == nil {
+			p.mu.Unlock()
+			continue
+		}
+		c := *found
+		p.mu.Unlock()
+		record, err := p.s.cache.get(ctx, p.stream, c.at)
+		if err == nil && record.header.Chunk != nil {
+			f.CustomID = record.header.Chunk.Items[f.Item-c.first].CustomID
+		}
+	}
+}
+
+// report handles the results of a sidecar. It returns once all that are final
+// are durable.
+func (p *partition) report(ctx context.Context, endpoint string, results []api.Result) error {
+	if err := p.waitReady(ctx); err != nil {
+		return err
+	}
+	now := time.Now()
+	p.mu.Lock()
+	if p.writer.full() {
+		p.mu.Unlock()
+		return NotDurable.New("%d bytes of results wait for the log", PendingBytes)
+	}
+	var facts []fact
+	for i := range results {
+		facts = append(facts, p.owner.report(now, endpoint, &results[i])...)
+	}
+	p.mu.Unlock()
+	p.complete(ctx, facts)
+	p.submit(facts)
+	p.s.wake()
+	return p.waitSettled(ctx, results)
+}
+
+// waitSettled waits until no result waits for the log.
+func (p *partition) waitSettled(ctx context.Context, results []api.Result) error {
+	return p.await(ctx, func() bool {
+		for i := range results {
+			if p.committing(&results[i]) {
+				return false
+			}
+		}
+		for i := range results {
+			p.checkDurable(&results[i])
+		}
+		return true
+	})
+}
+
+// committing says whether the result of an item is on its way to the log. The
+// caller holds the lock.
+func (p *partition) committing(r *api.Result) bool {
+	j, it := p.owner.find(r.WorkRef)
+	if it == nil || it.first != 0 || j.ended() {
+		return false
+	}
+	a, ok := p.owner.running[itemKey{r.Job, r.Item}]
+	return ok && a.committing
+}
+
+// checkDurable asserts that a final result about to be acknowledged is in the
+// log. The caller holds the lock.
+func (p *partition) checkDurable(r *api.Result) {
+	j, it := p.owner.find(r.WorkRef)
+	if it == nil || r.State != api.ResultDone || retryable(r.Status) {
+		return
+	}
+	tgt, _ := j.target(r.Item)
+	p.s.o.Invariants.Check(it.first != 0 || j.ended() || !tgt.Idempotent, invariant.AcknowledgedIsDurable,
+		"job %s item %d: result acknowledged but not in the log", r.Job, r.Item)
+}
+
+// waitReady waits until the partition is replayed.
+func (p *partition) waitReady(ctx context.Context) error {
+	return p.await(ctx, func() bool { return p.ready })
+}
+
+// has reads the table.
+func (p *partition) has(ok func(*Table) bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return ok(p.owner.table)
+}
+
+// catchUp waits until everything stored before the call is replayed.
+func (p *partition) catchUp(ctx context.Context) error {
+	_, next, err := p.s.o.Log.Bounds(ctx, p.stream)
+	if err != nil {
+		return err
+	}
+	return p.await(ctx, func() bool { return p.ready && p.owner.table.next >= next })
+}
+
+// await waits until ok, which is called with the lock held.
+func (p *partition) await(ctx context.Context, ok func() bool) error {
+	for {
+		p.mu.Lock()
+		p.used = time.Now()
+		done, changed := ok(), p.changed
+		p.mu.Unlock()
+		if done {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return NotDurable.Wrap(ctx.Err(), "partition %d", p.number)
+		}
+	}
+}
+
+// isUnavailable says whether err means that the log is down.
+func isUnavailable(err error) bool {
+	return errorx.IsOfType(err, platform.Unavailable)
+}
+
+// pause waits and says whether ctx is still open.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/jobs/record.go
@@ -0,0 +1,162 @@
+package jobs
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"time"
+
+	"dandelionrelay/platform"
+)
+
+// A record is a header in JSON, preceded by its length in four bytes, and the
+// bodies that the header speaks of, one after the other. Replay reads only
+// the header.
+type header struct {
+	Chunk *chunkHeader `json:"chunk,omitempty"`
+	File  *fileRecord  `json:"file,omitempty"`
+	Job   *jobRecord   `json:"job,omitempty"`
+	Facts []fact       `json:"facts,omitempty"`
+}
+
+// chunkHeader describes the items whose bodies a record holds.
+type chunkHeader struct {
+	Upload string      `json:"upload"`
+	Seq    int         `json:"seq"`
+	First  int         `json:"first"` // index of the first item in the file
+	Items  []chunkItem `json:"items"`
+}
+
+// chunkItem is one item of a chunk.
+type chunkItem struct {
+	CustomID string `json:"id"`
+	Target   int    `json:"t,omitempty"` // index into the targets of the file
+	Size     int    `json:"n"`           // bytes of its body
+}
+
+// target is where items of a file go.
+type target struct {
+	Deployment string `json:"deployment"`
+	Path       string `json:"path"`
+	Idempotent bool   `json:"idempotent,omitempty"`
+}
+
+// fileRecord seals an upload: all its chunks lie before this record.
+type fileRecord struct {
+	ID       string          `json:"id"`
+	Customer string          `json:"customer"`
+	Upload   string          `json:"upload"`
+	Digest   string          `json:"digest"`
+	Name     string          `json:"name,omitempty"`
+	Bytes    int64           `json:"bytes"`
+	Items    int             `json:"items"`
+	Firsts   []int           `json:"firsts"` // index of the first item of each chunk
+	Targets  []target        `json:"targets"`
+	Created  time.Time       `json:"created"`
+	Kept     time.Time       `json:"kept"` // forgotten after this if no job uses it
+	Orig     platform.Offset `json:"orig,omitempty"`
+}
+
+// jobRecord commits a job.
+type jobRecord struct {
+	ID       string            `json:"id"`
+	Customer string            `json:"customer"`
+	File     string            `json:"file"`
+	Endpoint string            `json:"endpoint,omitempty"`
+	Window   string            `json:"window,omitempty"`
+	Metadata map[string]string `json:"metadata,omitempty"`
+	Created  time.Time         `json:"created"`
+	Due      time.Time         `json:"due"`
+	Expires  time.Time         `json:"expires"` // no item starts or ends after this
+	Kept     time.Time         `json:"kept"`    // results are readable until then
+	Orig     platform.Offset   `json:"orig,omitempty"`
+}
+
+// factKind says what a fact tells.
+type factKind string
+
+// The kinds of facts. Facts may be repeated and replayed in any order: each
+// carries the offset of its first record, and merging takes the lowest.
+const (
+	factDone    factKind = "done"    // an item has a final result
+	factBegin   factKind = "begin"   // a non-idempotent item is about to start
+	factRelease factKind = "release" // the begun attempt certainly never started
+	factSetback factKind = "setback" // attempts and deaths of an item so far
+	factCancel  factKind = "cancel"  // the job is cancelled
+	factExpire  factKind = "expire"  // the job ran out of time
+	factDelete  factKind = "delete"  // the job's results are deleted
+)
+
+// resultCode says how an item ended.
+type resultCode string
+
+// The ends of an item.
+const (
+	itemDone    resultCode = ""                  // the endpoint's answer is the result
+	itemFailed  resultCode = "failed"            // attempts are used up
+	itemCrashed resultCode = "crashed_endpoints" // endpoints died running it
+	itemUnknown resultCode = "unknown"           // it may have run and must not run again
+	itemTooBig  resultCode = "result_too_large"
+)
+
+// fact is one statement about a job or an item.
+type fact struct {
+	Kind     factKind        `json:"k"`
+	Job      string          `json:"j"`
+	Item     int             `json:"i,omitempty"`
+	Orig     platform.Offset `json:"o,omitempty"` // first record that said so; 0: this one
+	Time     time.Time       `json:"at,omitzero"` // of that record, if carried
+	CustomID string          `json:"id,omitempty"`
+	Attempt  string          `json:"a,omitempty"`
+	Code     resultCode      `json:"c,omitempty"`
+	Status   int             `json:"s,omitempty"`
+	Size     int             `json:"n,omitempty"` // bytes of the result's body
+	Gen      int             `json:"g,omitempty"` // of a begin: how many were released before
+	Attempts int             `json:"as,omitempty"`
+	Deaths   int             `json:"d,omitempty"`
+	body     []byte          // of the result, on the way to the log
+}
+
+// encodeRecord returns the bytes of a record.
+func encodeRecord(h *header, bodies ...[]byte) []byte {
+	head, err := json.Marshal(h)
+	if err != nil {
+		panic(err) // the types above always marshal
+	}
+	size := 4 + len(head)
+	for _, b := range bodies {
+		size += len(b)
+	}
+	out := make([]byte, 4, size)
+	binary.BigEndian.PutUint32(out, uint32(len(head)))
+	out = append(out, head...)
+	for _, b := range bodies {
+		out = append(out, b...)
+	}
+	return out
+}
+
+// decodeRecord splits a record into its header and bodies.
+func decodeRecord(data []byte) (*header, []byte, error) {
+	if len(data) < 4 {
+		return nil, nil, BadRecord.New("record of %d bytes", len(data))
+	}
+	n := int(binary.BigEndian.Uint32(data))
+	if n > len(data)-4 {
+		return nil, nil, BadRecord.New("header of %d bytes in a record of %d", n, len(data))
+	}
+	h := new(header)
+	if err := json.Unmarshal(data[4:4+n], h); err != nil {
+		return nil, nil, BadRecord.Wrap(err, "header")
+	}
+	return h, data[4+n:], nil
+}
+
+// encodeFacts returns a group record.
+func encodeFacts(facts []fact) []byte {
+	bodies := make([][]byte, 0, len(facts))
+	for i := range facts {
+		facts[i].Size = len(facts[i].body)
+		bodies = append(bodies, facts[i].body)
+	}
+	return encodeRecord(&header{Facts: facts}, bodies...)
+}
--- /dev/null
+++ b/jobs/report.go
@@ -0,0 +1,217 @@
+package jobs
+
+import (
+	"net/http"
+	"time"
+
+	"dandelionrelay/api"
+)
+
+// report takes the end of an attempt and returns the facts to append.
+func (o *owner) report(now time.Time, endpoint string, r *api.Result) []fact {
+	o.endpoints[endpoint] = now
+	j, it := o.find(r.WorkRef)
+	if it == nil || it.first != 0 || j.ended() {
+		o.forget(itemKey{r.Job, r.Item})
+		return nil
+	}
+	key := itemKey{r.Job, r.Item}
+	known, ok := o.running[key]
+	if ok && known.committing {
+		return nil
+	}
+	current := ok && known.ref.Attempt == r.Attempt
+	tgt, _ := j.target(r.Item)
+	if !tgt.Idempotent {
+		return o.reportOnce(now, j, r)
+	}
+	switch {
+	case r.State == api.ResultDone && !retryable(r.Status):
+		return o.finish(now, j, r, itemDone)
+	case ok && !current:
+		return nil // another attempt has taken over
+	case r.State == api.ResultDone:
+		return o.setback(now, j, r, 1, 0)
+	case r.State == api.ResultUnknown:
+		return o.setback(now, j, r, 0, 1)
+	case r.State == api.ResultReturned:
+		o.keepResume(key, r.Resume)
+		o.release(j, r.Item, now)
+	default:
+		o.release(j, r.Item, now.Add(RetryDelay))
+	}
+	return nil
+}
+
+// reportOnce takes the end of an attempt at a non-idempotent item.
+func (o *owner) reportOnce(now time.Time, j *job, r *api.Result) []fact {
+	b, gen := j.currentBegin(r.Item)
+	if b == nil || b.attempt != r.Attempt {
+		return nil
+	}
+	switch r.State {
+	case api.ResultDone:
+		return o.finish(now, j, r, itemDone)
+	case api.ResultNotRun:
+		o.release(j, r.Item, now.Add(RetryDelay))
+		return []fact{{Kind: factRelease, Job: j.ID, Item: r.Item, Attempt: r.Attempt, Gen: gen}}
+	default:
+		return o.finish(now, j, r, itemUnknown)
+	}
+}
+
+// finish returns the completion of an item. The item counts as running until
+// the completion is replayed.
+func (o *owner) finish(now time.Time, j *job, r *api.Result, code resultCode) []fact {
+	key := itemKey{j.ID, r.Item}
+	a, ok := o.running[key]
+	if !ok {
+		o.start(now, j, r.WorkRef, "")
+		a = o.running[key]
+	}
+	a.committing = true
+	f := fact{
+		Kind:     factDone,
+		Job:      j.ID,
+		Item:     r.Item,
+		CustomID: r.CustomID,
+		Attempt:  r.Attempt,
+		Code:     code,
+	}
+	if code == itemDone || code == itemFailed {
+		f.Status = r.Status
+		f.body = r.Body
+	}
+	if len(f.body) > MaxResultBytes {
+		f.Code, f.body = itemTooBig, nil
+	}
+	return []fact{f}
+}
+
+// setback counts a failed attempt. The item is handed out again later, or
+// ends if its attempts are used up.
+func (o *owner) setback(now time.Time, j *job, r *api.Result, attempts, deaths int) []fact {
+	it := &j.items[r.Item]
+	attempts += int(it.attempts)
+	deaths += int(it.deaths)
+	if deaths >= MaxDeaths {
+		return o.finish(now, j, r, itemCrashed)
+	}
+	if attempts >= MaxAttempts {
+		return o.finish(now, j, r, itemFailed)
+	}
+	it.attempts, it.deaths = uint8(attempts), uint8(deaths)
+	o.release(j, r.Item, now.Add(RetryDelay<<attempts))
+	return []fact{{Kind: factSetback, Job: j.ID, Item: r.Item, Attempts: attempts, Deaths: deaths}}
+}
+
+// retryable says whether an answer with this status may change by repeating
+// the request.
+func retryable(status int) bool {
+	return status >= http.StatusInternalServerError || status == http.StatusTooManyRequests
+}
+
+// heartbeat notes what runs at an endpoint and returns what shall stop there.
+func (o *owner) heartbeat(now time.Time, endpoint string, running []api.WorkRef) []api.WorkRef {
+	o.endpoints[endpoint] = now
+	var stop []api.WorkRef
+	for _, ref := range running {
+		if !o.alive(now, endpoint, ref) {
+			stop = append(stop, ref)
+		}
+	}
+	return stop
+}
+
+// alive notes that an attempt runs and says whether it shall go on.
+func (o *owner) alive(now time.Time, endpoint string, ref api.WorkRef) bool {
+	j, it := o.find(ref)
+	if it == nil || it.first != 0 || j.ended() {
+		o.forget(itemKey{ref.Job, ref.Item})
+		return false
+	}
+	a, ok := o.running[itemKey{ref.Job, ref.Item}]
+	if !ok {
+		o.start(now, j, ref, endpoint)
+		return true
+	}
+	if a.ref.Attempt != ref.Attempt {
+		return false
+	}
+	a.seen = now
+	return true
+}
+
+// find returns an item that may still be worked on.
+func (o *owner) find(ref api.WorkRef) (*job, *item) {
+	j := o.table.Job(ref.Job)
+	if j == nil || ref.Item < 0 || ref.Item >= len(j.items) {
+		return nil, nil
+	}
+	return j, &j.items[ref.Item]
+}
+
+func (o *owner) forget(key itemKey) {
+	delete(o.running, key)
+	delete(o.orphans, key)
+	o.dropResume(key)
+}
+
+// tick returns the facts that follow from the passing of time: lost attempts
+// and jobs that ran out of time.
+func (o *owner) tick(now time.Time) []fact {
+	var out []fact
+	for key, a := range o.running {
+		j, it := o.find(a.ref)
+		if it == nil || it.first != 0 || j.ended() {
+			o.forget(key)
+			continue
+		}
+		if !a.committing && now.Sub(a.seen) > LostAfter {
+			out = append(out, o.lost(now, j, a)...)
+		}
+	}
+	for key, since := range o.orphans {
+		out = append(out, o.orphanLost(now, key, since)...)
+	}
+	for _, j := range o.openJobs() {
+		if !j.expired && now.After(j.Expires) {
+			j.expired = true
+			out = append(out, fact{Kind: factExpire, Job: j.ID})
+		}
+	}
+	for endpoint, seen := range o.endpoints {
+		if now.Sub(seen) > 2*LostAfter {
+			delete(o.endpoints, endpoint)
+		}
+	}
+	return out
+}
+
+// lost handles an attempt that was not named for long: its endpoint is gone,
+// or lives and never got it.
+func (o *owner) lost(now time.Time, j *job, a *attempt) []fact {
+	r := &api.Result{WorkRef: a.ref, State: api.ResultUnknown}
+	if tgt, _ := j.target(a.ref.Item); !tgt.Idempotent {
+		return o.finish(now, j, r, itemUnknown)
+	}
+	if now.Sub(o.endpoints[a.endpoint]) <= LostAfter {
+		o.release(j, a.ref.Item, now)
+		return nil
+	}
+	return o.setback(now, j, r, 0, 1)
+}
+
+// orphanLost ends a begun item whose attempt is not heard of.
+func (o *owner) orphanLost(now time.Time, key itemKey, since time.Time) []fact {
+	ref := api.WorkRef{Job: key.job, Item: key.item}
+	j, it := o.find(ref)
+	if it == nil || it.first != 0 || it.running || j.ended() {
+		delete(o.orphans, key)
+		return nil
+	}
+	if now.Sub(since) <= LostAfter {
+		return nil
+	}
+	return o.finish(now, j, &api.Result{WorkRef: ref, State: api.ResultUnknown}, itemUnknown)
+}
--- /dev/null
+++ b/jobs/rpc.go
@@ -0,0 +1,163 @@
+package jobs
+
+import (
+	"context"
+	"time"
+
+	"dandelionrelay/api"
+	"dandelionrelay/peer"
+)
+
+// Names of the RPC methods between entries.
+const (
+	methodGet  = "Jobs.Get"
+	methodFile = "Jobs.File"
+	methodList = "Jobs.List"
+	methodPage = "Jobs.Page"
+)
+
+// maxPullWait bounds the wait that a puller may ask for.
+const maxPullWait = 30 * time.Second
+
+// Register serves the job service to peers under the name "Jobs".
+func (s *Service) Register(server *peer.Server) {
+	server.Register("Jobs", &rpcService{s})
+}
+
+// rpcService is the RPC face of a Service.
+type rpcService struct{ s *Service }
+
+// callContext returns the context of a call from a peer. It ends when Run
+// does.
+func (s *Service) callContext(limit time.Duration) (context.Context, context.CancelFunc) {
+	s.mu.Lock()
+	ctx := s.ctx
+	s.mu.Unlock()
+	if ctx == nil {
+		stopped, cancel := context.WithCancel(context.Background())
+		cancel()
+		return stopped, cancel
+	}
+	return context.WithTimeout(ctx, limit)
+}
+
+// Pull hands out work; see api.PullArgs.
+func (r *rpcService) Pull(args api.PullArgs, reply *api.PullReply) error {
+	ctx, cancel := r.s.callContext(maxPullWait)
+	defer cancel()
+	reply.Work = r.s.pull(ctx, args)
+	return nil
+}
+
+// Report takes results and heartbeats; see api.ReportArgs. It answers once
+// the results are durable, and fails if they are not in time: they must be
+// reported again then.
+func (r *rpcService) Report(args api.ReportArgs, reply *api.ReportReply) error {
+	ctx, cancel := r.s.callContext(ReportWait)
+	defer cancel()
+	stop, err := r.s.report(ctx, args)
+	reply.Stop = stop
+	return err
+}
+
+// GetArgs asks for the state of one job, or with List for all of a customer
+// in some partitions.
+type GetArgs struct {
+	Customer   string // empty: any
+	ID         string
+	Partitions []int
+}
+
+// Get returns one job; its id is empty if there is none.
+func (r *rpcService) Get(args GetArgs, reply *View) error {
+	ctx, cancel := r.s.callContext(ReportWait)
+	defer cancel()
+	v, err := r.s.localGet(ctx, args.Customer, args.ID)
+	*reply = v
+	return err
+}
+
+// File returns one file; its id is empty if there is none.
+func (r *rpcService) File(args GetArgs, reply *FileView) error {
+	ctx, cancel := r.s.callContext(ReportWait)
+	defer cancel()
+	v, err := r.s.localFile(ctx, args.Customer, args.ID)
+	*reply = v
+	return err
+}
+
+// List returns the jobs of a customer in some partitions.
+func (r *rpcService) List(args GetArgs, reply *[]View) error {
+	ctx, cancel := r.s.callContext(ReportWait)
+	defer cancel()
+	v, err := r.s.localList(ctx, args)
+	*reply = v
+	return err
+}
+
+// PageArgs asks for results of a job from an item on.
+type PageArgs struct {
+	Customer string
+	Job      string
+	From     int
+}
+
+// Page is some results of a job.
+type Page struct {
+	Results []ItemResult
+	Next    int // item to go on from; 0: that was all
+}
+
+// Page returns some results of a job.
+func (r *rpcService) Page(args PageArgs, reply *Page) error {
+	ctx, cancel := r.s.callContext(ReportWait)
+	defer cancel()
+	page, err := r.s.localPage(ctx, args)
+	*reply = page
+	return err
+}
+
+// report splits a report by partition.
+func (s *Service) report(ctx context.Context, args api.ReportArgs) ([]api.WorkRef, error) {
+	results := make(map[int][]api.Result)
+	for _, r := range args.Results {
+		if n, ok := partitionOf(jobPrefix, r.Job); ok {
+			results[n] = append(results[n], r)
+		}
+	}
+	running := make(map[int][]api.WorkRef)
+	for _, ref := range args.Running {
+		if n, ok := partitionOf(jobPrefix, ref.Job); ok {
+			running[n] = append(running[n], ref)
+		}
+	}
+	var stop []api.WorkRef
+	for n, refs := range running {
+		s.mu.Lock()
+		p := s.partitions[n]
+		s.mu.Unlock()
+		if p != nil {
+			stop = append(stop, p.heartbeat(args.Endpoint, refs)...)
+		}
+	}
+	for n, rs := range results {
+		p, err := s.partition(n)
+		if err == nil {
+			err = p.report(ctx, args.Endpoint, rs)
+		}
+		if err != nil {
+			return stop, err
+		}
+	}
+	return stop, nil
+}
+
+// heartbeat notes what runs at an endpoint and returns what shall stop.
+func (p *partition) heartbeat(endpoint string, running []api.WorkRef) []api.WorkRef {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.ready || !p.owned {
+		return nil
+	}
+	return p.owner.heartbeat(time.Now(), endpoint, running)
+}
--- /dev/null
+++ b/jobs/table.go
@@ -0,0 +1,291 @@
+package jobs
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"dandelionrelay/invariant"
+	"dandelionrelay/platform"
+)
+
+// Table is the state of one partition, made by replaying its stream. It is
+// passive and not safe for concurrent use.
+//
+// Every statement carries the offset of the record that first made it, and a
+// table keeps the lowest. So a carried copy never beats an older record, and a
+// table that starts in the middle of the stream ends in the same state.
+type Table struct {
+	inv     *invariant.Set
+	next    platform.Offset // the first offset not applied
+	visible bool            // replayed far enough to be read from
+	uploads map[string]*upload
+	files   map[string]*file
+	jobs    map[string]*job
+	commits int // changes whenever another job may have become known
+	marks   []mark
+	seen    map[string]platform.Offset // ids of recent records
+	recent  []string
+}
+
+// mark remembers when a record was stored.
+type mark struct {
+	offset platform.Offset
+	time   time.Time
+}
+
+// upload is a sequence of chunks.
+type upload struct {
+	time   time.Time // of the first record about it
+	sealed bool      // a file names it
+	chunks map[int]*chunk
+}
+
+// chunk is where some items of an upload lie.
+type chunk struct {
+	at      platform.Offset // its latest copy
+	first   int
+	count   int
+	targets []uint8 // of each item; nil: all 0
+}
+
+// file is a sealed upload.
+type file struct {
+	fileRecord
+	at     platform.Offset // latest copy of the record
+	upload *upload
+}
+
+// recentIDs is the number of record ids that a table remembers.
+const recentIDs = 512
+
+// markInterval is the resolution at which the age of records is known.
+const markInterval = time.Second
+
+// NewTable returns an empty table whose broken promises are counted in inv.
+func NewTable(inv *invariant.Set) *Table {
+	return &Table{
+		inv:     inv,
+		next:    1,
+		uploads: make(map[string]*upload),
+		files:   make(map[string]*file),
+		jobs:    make(map[string]*job),
+		seen:    make(map[string]platform.Offset),
+	}
+}
+
+// Next returns the first offset that was not applied.
+func (t *Table) Next() platform.Offset { return t.next }
+
+// Start sets the offset of the first record to be applied.
+func (t *Table) Start(from platform.Offset) { t.next = from }
+
+// Show lets the table be read from: it has been replayed to the end.
+func (t *Table) Show() { t.visible = true }
+
+// Apply replays one record. Records come in offset order; one that was
+// applied before is passed over. It fails on a record that is not ours.
+func (t *Table) Apply(r platform.Record) error {
+	if r.Offset < t.next {
+		return nil
+	}
+	t.next = r.Offset + 1
+	t.remember(r)
+	h, _, err := decodeRecord(r.Data)
+	if err != nil {
+		return err
+	}
+	if h.Chunk != nil {
+		t.applyChunk(r, h.Chunk)
+	}
+	if h.File != nil {
+		t.applyFile(r, h.File)
+	}
+	if h.Job != nil {
+		t.applyJob(r, h.Job)
+	}
+	for i := range h.Facts {
+		t.applyFact(r, i, &h.Facts[i])
+	}
+	return nil
+}
+
+// Stored returns the offset of a recent record.
+func (t *Table) Stored(id string) (platform.Offset, bool) {
+	o, ok := t.seen[id]
+	return o, ok
+}
+
+func (t *Table) remember(r platform.Record) {
+	if n := len(t.marks); n == 0 || r.Time.Sub(t.marks[n-1].time) >= markInterval {
+		t.marks = append(t.marks, mark{r.Offset, r.Time})
+	}
+	if _, ok := t.seen[r.ID]; ok {
+		return
+	}
+	t.seen[r.ID] = r.Offset
+	t.recent = append(t.recent, r.ID)
+	if len(t.recent) > recentIDs {
+		delete(t.seen, t.recent[0])
+		t.recent = t.recent[1:]
+	}
+}
+
+// storedBefore returns an offset such that every record below it was stored
+// before limit.
+func (t *Table) storedBefore(limit time.Time) platform.Offset {
+	var o platform.Offset
+	drop := 0
+	for i, m := range t.marks {
+		if !m.time.Before(limit) {
+			break
+		}
+		o = m.offset + 1
+		drop = i
+	}
+	t.marks = t.marks[drop:]
+	return o
+}
+
+func (t *Table) applyChunk(r platform.Record, c *chunkHeader) {
+	u := t.upload(c.Upload, r)
+	if known, ok := u.chunks[c.Seq]; ok {
+		known.at = r.Offset
+		return
+	}
+	fresh := &chunk{at: r.Offset, first: c.First, count: len(c.Items)}
+	for i := range c.Items {
+		if c.Items[i].Target == 0 {
+			continue
+		}
+		if fresh.targets == nil {
+			fresh.targets = make([]uint8, len(c.Items))
+		}
+		fresh.targets[i] = uint8(c.Items[i].Target)
+	}
+	u.chunks[c.Seq] = fresh
+}
+
+func (t *Table) upload(id string, r platform.Record) *upload {
+	u, ok := t.uploads[id]
+	if !ok {
+		u = &upload{time: r.Time, chunks: make(map[int]*chunk)}
+		t.uploads[id] = u
+	}
+	return u
+}
+
+func (t *Table) applyFile(r platform.Record, f *fileRecord) {
+	f.Orig = cmpOr(f.Orig, r.Offset)
+	known, ok := t.files[f.ID]
+	if ok && known.Orig <= f.Orig {
+		if known.Orig == f.Orig {
+			known.at = r.Offset
+		}
+		return
+	}
+	fresh := &file{fileRecord: *f, at: r.Offset, upload: t.upload(f.Upload, r)}
+	fresh.upload.sealed = true
+	t.files[f.ID] = fresh
+	t.commits++
+}
+
+func (t *Table) applyJob(r platform.Record, j *jobRecord) {
+	j.Orig = cmpOr(j.Orig, r.Offset)
+	known := t.job(j.ID, r)
+	if known.committed() && known.Orig <= j.Orig {
+		if known.Orig == j.Orig {
+			known.at = r.Offset
+		}
+		return
+	}
+	known.jobRecord = *j
+	known.at = r.Offset
+	known.file = nil
+	t.commits++
+}
+
+// job returns the job with that id; it is not committed if only facts about
+// it were seen so far.
+func (t *Table) job(id string, r platform.Record) *job {
+	j, ok := t.jobs[id]
+	if !ok {
+		j = newJob(id, r.Time)
+		t.jobs[id] = j
+	}
+	return j
+}
+
+// Job returns a committed job that is not deleted, or nil.
+func (t *Table) Job(id string) *job {
+	j, ok := t.jobs[id]
+	if !ok || !j.committed() || j.deleted != 0 || !t.attach(j) {
+		return nil
+	}
+	return j
+}
+
+// attach joins a job with its file and says whether that is known.
+func (t *Table) attach(j *job) bool {
+	if j.file != nil {
+		return true
+	}
+	f, ok := t.files[j.File]
+	if !ok || f.Customer != j.Customer {
+		return false
+	}
+	j.attach(f)
+	return true
+}
+
+// Forget drops what is past its time: jobs, files and unfinished uploads.
+func (t *Table) Forget(now time.Time) {
+	used := make(map[string]bool)
+	for id, j := range t.jobs {
+		stale := !j.committed() && now.Sub(j.born) > UploadKept
+		if stale || j.committed() && now.After(j.Kept) {
+			delete(t.jobs, id)
+			t.commits++
+			continue
+		}
+		used[j.File] = true
+	}
+	for id, f := range t.files {
+		if now.After(f.Kept) && !used[id] {
+			delete(t.files, id)
+			delete(t.uploads, f.Upload)
+		}
+	}
+	for id, u := range t.uploads {
+		if !u.sealed && now.Sub(u.time) > UploadKept {
+			delete(t.uploads, id)
+		}
+	}
+}
+
+// List returns the jobs of a customer, or of all if it is empty, latest
+// first.
+func (t *Table) List(customer string) []*job {
+	var out []*job
+	for id := range t.jobs {
+		j := t.Job(id)
+		if j != nil && (customer == "" || j.Customer == customer) {
+			out = append(out, j)
+		}
+	}
+	slices.SortFunc(out, func(a, b *job) int {
+		if c := b.Created.Compare(a.Created); c != 0 {
+			return c
+		}
+		return strings.Compare(a.ID, b.ID)
+	})
+	return out
+}
+
+// cmpOr returns o, or other if o is 0.
+func cmpOr(o, other platform.Offset) platform.Offset {
+	if o == 0 {
+		return other
+	}
+	return o
+}
--- /dev/null
+++ b/jobs/view.go
@@ -0,0 +1,388 @@
+package jobs
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"dandelionrelay/membership"
+)
+
+// Status is the state of a job as callers see it.
+type Status string
+
+// The states of a job.
+const (
+	StatusInProgress Status = "in_progress"
+	StatusCompleted  Status = "completed"
+	StatusCancelled  Status = "cancelled"
+	StatusExpired    Status = "expired"
+)
+
+// View is the state of a job.
+type View struct {
+	ID        string
+	Customer  string
+	File      string
+	Digest    string // of the file's bytes
+	Endpoint  string
+	Window    string
+	Metadata  map[string]string
+	Status    Status
+	Total     int
+	Completed int // items with an answer below status 400
+	Failed    int
+	Created   time.Time
+	Due       time.Time
+	Kept      time.Time
+	Ended     time.Time // zero while in progress
+}
+
+// FileView describes an input file.
+type FileView struct {
+	ID       string
+	Customer string
+	Name     string
+	Digest   string
+	Bytes    int64
+	Items    int
+	Created  time.Time
+	Kept     time.Time
+}
+
+// ItemResult is the final result of one item.
+type ItemResult struct {
+	Item     int
+	CustomID string
+	Attempt  string
+	Code     string // empty: the endpoint's answer follows
+	Status   int
+	Body     []byte
+}
+
+func (j *job) view() View {
+	v := View{
+		ID:        j.ID,
+		Customer:  j.Customer,
+		File:      j.File,
+		Digest:    j.file.Digest,
+		Endpoint:  j.Endpoint,
+		Window:    j.Window,
+		Metadata:  j.Metadata,
+		Status:    StatusInProgress,
+		Total:     len(j.items),
+		Completed: j.done - j.failed,
+		Failed:    j.failed,
+		Created:   j.Created,
+		Due:       j.Due,
+		Kept:      j.Kept,
+	}
+	switch {
+	case j.done == len(j.items):
+		v.Status, v.Ended = StatusCompleted, j.last
+	case j.endKind == factCancel:
+		v.Status, v.Ended = StatusCancelled, j.endTime
+	case j.endKind == factExpire:
+		v.Status, v.Ended = StatusExpired, j.endTime
+	}
+	return v
+}
+
+func (f *file) view() FileView {
+	return FileView{
+		ID:       f.ID,
+		Customer: f.Customer,
+		Name:     f.Name,
+		Digest:   f.Digest,
+		Bytes:    f.Bytes,
+		Items:    f.Items,
+		Created:  f.Created,
+		Kept:     f.Kept,
+	}
+}
+
+func (s *Service) localGet(ctx context.Context, customer, id string) (View, error) {
+	n, ok := partitionOf(jobPrefix, id)
+	if !ok {
+		return View{}, nil
+	}
+	p, err := s.ready(ctx, n)
+	if err != nil {
+		return View{}, err
+	}
+	if !p.has(func(t *Table) bool { return t.Job(id) != nil }) {
+		if err := p.catchUp(ctx); err != nil {
+			return View{}, err
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	j := p.owner.table.Job(id)
+	if j == nil || customer != "" && j.Customer != customer || time.Now().After(j.Kept) {
+		return View{}, nil
+	}
+	return j.view(), nil
+}
+
+func (s *Service) localFile(ctx context.Context, customer, id string) (FileView, error) {
+	n, ok := partitionOf(filePrefix, id)
+	if !ok {
+		return FileView{}, nil
+	}
+	p, err := s.ready(ctx, n)
+	if err != nil {
+		return FileView{}, err
+	}
+	if !p.has(func(t *Table) bool { return t.files[id] != nil }) {
+		if err := p.catchUp(ctx); err != nil {
+			return FileView{}, err
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f, ok := p.owner.table.files[id]
+	if !ok || customer != "" && f.Customer != customer {
+		return FileView{}, nil
+	}
+	return f.view(), nil
+}
+
+func (s *Service) localList(ctx context.Context, args GetArgs) ([]View, error) {
+	var out []View
+	for _, n := range args.Partitions {
+		if n < 0 || n >= Partitions {
+			continue
+		}
+		p, err := s.ready(ctx, n)
+		if err != nil {
+			return nil, err
+		}
+		p.mu.Lock()
+		for _, j := range p.owner.table.List(args.Customer) {
+			out = append(out, j.view())
+		}
+		p.mu.Unlock()
+	}
+	return out, nil
+}
+
+// ready returns a partition once it is replayed.
+func (s *Service) ready(ctx context.Context, n int) (*partition, error) {
+	p, err := s.partition(n)
+	if err != nil {
+		return nil, err
+	}
+	return p, p.waitReady(ctx)
+}
+
+// pageBytes is the size of one page of results, pageItems their number.
+const (
+	pageBytes = 1 << 20
+	pageItems = 2_000
+)
+
+// resultRef is where the result of an item lies.
+type resultRef struct {
+	item  int
+	state item
+}
+
+// localPage returns results in the order of the items.
+func (s *Service) localPage(ctx context.Context, args PageArgs) (Page, error) {
+	var page Page
+	n, ok := partitionOf(jobPrefix, args.Job)
+	if !ok {
+		return page, nil
+	}
+	p, err := s.ready(ctx, n)
+	if err != nil {
+		return page, err
+	}
+	refs, more := p.results(args)
+	bytes := 0
+	for i, ref := range refs {
+		if bytes > pageBytes {
+			page.Next = ref.item
+			return page, nil
+		}
+		r, err := p.result(ctx, args.Job, ref)
+		if err != nil {
+			return Page{}, err
+		}
+		bytes += len(r.Body)
+		page.Results = append(page.Results, r)
+		if i == len(refs)-1 && more {
+			page.Next = ref.item + 1
+		}
+	}
+	return page, nil
+}
+
+// results returns where the next results of a job lie, and whether there are
+// more.
+func (p *partition) results(args PageArgs) ([]resultRef, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	j := p.owner.table.Job(args.Job)
+	if j == nil || args.Customer != "" && j.Customer != args.Customer {
+		return nil, false
+	}
+	var refs []resultRef
+	for i := max(args.From, 0); i < len(j.items); i++ {
+		if j.items[i].first == 0 {
+			continue
+		}
+		if len(refs) == pageItems {
+			return refs, true
+		}
+		refs = append(refs, resultRef{i, j.items[i]})
+	}
+	return refs, false
+}
+
+// result reads one result from the log. If it was carried meanwhile, it looks
+// again where it lies.
+func (p *partition) result(ctx context.Context, job string, ref resultRef) (ItemResult, error) {
+	record, err := p.s.cache.get(ctx, p.stream, ref.state.at)
+	if err != nil {
+		p.mu.Lock()
+		j := p.owner.table.Job(job)
+		moved := j != nil && j.items[ref.item].at != ref.state.at
+		if moved {
+			ref.state = j.items[ref.item]
+		} else {
+			p.checkReadable(err, job)
+		}
+		p.mu.Unlock()
+		if !moved {
+			return ItemResult{}, err
+		}
+		record, err = p.s.cache.get(ctx, p.stream, ref.state.at)
+	}
+	if err != nil {
+		return ItemResult{}, err
+	}
+	body, err := record.body(int(ref.state.index))
+	if err != nil {
+		return ItemResult{}, err
+	}
+	f := record.header.Facts[ref.state.index]
+	return ItemResult{
+		Item:     ref.item,
+		CustomID: f.CustomID,
+		Attempt:  f.Attempt,
+		Code:     string(f.Code),
+		Status:   f.Status,
+		Body:     body,
+	}, nil
+}
+
+// Get returns a job of a customer, asking its owner; the id is empty if there
+// is none.
+func (s *Service) Get(ctx context.Context, customer, id string) (View, error) {
+	var v View
+	n, ok := partitionOf(jobPrefix, id)
+	if !ok {
+		return v, nil
+	}
+	args := GetArgs{Customer: customer, ID: id}
+	err := s.ask(ctx, n, methodGet, args, &v, func(ctx context.Context) (err error) {
+		v, err = s.localGet(ctx, customer, id)
+		return err
+	})
+	return v, err
+}
+
+// File returns a file of a customer; the id is empty if there is none.
+func (s *Service) File(ctx context.Context, customer, id string) (FileView, error) {
+	var v FileView
+	n, ok := partitionOf(filePrefix, id)
+	if !ok {
+		return v, nil
+	}
+	args := GetArgs{Customer: customer, ID: id}
+	err := s.ask(ctx, n, methodFile, args, &v, func(ctx context.Context) (err error) {
+		v, err = s.localFile(ctx, customer, id)
+		return err
+	})
+	return v, err
+}
+
+// Page returns some results of a job.
+func (s *Service) Page(ctx context.Context, args PageArgs) (Page, error) {
+	var page Page
+	n, ok := partitionOf(jobPrefix, args.Job)
+	if !ok {
+		return page, nil
+	}
+	err := s.ask(ctx, n, methodPage, args, &page, func(ctx context.Context) (err error) {
+		page, err = s.localPage(ctx, args)
+		return err
+	})
+	return page, err
+}
+
+// askTimeout bounds a question to an owner.
+const askTimeout = 2 * time.Second
+
+// ask calls the owner of a partition. If that fails, local answers from a
+// replay of the partition here.
+func (s *Service) ask(ctx context.Context, n int, method string, args, reply any, local func(context.Context) error) error {
+	ranked := membership.Rank(streamName(n), s.o.Members.Entries())
+	if len(ranked) > 0 && ranked[0].ID != s.o.Self {
+		asking, cancel := context.WithTimeout(ctx, askTimeout)
+		err := s.o.Pool.Call(asking, ranked[0].RPCAddr, method, args, reply)
+		cancel()
+		if err == nil {
+			return nil
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, ReportWait)
+	defer cancel()
+	return local(ctx)
+}
+
+// List returns the jobs of a customer, or of all if it is empty.
+func (s *Service) List(ctx context.Context, customer string) ([]View, error) {
+	byOwner := make(map[string][]int)
+	entries := s.o.Members.Entries()
+	addrs := make(map[string]string)
+	for n := range Partitions {
+		ranked := membership.Rank(streamName(n), entries)
+		id := s.o.Self
+		if len(ranked) > 0 {
+			id = ranked[0].ID
+			addrs[id] = ranked[0].RPCAddr
+		}
+		byOwner[id] = append(byOwner[id], n)
+	}
+	var out []View
+	for id, partitions := range byOwner {
+		args := GetArgs{Customer: customer, Partitions: partitions}
+		var part []View
+		var err error
+		if id == s.o.Self {
+			part, err = s.localList(ctx, args)
+		} else {
+			asking, cancel := context.WithTimeout(ctx, askTimeout)
+			err = s.o.Pool.Call(asking, addrs[id], methodList, args, &part)
+			cancel()
+		}
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, part...)
+	}
+	sortViews(out)
+	return out, nil
+}
+
+func sortViews(views []View) {
+	slices.SortFunc(views, func(a, b View) int {
+		if c := b.Created.Compare(a.Created); c != 0 {
+			return c
+		}
+		return strings.Compare(a.ID, b.ID)
+	})
+}
