Fleet: the whole system in one process, on TCP or in memory under fake time

The same composition of entry and sidecar that the daemons run is started on given listeners, so that randomised runs can exercise it inside a synctest bubble.

--- a/cli/roles.go
+++ b/cli/roles.go
@@ -22,7 +22,7 @@
 	}
 	ctx, stop := daemon.UntilSignal(env.Ctx)
 	defer stop()
-	return entry.Serve(ctx, s, daemon.Logger(s.LogLevel, "entry", s.ID))
+	return entry.Main(ctx, s, daemon.Logger(s.LogLevel, "entry", s.ID))
 }
 
 // SidecarCmd runs a sidecar.
@@ -38,7 +38,7 @@
 	}
 	ctx, stop := daemon.UntilSignal(env.Ctx)
 	defer stop()
-	return sidecar.Serve(ctx, s, daemon.Logger(s.LogLevel, "sidecar", s.ID))
+	return sidecar.Main(ctx, s, daemon.Logger(s.LogLevel, "sidecar", s.ID))
 }
 
 // serveStandin serves handler on addr until the process is told to end.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 
@@ -49,6 +50,8 @@
 	ready    ops.Ready
 	callers  http.Handler
 	ops      http.Handler
+	killed   chan struct{}
+	killOnce sync.Once
 }
 
 // New composes an entry. Nothing runs before Run.
@@ -56,7 +59,13 @@
 	if d.Dial == nil {
 		d.Dial = peer.DialTCP
 	}
-	e := &Entry{settings: s, deps: d, peers: peer.NewServer(), pool: peer.NewPool(d.Dial)}
+	e := &Entry{
+		settings: s,
+		deps:     d,
+		peers:    peer.NewServer(),
+		pool:     peer.NewPool(d.Dial),
+		killed:   make(chan struct{}),
+	}
 	e.follower = config.NewFollower(d.Log, &e.holder, d.Invariants, e.configChanged)
 	e.view = membership.NewView(d.Instances)
 	e.limits = limit.NewService(limit.Options{
@@ -105,6 +114,11 @@
 	e.ops = ops.Handler(e.deps.Registry, &e.ready)
 }
 
+// dialer makes a Dialer fit http.Transport.
+func dialer(dial peer.Dialer) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	return func(ctx context.Context, _, addr string) (net.Conn, error) { return dial(ctx, addr) }
+}
+
 // transport returns the transport to sidecars.
 func (e *Entry) transport() http.RoundTripper {
 	t := dispatch.NewTransport()
@@ -118,15 +132,6 @@
 	e.ready.Set(true)
 }
 
-// Callers returns the handler for callers.
-func (e *Entry) Callers() http.Handler { return e.callers }
-
-// Ops returns the handler for operators.
-func (e *Entry) Ops() http.Handler { return e.ops }
-
-// Peers returns the server for peers.
-func (e *Entry) Peers() *peer.Server { return e.peers }
-
 // Run does the background work until ctx ends.
 func (e *Entry) Run(ctx context.Context) {
 	var wg sync.WaitGroup
--- /dev/null
+++ b/sidecar/process.go
@@ -0,0 +1,159 @@
+package sidecar
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"dandelionrelay/config"
+	"dandelionrelay/daemon"
+	"dandelionrelay/invariant"
+	"dandelionrelay/membership"
+	"dandelionrelay/ops"
+	"dandelionrelay/peer"
+	"dandelionrelay/platform"
+	"dandelionrelay/platform/client"
+	"dandelionrelay/settings"
+)
+
+// ProcessDeps is what a Process works with.
+type ProcessDeps struct {
+	Log        platform.Log
+	Instances  platform.Instances
+	Dial       peer.Dialer // to peers; nil means TCP
+	Endpoint   peer.Dialer // to the endpoint; nil means TCP
+	Logger     zerolog.Logger
+	Registry   *prometheus.Registry
+	Invariants *invariant.Set
+}
+
+// Process is a sidecar with all that it needs around it, not yet listening.
+type Process struct {
+	settings *settings.Sidecar
+	deps     ProcessDeps
+	holder   config.Holder
+	follower *config.Follower
+	view     *membership.View
+	pool     *peer.Pool
+	ready    ops.Ready
+	sidecar  *Sidecar
+	killed   chan struct{}
+	killOnce sync.Once
+}
+
+// Listeners are the open sockets of a sidecar.
+type Listeners struct {
+	Entries net.Listener // already secured, if peers authenticate each other
+	Ops     net.Listener
+}
+
+// NewProcess composes a sidecar. Nothing runs before Serve.
+func NewProcess(s *settings.Sidecar, d ProcessDeps) (*Process, error) {
+	if d.Dial == nil {
+		d.Dial = peer.DialTCP
+	}
+	if d.Endpoint == nil {
+		d.Endpoint = peer.DialTCP
+	}
+	p := &Process{
+		settings: s,
+		deps:     d,
+		pool:     peer.NewPool(d.Dial),
+		view:     membership.NewView(d.Instances),
+		killed:   make(chan struct{}),
+	}
+	p.follower = config.NewFollower(d.Log, &p.holder, d.Invariants, func(*config.Snapshot) { p.ready.Set(true) })
+	var err error
+	p.sidecar, err = New(
+		Settings{ID: s.ID, Deployment: s.Deployment, Endpoint: s.EndpointURL},
+		Deps{
+			Config:     &p.holder,
+			Invariants: d.Invariants,
+			Logger:     d.Logger,
+			Dial: func(ctx context.Context, _, addr string) (net.Conn, error) {
+				return d.Endpoint(ctx, addr)
+			},
+		},
+	)
+	return p, err
+}
+
+// Main runs a sidecar by its settings until ctx ends, then drains it.
+func Main(ctx context.Context, s *settings.Sidecar, logger zerolog.Logger) error {
+	security, err := daemon.Security(s.TLS)
+	if err != nil {
+		return err
+	}
+	reg := ops.NewRegistry()
+	remote := client.New(s.PlatformURL, nil)
+	p, err := NewProcess(s, ProcessDeps{
+		Log:        remote,
+		Instances:  remote,
+		Logger:     logger,
+		Dial:       security.Dialer(peer.DialTCP),
+		Registry:   reg,
+		Invariants: ops.Invariants(reg, logger),
+	})
+	if err != nil {
+		return err
+	}
+	listeners, err := daemon.ListenAll(s.HTTPAddr, s.OpsAddr)
+	if err != nil {
+		return err
+	}
+	return p.Serve(ctx, Listeners{Entries: security.Listener(listeners[0]), Ops: listeners[1]})
+}
+
+// Serve serves on the listeners until ctx ends, then drains; or until Kill.
+func (p *Process) Serve(ctx context.Context, l Listeners) error {
+	entries := daemon.Serve(l.Entries, p.sidecar)
+	operators := daemon.Serve(l.Ops, ops.Handler(p.deps.Registry, &p.ready))
+	background, stop := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { p.follower.Run(background) })
+	wg.Go(func() { p.view.Run(background) })
+	p.deps.Logger.Info().Msg("sidecar started")
+	waiting, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-p.killed:
+			entries.Close()
+			cancel()
+		case <-background.Done():
+		}
+	}()
+	failed := daemon.Wait(waiting, entries, operators)
+	p.leave(entries)
+	stop()
+	operators.Close()
+	wg.Wait()
+	p.sidecar.Close()
+	p.pool.Close()
+	return failed
+}
+
+// Kill ends the sidecar abruptly. It is for tests of the loss of an instance.
+func (p *Process) Kill() { p.killOnce.Do(func() { close(p.killed) }) }
+
+// leave refuses new work, lets streams finish and stops listening.
+func (p *Process) leave(entries *daemon.Server) {
+	select {
+	case <-p.killed:
+		return
+	default:
+	}
+	p.deps.Logger.Info().Msg("sidecar is leaving")
+	p.ready.Set(false)
+	timeout := time.Duration(p.settings.DrainTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	if err := p.sidecar.Drain(ctx); err != nil {
+		p.deps.Logger.Warn().Err(err).Msg("drain timeout: requests were cut")
+	}
+	entries.Shutdown(timeout)
+}
--- /dev/null
+++ b/standin/fleet/fleet.go
@@ -0,0 +1,205 @@
+// Package fleet runs the whole system in one process: the stand-in platform,
+// stand-in endpoints with a sidecar beside each, and entries. It serves the
+// demonstration, the experiment tool and randomised tests, which use it on a
+// network in memory under fake time.
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"dandelionrelay/config"
+	"dandelionrelay/invariant"
+	"dandelionrelay/platform"
+	"dandelionrelay/standin/engine"
+	standin "dandelionrelay/standin/platform"
+)
+
+// Network connects the processes. Addresses are ip:port.
+type Network interface {
+	// Listen opens a listener on addr; port 0 means any free one.
+	Listen(addr string) (net.Listener, error)
+	// Dial connects to addr.
+	Dial(ctx context.Context, addr string) (net.Conn, error)
+}
+
+// Options describes a fleet.
+type Options struct {
+	Network     Network // nil: TCP on loopback
+	State       *config.State
+	DataCentres int            // default 1
+	Engine      engine.Options // of every model endpoint that AddEngine starts
+	Retention   time.Duration  // of log records; 0: for ever
+	ListLag     time.Duration  // of the instance list
+	Seed        uint64         // of injected faults
+	Logger      zerolog.Logger
+	// OnViolation is told of every broken invariant of every process.
+	OnViolation func(invariant.Violation)
+	// DrainDelay and DrainTimeout are the entries' settings.
+	DrainDelay   time.Duration
+	DrainTimeout time.Duration // default 1 minute
+}
+
+// Fleet is a running system.
+type Fleet struct {
+	Log       *standin.Log
+	Instances *standin.Instances
+
+	opts   Options
+	client *http.Client
+
+	mu     sync.Mutex
+	listed []platform.Instance
+	ids    int
+	all    sync.WaitGroup
+	stops  []func()
+}
+
+// New returns a fleet without instances whose configuration is opts.State.
+func New(ctx context.Context, opts Options) (*Fleet, error) {
+	if opts.Network == nil {
+		opts.Network = loopback{}
+	}
+	if opts.DataCentres == 0 {
+		opts.DataCentres = 1
+	}
+	if opts.DrainTimeout == 0 {
+		opts.DrainTimeout = time.Minute
+	}
+	f := &Fleet{
+		Log:       standin.NewLog(opts.Retention, opts.Seed),
+		Instances: standin.NewInstances(opts.ListLag),
+		opts:      opts,
+	}
+	f.client = &http.Client{Transport: &http.Transport{
+		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+			return opts.Network.Dial(ctx, addr)
+		},
+		MaxIdleConnsPerHost: 256,
+	}}
+	if opts.State == nil {
+		return f, nil
+	}
+	return f, f.Apply(ctx, opts.State)
+}
+
+// Apply proposes state as the next version, as the operator named fleet.
+func (f *Fleet) Apply(ctx context.Context, state *config.State) error {
+	var holder config.Holder
+	follower := config.NewFollower(f.Log, &holder, nil, nil)
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	wg.Go(func() { follower.Run(ctx) })
+	for {
+		_, next, err := f.Log.Bounds(ctx, config.Stream)
+		if err != nil {
+			return err
+		}
+		if next == 1 || holder.Current().Version > 0 {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	entry, err := follower.Propose(ctx, holder.Current().Version, state, "fleet")
+	if err != nil {
+		return err
+	}
+	if entry.Verdict != config.Accepted {
+		return fmt.Errorf("configuration refused: %+v", entry)
+	}
+	return nil
+}
+
+// Client returns an HTTP client that reaches the fleet's addresses.
+func (f *Fleet) Client() *http.Client { return f.client }
+
+// SetState changes the platform's word on an instance; gone drops it from the
+// list.
+func (f *Fleet) SetState(id string, state platform.InstanceState, gone bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listed = slices.DeleteFunc(f.listed, func(i platform.Instance) bool { return gone && i.ID == id })
+	for n := range f.listed {
+		if f.listed[n].ID == id {
+			f.listed[n].State = state
+		}
+	}
+	f.Instances.Set(f.listed)
+}
+
+// list adds an instance to the platform's list.
+func (f *Fleet) list(i platform.Instance) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listed = append(f.listed, i)
+	f.Instances.Set(f.listed)
+}
+
+// newInstance returns an instance with an unused id, its data centre and its
+// listeners' addresses.
+func (f *Fleet) newInstance(role platform.Role, deployment string, http, rpc net.Listener) platform.Instance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ids++
+	return platform.Instance{
+		ID:         fmt.Sprintf("%s-%d", role, f.ids),
+		Role:       role,
+		DataCentre: fmt.Sprintf("dc-%d", f.ids%f.opts.DataCentres+1),
+		State:      platform.Live,
+		HTTPAddr:   http.Addr().String(),
+		RPCAddr:    rpc.Addr().String(),
+		Deployment: deployment,
+	}
+}
+
+// onStop has stop called when the fleet ends.
+func (f *Fleet) onStop(stop func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stops = append(f.stops, stop)
+}
+
+// Close ends all instances abruptly and waits for them.
+func (f *Fleet) Close() {
+	f.mu.Lock()
+	stops := f.stops
+	f.stops = nil
+	f.mu.Unlock()
+	for _, stop := range slices.Backward(stops) {
+		stop()
+	}
+	f.client.CloseIdleConnections()
+	f.all.Wait()
+}
+
+// listen opens n listeners on any port.
+func (f *Fleet) listen(n int) ([]net.Listener, error) {
+	listeners := make([]net.Listener, n)
+	for i := range listeners {
+		var err error
+		listeners[i], err = f.opts.Network.Listen("127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+	}
+	return listeners, nil
+}
+
+// loopback is the Network of real connections.
+type loopback struct{}
+
+func (loopback) Listen(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+
+func (loopback) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", addr)
+}
--- /dev/null
+++ b/standin/fleet/memory.go
@@ -0,0 +1,35 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync/atomic"
+
+	"dandelionrelay/standin/network"
+)
+
+// Memory is a Network in memory.
+type Memory struct {
+	*network.Network
+	ports atomic.Int64
+}
+
+// NewMemory returns a network without listeners.
+func NewMemory() *Memory {
+	return &Memory{Network: network.New()}
+}
+
+// Listen implements Network.
+func (m *Memory) Listen(addr string) (net.Listener, error) {
+	if host, ok := strings.CutSuffix(addr, ":0"); ok {
+		addr = fmt.Sprintf("%s:%d", host, m.ports.Add(1))
+	}
+	return m.Network.Listen(addr), nil
+}
+
+// Dial implements Network.
+func (m *Memory) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	return m.DialContext(ctx, "tcp", addr)
+}
