Configuration: late joiners, carrying forward, spread over peers

Two entries a data centre read the log, the others long-poll them; sidecars get the view of their deployment only, without keys. A start asks peers first, so that restarts cost the log nothing and work in an outage.

Each guard of the version alone can be off without harm, as the other one holds.

--- a/config/audit.go
+++ b/config/audit.go
@@ -76,3 +76,15 @@
 		delete(t.byBase, e.Base)
 	}
 }
+
+func (t *trail) find(id string) (AuditEntry, bool) {
+	if _, ok := t.byID[id]; !ok {
+		return AuditEntry{}, false
+	}
+	for i := len(t.entries) - 1; i >= 0; i-- {
+		if t.entries[i].ID == id {
+			return t.entries[i], true
+		}
+	}
+	return AuditEntry{}, false
+}
--- /dev/null
+++ b/config/feed.go
@@ -0,0 +1,138 @@
+package config
+
+import (
+	"slices"
+	"time"
+
+	"dandelionrelay/membership"
+	"dandelionrelay/platform"
+)
+
+// Limits on where configuration comes from.
+const (
+	// ReadersPerDataCentre is the number of entries in each data centre
+	// that read the log; the others follow them.
+	ReadersPerDataCentre = 2
+
+	// sourceRetry is the time for which a source that failed is avoided.
+	sourceRetry = 5 * time.Second
+
+	// peerStaleAfter is the age from which a peer's state is taken for
+	// stale, so that another peer is tried.
+	peerStaleAfter = 15 * time.Second
+)
+
+// FeedSource is where a process gets the next records from.
+type FeedSource struct {
+	Log  bool
+	Peer platform.Instance // if Log is false; the zero value: nowhere
+}
+
+// Feed decides whether a process reads the log or follows a peer, and which
+// one. It is passive.
+type Feed struct {
+	self   platform.Instance
+	failed map[string]time.Time // id, or logID -> when it failed last
+}
+
+// logID stands for the log among the sources that failed.
+const logID = "\x00log"
+
+// NewFeed returns the Feed of the instance self.
+func NewFeed(self platform.Instance) *Feed {
+	return &Feed{self: self, failed: make(map[string]time.Time)}
+}
+
+// Next returns the source to use now, given the entries that are not gone.
+func (f *Feed) Next(now time.Time, entries []platform.Instance) FeedSource {
+	f.forget(entries)
+	others := slices.DeleteFunc(slices.Clone(entries), func(i platform.Instance) bool { return i.ID == f.self.ID })
+	if len(others) == 0 {
+		return FeedSource{Log: true}
+	}
+	reads := f.reads(entries)
+	if reads && !f.avoided(now, logID) {
+		return FeedSource{Log: true}
+	}
+	peers := f.order(others, reads)
+	for _, p := range peers {
+		if !f.avoided(now, p.ID) {
+			return FeedSource{Peer: p}
+		}
+	}
+	// All have failed: with no peer left the log is worth a try.
+	if !f.avoided(now, logID) {
+		return FeedSource{Log: true}
+	}
+	return FeedSource{Peer: f.longestAgo(peers)}
+}
+
+// Failed notes that a source did not answer or is stale.
+func (f *Feed) Failed(now time.Time, s FeedSource) {
+	if s.Log {
+		f.failed[logID] = now
+		return
+	}
+	f.failed[s.Peer.ID] = now
+}
+
+func (f *Feed) avoided(now time.Time, id string) bool {
+	t, ok := f.failed[id]
+	return ok && now.Sub(t) < sourceRetry
+}
+
+// reads reports whether this process is one of the readers of its data centre.
+func (f *Feed) reads(entries []platform.Instance) bool {
+	return slices.ContainsFunc(readers(f.self.DataCentre, entries), func(i platform.Instance) bool { return i.ID == f.self.ID })
+}
+
+// readers returns the entries of a data centre that read the log.
+func readers(dataCentre string, entries []platform.Instance) []platform.Instance {
+	var local []platform.Instance
+	for _, i := range entries {
+		if i.DataCentre == dataCentre && i.State == platform.Live {
+			local = append(local, i)
+		}
+	}
+	ranked := membership.Rank("config-readers", local)
+	return ranked[:min(len(ranked), ReadersPerDataCentre)]
+}
+
+// order returns the peers in the order in which they are tried. A follower
+// asks a reader of its own data centre first. A reader that cannot reach the
+// log asks readers of other data centres first, as its own fellow reader is
+// likely to be cut off too.
+func (f *Feed) order(others []platform.Instance, reads bool) []platform.Instance {
+	var near, far, rest []platform.Instance
+	for _, p := range membership.Rank("config-feed/"+f.self.ID, others) {
+		isReader := slices.ContainsFunc(readers(p.DataCentre, others), func(i platform.Instance) bool { return i.ID == p.ID })
+		switch {
+		case !isReader:
+			rest = append(rest, p)
+		case p.DataCentre == f.self.DataCentre:
+			near = append(near, p)
+		default:
+			far = append(far, p)
+		}
+	}
+	if reads {
+		near, far = far, near
+	}
+	return slices.Concat(near, far, rest)
+}
+
+func (f *Feed) longestAgo(peers []platform.Instance) platform.Instance {
+	return slices.MinFunc(peers, func(a, b platform.Instance) int {
+		return f.failed[a.ID].Compare(f.failed[b.ID])
+	})
+}
+
+// forget drops what is known of entries that are gone.
+func (f *Feed) forget(entries []platform.Instance) {
+	for id := range f.failed {
+		gone := !slices.ContainsFunc(entries, func(i platform.Instance) bool { return i.ID == id })
+		if gone && id != logID {
+			delete(f.failed, id)
+		}
+	}
+}
--- a/config/follower.go
+++ b/config/follower.go
@@ -2,65 +2,129 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"sync"
 	"time"
 
 	"dandelionrelay/invariant"
+	"dandelionrelay/membership"
 	"dandelionrelay/platform"
 )
 
-// Times and sizes of following the log.
+// Times and sizes of following the log and peers.
 const (
-	readWait   = 20 * time.Second       // long poll at the log
+	readWait   = 3 * time.Second        // long poll at the log
+	followWait = 5 * time.Second        // long poll at a peer
+	callMargin = time.Second            // added to a wait for the answer to arrive
 	readBatch  = 256                    // records in one read
 	retryPause = 500 * time.Millisecond // after a failed read
 )
 
-// Follower replays the configuration stream and keeps a Holder up to date.
+// Caller calls RPC methods of peers; *peer.Pool is one.
+type Caller interface {
+	Call(ctx context.Context, addr, method string, args, reply any) error
+}
+
+// Fleet is what a Follower needs to know of the other entries.
+type Fleet struct {
+	Self      platform.Instance
+	Members   membership.Members
+	Peers     Caller
+	Retention time.Duration // of the log; 0 means DefaultRetention
+}
+
+// Follower keeps a Holder up to date from the log or from a peer, and carries
+// the state forward in the log. Entries run one each.
 type Follower struct {
 	log      platform.Log
 	holder   *Holder
 	onChange func(*Snapshot)
+	fleet    *Fleet // nil: alone, always reads the log
+	feed     *Feed
+	carry    Carry
 
 	mu      sync.Mutex
 	replica *Replica
+	fresh   time.Time     // when the state was known to be the log's; zero: never
+	since   time.Time     // when the state became known
 	moved   chan struct{} // closed when the replica has moved
 }
 
 // NewFollower returns a Follower of log that puts new versions into holder
-// and then hands them to onChange, which may be nil.
+// and then hands them to onChange, which may be nil and must not block.
 func NewFollower(log platform.Log, holder *Holder, checks *invariant.Set, onChange func(*Snapshot)) *Follower {
 	return &Follower{
 		log:      log,
 		holder:   holder,
 		onChange: onChange,
+		carry:    Carry{Retention: DefaultRetention},
 		replica:  NewReplica(checks),
 		moved:    make(chan struct{}),
 	}
 }
 
-// Run follows the log until ctx ends.
+// Join makes the follower share the reading of the log with other entries. It
+// is called before Run.
+func (f *Follower) Join(fleet Fleet) {
+	f.fleet = &fleet
+	f.feed = NewFeed(fleet.Self)
+	if fleet.Retention > 0 {
+		f.carry.Retention = fleet.Retention
+	}
+}
+
+// Run follows the log or a peer until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	f.startFromPeers(ctx)
 	for ctx.Err() == nil {
-		if err := f.readOnce(ctx, readWait); err != nil {
+		source := f.source()
+		if err := f.poll(ctx, source); err != nil {
+			f.failed(source)
 			pause(ctx, retryPause)
+			continue
 		}
+		f.carryForward(ctx)
+		if !f.known() {
+			f.startFromPeers(ctx)
+		}
+	}
+}
+
+func (f *Follower) source() FeedSource {
+	if f.fleet == nil {
+		return FeedSource{Log: true}
 	}
+	return f.feed.Next(time.Now(), f.fleet.Members.Entries())
 }
 
-// readOnce reads the next records and applies them.
-func (f *Follower) readOnce(ctx context.Context, wait time.Duration) error {
+func (f *Follower) known() bool {
 	f.mu.Lock()
-	next := f.replica.Next()
-	known := f.replica.Known()
-	f.mu.Unlock()
-	if !known {
-		oldest, _, err := f.log.Bounds(ctx, Stream)
-		if err != nil {
-			return err
-		}
-		next = f.start(oldest)
+	defer f.mu.Unlock()
+	return f.replica.Known()
+}
+
+func (f *Follower) failed(s FeedSource) {
+	if f.feed != nil {
+		f.feed.Failed(time.Now(), s)
+	}
+}
+
+func (f *Follower) poll(ctx context.Context, s FeedSource) error {
+	if s.Log {
+		return f.readLog(ctx, readWait)
+	}
+	return f.followPeer(ctx, s.Peer, followWait)
+}
+
+// readLog reads the next records of the log and applies them.
+func (f *Follower) readLog(ctx context.Context, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+callMargin)
+	defer cancel()
+	asked := time.Now()
+	next, err := f.nextOffset(ctx)
+	if err != nil {
+		return err
 	}
 	records, err := f.log.Read(ctx, Stream, next, readBatch, wait)
 	var expired *platform.ExpiredError
@@ -72,13 +136,84 @@
 		return err
 	}
 	f.apply(records)
+	if len(records) < readBatch {
+		f.freshAt(asked)
+	}
 	return nil
 }
 
+// nextOffset returns where to read on. A follower that does not know the
+// state first learns what the log still keeps.
+func (f *Follower) nextOffset(ctx context.Context) (platform.Offset, error) {
+	f.mu.Lock()
+	next, known := f.replica.Next(), f.replica.Known()
+	f.mu.Unlock()
+	if known {
+		return next, nil
+	}
+	oldest, _, err := f.log.Bounds(ctx, Stream)
+	if err != nil {
+		return 0, err
+	}
+	return f.start(oldest), nil
+}
+
 func (f *Follower) start(oldest platform.Offset) platform.Offset {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.replica.Start(oldest)
+	next := f.replica.Start(oldest)
+	f.noteKnown()
+	return next
+}
+
+// noteKnown notes when the state became known. The caller holds the lock.
+func (f *Follower) noteKnown() {
+	if f.since.IsZero() && f.replica.Known() {
+		f.since = time.Now()
+	}
+}
+
+var errStalePeer = Errors.NewType("stale_peer").New("the peer has not heard from the log for long")
+
+// followPeer asks a peer for what is new and applies it.
+func (f *Follower) followPeer(ctx context.Context, p platform.Instance, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+callMargin)
+	defer cancel()
+	f.mu.Lock()
+	args := FollowArgs{Through: f.replica.Through(), Known: f.replica.Known(), Wait: wait}
+	f.mu.Unlock()
+	asked := time.Now()
+	var reply FollowReply
+	if err := f.fleet.Peers.Call(ctx, p.RPCAddr, MethodFollow, args, &reply); err != nil {
+		return err
+	}
+	if err := f.applyReply(reply); err != nil {
+		return err
+	}
+	if reply.Age != ageUnknown {
+		f.freshAt(asked.Add(-reply.Age))
+	}
+	if reply.Age == ageUnknown || reply.Age > peerStaleAfter {
+		return errStalePeer
+	}
+	return nil
+}
+
+func (f *Follower) applyReply(reply FollowReply) error {
+	if reply.Full == nil {
+		f.apply(reply.Records)
+		return nil
+	}
+	full := new(Full)
+	if err := json.Unmarshal(reply.Full, full); err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.replica.Restore(full) {
+		f.publish()
+	}
+	return nil
 }
 
 func (f *Follower) apply(records []platform.Record) {
@@ -96,6 +231,7 @@
 // publish puts the replica's version into the holder and wakes those who
 // wait. The caller holds the lock.
 func (f *Follower) publish() {
+	f.noteKnown()
 	if v := f.replica.Version(); v > f.holder.Current().Version {
 		snapshot := NewSnapshot(v, f.replica.State())
 		f.holder.Set(snapshot)
@@ -107,54 +243,24 @@
 	f.moved = make(chan struct{})
 }
 
-// Propose appends the change from the version base to next and waits for the
-// verdict. The error is Undecided if ctx ends before that.
-func (f *Follower) Propose(ctx context.Context, base uint64, next *State, operator string) (AuditEntry, error) {
+// ageUnknown is the age of a state that was never known to be the log's.
+const ageUnknown = time.Duration(-1)
+
+func (f *Follower) freshAt(t time.Time) {
 	f.mu.Lock()
-	rec := NewChange(base, f.replica.State(), f.replica.Hash(), next, operator, time.Now())
-	f.mu.Unlock()
-	for {
-		_, err := Append(ctx, f.log, rec)
-		wait := retryPause
-		if err == nil {
-			wait = readWait
-		}
-		if entry, ok := f.await(ctx, rec.ID, wait); ok {
-			return entry, nil
-		}
-		if ctx.Err() != nil {
-			return AuditEntry{}, Undecided.Wrap(ctx.Err(), "change %s", rec.ID)
-		}
+	defer f.mu.Unlock()
+	if t.After(f.fresh) && f.replica.Known() {
+		f.fresh = t
 	}
 }
 
-// await waits for the verdict on a change.
-func (f *Follower) await(ctx context.Context, id string, wait time.Duration) (AuditEntry, bool) {
-	timeout := time.NewTimer(wait)
-	defer timeout.Stop()
-	for {
-		f.mu.Lock()
-		entry, ok := f.replica.VerdictOn(id)
-		moved := f.moved
-		f.mu.Unlock()
-		if ok {
-			return entry, true
-		}
-		select {
-		case <-moved:
-		case <-timeout.C:
-			return AuditEntry{}, false
-		case <-ctx.Done():
-			return AuditEntry{}, false
-		}
+// age returns the time since the state was known to be the log's. The caller
+// holds the lock.
+func (f *Follower) age(now time.Time) time.Duration {
+	if f.fresh.IsZero() {
+		return ageUnknown
 	}
-}
-
-// Audit returns the accepted and rejected changes kept, oldest first.
-func (f *Follower) Audit() []AuditEntry {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.replica.Audit()
+	return max(now.Sub(f.fresh), 0)
 }
 
 // pause waits for d or until ctx ends.
--- a/config/propose.go
+++ b/config/propose.go
@@ -18,6 +18,14 @@
 // not take effect. Its id tells later, in the audit trail.
 var Undecided = Errors.NewType("undecided", errorx.Temporary())
 
+// NotKnown says that this process has no state yet to change.
+var NotKnown = Errors.NewType("not_known", errorx.Temporary())
+
+// BadBase says that the base version of a change lies in the future.
+var BadBase = Errors.NewType("bad_base")
+
+var unencodable = Errors.NewType("unencodable")
+
 // NewChange returns the record of the change from the state at version base,
 // whose hash is given, to next.
 func NewChange(base uint64, from *State, hash Hash, next *State, operator string, now time.Time) Record {
@@ -40,7 +48,79 @@
 func Append(ctx context.Context, log platform.Log, rec Record) (platform.Offset, error) {
 	b, err := json.Marshal(rec)
 	if err != nil {
-		return 0, Errors.NewType("unencodable").Wrap(err, "record %s", rec.ID)
+		return 0, unencodable.Wrap(err, "record %s", rec.ID)
 	}
 	return log.Append(ctx, Stream, rec.ID, b)
 }
+
+// Propose appends the change from version base to next and waits for the
+// verdict that all readers reach alike. A base that is no longer in force is
+// appended too, so that the rejected change is in the audit trail. The error
+// is Undecided if ctx ends before the verdict is known.
+func (f *Follower) Propose(ctx context.Context, base uint64, next *State, operator string) (AuditEntry, error) {
+	f.catchUp(ctx, base)
+	f.mu.Lock()
+	known, version := f.replica.Known(), f.replica.Version()
+	rec := NewChange(base, f.replica.State(), f.replica.Hash(), next, operator, time.Now())
+	f.mu.Unlock()
+	if !known {
+		return AuditEntry{}, NotKnown.New("no configuration known yet")
+	}
+	if base > version {
+		return AuditEntry{}, BadBase.New("base version %d is not in force yet, this process has version %d", base, version)
+	}
+	for {
+		_, err := Append(ctx, f.log, rec)
+		if entry, ok := f.settle(ctx, rec.ID, err == nil); ok {
+			return entry, nil
+		}
+		if ctx.Err() != nil {
+			return AuditEntry{}, Undecided.Wrap(ctx.Err(), "change %s", rec.ID)
+		}
+	}
+}
+
+// catchUp reads the log if base is not known here yet.
+func (f *Follower) catchUp(ctx context.Context, base uint64) {
+	status := f.Status(time.Now())
+	if !status.Known || status.Version < base {
+		// If the log is down, the append that follows says so.
+		_ = f.readLog(ctx, 0)
+	}
+}
+
+// settle reads the log on for the verdict on a change, whoever else follows
+// it. If it is not sure that the change was stored, it gives up once nothing
+// more is there.
+func (f *Follower) settle(ctx context.Context, id string, stored bool) (AuditEntry, bool) {
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		entry, ok := f.replica.VerdictOn(id)
+		before := f.replica.Through()
+		moved := f.moved
+		f.mu.Unlock()
+		if ok {
+			return entry, true
+		}
+		if err := f.readLog(ctx, retryPause); err != nil {
+			f.waitMoved(ctx, moved)
+		}
+		f.mu.Lock()
+		idle := f.replica.Through() == before
+		f.mu.Unlock()
+		if idle && !stored {
+			return AuditEntry{}, false
+		}
+	}
+	return AuditEntry{}, false
+}
+
+// waitMoved waits until the replica moved by other means, or a pause.
+func (f *Follower) waitMoved(ctx context.Context, moved <-chan struct{}) {
+	ctx, cancel := context.WithTimeout(ctx, retryPause)
+	defer cancel()
+	select {
+	case <-moved:
+	case <-ctx.Done():
+	}
+}
--- a/config/record.go
+++ b/config/record.go
@@ -40,7 +40,8 @@
 	Version uint64          `json:"version"`
 	Hash    Hash            `json:"hash"`
 	State   *State          `json:"state"`
-	Through platform.Offset `json:"through"` // last offset that went into State
+	Through platform.Offset `json:"through"`          // last offset that went into State
+	Carried time.Time       `json:"carried,omitzero"` // of the last snapshot in the log
 	Audit   []AuditEntry    `json:"audit,omitempty"`
 }
 
--- a/config/replica.go
+++ b/config/replica.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"slices"
+	"time"
 
 	"dandelionrelay/invariant"
 	"dandelionrelay/platform"
@@ -21,12 +22,13 @@
 	version uint64
 	hash    Hash
 	state   *State
-	through platform.Offset
+	through platform.Offset // last offset decided on, or held back
 	trail   *trail
+	recent  history
+	carried time.Time // of the last snapshot in the log, by the log's clock
 
-	first   platform.Offset   // first offset held back, while not known
-	held    []platform.Record // changes from first on, while not known
-	carried platform.Record   // last snapshot seen, without its data
+	first platform.Offset   // first offset held back, while not known
+	held  []platform.Record // changes from first on, while not known
 }
 
 // NewReplica returns a replica at version 0 that knows nothing yet.
@@ -46,53 +48,47 @@
 // Known reports whether the replica has a state to judge by.
 func (r *Replica) Known() bool { return r.known }
 
+// Through returns the last offset that was applied.
+func (r *Replica) Through() platform.Offset { return r.through }
+
 // Next returns the offset that is to be applied next.
 func (r *Replica) Next() platform.Offset { return r.through + 1 }
 
+// Carried returns when the last snapshot was appended, by the log's clock;
+// zero if none was seen.
+func (r *Replica) Carried() time.Time { return r.carried }
+
 // Audit returns the accepted and rejected changes kept, oldest first.
 func (r *Replica) Audit() []AuditEntry { return slices.Clone(r.trail.entries) }
 
 // VerdictOn returns the verdict on the change with the given id.
-func (r *Replica) VerdictOn(id string) (AuditEntry, bool) {
-	if _, ok := r.trail.byID[id]; !ok {
-		return AuditEntry{}, false
-	}
-	for i := len(r.trail.entries) - 1; i >= 0; i-- {
-		if r.trail.entries[i].ID == id {
-			return r.trail.entries[i], true
-		}
-	}
-	return AuditEntry{}, false
-}
+func (r *Replica) VerdictOn(id string) (AuditEntry, bool) { return r.trail.find(id) }
 
-// Start says from which offset records will come: the oldest one that the log
-// keeps, or Next if nothing was missed. It returns the offset to read from.
+// Start tells the replica the oldest offset that the log keeps. It returns
+// the offset to read from. If records were missed, what is in force stays so,
+// but nothing is judged until a snapshot or a peer tells what they did.
 func (r *Replica) Start(oldest platform.Offset) platform.Offset {
-	if oldest <= r.Next() {
-		if oldest == 1 && r.through == 0 {
-			r.known = true
-		}
-		return r.Next()
+	if oldest == 1 && r.through == 0 {
+		r.known = true
 	}
-	// Records were missed. What is in force stays so, but nothing can be
-	// judged until a snapshot or a peer tells what was missed.
-	r.known = false
-	r.held = nil
-	r.first = oldest
-	r.through = oldest - 1
-	return oldest
+	if oldest > r.Next() {
+		r.known = false
+		r.held = nil
+		r.recent.reset()
+		r.first = oldest
+		r.through = oldest - 1
+	}
+	return r.Next()
 }
 
-// Apply decides on one record. Offsets already applied are ignored.
+// Apply decides on the record at offset Next. It ignores those before, which
+// were applied already, and those after, as it must not skip any.
 func (r *Replica) Apply(raw platform.Record) Verdict {
-	if raw.Offset <= r.through {
+	if raw.Offset != r.Next() {
 		return Ignored
 	}
 	r.through = raw.Offset
-	var rec Record
-	if err := json.Unmarshal(raw.Data, &rec); err != nil {
-		rec = Record{ID: raw.ID}
-	}
+	rec := decode(raw)
 	if rec.Kind == KindSnapshot {
 		return r.applySnapshot(raw, rec)
 	}
@@ -100,47 +96,57 @@
 		r.held = append(r.held, raw)
 		return Pending
 	}
+	r.recent.add(raw)
 	return r.applyChange(raw, rec)
 }
 
-func (r *Replica) applySnapshot(raw platform.Record, rec Record) Verdict {
-	if rec.Full == nil || rec.Full.State == nil {
-		return Malformed
+// decode reads a record; an unreadable one has only its id.
+func decode(raw platform.Record) Record {
+	var rec Record
+	if err := json.Unmarshal(raw.Data, &rec); err != nil {
+		rec = Record{}
 	}
+	if rec.ID == "" {
+		rec.ID = raw.ID
+	}
+	return rec
+}
+
+// applySnapshot takes the state of a snapshot if there is none yet to judge
+// by; else the snapshot changes nothing.
+func (r *Replica) applySnapshot(raw platform.Record, rec Record) Verdict {
+	r.carried = raw.Time
 	if r.known {
-		r.checks.Check(rec.Full.Version <= r.version, invariant.ConfigNeverReverts,
-			"snapshot at offset %d has version %d, in force is %d", raw.Offset, rec.Full.Version, r.version)
-		r.noteCarried(raw)
+		r.recent.add(withoutData(raw))
+		r.checks.Check(rec.Version <= r.version, invariant.ConfigNeverReverts,
+			"snapshot at offset %d has version %d, in force is %d", raw.Offset, rec.Version, r.version)
 		return Ignored
 	}
-	// A snapshot made before the first record held back leaves a gap.
-	if rec.Full.Through+1 < r.first || !r.take(rec.Full) {
+	if rec.Full == nil || !r.covers(rec.Full) || !r.take(rec.Full) {
 		return Ignored
 	}
-	r.through = raw.Offset
-	r.noteCarried(raw)
 	return Accepted
 }
 
-func (r *Replica) noteCarried(raw platform.Record) {
-	raw.Data = nil
-	r.carried = raw
-}
+// covers reports whether full and the changes held back leave no gap.
+func (r *Replica) covers(full *Full) bool { return full.Through+1 >= r.first }
 
-// Restore takes the state of a peer, if it is further on and its hash is
-// right. It reports whether it did.
+// Restore takes the state of a peer if it is further on, with no gap, and its
+// hash is right. It reports whether it did.
 func (r *Replica) Restore(full *Full) bool {
-	if r.known && full.Through <= r.through {
+	if r.known && full.Through <= r.through || !r.covers(full) {
 		return false
 	}
-	if !r.known && full.Through+1 < r.first {
-		return false
-	}
-	through := r.through
 	if !r.take(full) {
 		return false
 	}
-	r.through = max(through, full.Through)
+	if full.Through > r.through {
+		r.through = full.Through
+		r.recent.reset()
+	}
+	if full.Carried.After(r.carried) {
+		r.carried = full.Carried
+	}
 	return true
 }
 
@@ -150,20 +156,18 @@
 	if full.State == nil || full.Version < r.version || HashOf(full.State) != full.Hash {
 		return false
 	}
+	if !r.put(full.Version, full.State, full.Hash) {
+		return false
+	}
 	r.known = true
-	r.put(full.Version, full.State, full.Hash)
 	r.trail = newTrail(full.Audit)
+	r.recent.reset()
 	held := r.held
 	r.held = nil
 	for _, raw := range held {
-		if raw.Offset <= full.Through {
-			continue
-		}
-		var rec Record
-		if err := json.Unmarshal(raw.Data, &rec); err != nil {
-			rec = Record{ID: raw.ID}
+		if raw.Offset > full.Through {
+			r.applyChange(raw, decode(raw))
 		}
-		r.applyChange(raw, rec)
 	}
 	return true
 }
@@ -172,7 +176,6 @@
 	if _, seen := r.trail.byID[rec.ID]; seen {
 		return Ignored
 	}
-	verdict := r.judge(rec)
 	entry := AuditEntry{
 		Offset:   raw.Offset,
 		Time:     raw.Time,
@@ -180,42 +183,46 @@
 		Operator: rec.Operator,
 		Base:     rec.Base,
 		Version:  rec.Version,
-		Verdict:  verdict,
-		InForce:  r.version,
+		Verdict:  r.judge(rec),
 		Delta:    rec.Delta,
 		Bytes:    len(raw.Data),
 	}
-	if verdict == Conflict {
+	entry.InForce = r.version
+	if entry.Verdict == Conflict {
 		entry.Winner = r.trail.byBase[rec.Base]
 	}
 	r.trail.add(entry)
-	return verdict
+	return entry.Verdict
 }
 
 // judge puts the change in force if it may be.
 func (r *Replica) judge(rec Record) Verdict {
-	if rec.Kind != KindChange || rec.Delta == nil || rec.ID == "" || rec.Version != rec.Base+1 {
+	if rec.Kind != KindChange || rec.Delta == nil || rec.Version != rec.Base+1 {
 		return Malformed
 	}
 	if rec.Base != r.version {
 		return Conflict
 	}
 	state, hash := r.state.Apply(rec.Delta, r.hash)
-	if hash != rec.Hash {
+	if hash != rec.Hash || !r.put(rec.Version, state, hash) {
 		return Malformed
 	}
-	r.put(rec.Version, state, hash)
 	return Accepted
 }
 
-func (r *Replica) put(version uint64, state *State, hash Hash) {
-	if !r.checks.Check(version >= r.version, invariant.ConfigNeverReverts,
-		"version %d would follow %d", version, r.version) {
-		return
+// put makes a version the one in force. A version never goes down, and never
+// changes its content.
+func (r *Replica) put(version uint64, state *State, hash Hash) bool {
+	ok := r.checks.Check(version > r.version || version == r.version && hash == r.hash,
+		invariant.ConfigNeverReverts,
+		"version %d with content %x would follow version %d with content %x", version, hash[:4], r.version, r.hash[:4])
+	if !ok {
+		return false
 	}
 	r.version = version
 	r.state = state
 	r.hash = hash
+	return true
 }
 
 // Full returns the whole replica, for a snapshot or a peer. It is nil while
@@ -224,5 +231,22 @@
 	if !r.known {
 		return nil
 	}
-	return &Full{Version: r.version, Hash: r.hash, State: r.state, Through: r.through, Audit: r.Audit()}
+	return &Full{
+		Version: r.version,
+		Hash:    r.hash,
+		State:   r.state,
+		Through: r.through,
+		Carried: r.carried,
+		Audit:   r.Audit(),
+	}
+}
+
+// After returns the records after an offset, for a peer that follows this
+// replica. It reports false if they are not all kept any more, or never were:
+// the peer then needs the whole state.
+func (r *Replica) After(offset platform.Offset) ([]platform.Record, bool) {
+	if !r.known || offset > r.through {
+		return nil, offset >= r.through
+	}
+	return r.recent.after(offset, r.through)
 }
--- /dev/null
+++ b/config/spread.go
@@ -0,0 +1,111 @@
+package config
+
+import (
+	"encoding/json"
+	"time"
+
+	"dandelionrelay/platform"
+)
+
+// Names of the RPC methods of the configuration service.
+const (
+	ServiceName  = "Config"
+	MethodFollow = "Config.Follow"
+	MethodView   = "Config.View"
+)
+
+// maxPollWait bounds how long a follower's call is held.
+const maxPollWait = 10 * time.Second
+
+// FollowArgs asks an entry for what came after an offset.
+type FollowArgs struct {
+	Through platform.Offset // last offset applied by the caller
+	Known   bool            // whether the caller has a state to apply records to
+	Wait    time.Duration   // how long to wait for something new
+}
+
+// FollowReply is what came after an offset: either records, or the whole
+// state if the records are not kept any more.
+type FollowReply struct {
+	Records []platform.Record // in order, without gaps
+	Full    []byte            // JSON of a Full, or nil
+	Age     time.Duration     // since the answering entry knew that its state was the log's
+}
+
+// ViewArgs asks an entry for the part of the state that concerns a sidecar.
+type ViewArgs struct {
+	Deployment string
+	Hash       Hash // of the view that the caller has
+	Wait       time.Duration
+}
+
+// ViewReply is a new view, or nothing if it did not change.
+type ViewReply struct {
+	Version uint64
+	State   []byte // JSON of a State, or nil if the view is as before
+}
+
+// Service answers peers that follow the configuration. It is registered
+// under ServiceName.
+type Service struct{ follower *Follower }
+
+// NewService returns the service of f.
+func NewService(f *Follower) *Service { return &Service{follower: f} }
+
+// Follow returns what came after an offset, or nothing after the wait.
+func (s *Service) Follow(args FollowArgs, reply *FollowReply) error {
+	f := s.follower
+	f.waitUntil(args.Wait, func() bool { return f.replica.Known() && (!args.Known || f.replica.Through() > args.Through) })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	reply.Age = f.age(time.Now())
+	if !f.replica.Known() {
+		return nil
+	}
+	if args.Known {
+		if records, ok := f.replica.After(args.Through); ok {
+			reply.Records = records
+			return nil
+		}
+	}
+	b, err := json.Marshal(f.replica.Full())
+	reply.Full = b
+	return err
+}
+
+// View returns the part of the state that concerns a deployment, once its
+// hash is another one than the caller's, or nothing after the wait.
+func (s *Service) View(args ViewArgs, reply *ViewReply) error {
+	f := s.follower
+	var view *State
+	var seen uint64
+	f.waitUntil(args.Wait, func() bool {
+		if v := f.replica.Version(); v != seen {
+			seen = v
+			view = f.replica.State().ViewOf(args.Deployment)
+		}
+		return view != nil && HashOf(view) != args.Hash
+	})
+	reply.Version = seen
+	if view == nil || HashOf(view) == args.Hash {
+		return nil
+	}
+	b, err := json.Marshal(view)
+	reply.State = b
+	return err
+}
+
+// ViewOf returns what the sidecars of a deployment need to know: their
+// deployment and the fair share weights of customers. It holds no keys.
+func (s *State) ViewOf(deployment string) *State {
+	view := &State{Customers: make(map[string]Customer), Deployments: make(map[string]Deployment)}
+	if d, ok := s.Deployments[deployment]; ok {
+		view.Deployments[deployment] = d
+	}
+	for id, c := range s.Customers {
+		if c.Weight != 0 && c.Weight != 1 {
+			view.Customers[id] = Customer{Weight: c.Weight}
+		}
+	}
+	return view
+}
