--- a/config/feed.go
+++ b/config/feed.go
@@ -67,6 +67,33 @@
 	return FeedSource{Peer: f.longestAgo(peers)}
 }
 
+// NextPeer returns the peer to follow now for a process that never reads the
+// log. It is spread over all entries of the data centre, not only readers.
+func (f *Feed) NextPeer(now time.Time, entries []platform.Instance) FeedSource {
+	f.forget(entries)
+	if len(entries) == 0 {
+		return FeedSource{}
+	}
+	ranked := membership.Rank("config-view/"+f.self.ID, entries)
+	isNear := func(p platform.Instance) bool { return p.DataCentre == f.self.DataCentre }
+	slices.SortStableFunc(ranked, func(a, b platform.Instance) int {
+		return boolRank(isNear(b)) - boolRank(isNear(a))
+	})
+	for _, p := range ranked {
+		if !f.avoided(now, p.ID) {
+			return FeedSource{Peer: p}
+		}
+	}
+	return FeedSource{Peer: f.longestAgo(ranked)}
+}
+
+func boolRank(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // Failed notes that a source did not answer or is stale.
 func (f *Feed) Failed(now time.Time, s FeedSource) {
 	if s.Log {
--- a/config/follower.go
+++ b/config/follower.go
@@ -49,6 +49,8 @@
 	fresh   time.Time     // when the state was known to be the log's; zero: never
 	since   time.Time     // when the state became known
 	moved   chan struct{} // closed when the replica has moved
+
+	stopped chan struct{} // closed when Run has ended
 }
 
 // NewFollower returns a Follower of log that puts new versions into holder
@@ -61,6 +63,7 @@
 		carry:    Carry{Retention: DefaultRetention},
 		replica:  NewReplica(checks),
 		moved:    make(chan struct{}),
+		stopped:  make(chan struct{}),
 	}
 }
 
@@ -74,8 +77,10 @@
 	}
 }
 
-// Run follows the log or a peer until ctx ends.
+// Run follows the log or a peer until ctx ends, once. Peers that wait for
+// something new are then answered at once.
 func (f *Follower) Run(ctx context.Context) {
+	defer close(f.stopped)
 	f.startFromPeers(ctx)
 	for ctx.Err() == nil {
 		source := f.source()
--- a/config/follower_start.go
+++ b/config/follower_start.go
@@ -94,6 +94,8 @@
 		case <-moved:
 		case <-timeout.C:
 			return
+		case <-f.stopped:
+			return
 		}
 	}
 }
--- /dev/null
+++ b/config/viewer.go
@@ -0,0 +1,58 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+)
+
+// Viewer keeps a Holder up to date with the part of the state that concerns a
+// sidecar, from an entry of its data centre if there is one. Sidecars run one
+// each; they neither read the log nor learn of keys.
+type Viewer struct {
+	fleet  Fleet
+	holder *Holder
+	feed   *Feed
+	hash   Hash // of the view in force
+}
+
+// NewViewer returns a Viewer for the sidecar fleet.Self.
+func NewViewer(fleet Fleet, holder *Holder) *Viewer {
+	return &Viewer{fleet: fleet, holder: holder, feed: NewFeed(fleet.Self)}
+}
+
+// Run follows an entry until ctx ends.
+func (v *Viewer) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		source := v.feed.NextPeer(time.Now(), v.fleet.Members.Entries())
+		if err := v.poll(ctx, source); err != nil {
+			v.feed.Failed(time.Now(), source)
+			pause(ctx, retryPause)
+		}
+	}
+}
+
+var errNoEntry = Errors.NewType("no_entry").New("no entry is known")
+
+func (v *Viewer) poll(ctx context.Context, source FeedSource) error {
+	if source.Peer.ID == "" {
+		return errNoEntry
+	}
+	ctx, cancel := context.WithTimeout(ctx, followWait+callMargin)
+	defer cancel()
+	args := ViewArgs{Deployment: v.fleet.Self.Deployment, Hash: v.hash, Wait: followWait}
+	var reply ViewReply
+	if err := v.fleet.Peers.Call(ctx, source.Peer.RPCAddr, MethodView, args, &reply); err != nil {
+		return err
+	}
+	if reply.State == nil || reply.Version <= v.holder.Current().Version {
+		return nil
+	}
+	state := new(State)
+	if err := json.Unmarshal(reply.State, state); err != nil {
+		return err
+	}
+	v.hash = HashOf(state)
+	v.holder.Set(NewSnapshot(reply.Version, state))
+	return nil
+}
