--- a/entry/entry.go
+++ b/entry/entry.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
@@ -17,6 +18,7 @@
 	"dandelionrelay/dispatch"
 	"dandelionrelay/front"
 	"dandelionrelay/invariant"
+	"dandelionrelay/jobs"
 	"dandelionrelay/limit"
 	"dandelionrelay/membership"
 	"dandelionrelay/ops"
@@ -45,6 +47,7 @@
 	follower *config.Follower
 	view     *membership.View
 	limits   *limit.Service
+	jobs     *jobs.Service
 	pool     *peer.Pool
 	peers    *peer.Server
 	ready    ops.Ready
@@ -76,7 +79,18 @@
 		Pool:       e.pool,
 		Invariants: d.Invariants,
 	})
+	e.jobs = jobs.NewService(jobs.Options{
+		Self:        s.ID,
+		Log:         d.Log,
+		Members:     e.view,
+		Pool:        e.pool,
+		Config:      &e.holder,
+		Invariants:  d.Invariants,
+		Retention:   time.Duration(s.LogRetention),
+		OnBadRecord: e.badRecord,
+	})
 	e.peers.Register("Limit", e.limits.RPC())
+	e.jobs.Register(e.peers)
 	e.compose()
 	return e
 }
@@ -108,9 +122,21 @@
 		authn.Authorize(&e.holder, checks),
 		limit.Filter(e.limits),
 	)
+	batch := pipeline.Chain(serveJobs(jobs.NewHandler(e.jobs)),
+		authn.Identify(&e.holder),
+		authn.Authorize(&e.holder, checks),
+		onSubmit(limit.Filter(e.limits)),
+	)
 	metrics := front.NewMetrics(e.deps.Registry)
 	logger := e.deps.Logger
-	e.callers = front.New(online, &e.holder, e.settings.MaxBodyBytes, logger, metrics)
+	mux := http.NewServeMux()
+	mux.Handle("/", front.New(online, &e.holder, e.settings.MaxBodyBytes, logger, metrics))
+	// Files may be large: the batch interface reads them piece by piece.
+	streamed := front.New(batch, &e.holder, 0, logger, metrics)
+	for _, path := range []string{"/v1/files", "/v1/files/", "/v1/batches", "/v1/batches/"} {
+		mux.Handle(path, streamed)
+	}
+	e.callers = mux
 	e.ops = ops.Handler(e.deps.Registry, &e.ready)
 }
 
@@ -132,12 +158,18 @@
 	e.ready.Set(true)
 }
 
+// badRecord reports a record of a job stream that can't be read.
+func (e *Entry) badRecord(stream string, offset platform.Offset, err error) {
+	e.deps.Logger.Error().Err(err).Str("stream", stream).Uint64("offset", uint64(offset)).Msg("bad record")
+}
+
 // Run does the background work until ctx ends.
 func (e *Entry) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	wg.Go(func() { e.follower.Run(ctx) })
 	wg.Go(func() { e.view.Run(ctx) })
 	wg.Go(func() { e.limits.Run(ctx) })
+	wg.Go(func() { e.jobs.Run(ctx) })
 	wg.Wait()
 	e.pool.Close()
 	e.peers.Close()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -38,6 +38,7 @@
 	MaxBodyBytes int64           `json:"max_body_bytes,omitempty"` // of a request; default 4 MiB
 	DrainDelay   config.Duration `json:"drain_delay,omitempty"`    // unready before closing the listener; default 2s
 	DrainTimeout config.Duration `json:"drain_timeout,omitempty"`  // for requests under way; default 5m
+	LogRetention config.Duration `json:"log_retention,omitempty"`  // of the platform's log; 0: for ever
 	Operators    []Operator      `json:"operators,omitempty"`      // who may administer
 }
 
@@ -159,6 +160,7 @@
 func (e *Entry) check(f *findings) {
 	e.Process.check(f)
 	f.notNegative("/max_body_bytes", e.MaxBodyBytes)
+	f.notNegative("/log_retention", int64(e.LogRetention))
 	f.notNegative("/drain_delay", int64(e.DrainDelay))
 	f.notNegative("/drain_timeout", int64(e.DrainTimeout))
 	orDefault(&e.MaxBodyBytes, DefaultMaxBodyBytes)
