--- /dev/null
+++ b/load/batch.go
@@ -0,0 +1,122 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// pollInterval is the time between two looks at a job.
+const pollInterval = 250 * time.Millisecond
+
+// batch hands in a job and watches it until it ends or limit has passed since
+// the start of the run.
+func (r *runner) batch(ctx context.Context, b Batch, limit time.Duration) {
+	if !r.until(ctx, b.At) {
+		return
+	}
+	c := r.customer(b.Customer)
+	began := time.Now()
+	result := JobResult{Items: b.Items}
+	if b.Online {
+		result.Completed = r.batchOnline(ctx, c, b, r.start.Add(limit))
+	} else {
+		result.ID = r.submit(ctx, c, r.plan.lines(c.Model, b))
+		result.Completed = r.watch(ctx, c, result.ID, b.Items, r.start.Add(limit))
+	}
+	result.Took = time.Since(began)
+	r.result.mu.Lock()
+	defer r.result.mu.Unlock()
+	r.result.Jobs = append(r.result.Jobs, result)
+}
+
+// submit hands in a file and returns the job's id, empty if it was refused.
+func (r *runner) submit(ctx context.Context, c Customer, lines []byte) string {
+	resp, err := r.send(ctx, c, http.MethodPost, "/v1/batches", "application/jsonl", lines)
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	var job struct{ ID string }
+	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&job) != nil {
+		return ""
+	}
+	return job.ID
+}
+
+// jobStatus is what watch reads of a job.
+type jobStatus struct {
+	RequestCounts struct {
+		Completed int `json:"completed"`
+		Failed    int `json:"failed"`
+	} `json:"request_counts"`
+}
+
+// watch returns the number of items completed by the end of the job, or by
+// limit.
+func (r *runner) watch(ctx context.Context, c Customer, id string, items int, limit time.Time) int {
+	done := 0
+	for id != "" && done < items && time.Now().Before(limit) && ctx.Err() == nil {
+		time.Sleep(pollInterval)
+		resp, err := r.send(ctx, c, http.MethodGet, "/v1/batches/"+id, "application/json", nil)
+		if err != nil {
+			continue
+		}
+		var status jobStatus
+		if json.NewDecoder(resp.Body).Decode(&status) == nil && resp.StatusCode == http.StatusOK {
+			done = status.RequestCounts.Completed + status.RequestCounts.Failed
+		}
+		resp.Body.Close()
+	}
+	return done
+}
+
+// onlineWorkers is how many batch items are sent at once as online requests.
+const onlineWorkers = 64
+
+// batchOnline sends the items of a batch through the online lane, the way of
+// a service without batch jobs, and returns how many were answered.
+func (r *runner) batchOnline(ctx context.Context, c Customer, b Batch, limit time.Time) int {
+	items := make(chan int)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	done := 0
+	for range onlineWorkers {
+		wg.Go(func() {
+			for i := range items {
+				if r.sendItem(ctx, c, i, limit) {
+					mu.Lock()
+					done++
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	for i := range b.Items {
+		items <- i
+	}
+	close(items)
+	wg.Wait()
+	return done
+}
+
+// sendItem sends one item until it is answered.
+func (r *runner) sendItem(ctx context.Context, c Customer, item int, limit time.Time) bool {
+	body := r.plan.chat(c.Model, Arrival{Serial: 1_000_000 + item}, false)
+	for time.Now().Before(limit) && ctx.Err() == nil {
+		resp, err := r.send(ctx, c, http.MethodPost, "/v1/chat/completions", "application/json", body)
+		if err != nil {
+			continue
+		}
+		_, err = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		if err == nil && resp.StatusCode == http.StatusOK {
+			return true
+		}
+		time.Sleep(pollInterval)
+	}
+	return false
+}
--- /dev/null
+++ b/load/load_test.go
@@ -0,0 +1,63 @@
+package load
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func plan() *Plan {
+	return &Plan{
+		Seed: 7, Duration: 10 * time.Second, MaxTokens: 4, PromptTokens: 8, Prefixes: 3, PrefixTokens: 32,
+		Customers: []Customer{{Name: "a", Rate: 20, Model: "m"}, {Name: "b", Rate: 5, Model: "m"}},
+	}
+}
+
+func TestArrivalsComeFromTheSeedAlone(t *testing.T) {
+	g := NewWithT(t)
+	p := plan()
+	first := p.Arrivals()
+	g.Expect(p.Arrivals()).To(Equal(first))
+	g.Expect(len(first)).To(BeNumerically("~", 250, 60))
+
+	times := func(all []Arrival, customer int) (out []time.Duration) {
+		for _, a := range all {
+			if a.Customer == customer {
+				out = append(out, a.At)
+			}
+		}
+		return out
+	}
+	p.Customers[0].Rate = 100
+	g.Expect(times(p.Arrivals(), 1)).To(Equal(times(first, 1)), "another customer's rate moves nothing")
+}
+
+func TestAStreamIsWholeOnlyWithItsEnd(t *testing.T) {
+	g := NewWithT(t)
+	chunk := `data: {"choices":[{"index":0,"delta":{"role":"assistant","content":"x"},"finish_reason":null}],"usage":{"completion_tokens":1}}` + "\n\n"
+	sent := time.Now().Add(-time.Second)
+	cut := readStream(strings.NewReader(chunk), sent)
+	g.Expect(cut.broken).To(BeTrue())
+	whole := readStream(strings.NewReader(chunk+"data: [DONE]\n\n"), sent)
+	g.Expect(whole.broken).To(BeFalse())
+	g.Expect(whole.usage.CompletionTokens).To(Equal(1))
+	g.Expect(whole.firstToken).To(BeNumerically(">=", time.Second))
+}
+
+func TestReportHasARowForEachCustomerAndAll(t *testing.T) {
+	g := NewWithT(t)
+	p := plan()
+	r := newResult(p)
+	r.Elapsed = 10 * time.Second
+	r.add("a", answer{firstToken: time.Millisecond, whole: 2 * time.Millisecond})
+	r.add("b", answer{code: "rate_limited"})
+	r.Jobs = []JobResult{{Items: 4, Completed: 4, Took: 2 * time.Second}}
+	var out strings.Builder
+	g.Expect(WriteCSV(&out, []Named{{Scheme: "s", Result: r}})).To(Succeed())
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	g.Expect(lines).To(HaveLen(4))
+	g.Expect(lines[3]).To(HavePrefix("s,all,2,1,1,0,1.0,1.0"))
+	g.Expect(lines[3]).To(HaveSuffix("4,2.000"))
+}
--- /dev/null
+++ b/load/plan.go
@@ -0,0 +1,79 @@
+// Package load sends open-loop load of many customers at entries and reports
+// how each of them fared. Everything random comes from the plan's seed.
+package load
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Plan describes the load of one run.
+type Plan struct {
+	Seed      uint64        `json:"seed"`
+	Duration  time.Duration `json:"duration_ns"`
+	Customers []Customer    `json:"customers"`
+	Batches   []Batch       `json:"batches,omitempty"`
+	// Prefixes is the number of system prompts that each customer's requests
+	// share; 0 means that no two prompts are alike.
+	Prefixes     int `json:"prefixes,omitempty"`
+	PrefixTokens int `json:"prefix_tokens,omitempty"` // words in a shared prompt
+	PromptTokens int `json:"prompt_tokens"`           // words of a request's own
+	MaxTokens    int `json:"max_tokens"`              // of an answer
+}
+
+// Customer sends requests at a rate, in Poisson arrivals.
+type Customer struct {
+	Name  string  `json:"name"`
+	Key   string  `json:"key"`
+	Model string  `json:"model"`
+	Rate  float64 `json:"rate"` // requests per second that it sends
+}
+
+// Batch is a job handed in during the run.
+type Batch struct {
+	Customer string        `json:"customer"`
+	At       time.Duration `json:"at_ns"` // since the start of the run
+	Items    int           `json:"items"`
+	Online   bool          `json:"online,omitempty"` // send the items as online requests instead
+}
+
+// Arrival is one request to be sent.
+type Arrival struct {
+	At       time.Duration // since the start of the run
+	Customer int           // index in Plan.Customers
+	Prefix   int           // index of the shared prompt
+	Serial   int           // unique in the run
+}
+
+// Arrivals returns all online requests of the plan in the order of time.
+func (p *Plan) Arrivals() []Arrival {
+	var all []Arrival
+	for n, c := range p.Customers {
+		all = append(all, p.arrivals(n, c.Rate)...)
+	}
+	slices.SortStableFunc(all, func(a, b Arrival) int { return cmp.Compare(a.At, b.At) })
+	for i := range all {
+		all[i].Serial = i
+	}
+	return all
+}
+
+// arrivals draws one customer's requests from a stream of its own, so that
+// another customer's rate does not move them.
+func (p *Plan) arrivals(customer int, rate float64) []Arrival {
+	if rate <= 0 {
+		return nil
+	}
+	rnd := rand.New(rand.NewPCG(p.Seed, uint64(customer)))
+	var all []Arrival
+	at := time.Duration(0)
+	for {
+		at += time.Duration(rnd.ExpFloat64() / rate * float64(time.Second))
+		if at >= p.Duration {
+			return all
+		}
+		all = append(all, Arrival{At: at, Customer: customer, Prefix: rnd.IntN(max(1, p.Prefixes))})
+	}
+}
--- /dev/null
+++ b/load/report.go
@@ -0,0 +1,103 @@
+package load
+
+import (
+	"encoding/csv"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"text/tabwriter"
+	"time"
+)
+
+// Named is the result of one scheme.
+type Named struct {
+	Scheme string
+	*Result
+}
+
+// columns of the report, in order.
+var columns = []string{
+	"scheme", "customer", "sent", "done", "refused", "broken",
+	"ttft_p50_ms", "ttft_p99_ms", "whole_p99_ms", "tokens_per_s", "cached_share", "items_done", "items_per_s",
+}
+
+// rows returns a row for each customer and one for all of them.
+func (n Named) rows() [][]string {
+	var rows [][]string
+	for _, name := range slices.Sorted(maps.Keys(n.Customers)) {
+		rows = append(rows, n.row(name, n.Customers[name], nil))
+	}
+	return append(rows, n.row("all", n.Total(), n.Jobs))
+}
+
+func (n Named) row(customer string, t *Tally, jobs []JobResult) []string {
+	refused := 0
+	for _, count := range t.Refused {
+		refused += count
+	}
+	items, perSecond := jobFigures(jobs)
+	return []string{
+		n.Scheme, customer, strconv.Itoa(t.Sent), strconv.Itoa(t.Done), strconv.Itoa(refused), strconv.Itoa(t.Broken),
+		millis(t.FirstToken.ValueAtQuantile(50)), millis(t.FirstToken.ValueAtQuantile(99)),
+		millis(t.Whole.ValueAtQuantile(99)),
+		ratio(float64(t.Tokens), n.Elapsed.Seconds()), ratio(float64(t.Cached), float64(t.Prompt)),
+		items, perSecond,
+	}
+}
+
+// jobFigures adds up jobs: items done, and items done per second of the
+// longest job.
+func jobFigures(jobs []JobResult) (items, perSecond string) {
+	done := 0
+	var took time.Duration
+	for _, j := range jobs {
+		done += j.Completed
+		took = max(took, j.Took)
+	}
+	if len(jobs) == 0 {
+		return "-", "-"
+	}
+	return strconv.Itoa(done), ratio(float64(done), took.Seconds())
+}
+
+func millis(micros int64) string {
+	return strconv.FormatFloat(float64(micros)/1000, 'f', 1, 64)
+}
+
+func ratio(a, b float64) string {
+	if b == 0 {
+		return "-"
+	}
+	return strconv.FormatFloat(a/b, 'f', 3, 64)
+}
+
+// WriteTable prints results side by side.
+func WriteTable(w io.Writer, results []Named) error {
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	for _, row := range table(results) {
+		for _, cell := range row {
+			fmt.Fprintf(t, "%s\t", cell)
+		}
+		fmt.Fprintln(t)
+	}
+	return t.Flush()
+}
+
+// WriteCSV writes results as comma-separated values.
+func WriteCSV(w io.Writer, results []Named) error {
+	c := csv.NewWriter(w)
+	if err := c.WriteAll(table(results)); err != nil {
+		return err
+	}
+	return c.Error()
+}
+
+func table(results []Named) [][]string {
+	rows := [][]string{columns}
+	for _, r := range results {
+		rows = append(rows, r.rows()...)
+	}
+	return rows
+}
