peer: a call that times out no longer ends the others on its connection

Cause: Call closed the shared connection when its context ended, so that a 250 ms limit question that timed out ended long polls to the same entry. And a peer that reads nothing blocked Call beyond its context, as net/rpc writes without a deadline. Ruled out: a connection for each call (a handshake each), one goroutine for each call (cost on the hot path). Before: TestACallThatTimesOutLeavesOthersAlone fails (the long call gets Unreachable), TestAPeerThatReadsNothing... deadlocks. After: both pass; the answer of an abandoned call goes into a value that nobody reads, writes end after 500 ms, and 8 timeouts in a row without an answer end a connection.

--- a/peer/client.go
+++ b/peer/client.go
@@ -5,7 +5,9 @@
 	"errors"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -16,6 +18,10 @@
 // more are needed.
 const MaxClients = 256
 
+// MaxTimeouts is the number of calls in a row that may time out before a
+// connection is given up.
+const MaxTimeouts = 8
+
 // Dialer opens a connection to a peer's RPC address.
 type Dialer func(ctx context.Context, addr string) (net.Conn, error)
 
@@ -29,7 +35,13 @@
 type Pool struct {
 	dial    Dialer
 	mu      sync.Mutex
-	clients map[string]*rpc.Client
+	clients map[string]*client
+}
+
+// client is one connection.
+type client struct {
+	*rpc.Client
+	timeouts atomic.Int32 // calls that timed out since the last answer
 }
 
 // NewPool returns an empty pool. A nil dial means DialTCP.
@@ -37,47 +49,50 @@
 	if dial == nil {
 		dial = DialTCP
 	}
-	return &Pool{dial: dial, clients: make(map[string]*rpc.Client)}
+	return &Pool{dial: dial, clients: make(map[string]*client)}
 }
 
 // Call calls method at addr and fills reply, a pointer. An Unreachable error
 // means that the peer may or may not have run the call; any other error is the
 // method's own answer.
 func (p *Pool) Call(ctx context.Context, addr, method string, args, reply any) error {
-	client, err := p.client(ctx, addr)
+	c, err := p.client(ctx, addr)
 	if err != nil {
 		return Unreachable.Wrap(err, "dial %s", addr)
 	}
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	// An answer after the timeout goes into a value that nobody reads.
+	answer := reflect.New(reflect.TypeOf(reply).Elem())
+	call := c.Go(method, args, answer.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 	case <-ctx.Done():
-		// The reply may still arrive: the connection goes, so that it can
-		// no longer be written to.
-		p.drop(addr, client)
-		<-call.Done
+		if c.timeouts.Add(1) >= MaxTimeouts {
+			p.drop(addr, c)
+		}
 		return Unreachable.Wrap(ctx.Err(), "call %s at %s", method, addr)
 	}
-	var answer rpc.ServerError
-	if call.Error == nil || errors.As(call.Error, &answer) {
-		return call.Error
+	var refused rpc.ServerError
+	if call.Error != nil && !errors.As(call.Error, &refused) {
+		p.drop(addr, c)
+		return Unreachable.Wrap(call.Error, "call %s at %s", method, addr)
 	}
-	p.drop(addr, client)
-	return Unreachable.Wrap(call.Error, "call %s at %s", method, addr)
+	c.timeouts.Store(0)
+	reflect.ValueOf(reply).Elem().Set(answer.Elem())
+	return call.Error
 }
 
-func (p *Pool) client(ctx context.Context, addr string) (*rpc.Client, error) {
+func (p *Pool) client(ctx context.Context, addr string) (*client, error) {
 	p.mu.Lock()
-	client, ok := p.clients[addr]
+	known, ok := p.clients[addr]
 	p.mu.Unlock()
 	if ok {
-		return client, nil
+		return known, nil
 	}
 	conn, err := p.dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
-	fresh := rpc.NewClientWithCodec(clientCodec{newCodec(conn)})
+	fresh := &client{Client: rpc.NewClientWithCodec(clientCodec{newCodec(conn)})}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if other, ok := p.clients[addr]; ok {
@@ -94,28 +109,28 @@
 	if len(p.clients) < MaxClients {
 		return
 	}
-	for addr, client := range p.clients {
+	for addr, c := range p.clients {
 		delete(p.clients, addr)
-		_ = client.Close()
+		_ = c.Close()
 		return
 	}
 }
 
-func (p *Pool) drop(addr string, client *rpc.Client) {
+func (p *Pool) drop(addr string, c *client) {
 	p.mu.Lock()
-	if p.clients[addr] == client {
+	if p.clients[addr] == c {
 		delete(p.clients, addr)
 	}
 	p.mu.Unlock()
-	_ = client.Close()
+	_ = c.Close()
 }
 
 // Close ends all connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for addr, client := range p.clients {
+	for addr, c := range p.clients {
 		delete(p.clients, addr)
-		_ = client.Close()
+		_ = c.Close()
 	}
 }
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"encoding/gob"
 	"io"
+	"net"
 	"net/rpc"
 	"sync"
+	"time"
 
 	"github.com/joomcode/errorx"
 )
@@ -13,6 +15,10 @@
 // MaxMessageBytes is the largest request or response that is read.
 const MaxMessageBytes = 4 << 20
 
+// WriteTimeout bounds the time that sending one message may take. A call can
+// end this much after its context.
+const WriteTimeout = 500 * time.Millisecond
+
 // Errors is the namespace of the errors of this package.
 var Errors = errorx.NewNamespace("peer")
 
@@ -50,7 +56,7 @@
 // codec carries net/rpc messages as gob with a size limit on each. It serves
 // as client and as server codec.
 type codec struct {
-	conn   io.ReadWriteCloser
+	conn   net.Conn
 	budget *budgetReader
 	dec    *gob.Decoder
 	enc    *gob.Encoder
@@ -58,7 +64,7 @@
 	once   sync.Once
 }
 
-func newCodec(conn io.ReadWriteCloser) *codec {
+func newCodec(conn net.Conn) *codec {
 	budget := &budgetReader{r: bufio.NewReader(conn)}
 	out := bufio.NewWriter(conn)
 	return &codec{
@@ -83,13 +89,19 @@
 }
 
 func (c *codec) write(header, body any) error {
+	if err := c.conn.SetWriteDeadline(time.Now().Add(WriteTimeout)); err != nil {
+		return c.fail(err)
+	}
 	if err := c.enc.Encode(header); err != nil {
 		return c.fail(err)
 	}
 	if err := c.enc.Encode(body); err != nil {
 		return c.fail(err)
 	}
-	return c.out.Flush()
+	if err := c.out.Flush(); err != nil {
+		return c.fail(err)
+	}
+	return nil
 }
 
 // fail closes the connection: after a failed encode or decode the stream is
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -63,3 +63,73 @@
 		g.Expect(time.Since(start)).To(gomega.Equal(time.Second))
 	})
 }
+
+func TestACallThatTimesOutLeavesOthersAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		echo := &Echo{hold: make(chan struct{})}
+		server := peer.NewServer()
+		server.Register("Echo", echo)
+		pool := connect(server)
+		defer server.Close()
+		defer pool.Close()
+
+		long := make(chan error)
+		go func() {
+			var n int
+			long <- pool.Call(t.Context(), "a", "Echo.Hang", 1, &n)
+		}()
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		var n int
+		err := pool.Call(ctx, "a", "Echo.Hang", 2, &n)
+		g.Expect(errorx.IsOfType(err, peer.Unreachable)).To(gomega.BeTrue(), "%v", err)
+		close(echo.hold)
+		g.Expect(<-long).To(gomega.Succeed())
+	})
+}
+
+func TestAPeerThatReadsNothingDelaysCallsByTheWriteTimeoutOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		pool := peer.NewPool(func(context.Context, string) (net.Conn, error) {
+			near, _ := net.Pipe()
+			return near, nil
+		})
+		defer pool.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		start := time.Now()
+		var out []byte
+		err := pool.Call(ctx, "a", "Echo.Say", []byte("x"), &out)
+		g.Expect(errorx.IsOfType(err, peer.Unreachable)).To(gomega.BeTrue(), "%v", err)
+		g.Expect(time.Since(start)).To(gomega.BeNumerically("<=", peer.WriteTimeout))
+	})
+}
+
+func TestASilentPeerLosesItsConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		dials := 0
+		echo := &Echo{hold: make(chan struct{})}
+		server := peer.NewServer()
+		server.Register("Echo", echo)
+		defer server.Close()
+		pool := peer.NewPool(func(context.Context, string) (net.Conn, error) {
+			dials++
+			near, far := net.Pipe()
+			go server.ServeConn(far)
+			return near, nil
+		})
+		defer pool.Close()
+		defer close(echo.hold)
+		for range peer.MaxTimeouts + 1 {
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			var n int
+			_ = pool.Call(ctx, "a", "Echo.Hang", 1, &n)
+			cancel()
+		}
+		g.Expect(dials).To(gomega.Equal(2))
+	})
+}
