Lane queue: online before batch, fair among customers, passive

Start-time fair queueing on estimated tokens, corrected by the actual cost; bounded by count (the customer with the most backlog for its weight is refused) and by deadline. An online arrival cuts the cheapest items at once; items that can't be cut take no slot from online requests and are few. OnlineBeforeBatch is asserted after every decision.

With yield() switched off: TestOnlineTakesTheSlotOfTheCheapestItem and the randomised runs fail (online_before_batch violated: 1 online requests wait, 1 items run, 0 are being cut). With every start tag equal to the virtual time: TestLaterWorkOfABusyCustomerWaitsBehindOthers fails.

--- /dev/null
+++ b/lane/items.go
@@ -0,0 +1,205 @@
+package lane
+
+import (
+	"time"
+)
+
+// item is one batch item that the queue knows.
+type item struct {
+	Item
+	running  bool
+	yielding bool // it is being cut
+	started  time.Time
+	tokens   float64 // generated since started
+	arrival  uint64
+}
+
+// batchCount counts running items.
+type batchCount struct {
+	running  int
+	yielding int // of them, being cut
+	fixed    int // of them, not preemptible
+}
+
+// fixedShare is the part of the slots that items which can't be cut may take,
+// at least one slot.
+const fixedShare = 4
+
+// Idle returns how many more items the queue could start now.
+func (q *Queue) Idle() int {
+	if q.fair.size > 0 {
+		return 0
+	}
+	return max(0, q.room()-len(q.parked))
+}
+
+// Parked returns the number of items that wait for an idle slot.
+func (q *Queue) Parked() int { return len(q.parked) }
+
+// Offer takes an item: it starts in an idle slot or waits for one.
+func (q *Queue) Offer(now time.Time, i Item) Decision {
+	q.begin()
+	it := &item{Item: i, arrival: q.fair.seq}
+	q.items[i.ID] = it
+	q.parked = append(q.parked, it)
+	return q.decide(now)
+}
+
+// Progress tells the queue how many tokens a running item has generated.
+func (q *Queue) Progress(id string, tokens float64) {
+	if it, ok := q.items[id]; ok {
+		it.tokens = tokens
+	}
+}
+
+// Ended tells the queue that an item has left the endpoint, whether it was cut
+// or is complete, and forgets it.
+func (q *Queue) Ended(now time.Time, id string) Decision {
+	q.begin()
+	q.forget(id)
+	return q.decide(now)
+}
+
+// Park tells the queue that a cut item has left the endpoint and waits at the
+// sidecar for an idle slot, before the others.
+func (q *Queue) Park(now time.Time, id string, prompt float64) Decision {
+	q.begin()
+	it, ok := q.items[id]
+	if !ok || !it.running {
+		return q.out
+	}
+	q.stop(it)
+	it.Prompt = prompt
+	it.tokens = 0
+	q.parked = append([]*item{it}, q.parked...)
+	return q.decide(now)
+}
+
+// Withdraw forgets an item that waits for an idle slot. It returns false if
+// the item doesn't wait.
+func (q *Queue) Withdraw(id string) bool {
+	it, ok := q.items[id]
+	if !ok || it.running {
+		return false
+	}
+	q.forget(id)
+	return true
+}
+
+func (q *Queue) forget(id string) {
+	it, ok := q.items[id]
+	if !ok {
+		return
+	}
+	delete(q.items, id)
+	if it.running {
+		q.stop(it)
+		return
+	}
+	for i, p := range q.parked {
+		if p == it {
+			q.parked = append(q.parked[:i], q.parked[i+1:]...)
+			return
+		}
+	}
+}
+
+func (q *Queue) stop(it *item) {
+	q.batch.running--
+	if it.yielding {
+		q.batch.yielding--
+	}
+	if !it.Preemptible {
+		q.batch.fixed--
+	}
+	it.running = false
+	it.yielding = false
+}
+
+// room returns how many more items may run.
+func (q *Queue) room() int {
+	idle := q.opts.Slots - len(q.running) - q.batch.running
+	return min(idle, q.limit.current(len(q.running))-q.batch.running)
+}
+
+// fill starts parked items in idle slots.
+func (q *Queue) fill(now time.Time) {
+	for i := 0; i < len(q.parked) && q.room() > 0; {
+		if !q.mayStart(q.parked[i]) {
+			i++
+			continue
+		}
+		q.startItem(now, i)
+	}
+}
+
+func (q *Queue) mayStart(it *item) bool {
+	return it.Preemptible || q.batch.fixed < max(1, q.opts.Slots/fixedShare)
+}
+
+func (q *Queue) startItem(now time.Time, i int) {
+	it := q.parked[i]
+	q.parked = append(q.parked[:i], q.parked[i+1:]...)
+	it.running = true
+	it.started = now
+	q.batch.running++
+	if !it.Preemptible {
+		q.batch.fixed++
+	}
+	q.out.Start = append(q.out.Start, it.ID)
+}
+
+// yield cuts items, those with the least work lost first, until the rest fits
+// beside all online requests, running and waiting.
+func (q *Queue) yield() {
+	held := q.batch.running - q.batch.yielding - q.batch.fixed
+	over := held - q.limit.current(len(q.running)+q.fair.size)
+	for range over {
+		it := q.cheapest()
+		if it == nil {
+			return
+		}
+		it.yielding = true
+		q.batch.yielding++
+		q.out.Preempt = append(q.out.Preempt, it.ID)
+	}
+}
+
+// cheapest returns the running item that loses the least by a cut. Between
+// equals it is the one that started last.
+func (q *Queue) cheapest() *item {
+	var best *item
+	for _, it := range q.items {
+		if !it.running || it.yielding || !it.Preemptible {
+			continue
+		}
+		if best == nil || it.cheaper(best) {
+			best = it
+		}
+	}
+	return best
+}
+
+func (it *item) cheaper(other *item) bool {
+	a, b := it.loss(), other.loss()
+	if a != b {
+		return a < b
+	}
+	if !it.started.Equal(other.started) {
+		return it.started.After(other.started)
+	}
+	return it.ID < other.ID
+}
+
+// prefillPerToken is the cost of computing a prompt token again, in generated
+// tokens: a prefill runs many tokens in one step.
+const prefillPerToken = 1.0 / 64
+
+// loss returns the work that a cut throws away, in generated tokens.
+func (it *item) loss() float64 {
+	loss := (it.Prompt + it.tokens) * prefillPerToken
+	if !it.Resumable {
+		loss += it.tokens
+	}
+	return loss
+}
