Sidecar: lanes, batch pull, exact resume after cuts, draining

Results are held in bounded memory while owners are down, then pulling stops. Leaving refuses what waits, cuts and returns batch, and lets streams end.

An item was offered to the queue by its own goroutine at first: the pull loop then saw its slot as idle and pulled a second item (TestEndpointLostUnderBatch: two ends instead of one). It is offered before the next pull now.

--- a/sidecar/attempts.go
+++ b/sidecar/attempts.go
@@ -16,17 +16,19 @@
 // attempts remembers the ids of recent attempts, so that none starts twice.
 type attempts struct {
 	mu    sync.Mutex
-	seen  map[string]struct{}
-	order []attempt // the oldest first
+	seen  map[string]*attempt
+	order []*attempt // the oldest first
 }
 
+// attempt is one remembered id.
 type attempt struct {
-	id string
-	at time.Time
+	id   string
+	at   time.Time
+	runs int // calls handed to the endpoint's connection
 }
 
 func newAttempts() *attempts {
-	return &attempts{seen: make(map[string]struct{})}
+	return &attempts{seen: make(map[string]*attempt)}
 }
 
 // verdict of attempts.add.
@@ -49,11 +51,31 @@
 	if len(a.seen) >= maxAttempts {
 		return full
 	}
-	a.seen[id] = struct{}{}
-	a.order = append(a.order, attempt{id: id, at: now})
+	entry := &attempt{id: id, at: now}
+	a.seen[id] = entry
+	a.order = append(a.order, entry)
 	return fresh
 }
 
+// sent notes that a connection to the endpoint was handed the call.
+func (a *attempts) sent(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if entry, ok := a.seen[id]; ok {
+		entry.runs++
+	}
+}
+
+// runs returns how often the call of an attempt was handed to the endpoint.
+func (a *attempts) runs(id string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if entry, ok := a.seen[id]; ok {
+		return entry.runs
+	}
+	return 0
+}
+
 // expire forgets ids past their time. The caller holds the lock.
 func (a *attempts) expire(now time.Time) {
 	n := 0
--- /dev/null
+++ b/sidecar/batch.go
@@ -0,0 +1,241 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"dandelionrelay/api"
+)
+
+const (
+	// pullWait is how long a pull waits at the owners for items.
+	pullWait = 5 * time.Second
+	// reportInterval is the time between two heartbeats of running items. An
+	// item that is to stop does so within it.
+	reportInterval = 500 * time.Millisecond
+	// callTimeout bounds a report, and a pull beyond its wait.
+	callTimeout = 2 * time.Second
+	// retryPause follows a failed pull or report.
+	retryPause = 500 * time.Millisecond
+)
+
+// batchRunner pulls items for idle slots, runs them and reports their results.
+type batchRunner struct {
+	*Sidecar
+	out   *outbox
+	group sync.WaitGroup // items under way
+
+	mu    sync.Mutex
+	items map[api.WorkRef]*itemRun
+}
+
+func newBatchRunner(s *Sidecar) *batchRunner {
+	return &batchRunner{Sidecar: s, out: newOutbox(), items: make(map[api.WorkRef]*itemRun)}
+}
+
+// Run pulls and reports batch work, and follows the instance list, until ctx
+// ends. Items under way are cut then; call Drain before for a graceful end.
+func (s *Sidecar) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	if s.deps.Members != nil {
+		group.Go(func() { s.followMembers(ctx) })
+	}
+	if s.deps.Batch != nil {
+		group.Go(func() { s.batch.pullLoop(ctx) })
+		group.Go(func() { s.batch.reportLoop(ctx) })
+	}
+	group.Wait()
+	s.batch.group.Wait()
+}
+
+// pullLoop asks for as many items as there are idle slots.
+func (b *batchRunner) pullLoop(ctx context.Context) {
+	for {
+		slots, ok := b.awaitIdle(ctx)
+		if !ok || !b.drain.enter() {
+			return
+		}
+		err := b.pull(ctx, slots)
+		b.drain.exit()
+		if err != nil {
+			pause(ctx, retryPause)
+		}
+	}
+}
+
+// awaitIdle returns the number of items to pull once that is not 0; false
+// means that no more are to be pulled.
+func (b *batchRunner) awaitIdle(ctx context.Context) (int, bool) {
+	for !b.drain.isLeaving() && ctx.Err() == nil {
+		n := b.schedule.idleSlots()
+		if n > 0 && !b.out.full() && b.endpointAnswers(ctx) {
+			return n, true
+		}
+		select {
+		case <-b.schedule.idle:
+		case <-time.After(retryPause):
+			b.followSlots()
+		case <-b.drain.leaving():
+		case <-ctx.Done():
+		}
+	}
+	return 0, false
+}
+
+func (b *batchRunner) followSlots() {
+	if d, ok := b.deployment(); ok {
+		b.schedule.setSlots(d.Slots)
+	}
+}
+
+// pull asks for items and takes them. It ends early when the endpoint is
+// leaving.
+func (b *batchRunner) pull(ctx context.Context, slots int) error {
+	pullCtx, cancel := context.WithTimeout(ctx, pullWait+callTimeout)
+	defer cancel()
+	go func() {
+		select {
+		case <-b.drain.leaving():
+			cancel()
+		case <-pullCtx.Done():
+		}
+	}()
+	reply, err := b.deps.Batch.Pull(pullCtx, api.PullArgs{
+		Endpoint:   b.settings.ID,
+		Deployment: b.settings.Deployment,
+		Slots:      slots,
+		Wait:       pullWait,
+	})
+	if err != nil {
+		return err
+	}
+	for _, w := range reply.Work {
+		b.take(ctx, w)
+	}
+	return nil
+}
+
+// take queues a pulled item, or returns it if the endpoint is leaving or lost.
+func (b *batchRunner) take(ctx context.Context, w api.Work) {
+	if b.health.lost.Load() || !b.drain.enter() {
+		b.out.add(api.Result{WorkRef: w.WorkRef, State: api.ResultReturned, Resume: w.Resume})
+		return
+	}
+	run := newItemRun(b, w)
+	if b.attempts.add(run.id, time.Now()) != fresh || !b.remember(run) {
+		b.drain.exit() // it runs already
+		return
+	}
+	run.queue()
+	b.group.Go(func() {
+		defer b.drain.exit()
+		b.out.add(run.do(ctx))
+		b.forget(run)
+	})
+}
+
+func (b *batchRunner) remember(run *itemRun) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if _, ok := b.items[run.WorkRef]; ok {
+		return false
+	}
+	b.items[run.WorkRef] = run
+	return true
+}
+
+func (b *batchRunner) forget(run *itemRun) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.items, run.WorkRef)
+}
+
+func (b *batchRunner) runningRefs() []api.WorkRef {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	refs := make([]api.WorkRef, 0, len(b.items))
+	for ref := range b.items {
+		refs = append(refs, ref)
+	}
+	return refs
+}
+
+// stop cuts the items that owners no longer want.
+func (b *batchRunner) stop(refs []api.WorkRef) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, ref := range refs {
+		if run, ok := b.items[ref]; ok {
+			run.stop()
+		}
+	}
+}
+
+// reportLoop hands over results as they come, and says what runs.
+func (b *batchRunner) reportLoop(ctx context.Context) {
+	tick := time.NewTicker(reportInterval)
+	defer tick.Stop()
+	for {
+		if !b.report(ctx) {
+			pause(ctx, retryPause)
+		}
+		if b.out.size() > 0 && ctx.Err() == nil {
+			continue
+		}
+		select {
+		case <-b.out.grown:
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// report makes one report, if there is something to say.
+func (b *batchRunner) report(ctx context.Context) bool {
+	running := b.runningRefs()
+	results := b.out.next()
+	if len(running)+len(results) == 0 {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := b.deps.Batch.Report(ctx, api.ReportArgs{
+		Endpoint: b.settings.ID,
+		Results:  results,
+		Running:  running,
+	})
+	if err != nil {
+		return false
+	}
+	b.out.drop(len(results))
+	b.stop(reply.Stop)
+	return true
+}
+
+// flush waits until all results are reported.
+func (b *batchRunner) flush(ctx context.Context) error {
+	select {
+	case <-b.out.empty():
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// pause waits for d or the end of ctx.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// itemID names an item's attempt in the queue, apart from online attempts.
+func itemID(ref api.WorkRef) string {
+	return fmt.Sprintf("batch/%s/%d/%s", ref.Job, ref.Item, ref.Attempt)
+}
--- /dev/null
+++ b/sidecar/batch_test.go
@@ -0,0 +1,185 @@
+package sidecar_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"dandelionrelay/api"
+	"dandelionrelay/config"
+	"dandelionrelay/standin/engine"
+	"dandelionrelay/standin/plain"
+)
+
+func TestBatchFillsIdleSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		e, src := newEngine(t, engine.Options{}), newSource()
+		r := newRig(t, e, modelDeployment(4), withBatch(src))
+		for i := range 10 {
+			src.add(work(i, chat(fmt.Sprint("item ", i), 50)))
+		}
+		r.runBatch()
+		eventually(t, "four run", func() bool { return e.Running() == 4 })
+		eventually(t, "all complete", func() bool { return src.completed() == 10 })
+		for i := range 10 {
+			req := chat(fmt.Sprint("item ", i), 50)
+			got, ends := src.final(i)
+			g.Expect(batchText(t, got)).To(gomega.Equal(engine.Answer(&req, 50)))
+			g.Expect(ends).To(gomega.Equal([]api.ResultState{api.ResultDone}))
+		}
+	})
+}
+
+func TestOnlineCutsBatchWhichResumesExactly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		e, src := newEngine(t, engine.Options{}), newSource()
+		r := newRig(t, e, modelDeployment(1), withBatch(src))
+		req := chat("ledger", 200)
+		src.add(work(0, req))
+		r.runBatch()
+		eventually(t, "item runs", func() bool { return e.Stats().Tokens > 50 })
+
+		start := time.Now()
+		got := r.result(t.Context(), call{id: "1", body: chat("hello", 1)})
+		g.Expect(got.failure).To(gomega.BeNil())
+		g.Expect(time.Since(start)).To(gomega.BeNumerically("<", 30*time.Millisecond))
+
+		eventually(t, "item completes", func() bool { return src.completed() == 1 })
+		final, ends := src.final(0)
+		g.Expect(batchText(t, final)).To(gomega.Equal(engine.Answer(&req, 200)))
+		g.Expect(ends).To(gomega.HaveLen(1))
+		g.Expect(e.Stats().Tokens).To(gomega.BeNumerically("<=", 200+1+2), "no token is paid for twice")
+	})
+}
+
+func TestItemGoesBackWithItsPositionWhenSlotsStayBusy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		e, src := newEngine(t, engine.Options{}), newSource()
+		r := newRig(t, e, modelDeployment(1), withBatch(src))
+		src.add(work(0, chat("ledger", 2000)))
+		r.runBatch()
+		eventually(t, "item runs", func() bool { return e.Stats().Tokens > 50 })
+		go r.result(t.Context(), call{id: "1", body: chat("hello", 2000)})
+		eventually(t, "item is returned", func() bool { return src.handedOut() == 0 })
+		src.mu.Lock()
+		defer src.mu.Unlock()
+		g.Expect(src.ends[0]).To(gomega.Equal([]api.ResultState{api.ResultReturned}))
+		g.Expect(src.ready[0].Resume.Tokens).To(gomega.BeNumerically(">", 50))
+		g.Expect(src.ready[0].Resume.Text).To(gomega.HaveLen(src.ready[0].Resume.Tokens * engine.TokenBytes))
+	})
+}
+
+func TestStoppedItemEndsWithinASecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		e, src := newEngine(t, engine.Options{}), newSource()
+		r := newRig(t, e, modelDeployment(2), withBatch(src))
+		src.add(work(0, chat("ledger", 100_000)))
+		r.runBatch()
+		eventually(t, "item runs", func() bool { return e.Stats().Tokens > 50 })
+		src.cancel(0)
+		time.Sleep(time.Second)
+		g.Expect(e.Running()).To(gomega.BeZero())
+		g.Expect(src.completed()).To(gomega.Equal(1))
+	})
+}
+
+func TestResultsAreHeldWhileOwnersAreDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		e, src := newEngine(t, engine.Options{}), newSource()
+		r := newRig(t, e, modelDeployment(2), withBatch(src))
+		src.add(work(0, chat("a", 100)), work(1, chat("b", 100)))
+		r.runBatch()
+		eventually(t, "items run", func() bool { return e.Running() == 2 })
+		src.setDown(true)
+		time.Sleep(5 * time.Minute)
+		g.Expect(e.Running()).To(gomega.BeZero())
+		g.Expect(src.completed()).To(gomega.BeZero())
+		src.setDown(false)
+		eventually(t, "results arrive", func() bool { return src.completed() == 2 })
+	})
+}
+
+func TestDrainReturnsBatchAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		e, src := newEngine(t, engine.Options{}), newSource()
+		r := newRig(t, e, modelDeployment(4), withBatch(src))
+		for i := range 8 {
+			src.add(work(i, chat(fmt.Sprint("item ", i), 10_000)))
+		}
+		r.runBatch()
+		eventually(t, "items run", func() bool { return e.Stats().Tokens > 200 })
+		start := time.Now()
+		g.Expect(r.sidecar.Drain(t.Context())).To(gomega.Succeed())
+		g.Expect(time.Since(start)).To(gomega.BeNumerically("<", time.Second))
+		g.Expect(src.handedOut()).To(gomega.BeZero())
+		src.mu.Lock()
+		defer src.mu.Unlock()
+		g.Expect(src.ready).To(gomega.HaveLen(8))
+		resumed := 0
+		for _, w := range src.ready {
+			if w.Resume != nil {
+				resumed++
+			}
+		}
+		g.Expect(resumed).To(gomega.Equal(4))
+	})
+}
+
+func TestNonIdempotentItemStartsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		service, src := plain.New(), newSource()
+		service.SetDelay(10 * time.Second)
+		service.SetLoseAnswers(true)
+		r := newRig(t, service, config.Deployment{Kind: config.KindPlain, Slots: 1}, withBatch(src))
+		item := work(0, "confirm")
+		item.Path, item.Idempotent = "/confirm", false
+		src.add(item)
+		r.runBatch()
+		eventually(t, "item runs", func() bool { return service.Total() == 1 })
+
+		// An online request isn't held up by the item that can't be cut.
+		service.SetDelay(0)
+		service.SetLoseAnswers(false)
+		start := time.Now()
+		got := r.result(t.Context(), call{id: "1", path: "/ask", body: "x"})
+		g.Expect(got.failure).To(gomega.BeNil())
+		g.Expect(time.Since(start)).To(gomega.BeNumerically("<", time.Second))
+
+		time.Sleep(10 * time.Second)
+		eventually(t, "item ends", func() bool { return src.completed() == 1 })
+		final, _ := src.final(0)
+		g.Expect(final.State).To(gomega.Equal(api.ResultUnknown))
+		g.Expect(service.Total()).To(gomega.Equal(2))
+	})
+}
+
+func TestEndpointLostUnderBatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		e, src := newEngine(t, engine.Options{}), newSource()
+		r := newRig(t, e, modelDeployment(1), withBatch(src))
+		req := chat("ledger", 200)
+		src.add(work(0, req))
+		r.runBatch()
+		eventually(t, "item runs", func() bool { return e.Stats().Tokens > 50 })
+		e.Crash()
+		time.Sleep(time.Minute)
+		src.mu.Lock()
+		g.Expect(src.ends[0]).To(gomega.Equal([]api.ResultState{api.ResultUnknown}), "nothing is pulled while the engine is down")
+		src.mu.Unlock()
+		e.Restart()
+		eventually(t, "item completes", func() bool { return src.completed() == 1 })
+		final, _ := src.final(0)
+		g.Expect(batchText(t, final)).To(gomega.Equal(engine.Answer(&req, 200)))
+	})
+}
--- a/sidecar/drain.go
+++ b/sidecar/drain.go
@@ -3,28 +3,45 @@
 import (
 	"context"
 	"sync"
+	"time"
+
+	"dandelionrelay/invariant"
 )
 
-// drainState counts the requests under way and refuses new ones once the
-// endpoint is leaving.
+// leavingGrace is the time after which a leaving endpoint starts nothing.
+const leavingGrace = time.Second
+
+// drainState counts the work under way and refuses more once the endpoint is
+// leaving.
 type drainState struct {
 	mu       sync.Mutex
-	left     bool
 	inFlight int
+	since    time.Time     // when leaving began
+	left     chan struct{} // closed when leaving begins
 	idle     chan struct{} // closed when leaving and nothing is under way
 }
 
-func (d *drainState) leaving() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.left
+func newDrainState() *drainState {
+	return &drainState{left: make(chan struct{}), idle: make(chan struct{})}
 }
 
-// enter counts a new request, or returns false if the endpoint is leaving.
+// leaving returns a channel that is closed once the endpoint is leaving.
+func (d *drainState) leaving() <-chan struct{} { return d.left }
+
+func (d *drainState) isLeaving() bool {
+	select {
+	case <-d.left:
+		return true
+	default:
+		return false
+	}
+}
+
+// enter counts new work, or returns false if the endpoint is leaving.
 func (d *drainState) enter() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.left {
+	if d.isLeaving() {
 		return false
 	}
 	d.inFlight++
@@ -35,44 +52,64 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.inFlight--
-	d.signal()
+	if d.inFlight == 0 && d.isLeaving() {
+		close(d.idle)
+	}
 }
 
-// start makes the endpoint leaving and returns a channel that is closed when
-// nothing is under way any more.
-func (d *drainState) start() <-chan struct{} {
+// start makes the endpoint leaving.
+func (d *drainState) start(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.left = true
-	if d.idle == nil {
-		d.idle = make(chan struct{})
-		d.signal()
-	}
-	return d.idle
-}
-
-// signal closes idle once. The caller holds the lock.
-func (d *drainState) signal() {
-	if d.idle == nil || d.inFlight > 0 {
+	if d.isLeaving() {
 		return
 	}
-	select {
-	case <-d.idle:
-	default:
+	d.since = now
+	close(d.left)
+	if d.inFlight == 0 {
 		close(d.idle)
 	}
 }
 
-// Drain refuses new work from now on and returns once all requests under way
-// have ended, or with the error of ctx.
+// mayStart reports whether queued work may still start: leaving has not begun
+// or only just.
+func (d *drainState) mayStart(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.isLeaving() || now.Sub(d.since) < leavingGrace
+}
+
+func (d *drainState) underWay() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.inFlight
+}
+
+// Leave refuses new work from now on. Requests that wait are refused too, as
+// not run; batch items are cut and returned; streams go on.
+func (s *Sidecar) Leave() { s.drain.start(time.Now()) }
+
+// Leaving reports whether the endpoint is leaving.
+func (s *Sidecar) Leaving() bool { return s.drain.isLeaving() }
+
+// Drain calls Leave and returns once all work has ended and all results are
+// reported, or with the error of ctx.
 func (s *Sidecar) Drain(ctx context.Context) error {
+	s.Leave()
 	select {
-	case <-s.drain.start():
-		return nil
+	case <-s.drain.idle:
+		return s.batch.flush(ctx)
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 }
 
-// Close closes idle connections to the endpoint.
-func (s *Sidecar) Close() { s.transport.CloseIdleConnections() }
+// Close closes idle connections to the endpoint. A leaving sidecar is closed
+// after Drain.
+func (s *Sidecar) Close() {
+	if s.Leaving() {
+		n := s.drain.underWay()
+		s.deps.Invariants.Check(n == 0, invariant.ShutdownCutsNothing, "closed with %d requests under way", n)
+	}
+	s.transport.CloseIdleConnections()
+}
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -10,8 +10,10 @@
 	"net/url"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"dandelionrelay/api"
+	"dandelionrelay/invariant"
 )
 
 // copyBufferBytes is the size of the buffers that answers pass through.
@@ -36,9 +38,15 @@
 	if err != nil {
 		return nil, api.NewError(http.StatusBadRequest, api.CodeBadRequest, "malformed path")
 	}
+	if req.Attempt != "" {
+		s.checkStart(req)
+	}
 	var sent atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+		GotConn: func(httptrace.GotConnInfo) {
+			sent.Store(true)
+			s.attempts.sent(req.Attempt)
+		},
 	})
 	out := (&http.Request{
 		Method:        req.Method,
@@ -55,6 +63,13 @@
 	return nil, callError(ctx, sent.Load())
 }
 
+// checkStart asserts what holds whenever work starts at the endpoint.
+func (s *Sidecar) checkStart(req *request) {
+	runs := s.attempts.runs(req.Attempt)
+	s.deps.Invariants.Check(req.MayRepeat || runs == 0, invariant.AtMostOnce, "attempt %s was sent before", req.Attempt)
+	s.deps.Invariants.Check(s.drain.mayStart(time.Now()), invariant.NoWorkWhenLeaving, "attempt %s starts", req.Attempt)
+}
+
 func (s *Sidecar) target(req *request) (*url.URL, error) {
 	u, err := url.ParseRequestURI(req.Path)
 	if err != nil {
@@ -76,30 +91,47 @@
 	return e
 }
 
-// copyAnswer streams an answer to the entry. It cuts the entry's connection if
-// the answer is cut.
-func (s *Sidecar) copyAnswer(w http.ResponseWriter, resp *http.Response) {
-	copyAnswerHeader(w.Header(), resp.Header)
-	w.Header().Set(api.HeaderOutcome, string(api.Done))
-	w.WriteHeader(resp.StatusCode)
-	flusher, _ := w.(http.Flusher)
+// answerCopy passes one answer on to an entry.
+type answerCopy struct {
+	w      http.ResponseWriter
+	body   io.Reader
+	first  func() // called before the first byte
+	events int    // server-sent events passed on
+}
+
+var eventStart = []byte("data: ")
+
+// copy streams the answer. It returns false if the answer or the entry's
+// connection was cut.
+func (a *answerCopy) copy(resp *http.Response) bool {
+	copyAnswerHeader(a.w.Header(), resp.Header)
+	a.w.Header().Set(api.HeaderOutcome, string(api.Done))
+	a.w.WriteHeader(resp.StatusCode)
+	flusher, _ := a.w.(http.Flusher)
 	buf := copyBuffers.Get().(*[]byte)
 	defer copyBuffers.Put(buf)
 	for {
-		n, err := resp.Body.Read(*buf)
-		if n > 0 {
-			if _, werr := w.Write((*buf)[:n]); werr != nil {
-				panic(http.ErrAbortHandler)
-			}
-			if flusher != nil {
-				flusher.Flush()
-			}
-		}
-		if err == io.EOF {
-			return
+		n, err := a.body.Read(*buf)
+		if n > 0 && !a.pass((*buf)[:n], flusher) {
+			return false
 		}
 		if err != nil {
-			panic(http.ErrAbortHandler)
+			return err == io.EOF
 		}
 	}
 }
+
+func (a *answerCopy) pass(b []byte, flusher http.Flusher) bool {
+	if a.first != nil {
+		a.first()
+		a.first = nil
+	}
+	a.events += bytes.Count(b, eventStart)
+	if _, err := a.w.Write(b); err != nil {
+		return false
+	}
+	if flusher != nil {
+		flusher.Flush()
+	}
+	return true
+}
--- /dev/null
+++ b/sidecar/health.go
@@ -0,0 +1,83 @@
+package sidecar
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"dandelionrelay/api"
+	"dandelionrelay/membership"
+	"dandelionrelay/platform"
+)
+
+// healthTimeout bounds a health check of the endpoint.
+const healthTimeout = time.Second
+
+// memberInterval is the time between two looks at the instance list.
+const memberInterval = time.Second
+
+// health remembers whether the endpoint was lost.
+type health struct{ lost atomic.Bool }
+
+// endpointLost notes that a call failed: nothing is pulled until the endpoint
+// answers its health check.
+func (s *Sidecar) endpointLost() { s.health.lost.Store(true) }
+
+// endpointAnswers reports whether the endpoint is usable, asking it if the
+// last call failed.
+func (s *Sidecar) endpointAnswers(ctx context.Context) bool {
+	if !s.health.lost.Load() {
+		return true
+	}
+	if s.checkHealth(ctx) != nil {
+		return false
+	}
+	s.health.lost.Store(false)
+	return true
+}
+
+// checkHealth asks the endpoint.
+func (s *Sidecar) checkHealth(ctx context.Context) *api.Error {
+	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
+	defer cancel()
+	resp, e := s.call(ctx, &request{Method: http.MethodGet, Path: "/health", MayRepeat: true})
+	if e != nil {
+		return e.WithOutcome(api.NotRun)
+	}
+	return drop(resp)
+}
+
+func drop(resp *http.Response) *api.Error {
+	_ = resp.Body.Close()
+	if resp.StatusCode >= http.StatusInternalServerError {
+		return api.NewError(http.StatusBadGateway, api.CodeEndpointLost, "the endpoint is not healthy")
+	}
+	return nil
+}
+
+// followMembers calls Leave once the instance list says that this instance is
+// leaving. The word is final: an id is never used again.
+func (s *Sidecar) followMembers(ctx context.Context) {
+	tick := time.NewTicker(memberInterval)
+	defer tick.Stop()
+	for !listedLeaving(s.deps.Members, s.settings) {
+		select {
+		case <-tick.C:
+		case <-s.drain.leaving():
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+	s.Leave()
+}
+
+func listedLeaving(m membership.Members, own Settings) bool {
+	for _, i := range m.Endpoints(own.Deployment) {
+		if i.ID == own.ID {
+			return i.State == platform.Leaving
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/sidecar/outbox.go
@@ -0,0 +1,106 @@
+package sidecar
+
+import (
+	"sync"
+
+	"dandelionrelay/api"
+)
+
+const (
+	// maxHeldBytes bounds the results that are held while owners can't be
+	// reached; beyond it no more items are pulled.
+	maxHeldBytes = 8 << 20
+	// maxReportBytes bounds the results of one report.
+	maxReportBytes = 1 << 20
+)
+
+// outbox holds results until they are reported.
+type outbox struct {
+	mu      sync.Mutex
+	results []api.Result // the oldest first
+	bytes   int
+	grown   chan struct{} // signalled when a result comes in
+	emptied chan struct{} // closed when the last result is reported; nil if empty
+}
+
+func newOutbox() *outbox {
+	return &outbox{grown: make(chan struct{}, 1)}
+}
+
+func (o *outbox) add(r api.Result) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.results = append(o.results, r)
+	o.bytes += resultBytes(r)
+	if o.emptied == nil {
+		o.emptied = make(chan struct{})
+	}
+	select {
+	case o.grown <- struct{}{}:
+	default:
+	}
+}
+
+// next returns the results of the next report. They stay until dropped.
+func (o *outbox) next() []api.Result {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	n, bytes := 0, 0
+	for n < len(o.results) && (n == 0 || bytes+resultBytes(o.results[n]) <= maxReportBytes) {
+		bytes += resultBytes(o.results[n])
+		n++
+	}
+	return o.results[:n:n]
+}
+
+// drop forgets the n oldest results, which were reported.
+func (o *outbox) drop(n int) {
+	if n == 0 {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, r := range o.results[:n] {
+		o.bytes -= resultBytes(r)
+	}
+	o.results = o.results[n:]
+	if len(o.results) == 0 {
+		close(o.emptied)
+		o.emptied = nil
+	}
+}
+
+func (o *outbox) full() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.bytes >= maxHeldBytes
+}
+
+func (o *outbox) size() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.results)
+}
+
+// empty returns a channel that is closed once all results are reported.
+func (o *outbox) empty() <-chan struct{} {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.emptied != nil {
+		return o.emptied
+	}
+	done := make(chan struct{})
+	close(done)
+	return done
+}
+
+// refBytes estimates a result without its texts.
+const refBytes = 128
+
+func resultBytes(r api.Result) int {
+	n := refBytes + len(r.Body)
+	if r.Resume != nil {
+		n += len(r.Resume.Text)
+	}
+	return n
+}
--- a/sidecar/request.go
+++ b/sidecar/request.go
@@ -19,6 +19,8 @@
 	Attempt    string
 	Customer   string // empty on an open route
 	Idempotent bool
+	MayRepeat  bool // the same attempt may be called more than once
+	Received   time.Time
 	Deadline   time.Time
 	Method     string
 	Path       string // with the query
@@ -33,6 +35,7 @@
 		Attempt:    r.Header.Get(api.HeaderAttemptID),
 		Customer:   r.Header.Get(api.HeaderCustomer),
 		Idempotent: r.Header.Get(api.HeaderIdempotent) == "1",
+		Received:   now,
 		Deadline:   now.Add(defaultDeadline),
 		Method:     r.Method,
 		Path:       r.URL.RequestURI(),
@@ -62,3 +65,12 @@
 	req.Body = body
 	return req, nil
 }
+
+// promptCost is the cost of the request with an answer of that many tokens. It
+// is 0, unknown, without any.
+func (r *request) promptCost(tokens int) float64 {
+	if tokens == 0 {
+		return 0
+	}
+	return float64(len(r.Body)/tokenBytes + tokens)
+}
--- a/sidecar/rig_test.go
+++ b/sidecar/rig_test.go
@@ -35,17 +35,19 @@
 	checks  *invariant.Set
 }
 
-func newRig(t *testing.T, endpoint http.Handler, d config.Deployment) *rig {
+func newRig(t *testing.T, endpoint http.Handler, d config.Deployment, options ...func(*sidecar.Settings, *sidecar.Deps)) *rig {
 	r := &rig{t: t, net: network.New(), config: &config.Holder{}}
 	r.checks = invariant.New(func(v invariant.Violation) { t.Error(v) })
 	r.config.Set(config.NewSnapshot(1, &config.State{
 		Deployments: map[string]config.Deployment{deployment: d},
 	}))
 	r.serve(endpointAddr, endpoint)
-	s, err := sidecar.New(
-		sidecar.Settings{ID: "s1", Deployment: deployment, Endpoint: "http://" + endpointAddr},
-		sidecar.Deps{Config: r.config, Invariants: r.checks, Dial: r.net.DialContext},
-	)
+	settings := sidecar.Settings{ID: "s1", Deployment: deployment, Endpoint: "http://" + endpointAddr}
+	deps := sidecar.Deps{Config: r.config, Invariants: r.checks, Dial: r.net.DialContext}
+	for _, o := range options {
+		o(&settings, &deps)
+	}
+	s, err := sidecar.New(settings, deps)
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/sidecar/scheduler.go
@@ -0,0 +1,170 @@
+package sidecar
+
+import (
+	"sync"
+	"time"
+
+	"dandelionrelay/lane"
+)
+
+// scheduler carries out the decisions of a lane.Queue.
+type scheduler struct {
+	mu      sync.Mutex
+	queue   *lane.Queue
+	slots   int
+	tickets map[string]*ticket
+	idle    chan struct{} // signalled when items could start
+}
+
+// ticket is the place of a request or an item in the queue.
+type ticket struct {
+	started chan struct{}     // signalled at each start
+	refused chan lane.Refusal // gets at most one
+	cut     func()            // cancels the run of an item; nil for requests
+}
+
+func newScheduler(o lane.Options) *scheduler {
+	return &scheduler{
+		queue:   lane.New(o),
+		slots:   o.Slots,
+		tickets: make(map[string]*ticket),
+		idle:    make(chan struct{}, 1),
+	}
+}
+
+func newTicket(cut func()) *ticket {
+	return &ticket{started: make(chan struct{}, 1), refused: make(chan lane.Refusal, 1), cut: cut}
+}
+
+// setSlots follows the configuration.
+func (s *scheduler) setSlots(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n != s.slots {
+		s.slots = n
+		s.apply(s.queue.SetSlots(time.Now(), n))
+	}
+}
+
+// arrive queues an online request.
+func (s *scheduler) arrive(r lane.Request) *ticket {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := newTicket(nil)
+	s.tickets[r.ID] = t
+	s.apply(s.queue.Arrive(time.Now(), r))
+	return t
+}
+
+// leave gives up a waiting request. It returns false if the request has
+// started; finish must follow then.
+func (s *scheduler) leave(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, known := s.tickets[id]; !known {
+		return true // it was refused
+	}
+	if !s.queue.Leave(id) {
+		return false
+	}
+	delete(s.tickets, id)
+	s.signalIdle()
+	return true
+}
+
+// finish ends a started request; cost 0 leaves the estimate.
+func (s *scheduler) finish(id string, cost float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.tickets, id)
+	s.apply(s.queue.Finish(time.Now(), id, cost))
+}
+
+func (s *scheduler) firstToken(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(s.queue.FirstToken(time.Now(), d))
+}
+
+// offer queues an item, whose run cut cancels.
+func (s *scheduler) offer(i lane.Item, cut func()) *ticket {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := newTicket(cut)
+	s.tickets[i.ID] = t
+	s.apply(s.queue.Offer(time.Now(), i))
+	return t
+}
+
+func (s *scheduler) progress(id string, tokens int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queue.Progress(id, float64(tokens))
+}
+
+// park returns a cut item to the queue.
+func (s *scheduler) park(id string, prompt float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(s.queue.Park(time.Now(), id, prompt))
+}
+
+// withdraw takes out an item that waits; false means that it has started.
+func (s *scheduler) withdraw(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.queue.Withdraw(id) {
+		return false
+	}
+	delete(s.tickets, id)
+	s.signalIdle()
+	return true
+}
+
+// ended takes out an item that has left the endpoint.
+func (s *scheduler) ended(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.tickets, id)
+	s.apply(s.queue.Ended(time.Now(), id))
+}
+
+// idleSlots returns the number of items that could start now.
+func (s *scheduler) idleSlots() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.queue.Idle()
+}
+
+func (s *scheduler) wait() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.queue.Wait()
+}
+
+// apply carries out d. The caller holds the lock.
+func (s *scheduler) apply(d lane.Decision) {
+	for _, id := range d.Start {
+		s.tickets[id].started <- struct{}{}
+	}
+	for _, id := range d.Preempt {
+		s.tickets[id].cut()
+	}
+	for _, r := range d.Refuse {
+		s.tickets[r.ID].refused <- r
+		delete(s.tickets, r.ID)
+	}
+	s.signalIdle()
+}
+
+// signalIdle wakes the pull loop if items could start. The caller holds the
+// lock.
+func (s *scheduler) signalIdle() {
+	if s.queue.Idle() == 0 {
+		return
+	}
+	select {
+	case s.idle <- struct{}{}:
+	default:
+	}
+}
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -7,19 +7,18 @@
 	"time"
 
 	"dandelionrelay/api"
+	"dandelionrelay/invariant"
+	"dandelionrelay/lane"
 )
 
 // ProbePath is answered by the sidecar itself: 204 if the endpoint answers its
 // health check, with the same headers as other answers.
 const ProbePath = "/-/relay/probe"
 
-// probeTimeout bounds the health check of a probe.
-const probeTimeout = time.Second
-
 // ServeHTTP implements http.Handler for entries.
 func (s *Sidecar) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
-	s.setState(w.Header(), now)
+	s.setState(w.Header())
 	if r.URL.Path == ProbePath {
 		s.serveProbe(w, r)
 		return
@@ -29,52 +28,130 @@
 		e = s.serve(w, r, req)
 	}
 	if e != nil {
+		s.checkNotRun(e, r.Header.Get(api.HeaderAttemptID))
 		e.RequestID = r.Header.Get(api.HeaderRequestID)
+		s.setState(w.Header())
 		api.WriteError(w, e)
 	}
 }
 
 // setState tells the entry how this endpoint stands.
-func (s *Sidecar) setState(h http.Header, _ time.Time) {
+func (s *Sidecar) setState(h http.Header) {
 	h.Set(api.HeaderQueueWait, strconv.FormatInt(s.QueueWait().Milliseconds(), 10))
-	if s.drain.leaving() {
+	if s.drain.isLeaving() {
 		h.Set(api.HeaderLeaving, "1")
 	}
 }
 
 // QueueWait estimates how long a new online request waits for its start.
-func (s *Sidecar) QueueWait() time.Duration { return 0 }
+func (s *Sidecar) QueueWait() time.Duration { return s.schedule.wait() }
 
 func (s *Sidecar) serve(w http.ResponseWriter, r *http.Request, req *request) *api.Error {
+	d, ok := s.deployment()
+	if !ok {
+		return unavailable(api.CodeNoEndpoint, "the deployment is not configured")
+	}
+	s.schedule.setSlots(d.Slots)
+	cost, e := s.prepare(req, d)
+	if e != nil {
+		return e
+	}
 	if !s.drain.enter() {
-		return api.NewError(http.StatusServiceUnavailable, api.CodeNoEndpoint, "the endpoint is leaving")
+		return unavailable(api.CodeNoEndpoint, "the endpoint is leaving")
 	}
 	defer s.drain.exit()
-	switch s.attempts.add(req.Attempt, time.Now()) {
+	switch s.attempts.add(req.Attempt, req.Received) {
 	case duplicate:
 		return api.NewError(http.StatusConflict, api.CodeConflict, "attempt was received before").WithOutcome(api.Unknown)
 	case full:
-		return api.NewError(http.StatusServiceUnavailable, api.CodeOverloaded, "too many attempts").WithRetryAfter(time.Second)
+		return unavailable(api.CodeOverloaded, "too many attempts").WithRetryAfter(time.Second)
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
 	defer cancel()
+	if e := s.awaitStart(ctx, req, cost); e != nil {
+		return e
+	}
+	return s.run(ctx, w, req)
+}
+
+func unavailable(code api.Code, message string) *api.Error {
+	return api.NewError(http.StatusServiceUnavailable, code, message)
+}
+
+// awaitStart returns nil once the request may start.
+func (s *Sidecar) awaitStart(ctx context.Context, req *request, cost float64) *api.Error {
+	customer := s.deps.Config.Current().State.Customers[req.Customer]
+	t := s.schedule.arrive(lane.Request{
+		ID:       req.Attempt,
+		Customer: req.Customer,
+		Weight:   customer.Weight,
+		Cost:     cost,
+		Deadline: req.Deadline,
+	})
+	select {
+	case <-t.started:
+		return nil
+	case r := <-t.refused:
+		return refusalError(r)
+	case <-s.drain.leaving():
+		if !s.schedule.leave(req.Attempt) {
+			return nil
+		}
+		return unavailable(api.CodeNoEndpoint, "the endpoint is leaving")
+	case <-ctx.Done():
+	}
+	if !s.schedule.leave(req.Attempt) {
+		s.schedule.finish(req.Attempt, 0)
+	}
+	wait := max(minRetryAfter, s.QueueWait())
+	return api.NewError(http.StatusGatewayTimeout, api.CodeDeadline, "the deadline passed in the queue").WithRetryAfter(wait)
+}
+
+// minRetryAfter is the shortest time after which a refused caller is told to
+// come back.
+const minRetryAfter = time.Second
+
+func refusalError(r lane.Refusal) *api.Error {
+	message := "too many requests wait"
+	if r.Reason == lane.DeadlineMiss {
+		message = "the deadline can't be met"
+	}
+	return unavailable(api.CodeOverloaded, message).WithRetryAfter(max(minRetryAfter, r.RetryAfter))
+}
+
+// checkNotRun asserts that an attempt that is said not to have run never got a
+// connection to the endpoint.
+func (s *Sidecar) checkNotRun(e *api.Error, attempt string) {
+	runs := s.attempts.runs(attempt)
+	s.deps.Invariants.Check(e.Outcome != api.NotRun || runs == 0, invariant.NotRunIsTrue, "attempt %s was sent", attempt)
+}
+
+// run passes a started request through the endpoint.
+func (s *Sidecar) run(ctx context.Context, w http.ResponseWriter, req *request) *api.Error {
+	tokens := 0
+	defer func() { s.schedule.finish(req.Attempt, req.promptCost(tokens)) }()
 	resp, e := s.call(ctx, req)
 	if e != nil {
+		if ctx.Err() == nil {
+			s.endpointLost()
+		}
 		return e
 	}
 	defer resp.Body.Close()
-	s.copyAnswer(w, resp)
+	s.setState(w.Header())
+	answer := &answerCopy{w: w, body: resp.Body, first: func() { s.schedule.firstToken(time.Since(req.Received)) }}
+	whole := answer.copy(resp)
+	tokens = answer.events
+	if !whole {
+		panic(http.ErrAbortHandler)
+	}
 	return nil
 }
 
 func (s *Sidecar) serveProbe(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel := context.WithTimeout(r.Context(), probeTimeout)
-	defer cancel()
-	resp, e := s.call(ctx, &request{Method: http.MethodGet, Path: "/health", Header: http.Header{}})
-	if e != nil {
-		api.WriteError(w, e.WithOutcome(api.NotRun))
+	if e := s.checkHealth(r.Context()); e != nil {
+		api.WriteError(w, e)
 		return
 	}
-	_ = resp.Body.Close()
 	w.WriteHeader(http.StatusNoContent)
 }
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -14,6 +14,8 @@
 
 	"dandelionrelay/config"
 	"dandelionrelay/invariant"
+	"dandelionrelay/lane"
+	"dandelionrelay/membership"
 )
 
 // Defaults of Settings.
@@ -29,6 +31,8 @@
 	Deployment   string // of the endpoint beside it
 	Endpoint     string // base URL of the endpoint, with an IP address
 	MaxBodyBytes int64  // largest request body; 0 means DefaultMaxBodyBytes
+	BatchLimit   lane.BatchLimit
+	Policy       lane.Policy
 }
 
 // Deps are what a sidecar works with.
@@ -36,6 +40,8 @@
 	Config     config.Source
 	Invariants *invariant.Set // may be nil
 	Logger     zerolog.Logger
+	Batch      BatchSource        // nil: no batch work
+	Members    membership.Members // says whether this instance is leaving; may be nil
 	// Dial opens connections to the endpoint; nil means TCP.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 }
@@ -47,7 +53,10 @@
 	base      *url.URL
 	transport *http.Transport
 	attempts  *attempts
-	drain     drainState
+	drain     *drainState
+	schedule  *scheduler
+	batch     *batchRunner
+	health    health
 }
 
 // New returns a sidecar, or an error if the endpoint's URL is malformed.
@@ -68,6 +77,7 @@
 		deps:     deps,
 		base:     base,
 		attempts: newAttempts(),
+		drain:    newDrainState(),
 		transport: &http.Transport{
 			DialContext:         deps.Dial,
 			DisableCompression:  true,
@@ -75,5 +85,20 @@
 			IdleConnTimeout:     idleConnTimeout,
 		},
 	}
+	d, _ := s.deployment()
+	s.schedule = newScheduler(lane.Options{
+		Slots:      d.Slots,
+		Limit:      settings.BatchLimit,
+		Policy:     settings.Policy,
+		Invariants: deps.Invariants,
+	})
+	s.batch = newBatchRunner(s)
 	return s, nil
 }
+
+// deployment returns the configuration of the endpoint's deployment. Without
+// one there are no slots.
+func (s *Sidecar) deployment() (config.Deployment, bool) {
+	d, ok := s.deps.Config.Current().State.Deployments[s.settings.Deployment]
+	return d, ok
+}
