Keys: stop running calls when their key is withdrawn

Sessions registers each call by key id, in shards. A new version in force stops the calls whose key is no longer what it was; a look after registering catches a withdrawal that came between the look-up and the registration. The caller gets a typed error and a closed connection, or an aborted one if a part of the answer was sent.

Guard takes a bound on the time without word from the log (config_stale, 503 with Retry-After); 0 keeps serving.

--- a/api/api.go
+++ b/api/api.go
@@ -54,6 +54,7 @@
 	CodeNoKey        Code = "key_missing"
 	CodeBadKey       Code = "key_invalid"
 	CodeKeyInQuery   Code = "key_in_query"
+	CodeConfigStale  Code = "config_stale"
 	CodeForbidden    Code = "route_forbidden"
 	CodeNoRoute      Code = "route_unknown"
 	CodeNotFound     Code = "not_found"
--- a/authn/authn_test.go
+++ b/authn/authn_test.go
@@ -49,10 +49,11 @@
 func serve(t *testing.T, r *http.Request, body string) (*pipeline.Call, *api.Error) {
 	s := source()
 	checks := invariant.New(func(v invariant.Violation) { t.Error(v) })
+	guard := &authn.Guard{Source: s, Sessions: authn.NewSessions(checks), Checks: checks}
 	c := &pipeline.Call{W: httptest.NewRecorder(), R: r, Body: []byte(body), Received: time.Now()}
 	h := pipeline.Chain(
 		func(context.Context, *pipeline.Call) *api.Error { return nil },
-		authn.Identify(s), route.Filter(), authn.Authorize(s, checks),
+		authn.Identify(s), route.Filter(), guard.Authorize(),
 	)
 	return c, h(t.Context(), c)
 }
--- a/config/fleet_test.go
+++ b/config/fleet_test.go
@@ -182,7 +182,7 @@
 	holder := new(config.Holder)
 	f.sidecars = append(f.sidecars, holder)
 	self := platform.Instance{ID: id, Role: platform.RoleSidecar, DataCentre: dataCentre, Deployment: "m"}
-	viewer := config.NewViewer(config.Fleet{Self: self, Members: f.members, Peers: f.pool()}, holder)
+	viewer := config.NewViewer(config.Fleet{Self: self, Members: f.members, Peers: f.pool()}, holder, nil)
 	go viewer.Run(f.t.Context())
 }
 
--- a/config/follower.go
+++ b/config/follower.go
@@ -21,6 +21,11 @@
 	retryPause = 500 * time.Millisecond // after a failed read
 )
 
+// MinStaleness is the least bound that may be set on the time without word
+// from the log. In a healthy fleet that time stays below a reader's and a
+// follower's poll together.
+const MinStaleness = Duration(time.Minute)
+
 // Caller calls RPC methods of peers; *peer.Pool is one.
 type Caller interface {
 	Call(ctx context.Context, addr, method string, args, reply any) error
--- a/config/viewer.go
+++ b/config/viewer.go
@@ -10,15 +10,17 @@
 // sidecar, from an entry of its data centre if there is one. Sidecars run one
 // each; they neither read the log nor learn of keys.
 type Viewer struct {
-	fleet  Fleet
-	holder *Holder
-	feed   *Feed
-	hash   Hash // of the view in force
+	fleet    Fleet
+	holder   *Holder
+	onChange func(*Snapshot)
+	feed     *Feed
+	hash     Hash // of the view in force
 }
 
-// NewViewer returns a Viewer for the sidecar fleet.Self.
-func NewViewer(fleet Fleet, holder *Holder) *Viewer {
-	return &Viewer{fleet: fleet, holder: holder, feed: NewFeed(fleet.Self)}
+// NewViewer returns a Viewer for the sidecar fleet.Self that puts new views
+// into holder and then hands them to onChange, which may be nil.
+func NewViewer(fleet Fleet, holder *Holder, onChange func(*Snapshot)) *Viewer {
+	return &Viewer{fleet: fleet, holder: holder, onChange: onChange, feed: NewFeed(fleet.Self)}
 }
 
 // Run follows an entry until ctx ends.
@@ -53,6 +55,10 @@
 		return err
 	}
 	v.hash = HashOf(state)
-	v.holder.Set(NewSnapshot(reply.Version, state))
+	snapshot := NewSnapshot(reply.Version, state)
+	v.holder.Set(snapshot)
+	if v.onChange != nil {
+		v.onChange(snapshot)
+	}
 	return nil
 }
