Entry and sidecar: share the reading of the log, stop withdrawn keys

Entries join the spread of configuration and serve it to peers; sidecars get the view of their deployment from an entry and no longer read the log, which held all keys. Settings log_retention and max_staleness.

--- a/authn/clean.go
+++ b/authn/clean.go
@@ -49,7 +49,7 @@
 			}
 		}
 	}
-	if inBody(body, key) {
+	if InBody(body, key) {
 		return "body"
 	}
 	return ""
@@ -64,8 +64,10 @@
 	return err == nil && strings.Contains(decoded, key)
 }
 
-// inBody reports whether key is in body, plain or in JSON escapes.
-func inBody(body []byte, key string) bool {
+// InBody reports whether key is in body, plain or in JSON escapes. Identify
+// asks that of every body held whole; who reads a body piece by piece asks it
+// of each piece that goes to an endpoint.
+func InBody(body []byte, key string) bool {
 	if bytes.Contains(body, []byte(key)) {
 		return true
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -46,6 +46,7 @@
 	holder   config.Holder
 	follower *config.Follower
 	view     *membership.View
+	sessions *authn.Sessions
 	limits   *limit.Service
 	jobs     *jobs.Service
 	pool     *peer.Pool
@@ -69,8 +70,16 @@
 		pool:     peer.NewPool(d.Dial),
 		killed:   make(chan struct{}),
 	}
-	e.follower = config.NewFollower(d.Log, &e.holder, d.Invariants, e.configChanged)
+	e.sessions = authn.NewSessions(d.Invariants)
 	e.view = membership.NewView(d.Instances)
+	e.follower = config.NewFollower(d.Log, &e.holder, d.Invariants, e.configChanged)
+	e.follower.Join(config.Fleet{
+		Self:      e.self(),
+		Members:   e.view,
+		Peers:     e.pool,
+		Retention: time.Duration(s.LogRetention),
+	})
+	e.peers.Register(config.ServiceName, config.NewService(e.follower))
 	e.limits = limit.NewService(limit.Options{
 		Self:       e.self(),
 		Log:        d.Log,
@@ -116,15 +125,22 @@
 		Transport:  e.transport(),
 		Invariants: checks,
 	})
+	guard := &authn.Guard{
+		Source:       &e.holder,
+		Sessions:     e.sessions,
+		Checks:       checks,
+		MaxStaleness: time.Duration(e.settings.MaxStaleness),
+		Staleness:    e.follower.Staleness,
+	}
 	online := pipeline.Chain(dispatcher.Handle,
 		authn.Identify(&e.holder),
 		route.Filter(),
-		authn.Authorize(&e.holder, checks),
+		guard.Authorize(),
 		limit.Filter(e.limits),
 	)
 	batch := pipeline.Chain(serveJobs(jobs.NewHandler(e.jobs)),
 		authn.Identify(&e.holder),
-		authn.Authorize(&e.holder, checks),
+		guard.Authorize(),
 		onSubmit(limit.Filter(e.limits)),
 	)
 	metrics := front.NewMetrics(e.deps.Registry)
@@ -154,6 +170,7 @@
 
 // configChanged is called with each new version in force here.
 func (e *Entry) configChanged(s *config.Snapshot) {
+	e.sessions.Sweep(s, time.Now())
 	e.deps.Logger.Info().Uint64("version", s.Version).Msg("configuration in force")
 	e.ready.Set(true)
 }
@@ -168,6 +185,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { e.follower.Run(ctx) })
 	wg.Go(func() { e.view.Run(ctx) })
+	wg.Go(func() { e.sessions.Run(ctx) })
 	wg.Go(func() { e.limits.Run(ctx) })
 	wg.Go(func() { e.jobs.Run(ctx) })
 	wg.Wait()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -39,6 +39,7 @@
 	DrainDelay   config.Duration `json:"drain_delay,omitempty"`    // unready before closing the listener; default 2s
 	DrainTimeout config.Duration `json:"drain_timeout,omitempty"`  // for requests under way; default 5m
 	LogRetention config.Duration `json:"log_retention,omitempty"`  // of the platform's log; 0: for ever
+	MaxStaleness config.Duration `json:"max_staleness,omitempty"`  // without word from the log, after which keyed routes are refused; 0: never
 	Operators    []Operator      `json:"operators,omitempty"`      // who may administer
 }
 
@@ -163,6 +164,9 @@
 	f.notNegative("/log_retention", int64(e.LogRetention))
 	f.notNegative("/drain_delay", int64(e.DrainDelay))
 	f.notNegative("/drain_timeout", int64(e.DrainTimeout))
+	if e.MaxStaleness != 0 && e.MaxStaleness < config.MinStaleness {
+		f.add("/max_staleness", "must be 0 or 1m at least, as followers hear of the log every few seconds only")
+	}
 	orDefault(&e.MaxBodyBytes, DefaultMaxBodyBytes)
 	orDefault(&e.DrainDelay, config.Duration(DefaultDrainDelay))
 	orDefault(&e.DrainTimeout, config.Duration(DefaultDrainTimeout))
--- a/sidecar/process.go
+++ b/sidecar/process.go
@@ -36,7 +36,7 @@
 	settings *settings.Sidecar
 	deps     ProcessDeps
 	holder   config.Holder
-	follower *config.Follower
+	viewer   *config.Viewer
 	view     *membership.View
 	pool     *peer.Pool
 	ready    ops.Ready
@@ -66,7 +66,11 @@
 		view:     membership.NewView(d.Instances),
 		killed:   make(chan struct{}),
 	}
-	p.follower = config.NewFollower(d.Log, &p.holder, d.Invariants, func(*config.Snapshot) { p.ready.Set(true) })
+	p.viewer = config.NewViewer(config.Fleet{
+		Self:    platform.Instance{ID: s.ID, Role: platform.RoleSidecar, DataCentre: s.DataCentre, Deployment: s.Deployment},
+		Members: p.view,
+		Peers:   p.pool,
+	}, &p.holder, func(*config.Snapshot) { p.ready.Set(true) })
 	var err error
 	p.sidecar, err = New(
 		Settings{ID: s.ID, Deployment: s.Deployment, Endpoint: s.EndpointURL},
@@ -114,7 +118,7 @@
 	operators := daemon.Serve(l.Ops, ops.Handler(p.deps.Registry, &p.ready))
 	background, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	wg.Go(func() { p.follower.Run(background) })
+	wg.Go(func() { p.viewer.Run(background) })
 	wg.Go(func() { p.view.Run(background) })
 	p.deps.Logger.Info().Msg("sidecar started")
 	waiting, cancel := context.WithCancel(ctx)
