Administration interface and operator verbs

The entry serves /admin/v1/ on its operations address: plan, apply, state, audit, status, for operators with a token of their own. apply carries the base version and an id, so that the command repeats it through another entry after a lost answer. A withdrawn key stays withdrawn; that is asked of who proposes a change only, so that readers of different releases judge alike.

Verbs: init, validate, plan, apply, key new, key withdraw, audit, status, state, token. Exit code 5 says that the outcome of a change is not known.

--- /dev/null
+++ b/admin/api.go
@@ -0,0 +1,75 @@
+// Package admin is the administration interface: an HTTP handler that the
+// entries serve to operators, and its client. Operators show a token of their
+// own; callers' keys are worth nothing here.
+package admin
+
+import (
+	"dandelionrelay/api"
+	"dandelionrelay/config"
+	"dandelionrelay/platform"
+)
+
+// Paths of the interface.
+const (
+	PathPlan   = "/admin/v1/plan"
+	PathApply  = "/admin/v1/apply"
+	PathState  = "/admin/v1/state"
+	PathAudit  = "/admin/v1/audit"
+	PathStatus = "/admin/v1/status"
+)
+
+// Codes of errors that only operators see.
+const (
+	CodeFindings  api.Code = "findings"  // the files have faults, all of which are listed
+	CodeUndecided api.Code = "undecided" // the change may or may not take effect
+	CodeNoToken   api.Code = "unauthorized"
+	CodeBadBase   api.Code = "bad_base" // the base version is not in force yet
+)
+
+// PlanRequest asks what applying some files would change.
+type PlanRequest struct {
+	Files map[string]string `json:"files"` // name -> content
+}
+
+// PlanReply is the difference between the state in force and the files.
+type PlanReply struct {
+	Base    uint64               `json:"base"` // version in force, to apply the files to
+	Changes []config.EntryChange `json:"changes"`
+}
+
+// ApplyRequest makes some files the desired state.
+type ApplyRequest struct {
+	ID    string            `json:"id"`   // of the change; the same in every retry
+	Base  uint64            `json:"base"` // version from which the change was made
+	Files map[string]string `json:"files"`
+}
+
+// ApplyReply says that a change is in force, or that there was nothing to
+// change.
+type ApplyReply struct {
+	ID      string               `json:"id"`
+	Version uint64               `json:"version"` // in force
+	Offset  platform.Offset      `json:"offset,omitempty"`
+	Changes []config.EntryChange `json:"changes"`
+}
+
+// StateReply is the state in force, without the digests of keys.
+type StateReply struct {
+	Version uint64        `json:"version"`
+	Hash    config.Hash   `json:"hash"`
+	State   *config.State `json:"state"`
+}
+
+// AuditReply is the accepted and rejected changes kept, oldest first, without
+// the digests of keys.
+type AuditReply struct {
+	Entries []config.AuditEntry `json:"entries"`
+}
+
+// StatusReply is what an entry knows of the configuration.
+type StatusReply struct {
+	Instance   string        `json:"instance"`
+	DataCentre string        `json:"data_centre"`
+	Entries    int           `json:"entries"` // known to this one
+	Config     config.Status `json:"config"`
+}
--- /dev/null
+++ b/admin/handler.go
@@ -0,0 +1,249 @@
+package admin
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/joomcode/errorx"
+	"github.com/rs/zerolog"
+
+	"dandelionrelay/api"
+	"dandelionrelay/authn"
+	"dandelionrelay/config"
+	"dandelionrelay/membership"
+	"dandelionrelay/platform"
+	"dandelionrelay/settings"
+)
+
+// Limits of the interface.
+const (
+	MaxRequestBytes = 16 << 20
+	DefaultAudit    = 100 // entries answered if the request sets no limit
+
+	// decideTimeout bounds the wait for the verdict on a change.
+	decideTimeout = 15 * time.Second
+	undecidedWait = 2 * time.Second
+)
+
+// Options is what a Handler works with.
+type Options struct {
+	Self      platform.Instance
+	Follower  *config.Follower
+	Source    config.Source
+	Members   membership.Members
+	Operators []settings.Operator
+	Logger    zerolog.Logger
+}
+
+// Handler serves the administration interface.
+type Handler struct {
+	Options
+	mux *http.ServeMux
+}
+
+// NewHandler returns a Handler.
+func NewHandler(o Options) *Handler {
+	h := &Handler{Options: o, mux: http.NewServeMux()}
+	h.handle("POST "+PathPlan, h.plan)
+	h.handle("POST "+PathApply, h.apply)
+	h.handle("GET "+PathState, h.state)
+	h.handle("GET "+PathAudit, h.audit)
+	h.handle("GET "+PathStatus, h.status)
+	return h
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.mux.ServeHTTP(w, r) }
+
+// endpoint answers one kind of request of the operator with the given name.
+type endpoint func(r *http.Request, operator string) (any, *api.Error)
+
+func (h *Handler) handle(pattern string, serve endpoint) {
+	h.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		id := uuid.NewString()
+		w.Header().Set(api.HeaderRequestID, id)
+		operator, err := h.operator(r)
+		var reply any
+		if err == nil {
+			r.Body = http.MaxBytesReader(w, r.Body, MaxRequestBytes)
+			reply, err = serve(r, operator)
+		}
+		event := h.Logger.Info().Str("request", id).Str("operator", operator).Str("path", r.URL.Path)
+		if err != nil {
+			event.Str("code", string(err.Code)).Msg("administration request refused")
+			err.RequestID = id
+			api.WriteError(w, err)
+			return
+		}
+		event.Msg("administration request answered")
+		api.WriteJSON(w, http.StatusOK, reply)
+	})
+}
+
+// operator returns whose token came with the request.
+func (h *Handler) operator(r *http.Request) (string, *api.Error) {
+	tokens := authn.Credentials(r.Header)
+	if len(tokens) == 1 {
+		digest := []byte(authn.Digest(tokens[0]))
+		for _, o := range h.Operators {
+			if subtle.ConstantTimeCompare(digest, []byte(strings.ToLower(o.Digest))) == 1 {
+				return o.Name, nil
+			}
+		}
+	}
+	return "", api.NewError(http.StatusUnauthorized, CodeNoToken,
+		"this interface needs the token of an operator: Authorization: Bearer TOKEN")
+}
+
+func (h *Handler) plan(r *http.Request, _ string) (any, *api.Error) {
+	var req PlanRequest
+	if err := readJSON(r, &req); err != nil {
+		return nil, err
+	}
+	snapshot := h.Source.Current()
+	next, err := load(req.Files, snapshot.State)
+	if err != nil {
+		return nil, err
+	}
+	return PlanReply{Base: snapshot.Version, Changes: config.Plan(snapshot.State, next)}, nil
+}
+
+func (h *Handler) apply(r *http.Request, operator string) (any, *api.Error) {
+	var req ApplyRequest
+	if err := readJSON(r, &req); err != nil {
+		return nil, err
+	}
+	if _, err := uuid.Parse(req.ID); err != nil {
+		return nil, badRequest("id must be a UUID, new for each change and the same in its retries")
+	}
+	snapshot := h.Source.Current()
+	next, bad := load(req.Files, snapshot.State)
+	if bad != nil {
+		return nil, bad
+	}
+	changes := config.Plan(snapshot.State, next)
+	if req.Base == snapshot.Version && config.Diff(snapshot.State, next).Len() == 0 {
+		return ApplyReply{ID: req.ID, Version: snapshot.Version}, nil
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), decideTimeout)
+	defer cancel()
+	entry, err := h.Follower.ProposeAs(ctx, req.ID, req.Base, next, operator)
+	if err != nil {
+		return nil, undecided(req.ID, err)
+	}
+	if entry.Verdict != config.Accepted {
+		return nil, rejected(entry)
+	}
+	return ApplyReply{ID: entry.ID, Version: entry.Version, Offset: entry.Offset, Changes: changes}, nil
+}
+
+// undecided words why there is no verdict.
+func undecided(id string, err error) *api.Error {
+	switch {
+	case errorx.IsOfType(err, config.BadBase):
+		return api.NewError(http.StatusConflict, CodeBadBase, err.Error())
+	case errorx.IsOfType(err, config.NotKnown):
+		return api.NewError(http.StatusServiceUnavailable, api.CodeLogDown,
+			"this entry does not know the configuration yet").WithRetryAfter(undecidedWait)
+	}
+	message := fmt.Sprintf("the log did not answer in time; change %s may still take effect: repeat it with the same id, or look for it in the audit trail", id)
+	return api.NewError(http.StatusServiceUnavailable, CodeUndecided, message).
+		WithOutcome(api.Unknown).WithRetryAfter(undecidedWait)
+}
+
+// rejected words who was first.
+func rejected(e config.AuditEntry) *api.Error {
+	if e.Verdict != config.Conflict {
+		return api.NewError(http.StatusConflict, api.CodeConflict, fmt.Sprintf("change %s was rejected as %s", e.ID, e.Verdict))
+	}
+	winner := "another operator"
+	if e.Winner != "" {
+		winner = e.Winner
+	}
+	return api.NewError(http.StatusConflict, api.CodeConflict, fmt.Sprintf(
+		"the change was made from version %d, but %s had changed that already; version %d is in force: plan again",
+		e.Base, winner, e.InForce))
+}
+
+// load reads and checks files as the successor of the state in force.
+func load(texts map[string]string, current *config.State) (*config.State, *api.Error) {
+	files := make(map[string][]byte, len(texts))
+	for name, text := range texts {
+		files[name] = []byte(text)
+	}
+	if len(files) == 0 {
+		return nil, badRequest("no files")
+	}
+	next, places, findings := config.LoadPlaced(files)
+	findings = append(findings, config.ValidateChange(current, next, places)...)
+	if len(findings) > 0 {
+		err := api.NewError(http.StatusUnprocessableEntity, CodeFindings, fmt.Sprintf("%d findings", len(findings)))
+		err.Findings = findings
+		return nil, err
+	}
+	return next, nil
+}
+
+func (h *Handler) state(*http.Request, string) (any, *api.Error) {
+	status := h.Follower.Status(time.Now())
+	snapshot := h.Source.Current()
+	reply := StateReply{Version: snapshot.Version, State: snapshot.State.Redacted()}
+	if status.Version == snapshot.Version {
+		reply.Hash = status.Hash
+	}
+	return reply, nil
+}
+
+func (h *Handler) audit(r *http.Request, _ string) (any, *api.Error) {
+	limit := DefaultAudit
+	if text := r.URL.Query().Get("limit"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 {
+			return nil, badRequest("limit must be a number from 1")
+		}
+		limit = n
+	}
+	entries := h.Follower.Audit()
+	entries = slices.Clone(entries[max(0, len(entries)-limit):])
+	for i := range entries {
+		entries[i] = entries[i].Redacted()
+	}
+	return AuditReply{Entries: entries}, nil
+}
+
+func (h *Handler) status(*http.Request, string) (any, *api.Error) {
+	return StatusReply{
+		Instance:   h.Self.ID,
+		DataCentre: h.Self.DataCentre,
+		Entries:    len(h.Members.Entries()),
+		Config:     h.Follower.Status(time.Now()),
+	}, nil
+}
+
+func readJSON(r *http.Request, into any) *api.Error {
+	d := json.NewDecoder(r.Body)
+	d.DisallowUnknownFields()
+	err := d.Decode(into)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return api.NewError(http.StatusRequestEntityTooLarge, api.CodeTooLarge,
+			fmt.Sprintf("the request exceeds %d bytes", MaxRequestBytes))
+	}
+	if err != nil {
+		return badRequest("the body is not valid: " + err.Error())
+	}
+	return nil
+}
+
+func badRequest(message string) *api.Error {
+	return api.NewError(http.StatusBadRequest, api.CodeBadRequest, message)
+}
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -19,6 +19,9 @@
 	ExitUsage    = 2 // the command line is wrong
 	ExitFindings = 3 // the input has faults, all of which were printed
 	ExitConflict = 4 // somebody else's change came first
+	// ExitUndecided: it is not known whether a change takes effect; repeat
+	// it, or look into the audit trail.
+	ExitUndecided = 5
 )
 
 // App is the whole command line.
@@ -27,7 +30,17 @@
 	Sidecar SidecarCmd `cmd:"" help:"Run a sidecar beside an endpoint." group:"Roles"`
 	Standin StandinCmd `cmd:"" help:"Run a stand-in for the platform or for an endpoint (tests, demonstrations)." group:"Stand-ins"`
 	Demo    DemoCmd    `cmd:"" help:"Run the whole system in one process on loopback and show what it does." group:"Stand-ins"`
-	Version VersionCmd `cmd:"" help:"Print the version." group:"Operator"`
+
+	Init     InitCmd     `cmd:"" help:"Write configuration files to start from." group:"Operator"`
+	Validate ValidateCmd `cmd:"" help:"Check configuration files." group:"Operator"`
+	Plan     PlanCmd     `cmd:"" help:"Show what applying configuration files would change." group:"Operator"`
+	Apply    ApplyCmd    `cmd:"" help:"Make configuration files the desired state." group:"Operator"`
+	Key      KeyCmd      `cmd:"" help:"Issue and withdraw callers' keys." group:"Operator"`
+	Audit    AuditCmd    `cmd:"" help:"Show accepted and rejected changes." group:"Operator"`
+	Status   StatusCmd   `cmd:"" help:"Show what an entry knows of the configuration." group:"Operator"`
+	State    StateCmd    `cmd:"" help:"Print the state in force." group:"Operator"`
+	Token    TokenCmd    `cmd:"" help:"Make an operator's token." group:"Operator"`
+	Version  VersionCmd  `cmd:"" help:"Print the version." group:"Operator"`
 }
 
 // Env is what verbs need of their surroundings.
@@ -50,17 +63,22 @@
 func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	env := &Env{Ctx: ctx, Stdout: stdout, Stderr: stderr}
 	var app App
+	helped := false // help was asked for and printed
 	parser, err := kong.New(&app,
 		kong.Name("dandelionrelay"),
 		kong.Description("Serves online and batch inference on one fleet."),
 		kong.Writers(stdout, stderr),
 		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
 		kong.Bind(env),
+		kong.Exit(func(int) { helped = true }),
 	)
 	if err != nil {
 		panic(err) // a fault of the program: the grammar above is constant
 	}
 	parsed, err := parser.Parse(args)
+	if helped {
+		return ExitOK
+	}
 	if err != nil {
 		fmt.Fprintf(stderr, "dandelionrelay: %v\n", err)
 		return ExitUsage
--- /dev/null
+++ b/cli/operator_keys.go
@@ -0,0 +1,157 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+
+	"dandelionrelay/authn"
+	"dandelionrelay/config"
+)
+
+// KeyCmd issues and withdraws callers' keys.
+type KeyCmd struct {
+	New      KeyNewCmd      `cmd:"" help:"Make a key for a customer; its text is shown once."`
+	Withdraw KeyWithdrawCmd `cmd:"" help:"Withdraw a key; its calls end within seconds of the change."`
+}
+
+// KeyNewCmd makes a key and puts its digest into the configuration files.
+type KeyNewCmd struct {
+	Server
+	Customer string `arg:"" help:"Customer that the key is for."`
+	Dir      string `required:"" type:"path" help:"Directory of the configuration files."`
+	ID       string `name:"id" help:"Id of the key; default: the customer and a number."`
+	Apply    bool   `help:"Apply the directory at once."`
+	JSON     bool   `name:"json" help:"Print the key as JSON."`
+}
+
+// Help implements kong.HelpProvider.
+func (KeyNewCmd) Help() string {
+	return `Writes the digest of a new key to keys.json in the directory and prints the key itself, which is kept nowhere. Give it to the customer, and apply the directory.
+
+Example: dandelionrelay key new north --dir ./config --apply`
+}
+
+// newKey is the output of key new.
+type newKey struct {
+	ID       string `json:"id"`
+	Customer string `json:"customer"`
+	Key      string `json:"key"`
+}
+
+// Run implements the verb.
+func (c *KeyNewCmd) Run(env *Env) error {
+	state, findings := config.LoadDir(c.Dir)
+	if err := findingsError(env, findings); err != nil {
+		return err
+	}
+	if _, ok := state.Customers[c.Customer]; !ok {
+		return fmt.Errorf("customer %q is not in %s", c.Customer, c.Dir)
+	}
+	id := c.ID
+	if id == "" {
+		id = freeKeyID(state, c.Customer)
+	}
+	if _, taken := state.Keys[id]; taken {
+		return fmt.Errorf("key %q exists already", id)
+	}
+	key := authn.NewKey()
+	if err := config.SetKey(c.Dir, id, config.Key{Customer: c.Customer, Digest: authn.Digest(key)}); err != nil {
+		return err
+	}
+	if err := c.show(env, newKey{ID: id, Customer: c.Customer, Key: key}); err != nil {
+		return err
+	}
+	quiet := *env
+	quiet.Stdout = env.Stderr // the output is the key alone
+	return applyIf(c.Apply, &quiet, &c.Server, c.Dir)
+}
+
+func (c *KeyNewCmd) show(env *Env, k newKey) error {
+	if c.JSON {
+		return printJSON(env, k)
+	}
+	_, err := fmt.Fprintf(env.Stdout, "%s\n", k.Key)
+	fmt.Fprintf(env.Stderr, "key %s of customer %s; it is shown only now\n", k.ID, k.Customer)
+	return err
+}
+
+// freeKeyID returns the first unused id made of the customer and a number.
+func freeKeyID(state *config.State, customer string) string {
+	for n := 1; ; n++ {
+		id := fmt.Sprintf("%s-%d", customer, n)
+		if _, taken := state.Keys[id]; !taken {
+			return id
+		}
+	}
+}
+
+// KeyWithdrawCmd marks a key as withdrawn in the configuration files.
+type KeyWithdrawCmd struct {
+	Server
+	ID    string `arg:"" name:"id" help:"Id of the key."`
+	Dir   string `required:"" type:"path" help:"Directory of the configuration files."`
+	Apply bool   `help:"Apply the directory at once."`
+}
+
+// Help implements kong.HelpProvider.
+func (KeyWithdrawCmd) Help() string {
+	return `Marks the key as withdrawn in the directory. Once that is applied, the key is refused everywhere within seconds, running streams are stopped and their connections closed. It cannot be undone: make a new key instead.
+
+Example: dandelionrelay key withdraw north-1 --dir ./config --apply`
+}
+
+// Run implements the verb.
+func (c *KeyWithdrawCmd) Run(env *Env) error {
+	state, findings := config.LoadDir(c.Dir)
+	if err := findingsError(env, findings); err != nil {
+		return err
+	}
+	key, ok := state.Keys[c.ID]
+	if !ok {
+		return fmt.Errorf("key %q is not in %s", c.ID, c.Dir)
+	}
+	if !key.Withdrawn {
+		key.Withdrawn = true
+		if err := config.SetKey(c.Dir, c.ID, key); err != nil {
+			return err
+		}
+	}
+	fmt.Fprintf(env.Stderr, "key %s of customer %s is marked as withdrawn in %s\n", c.ID, key.Customer, c.Dir)
+	return applyIf(c.Apply, env, &c.Server, c.Dir)
+}
+
+// applyIf applies the directory if asked to, and else says that it is due.
+func applyIf(now bool, env *Env, s *Server, dir string) error {
+	if !now {
+		fmt.Fprintf(env.Stderr, "now apply it: dandelionrelay apply %s\n", dir)
+		return nil
+	}
+	files, err := readFiles(env, dir)
+	if err != nil {
+		return err
+	}
+	return apply(env, s, files, nil, false)
+}
+
+// TokenCmd makes an operator's token.
+type TokenCmd struct {
+	Name string `arg:"" help:"Name of the operator, as the audit trail shows it."`
+}
+
+// Help implements kong.HelpProvider.
+func (TokenCmd) Help() string {
+	return `Prints a new token, which is kept nowhere, and the entry for "operators" in the settings of each entry.
+
+Example: dandelionrelay token ann`
+}
+
+// Run implements the verb.
+func (c *TokenCmd) Run(env *Env) error {
+	if c.Name == "" {
+		return errors.New("the name must not be empty")
+	}
+	token := authn.NewToken()
+	fmt.Fprintf(env.Stdout, "%s\n", token)
+	_, err := fmt.Fprintf(env.Stderr, "settings of each entry: \"operators\": [{\"name\": %q, \"digest\": %q}]\n", c.Name, authn.Digest(token))
+	return err
+}
--- /dev/null
+++ b/cli/operator_show.go
@@ -0,0 +1,144 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"dandelionrelay/admin"
+	"dandelionrelay/config"
+)
+
+// AuditCmd shows accepted and rejected changes.
+type AuditCmd struct {
+	Server
+	Limit int  `default:"20" help:"Number of changes, the last ones."`
+	Diff  bool `help:"Show what each change touched."`
+	JSON  bool `name:"json" help:"Print the changes as JSON, with their differences."`
+}
+
+// Help implements kong.HelpProvider.
+func (AuditCmd) Help() string {
+	return `Shows who changed the configuration when, from which version, and which changes were rejected.
+
+Example: dandelionrelay audit --limit 50 --diff --server http://10.0.0.5:7203`
+}
+
+// Run implements the verb.
+func (c *AuditCmd) Run(env *Env) error {
+	var reply *admin.AuditReply
+	err := c.call(env, func(ctx context.Context, client *admin.Client) (err error) {
+		reply, err = client.Audit(ctx, c.Limit)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(env, reply)
+	}
+	for _, e := range reply.Entries {
+		fmt.Fprintln(env.Stdout, auditLine(e))
+		if c.Diff && e.Delta != nil {
+			printDelta(env, e.Delta)
+		}
+	}
+	return nil
+}
+
+func auditLine(e config.AuditEntry) string {
+	line := fmt.Sprintf("%s  %-9s  %s  base %d", e.Time.UTC().Format(time.RFC3339), e.Verdict, e.Operator, e.Base)
+	switch e.Verdict {
+	case config.Accepted:
+		line += fmt.Sprintf(" -> version %d", e.Version)
+	case config.Conflict:
+		line += fmt.Sprintf(", in force was %d", e.InForce)
+		if e.Winner != "" {
+			line += fmt.Sprintf(" (first: %s)", e.Winner)
+		}
+	}
+	return line + "  change " + e.ID
+}
+
+// printDelta prints what a change set and removed.
+func printDelta(env *Env, d *config.Delta) {
+	printChanges(env, "customers", d.Customers)
+	printChanges(env, "keys", d.Keys)
+	printChanges(env, "deployments", d.Deployments)
+	printChanges(env, "routes", d.Routes)
+}
+
+func printChanges[T any](env *Env, section string, c config.Changes[T]) {
+	for _, id := range slices.Sorted(maps.Keys(c.Set)) {
+		// Entries are structs that always marshal.
+		b, _ := json.Marshal(c.Set[id])
+		fmt.Fprintf(env.Stdout, "    set    %s/%s %s\n", section, id, b)
+	}
+	for _, id := range c.Remove {
+		fmt.Fprintf(env.Stdout, "    remove %s/%s\n", section, id)
+	}
+}
+
+// StatusCmd shows what an entry knows of the configuration.
+type StatusCmd struct {
+	Server
+	JSON bool `name:"json" help:"Print the status as JSON."`
+}
+
+// Help implements kong.HelpProvider.
+func (StatusCmd) Help() string {
+	return `Shows the version in force at an entry, and for how long it has not heard from the log.
+
+Example: dandelionrelay status --server http://10.0.0.5:7203`
+}
+
+// Run implements the verb.
+func (c *StatusCmd) Run(env *Env) error {
+	var reply *admin.StatusReply
+	err := c.call(env, func(ctx context.Context, client *admin.Client) (err error) {
+		reply, err = client.Status(ctx)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(env, reply)
+	}
+	s := reply.Config
+	age := time.Duration(s.Age).Round(time.Millisecond).String() + " ago"
+	if s.Age < 0 {
+		age = "never"
+	}
+	_, err = fmt.Fprintf(env.Stdout, "entry            %s in %s, knows %d entries\nversion          %d, known: %t\noffset           %d\nlog last heard   %s\n",
+		reply.Instance, reply.DataCentre, reply.Entries, s.Version, s.Known, s.Through, age)
+	return err
+}
+
+// StateCmd prints the state in force.
+type StateCmd struct {
+	Server
+}
+
+// Help implements kong.HelpProvider.
+func (StateCmd) Help() string {
+	return `Prints the state in force as JSON, without the digests of keys.
+
+Example: dandelionrelay state --server http://10.0.0.5:7203`
+}
+
+// Run implements the verb.
+func (c *StateCmd) Run(env *Env) error {
+	var reply *admin.StateReply
+	err := c.call(env, func(ctx context.Context, client *admin.Client) (err error) {
+		reply, err = client.State(ctx)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	return printJSON(env, reply)
+}
--- a/config/load.go
+++ b/config/load.go
@@ -11,6 +11,17 @@
 // returns every finding with its file, line and JSON pointer; the state is
 // usable only if there are none.
 func LoadDir(dir string) (*State, []api.Finding) {
+	files, findings := ReadDir(dir)
+	if files == nil {
+		return nil, findings
+	}
+	state, more := LoadFiles(files)
+	return state, append(findings, more...)
+}
+
+// ReadDir reads the *.json files of a directory, name to content. The files
+// are nil if there are none.
+func ReadDir(dir string) (map[string][]byte, []api.Finding) {
 	names, err := filepath.Glob(filepath.Join(dir, "*.json"))
 	if err != nil || len(names) == 0 {
 		return nil, []api.Finding{{File: dir, Message: "no *.json files found"}}
@@ -20,11 +31,10 @@
 	for _, name := range names {
 		b, err := os.ReadFile(name)
 		if err != nil {
-			findings = append(findings, api.Finding{File: name, Message: err.Error()})
+			findings = append(findings, api.Finding{File: filepath.Base(name), Message: err.Error()})
 			continue
 		}
 		files[filepath.Base(name)] = b
 	}
-	state, more := LoadFiles(files)
-	return state, append(findings, more...)
+	return files, findings
 }
--- a/config/parse.go
+++ b/config/parse.go
@@ -32,6 +32,12 @@
 // checks it. It returns every finding; the state is usable only if there are
 // none.
 func LoadFiles(files map[string][]byte) (*State, []api.Finding) {
+	state, _, findings := LoadPlaced(files)
+	return state, findings
+}
+
+// LoadPlaced is LoadFiles with the places of the entries.
+func LoadPlaced(files map[string][]byte) (*State, *Places, []api.Finding) {
 	l := &loader{
 		state: &State{
 			Customers:   make(map[string]Customer),
@@ -47,7 +53,7 @@
 		l.readFile()
 	}
 	l.findings = append(l.findings, l.validate()...)
-	return l.state, l.findings
+	return l.state, &Places{l.places}, l.findings
 }
 
 // readFile reads one document: an object with some of the sections.
--- a/config/propose.go
+++ b/config/propose.go
@@ -27,13 +27,16 @@
 var unencodable = Errors.NewType("unencodable")
 
 // NewChange returns the record of the change from the state at version base,
-// whose hash is given, to next.
-func NewChange(base uint64, from *State, hash Hash, next *State, operator string, now time.Time) Record {
+// whose hash is given, to next. An empty id means a new one.
+func NewChange(id string, base uint64, from *State, hash Hash, next *State, operator string, now time.Time) Record {
 	delta := Diff(from, next)
 	_, after := from.Apply(delta, hash)
+	if id == "" {
+		id = uuid.NewString()
+	}
 	return Record{
 		Kind:     KindChange,
-		ID:       uuid.NewString(),
+		ID:       id,
 		Operator: operator,
 		Time:     now,
 		Base:     base,
@@ -58,11 +61,21 @@
 // appended too, so that the rejected change is in the audit trail. The error
 // is Undecided if ctx ends before the verdict is known.
 func (f *Follower) Propose(ctx context.Context, base uint64, next *State, operator string) (AuditEntry, error) {
+	return f.ProposeAs(ctx, uuid.NewString(), base, next, operator)
+}
+
+// ProposeAs is Propose with the id of the change, so that it can be repeated
+// after a lost answer, also through another entry.
+func (f *Follower) ProposeAs(ctx context.Context, id string, base uint64, next *State, operator string) (AuditEntry, error) {
 	f.catchUp(ctx, base)
 	f.mu.Lock()
 	known, version := f.replica.Known(), f.replica.Version()
-	rec := NewChange(base, f.replica.State(), f.replica.Hash(), next, operator, time.Now())
+	earlier, decided := f.replica.VerdictOn(id)
+	rec := NewChange(id, base, f.replica.State(), f.replica.Hash(), next, operator, time.Now())
 	f.mu.Unlock()
+	if decided {
+		return earlier, nil
+	}
 	if !known {
 		return AuditEntry{}, NotKnown.New("no configuration known yet")
 	}
--- a/config/replica_test.go
+++ b/config/replica_test.go
@@ -101,7 +101,7 @@
 		return
 	}
 	next := withCustomers(1+w.rnd.IntN(4), float64(1+w.rnd.IntN(1000)))
-	rec := config.NewChange(r.Version(), r.State(), r.Hash(), next, fmt.Sprintf("op%d", w.rnd.IntN(3)), w.now)
+	rec := config.NewChange("", r.Version(), r.State(), r.Hash(), next, fmt.Sprintf("op%d", w.rnd.IntN(3)), w.now)
 	w.old = append(w.old, rec)
 	w.append(rec)
 }
--- a/config/state.go
+++ b/config/state.go
@@ -27,7 +27,7 @@
 // Key is one credential of a customer. Only its digest is kept.
 type Key struct {
 	Customer  string `json:"customer"`
-	Digest    string `json:"digest"` // lower-case hex SHA-256 of the key
+	Digest    string `json:"digest,omitempty"` // lower-case hex SHA-256 of the key; always set in force
 	Withdrawn bool   `json:"withdrawn,omitempty"`
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"dandelionrelay/admin"
 	"dandelionrelay/authn"
 	"dandelionrelay/config"
 	"dandelionrelay/dispatch"
@@ -153,7 +154,16 @@
 		mux.Handle(path, streamed)
 	}
 	e.callers = mux
-	e.ops = ops.Handler(e.deps.Registry, &e.ready)
+	operations := ops.Handler(e.deps.Registry, &e.ready)
+	operations.Handle("/admin/", admin.NewHandler(admin.Options{
+		Self:      e.self(),
+		Follower:  e.follower,
+		Source:    &e.holder,
+		Members:   e.view,
+		Operators: e.settings.Operators,
+		Logger:    logger,
+	}))
+	e.ops = operations
 }
 
 // dialer makes a Dialer fit http.Transport.
