Membership: failure detector, subsets, notices joined with the list

Cause: the platform's list lags both ways, and 400 entries can't each watch 2,400 endpoints. Weighed: heartbeats to every endpoint of the subset (at 7 deployments of 36 endpoints every 5 s that alone is above 4 KB/s a node) against probing only endpoints that are suspected or owe an answer and are silent. The latter sends nothing while idle; a dead idle endpoint costs its first caller one refused or timed-out dial, which is certain not to have run. Subsets are chosen by rendezvous hashing, 16 in the own data centre and 4 in each other one: one endpoint's coming or going moves one place at most (test at 400 entries, 342 endpoints, 6 data centres).

--- /dev/null
+++ b/membership/detector_test.go
@@ -0,0 +1,123 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"dandelionrelay/platform"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func TestDetectorSuspectsAndRecovers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := NewDetector()
+	now := start
+	d.Failed("a", now)
+	g.Expect(d.Usable("a")).To(gomega.BeFalse())
+	g.Expect(d.Due(now)).To(gomega.BeEmpty())
+	now = now.Add(firstProbeDelay)
+	g.Expect(d.Due(now)).To(gomega.Equal([]string{"a"}))
+	g.Expect(d.Due(now)).To(gomega.BeEmpty(), "one probe at a time")
+	d.ProbeMissed("a", now)
+	g.Expect(d.Due(now)).To(gomega.BeEmpty(), "backs off")
+	now = now.Add(maxProbeDelay)
+	g.Expect(d.Due(now)).To(gomega.Equal([]string{"a"}))
+	d.Alive("a", now)
+	g.Expect(d.Usable("a")).To(gomega.BeTrue())
+}
+
+func TestDetectorProbesOnlyTheSilentThatOwe(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := NewDetector()
+	now := start
+	d.Alive("idle", now)
+	d.Begin("busy", now)
+	d.Begin("silent", now)
+	now = now.Add(SilentAfter)
+	d.Progressed("busy", now)
+	g.Expect(d.Due(now)).To(gomega.Equal([]string{"silent"}))
+	g.Expect(d.ProbeMissed("silent", now)).To(gomega.BeFalse())
+	now = now.Add(2 * firstProbeDelay)
+	g.Expect(d.Due(now)).To(gomega.Equal([]string{"silent"}))
+	g.Expect(d.ProbeMissed("silent", now)).To(gomega.BeTrue())
+	g.Expect(d.Usable("silent")).To(gomega.BeFalse())
+}
+
+func TestDetectorKeepsLeavingThroughAnswers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := NewDetector()
+	d.NoteLeaving("a", start)
+	d.Alive("a", start)
+	g.Expect(d.Usable("a")).To(gomega.BeFalse())
+}
+
+func TestViewJoinsListWithNotices(t *testing.T) {
+	g := gomega.NewWithT(t)
+	v := NewView(nil)
+	a := platform.Instance{ID: "a", Role: platform.RoleSidecar, Deployment: "d", State: platform.Live}
+	b := platform.Instance{ID: "b", Role: platform.RoleSidecar, Deployment: "d", State: platform.Live}
+	v.Announced(b, start)
+	g.Expect(v.Endpoints("d")).To(gomega.Equal([]platform.Instance{b}), "serves before it is listed")
+	v.Listed([]platform.Instance{a}, start)
+	g.Expect(v.Endpoints("d")).To(gomega.HaveLen(2))
+	v.NoteLeaving("a")
+	v.Listed([]platform.Instance{a}, start.Add(time.Second))
+	g.Expect(v.Endpoints("d")[0].State).To(gomega.Equal(platform.Leaving), "the list lags")
+	v.Listed(nil, start.Add(2*AnnounceTTL))
+	g.Expect(v.Endpoints("d")).To(gomega.BeEmpty())
+	g.Expect(v.leaving).To(gomega.BeEmpty())
+}
+
+// fleet returns n endpoints spread over dataCentres.
+func fleet(n, dataCentres int) []platform.Instance {
+	var out []platform.Instance
+	for i := range n {
+		out = append(out, platform.Instance{
+			ID: fmt.Sprintf("s%04d", i), Role: platform.RoleSidecar, State: platform.Live,
+			Deployment: "d", DataCentre: fmt.Sprintf("dc%d", i%dataCentres),
+		})
+	}
+	return out
+}
+
+func TestSubsetIsBoundedStableAndEven(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const entries, dataCentres = 400, 6
+	endpoints := fleet(342, dataCentres)
+	used := make(map[string]int)
+	for e := range entries {
+		id, dc := fmt.Sprintf("e%03d", e), fmt.Sprintf("dc%d", e%dataCentres)
+		s := NewSubset(id, dc, endpoints)
+		g.Expect(s.Local).To(gomega.HaveLen(LocalEndpoints))
+		g.Expect(s.Remote).To(gomega.HaveLen(RemoteEndpoints * (dataCentres - 1)))
+		without := NewSubset(id, dc, endpoints[1:])
+		g.Expect(moved(s, without)).To(gomega.BeNumerically("<=", 1))
+		for _, i := range append(s.Local, s.Remote...) {
+			used[i.ID]++
+		}
+	}
+	g.Expect(used).To(gomega.HaveLen(len(endpoints)), "no endpoint is left out")
+	mean := float64(entries*(LocalEndpoints+RemoteEndpoints*(dataCentres-1))) / float64(len(endpoints))
+	for id, n := range used {
+		g.Expect(float64(n)).To(gomega.BeNumerically("~", mean, mean/2), id)
+	}
+}
+
+// moved returns how many endpoints of b are not in a.
+func moved(a, b Subset) int {
+	in := make(map[string]bool)
+	for _, i := range append(a.Local, a.Remote...) {
+		in[i.ID] = true
+	}
+	n := 0
+	for _, i := range append(b.Local, b.Remote...) {
+		if !in[i.ID] {
+			n++
+		}
+	}
+	return n
+}
--- a/membership/view.go
+++ b/membership/view.go
@@ -4,23 +4,41 @@
 	"context"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"dandelionrelay/platform"
 )
 
-// PollInterval is how often View reads the platform's instance list.
-const PollInterval = time.Second
+const (
+	// PollInterval is how often View reads the platform's instance list.
+	PollInterval = time.Second
+	// AnnounceTTL is how long an instance that announced itself counts as a
+	// member without being listed.
+	AnnounceTTL = 30 * time.Second
+)
 
-// View is a Members that follows the platform's instance list. While the list
-// can't be read the last one stays in force.
+// View is a Members that joins the platform's instance list, which lags, with
+// what instances say of themselves: an announced instance counts before it is
+// listed, one that gave notice counts as leaving while it is listed as live.
+// While the list can't be read the last one stays in force.
 type View struct {
 	source  platform.Instances
 	current atomic.Pointer[index]
+
+	mu        sync.Mutex
+	listed    []platform.Instance
+	announced map[string]announcement
+	leaving   map[string]struct{} // until no longer listed or announced
+}
+
+type announcement struct {
+	instance platform.Instance
+	until    time.Time
 }
 
-// index is one immutable reading of the list.
+// index is one immutable state of the view.
 type index struct {
 	entries   []platform.Instance
 	endpoints map[string][]platform.Instance // by deployment
@@ -28,7 +46,11 @@
 
 // NewView returns a View of source. It is empty until the first Poll.
 func NewView(source platform.Instances) *View {
-	v := &View{source: source}
+	v := &View{
+		source:    source,
+		announced: make(map[string]announcement),
+		leaving:   make(map[string]struct{}),
+	}
 	v.current.Store(&index{})
 	return v
 }
@@ -47,7 +69,7 @@
 	if err != nil {
 		return err
 	}
-	v.current.Store(newIndex(list))
+	v.Listed(list, time.Now())
 	return nil
 }
 
@@ -65,16 +87,87 @@
 	}
 }
 
-func newIndex(list []platform.Instance) *index {
-	list = slices.Clone(list)
-	slices.SortFunc(list, func(a, b platform.Instance) int { return strings.Compare(a.ID, b.ID) })
+// Listed takes in one reading of the platform's list.
+func (v *View) Listed(list []platform.Instance, now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.listed = list
+	for id, a := range v.announced {
+		if now.After(a.until) {
+			delete(v.announced, id)
+		}
+	}
+	v.rebuild()
+}
+
+// Announced takes in an instance's word that it serves.
+func (v *View) Announced(i platform.Instance, now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if i.State == platform.Leaving {
+		v.leaving[i.ID] = struct{}{}
+	}
+	_, known := v.announced[i.ID]
+	v.announced[i.ID] = announcement{instance: i, until: now.Add(AnnounceTTL)}
+	if !known || i.State == platform.Leaving {
+		v.rebuild()
+	}
+}
+
+// NoteLeaving takes in a notice that an instance leaves.
+func (v *View) NoteLeaving(id string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if _, known := v.leaving[id]; known {
+		return
+	}
+	v.leaving[id] = struct{}{}
+	v.rebuild()
+}
+
+// rebuild joins the evidence into a new index. Unchanged states keep the old
+// one, so that readers can cache what they derive from it. The caller holds
+// the lock.
+func (v *View) rebuild() {
+	joined := make(map[string]platform.Instance, len(v.listed))
+	for id, a := range v.announced {
+		joined[id] = a.instance
+	}
+	for _, i := range v.listed {
+		joined[i.ID] = i
+	}
+	for id := range v.leaving {
+		i, ok := joined[id]
+		if !ok {
+			delete(v.leaving, id)
+			continue
+		}
+		i.State = platform.Leaving
+		joined[id] = i
+	}
+	v.current.Store(newIndex(joined, v.current.Load()))
+}
+
+func newIndex(joined map[string]platform.Instance, old *index) *index {
 	x := &index{endpoints: make(map[string][]platform.Instance)}
-	for _, i := range list {
+	for _, i := range joined {
 		if i.Role == platform.RoleEntry {
 			x.entries = append(x.entries, i)
 			continue
 		}
 		x.endpoints[i.Deployment] = append(x.endpoints[i.Deployment], i)
 	}
+	x.entries = sortedOrOld(x.entries, old.entries)
+	for name, list := range x.endpoints {
+		x.endpoints[name] = sortedOrOld(list, old.endpoints[name])
+	}
 	return x
 }
+
+func sortedOrOld(list, old []platform.Instance) []platform.Instance {
+	slices.SortFunc(list, func(a, b platform.Instance) int { return strings.Compare(a.ID, b.ID) })
+	if slices.Equal(list, old) {
+		return old
+	}
+	return list
+}
