Header that marks a request suspected of crashing endpoints

Cause: two suspects from two entries at one endpoint blame each other; only the sidecar sees both. It may run suspects one at a time; entries hold to it for their own.

--- a/api/api.go
+++ b/api/api.go
@@ -42,6 +42,7 @@
 	HeaderQueueWait  = "Relay-Queue-Wait-Ms" // estimated wait for a new online request
 	HeaderLeaving    = "Relay-Leaving"       // "1": send no new work
 	HeaderIdempotent = "Relay-Idempotent"    // "1": may be repeated
+	HeaderSuspect    = "Relay-Suspect"       // "1": an endpoint died of it; run no two at once
 )
 
 // Code is a machine-readable reason of a refusal or failure.
