--- /dev/null
+++ b/dispatch/delivery.go
@@ -0,0 +1,189 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"dandelionrelay/api"
+	"dandelionrelay/invariant"
+	"dandelionrelay/pipeline"
+	"dandelionrelay/platform"
+	"dandelionrelay/quarantine"
+)
+
+// maxAttempts bounds the attempts of one call.
+const maxAttempts = 4
+
+// delivery is one call on its way to an answer, over one or more attempts.
+type delivery struct {
+	d *Dispatcher
+	c *pipeline.Call
+
+	attempts   int
+	tried      []string // ids of the endpoints that failed
+	suspect    bool
+	mayHaveRun bool // an attempt was sent and no sidecar vouches for it
+	stream     stream
+}
+
+// end is how an attempt ended without a whole answer.
+type end struct {
+	err    *api.Error
+	repeat bool // another endpoint may do better
+	failed bool // the endpoint or the way to it failed
+	died   bool // the endpoint broke off with the call in flight
+}
+
+// run makes attempts until one gives the whole answer or the call is given up.
+func (y *delivery) run(ctx context.Context) *api.Error {
+	budget := y.d.budgets.of(y.c.Route.Deployment)
+	budget.Deposit()
+	last := noEndpoint()
+	for {
+		if y.quarantined() {
+			return y.giveUp(quarantinedError())
+		}
+		endpoint, ok := y.pick()
+		if !ok {
+			return y.giveUp(last)
+		}
+		e := y.try(ctx, endpoint)
+		if e == nil {
+			return nil
+		}
+		last = e.err
+		if !y.mayRepeat(ctx, e) {
+			return y.giveUp(last)
+		}
+		if !budget.Withdraw() {
+			y.d.metrics.denied.Inc()
+			return y.giveUp(last)
+		}
+		y.d.metrics.repeats.Inc()
+	}
+}
+
+// quarantined looks the call up among the requests that endpoints died of.
+func (y *delivery) quarantined() bool {
+	if y.d.suspects.Empty() {
+		y.suspect = false
+		return false
+	}
+	v := y.d.suspects.Verdict(y.digest())
+	y.suspect = v == quarantine.Suspect
+	return v == quarantine.Quarantined
+}
+
+func (y *delivery) digest() quarantine.Digest { return quarantine.Of(y.c) }
+
+// pick chooses the endpoint of the next attempt.
+func (y *delivery) pick() (platform.Instance, bool) {
+	d := y.d
+	deployment := y.c.Route.Deployment
+	q := Query{
+		Now:     time.Now(),
+		Subset:  d.subsets.of(deployment, d.members.Endpoints(deployment)),
+		Slots:   y.c.Deployment.Slots,
+		Suspect: y.suspect,
+		Skip:    y.tried,
+		Usable:  d.detector.Usable,
+	}
+	i, ok := d.picker.Pick(&q, d.rand)
+	if ok {
+		d.checks.Check(i.State != platform.Leaving && !d.detector.Leaving(i.ID),
+			invariant.NoWorkWhenLeaving, "call %s picks leaving endpoint %s", y.c.ID, i.ID)
+	}
+	return i, ok
+}
+
+// try makes one attempt. It returns nil once the caller has the whole answer.
+func (y *delivery) try(ctx context.Context, endpoint platform.Instance) *end {
+	d := y.d
+	d.checks.Check(y.c.Route.Idempotent || !y.mayHaveRun, invariant.AtMostOnce,
+		"call %s, not idempotent, is sent again", y.c.ID)
+	a := &attempt{id: uuid.NewString(), endpoint: endpoint, began: time.Now()}
+	y.attempts++
+	d.metrics.attempts.Inc()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	d.loads.Begin(endpoint, y.suspect, a.began)
+	d.detector.Begin(endpoint.ID, a.began)
+	if y.c.Route.Idempotent {
+		d.watch.add(a, cancel)
+		defer d.watch.remove(a)
+	}
+	e := y.exchange(ctx, a)
+	now := time.Now()
+	d.detector.End(endpoint.ID, now)
+	d.loads.End(endpoint.ID, y.suspect, now.Sub(a.began), now)
+	y.note(a, e, now)
+	return e
+}
+
+// note keeps what the end of an attempt tells.
+func (y *delivery) note(a *attempt, e *end, now time.Time) {
+	if e == nil {
+		y.finished()
+		return
+	}
+	y.tried = append(y.tried, a.endpoint.ID)
+	if e.err.Outcome != api.NotRun {
+		y.mayHaveRun = true
+	}
+	if e.failed {
+		y.d.detector.Failed(a.endpoint.ID, now)
+	}
+	if e.died {
+		y.d.suspects.Died(y.digest(), a.id, a.endpoint.ID)
+	}
+}
+
+// finished clears the request of the deaths held against it.
+func (y *delivery) finished() {
+	if !y.d.suspects.Empty() {
+		y.d.suspects.Finished(y.digest())
+	}
+}
+
+// mayRepeat says whether the call may be sent again after e.
+func (y *delivery) mayRepeat(ctx context.Context, e *end) bool {
+	if !e.repeat || ctx.Err() != nil || y.attempts >= maxAttempts {
+		return false
+	}
+	if y.mayHaveRun && !y.c.Route.Idempotent {
+		return false
+	}
+	return !y.c.Started || y.stream.canResume(y.c)
+}
+
+// giveUp ends the call with e: at once, with what is known of its run.
+func (y *delivery) giveUp(e *api.Error) *api.Error {
+	if y.mayHaveRun {
+		e = e.WithOutcome(api.Unknown)
+	}
+	y.d.checks.Check(e.Outcome != api.NotRun || !y.mayHaveRun && !y.c.Started,
+		invariant.NotRunIsTrue, "call %s may have run", y.c.ID)
+	e.RequestID = y.c.ID
+	if e.RetryAfter == 0 && (e.Status >= 500 || e.Status == http.StatusTooManyRequests) {
+		e.RetryAfter = RetryAfter
+	}
+	if !y.c.Started {
+		return e
+	}
+	y.d.metrics.cut.Inc()
+	y.stream.fail(y.c.W, e)
+	panic(http.ErrAbortHandler)
+}
+
+func noEndpoint() *api.Error {
+	e := api.NewError(http.StatusServiceUnavailable, api.CodeNoEndpoint, "no endpoint can take the call")
+	return e.WithRetryAfter(RetryAfter)
+}
+
+func quarantinedError() *api.Error {
+	return api.NewError(http.StatusUnprocessableEntity, api.CodeQuarantined,
+		"endpoints crashed running this request; it is not run again")
+}
--- /dev/null
+++ b/dispatch/picker.go
@@ -0,0 +1,134 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"dandelionrelay/membership"
+	"dandelionrelay/platform"
+)
+
+// Weights of a pick.
+const (
+	// sampleLocal and sampleRemote are how many endpoints are compared.
+	sampleLocal  = 3
+	sampleRemote = 1
+	// Distance is the time that a call to another data centre takes longer.
+	Distance = 2 * time.Millisecond
+	// inFlightCost is what each request in flight adds to the start of the
+	// next at an endpoint with free slots.
+	inFlightCost = 500 * time.Microsecond
+)
+
+// Rand is the random source of a pick.
+type Rand interface{ IntN(n int) int }
+
+// Query describes one pick.
+type Query struct {
+	Now     time.Time
+	Subset  membership.Subset
+	Slots   int      // requests that one endpoint runs at once; 0: unknown
+	Suspect bool     // the request runs beside no other suspect
+	Skip    []string // ids of endpoints that were tried
+	// Affine is the endpoint that holds a prefix of the prompt, if any, and
+	// Saving the time that it saves there.
+	Affine string
+	Saving time.Duration
+	// Usable says whether an endpoint may get new work.
+	Usable func(id string) bool
+}
+
+// Picker chooses an endpoint for a request: the one with the least estimated
+// wait among a small random sample. It is passive.
+type Picker struct{ loads *Loads }
+
+// NewPicker returns a Picker that compares by loads.
+func NewPicker(loads *Loads) *Picker { return &Picker{loads: loads} }
+
+// choice is the best endpoint so far.
+type choice struct {
+	instance platform.Instance
+	cost     time.Duration
+	found    bool
+}
+
+// Pick returns an endpoint, or false if none may get the request.
+func (p *Picker) Pick(q *Query, rnd Rand) (platform.Instance, bool) {
+	var best choice
+	p.sample(q, rnd, q.Subset.Local, sampleLocal, 0, &best)
+	p.sample(q, rnd, q.Subset.Remote, sampleRemote, Distance, &best)
+	p.affine(q, &best)
+	if !best.found {
+		p.any(q, rnd, q.Subset.Local, 0, &best)
+	}
+	if !best.found {
+		p.any(q, rnd, q.Subset.Remote, Distance, &best)
+	}
+	return best.instance, best.found
+}
+
+// sample compares up to n random endpoints of list.
+func (p *Picker) sample(q *Query, rnd Rand, list []platform.Instance, n int, distance time.Duration, best *choice) {
+	if len(list) == 0 {
+		return
+	}
+	from := rnd.IntN(len(list))
+	if len(list) <= n {
+		for i := range list {
+			p.consider(q, &list[(from+i)%len(list)], distance, best)
+		}
+		return
+	}
+	p.consider(q, &list[from], distance, best)
+	for range n - 1 {
+		p.consider(q, &list[rnd.IntN(len(list))], distance, best)
+	}
+}
+
+// any takes the first endpoint that may be used.
+func (p *Picker) any(q *Query, rnd Rand, list []platform.Instance, distance time.Duration, best *choice) {
+	if len(list) == 0 {
+		return
+	}
+	from := rnd.IntN(len(list))
+	for i := range list {
+		p.consider(q, &list[(from+i)%len(list)], distance, best)
+		if best.found {
+			return
+		}
+	}
+}
+
+// affine compares the endpoint that holds a prefix.
+func (p *Picker) affine(q *Query, best *choice) {
+	if q.Affine == "" {
+		return
+	}
+	for i := range q.Subset.Local {
+		if q.Subset.Local[i].ID == q.Affine {
+			p.consider(q, &q.Subset.Local[i], -q.Saving, best)
+			return
+		}
+	}
+	for i := range q.Subset.Remote {
+		if q.Subset.Remote[i].ID == q.Affine {
+			p.consider(q, &q.Subset.Remote[i], Distance-q.Saving, best)
+			return
+		}
+	}
+}
+
+// consider makes i the best choice if it may be used and costs less.
+func (p *Picker) consider(q *Query, i *platform.Instance, extra time.Duration, best *choice) {
+	if i.State == platform.Leaving || slices.Contains(q.Skip, i.ID) || !q.Usable(i.ID) {
+		return
+	}
+	cost, suspects := p.loads.cost(i.ID, q.Slots, q.Now)
+	if q.Suspect && suspects > 0 {
+		return
+	}
+	cost += extra
+	if !best.found || cost < best.cost {
+		*best = choice{instance: *i, cost: cost, found: true}
+	}
+}
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -19,6 +19,7 @@
 func (s *Sidecar) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
 	s.setState(w.Header())
+	w.Header().Set(api.HeaderAttemptID, r.Header.Get(api.HeaderAttemptID))
 	if r.URL.Path == ProbePath {
 		s.serveProbe(w, r)
 		return
