--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -61,6 +61,11 @@
 		return unavailable(api.CodeNoEndpoint, "the endpoint is leaving")
 	}
 	defer s.drain.exit()
+	exit, e := s.suspect.enter(r.Header.Get(api.HeaderSuspect) == "1")
+	if e != nil {
+		return e
+	}
+	defer exit()
 	switch s.attempts.add(req.Attempt, req.Received) {
 	case duplicate:
 		return api.NewError(http.StatusConflict, api.CodeConflict, "attempt was received before").WithOutcome(api.Unknown)
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -57,6 +57,7 @@
 	schedule  *scheduler
 	batch     *batchRunner
 	health    health
+	suspect   suspectSlot
 }
 
 // New returns a sidecar, or an error if the endpoint's URL is malformed.
