--- a/quarantine/digest.go
+++ b/quarantine/digest.go
@@ -10,6 +10,8 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+
+	"dandelionrelay/pipeline"
 )
 
 // Digest identifies a request's content within a customer.
@@ -39,3 +41,8 @@
 	_, err := hex.Decode(d[:], b)
 	return err
 }
+
+// Of returns the digest of a call.
+func Of(c *pipeline.Call) Digest {
+	return DigestOf(c.Customer, c.R.URL.RequestURI(), c.Body)
+}
--- /dev/null
+++ b/quarantine/service.go
@@ -0,0 +1,59 @@
+package quarantine
+
+import (
+	"github.com/cespare/xxhash/v2"
+)
+
+// Names of the RPC service and of its methods.
+const (
+	ServiceName = "Quarantine"
+	MethodTell  = "Quarantine.Tell"
+	MethodSync  = "Quarantine.Sync"
+)
+
+// TellArgs carries events that are new to the sender.
+type TellArgs struct{ Events []Event }
+
+// TellReply is empty.
+type TellReply struct{}
+
+// SyncArgs carries the sum of the caller's table.
+type SyncArgs struct{ Sum uint64 }
+
+// SyncReply carries all events of the callee if its table differs.
+type SyncReply struct{ Events []Event }
+
+// Service is the RPC service of an entry's Node.
+type Service struct{ node *Node }
+
+// Service returns the RPC service of n, to be registered as ServiceName.
+func (n *Node) Service() *Service { return &Service{node: n} }
+
+// Tell takes in events of a peer.
+func (s *Service) Tell(args TellArgs, _ *TellReply) error {
+	s.node.merge(args.Events, false)
+	return nil
+}
+
+// Sync returns all events if the caller's table differs.
+func (s *Service) Sync(args SyncArgs, reply *SyncReply) error {
+	if args.Sum != s.node.table.Sum() {
+		reply.Events = s.node.table.Events()
+	}
+	return nil
+}
+
+// Sum returns a number that is equal for tables that hold the same events.
+func (t *Table) Sum() uint64 {
+	var sum uint64
+	for _, e := range t.Events() {
+		h := xxhash.New()
+		_, _ = h.Write(e.Digest[:])
+		_, _ = h.WriteString(e.Attempt)
+		if e.Cleared {
+			_, _ = h.WriteString("cleared")
+		}
+		sum ^= h.Sum64()
+	}
+	return sum
+}
