Dispatch: picker, retry budget, resume, probes, quarantine

Each attempt has an id and a typed end. Idempotent calls are repeated within a budget of one tenth of the calls; a stream that was cut goes on at another endpoint from the text and tokens delivered, or ends with an error event and the connection aborted. Calls that may not be repeated are sent again only after a sidecar vouched, or it is certain, that the attempt never ran. Silent endpoints are probed; repeatable attempts there end at two missed probes, others wait for their deadline.

--- a/dispatch/delivery.go
+++ b/dispatch/delivery.go
@@ -14,8 +14,13 @@
 	"dandelionrelay/quarantine"
 )
 
-// maxAttempts bounds the attempts of one call.
-const maxAttempts = 4
+const (
+	// maxAttempts bounds the attempts of one call.
+	maxAttempts = 4
+	// suspectSpread is the time over which the suspects of one death are
+	// repeated.
+	suspectSpread = 100 * time.Millisecond
+)
 
 // delivery is one call on its way to an answer, over one or more attempts.
 type delivery struct {
@@ -34,7 +39,7 @@
 	err    *api.Error
 	repeat bool // another endpoint may do better
 	failed bool // the endpoint or the way to it failed
-	died   bool // the endpoint broke off with the call in flight
+	broken bool // it was so with the call in flight: the endpoint may have died of it
 }
 
 // run makes attempts until one gives the whole answer or the call is given up.
@@ -63,6 +68,21 @@
 			return y.giveUp(last)
 		}
 		y.d.metrics.repeats.Inc()
+		if e.broken && !y.d.suspects.Empty() {
+			y.d.spread(ctx)
+		}
+	}
+}
+
+// spread waits a short random time. All entries see a death at once; were
+// they to repeat the suspects at once, two could meet at one endpoint before
+// its sidecar tells them apart.
+func (d *Dispatcher) spread(ctx context.Context) {
+	t := time.NewTimer(time.Duration(d.rand.IntN(int(suspectSpread))))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
 	}
 }
 
@@ -130,17 +150,30 @@
 		return
 	}
 	y.tried = append(y.tried, a.endpoint.ID)
+	y.d.logger.Info().Str("request", y.c.ID).Str("attempt", a.id).Str("endpoint", a.endpoint.ID).
+		Str("code", string(e.err.Code)).Str("outcome", string(e.err.Outcome)).Msg("attempt failed")
 	if e.err.Outcome != api.NotRun {
 		y.mayHaveRun = true
 	}
 	if e.failed {
 		y.d.detector.Failed(a.endpoint.ID, now)
 	}
-	if e.died {
+	if e.broken && y.d.confirmDeath(a.endpoint) {
+		y.d.logger.Info().Str("request", y.c.ID).Str("endpoint", a.endpoint.ID).Msg("endpoint died with the request in flight")
 		y.d.suspects.Died(y.digest(), a.id, a.endpoint.ID)
 	}
 }
 
+// confirmDeath tells a dead endpoint from a cut connection by one probe. It
+// takes the probe's timeout at most.
+func (d *Dispatcher) confirmDeath(endpoint platform.Instance) bool {
+	if !d.healthy(context.Background(), endpoint) {
+		return true
+	}
+	d.detector.Alive(endpoint.ID, time.Now())
+	return false
+}
+
 // finished clears the request of the deaths held against it.
 func (y *delivery) finished() {
 	if !y.d.suspects.Empty() {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -1,39 +1,75 @@
 // Package dispatch is the last filter of the pipeline: it picks an endpoint
 // of the route's deployment, sends the call to the sidecar beside it, streams
 // the answer back and repeats the call elsewhere where that is safe.
+//
+// Decisions are passive types (Picker, Loads, Budget, membership.Detector);
+// Dispatcher does the I/O around them.
 package dispatch
 
 import (
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 
-	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
 
 	"dandelionrelay/api"
 	"dandelionrelay/invariant"
 	"dandelionrelay/membership"
 	"dandelionrelay/pipeline"
-	"dandelionrelay/platform"
+	"dandelionrelay/quarantine"
 )
 
-// RetryAfter is the time after which a caller may come back when no endpoint
-// could take its call.
+// RetryAfter is the time after which a caller may come back with a call that
+// was given up on.
 const RetryAfter = time.Second
 
-// Deps is what a Dispatcher works with.
+// Suspects knows the requests that endpoints died of; quarantine.Node
+// implements it.
+type Suspects interface {
+	Verdict(quarantine.Digest) quarantine.Verdict
+	// Empty says that no request is suspected.
+	Empty() bool
+	Died(d quarantine.Digest, attempt, endpoint string)
+	Finished(quarantine.Digest)
+}
+
+// Deps is what a Dispatcher works with. All but Members may be left out.
 type Deps struct {
 	Members    membership.Members
+	Detector   *membership.Detector
+	Suspects   Suspects
 	Transport  http.RoundTripper // to sidecars; nil means NewTransport()
 	Invariants *invariant.Set
+	Metrics    prometheus.Registerer
+	Logger     zerolog.Logger
+	Rand       Rand   // safe for concurrent use; nil means the runtime's
+	ID         string // instance id of this entry
+	DataCentre string // of this entry
+	// NoteLeaving is told of endpoints that gave notice on an answer.
+	NoteLeaving func(id string)
 }
 
-// Dispatcher sends calls to endpoints.
+// Dispatcher sends calls to endpoints. Run must run beside Handle.
 type Dispatcher struct {
-	members   membership.Members
-	transport http.RoundTripper
-	checks    *invariant.Set
+	members     membership.Members
+	detector    *membership.Detector
+	suspects    Suspects
+	transport   http.RoundTripper
+	checks      *invariant.Set
+	metrics     *metrics
+	logger      zerolog.Logger
+	rand        Rand
+	noteLeaving func(id string)
+
+	loads   *Loads
+	picker  *Picker
+	budgets budgets
+	subsets subsets
+	watch   *watch
 }
 
 // New returns a Dispatcher.
@@ -41,60 +77,67 @@
 	if d.Transport == nil {
 		d.Transport = NewTransport()
 	}
-	return &Dispatcher{members: d.Members, transport: d.Transport, checks: d.Invariants}
-}
-
-// NewTransport returns the HTTP/1.1 transport to sidecars. It never follows a
-// proxy and keeps connections open between calls.
-func NewTransport() *http.Transport {
-	return &http.Transport{
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: idleConnsPerSidecar,
-		IdleConnTimeout:     idleConnTimeout,
-		TLSHandshakeTimeout: dialTimeout,
-		DialContext:         dialSidecar,
+	if d.Detector == nil {
+		d.Detector = membership.NewDetector()
+	}
+	if d.Suspects == nil {
+		d.Suspects = noSuspects{}
+	}
+	if d.Rand == nil {
+		d.Rand = runtimeRand{}
+	}
+	loads := NewLoads()
+	return &Dispatcher{
+		members:     d.Members,
+		detector:    d.Detector,
+		suspects:    d.Suspects,
+		transport:   d.Transport,
+		checks:      d.Invariants,
+		metrics:     newMetrics(d.Metrics),
+		logger:      d.Logger,
+		rand:        d.Rand,
+		noteLeaving: d.NoteLeaving,
+		loads:       loads,
+		picker:      NewPicker(loads),
+		subsets:     subsets{self: d.ID, dataCentre: d.DataCentre},
+		watch:       newWatch(),
 	}
 }
 
-// Handle implements pipeline.Handler.
+// Handle implements pipeline.Handler. Once a byte of the answer was sent, a
+// failure that can't be mended ends the connection by http.ErrAbortHandler.
 func (d *Dispatcher) Handle(ctx context.Context, c *pipeline.Call) *api.Error {
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
-	endpoint, ok := d.pick(c)
-	if !ok {
-		return noEndpoint()
-	}
-	return d.attempt(ctx, c, endpoint)
+	y := &delivery{d: d, c: c}
+	return y.run(ctx)
 }
 
-func (d *Dispatcher) pick(c *pipeline.Call) (platform.Instance, bool) {
-	var live []platform.Instance
-	for _, i := range d.members.Endpoints(c.Route.Deployment) {
-		if i.State == platform.Live {
-			live = append(live, i)
-		}
-	}
-	if len(live) == 0 {
-		return platform.Instance{}, false
+// learn takes in what an answer says of its endpoint.
+func (d *Dispatcher) learn(endpoint string, h http.Header) {
+	now := time.Now()
+	if ms, err := strconv.ParseInt(h.Get(api.HeaderQueueWait), 10, 64); err == nil && ms >= 0 {
+		d.loads.Report(endpoint, time.Duration(ms)*time.Millisecond, now)
 	}
-	return live[rand.IntN(len(live))], true
-}
-
-// attempt sends the call to one endpoint and relays the answer.
-func (d *Dispatcher) attempt(ctx context.Context, c *pipeline.Call, endpoint platform.Instance) *api.Error {
-	a := &attempt{id: uuid.NewString(), endpoint: endpoint}
-	resp, err := d.transport.RoundTrip(a.request(ctx, c))
-	if err != nil {
-		return a.failure(ctx)
+	if h.Get(api.HeaderLeaving) != "1" {
+		return
 	}
-	defer resp.Body.Close()
-	if e := vouched(resp); e != nil {
-		return e
+	d.detector.NoteLeaving(endpoint, now)
+	if d.noteLeaving != nil {
+		d.noteLeaving(endpoint)
 	}
-	return a.relay(ctx, c, resp)
 }
 
-func noEndpoint() *api.Error {
-	e := api.NewError(http.StatusServiceUnavailable, api.CodeNoEndpoint, "no endpoint can take the call")
-	return e.WithRetryAfter(RetryAfter)
-}
+// runtimeRand is the random source of production.
+type runtimeRand struct{}
+
+// IntN implements Rand.
+func (runtimeRand) IntN(n int) int { return rand.IntN(n) }
+
+// noSuspects suspects nothing.
+type noSuspects struct{}
+
+func (noSuspects) Verdict(quarantine.Digest) quarantine.Verdict { return quarantine.Clear }
+func (noSuspects) Empty() bool                                  { return true }
+func (noSuspects) Died(quarantine.Digest, string, string)       {}
+func (noSuspects) Finished(quarantine.Digest)                   {}
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"dandelionrelay/api"
+	"dandelionrelay/authn"
 	"dandelionrelay/pipeline"
 	"dandelionrelay/platform"
 )
@@ -24,26 +25,34 @@
 	idleConnTimeout     = 30 * time.Second
 )
 
-// forwardedHeaders are the only headers of the caller that reach an endpoint.
-var forwardedHeaders = []string{
-	"Accept", "Accept-Language", "Content-Type", "Idempotency-Key", "Traceparent", "Tracestate",
+// NewTransport returns the HTTP/1.1 transport to sidecars. It never follows a
+// proxy and keeps connections open between calls.
+func NewTransport() *http.Transport {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	return NewTransportWith(dialer.DialContext)
 }
 
-func dialSidecar(ctx context.Context, network, addr string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
-	return d.DialContext(ctx, network, addr)
+// NewTransportWith is NewTransport over connections that dial opens.
+func NewTransportWith(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *http.Transport {
+	return &http.Transport{
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: idleConnsPerSidecar,
+		IdleConnTimeout:     idleConnTimeout,
+		DialContext:         dial,
+	}
 }
 
 // attempt is one try of a call at one endpoint.
 type attempt struct {
 	id       string
 	endpoint platform.Instance
+	began    time.Time
 	sent     atomic.Bool // a connection was handed to the request
 }
 
 // request builds the message to the sidecar. The body has no GetBody, so that
 // the transport never repeats it by itself.
-func (a *attempt) request(ctx context.Context, c *pipeline.Call) *http.Request {
+func (a *attempt) request(ctx context.Context, c *pipeline.Call, body []byte) *http.Request {
 	trace := &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { a.sent.Store(true) },
 	}
@@ -51,8 +60,8 @@
 		Method:        c.R.Method,
 		URL:           a.url(c.R.URL),
 		Header:        a.header(c),
-		Body:          io.NopCloser(bytes.NewReader(c.Body)),
-		ContentLength: int64(len(c.Body)),
+		Body:          io.NopCloser(bytes.NewReader(body)),
+		ContentLength: int64(len(body)),
 		Host:          a.endpoint.HTTPAddr,
 		Proto:         "HTTP/1.1",
 		ProtoMajor:    1,
@@ -72,12 +81,8 @@
 }
 
 func (a *attempt) header(c *pipeline.Call) http.Header {
-	h := make(http.Header, len(forwardedHeaders)+8)
-	for _, name := range forwardedHeaders {
-		if v := c.R.Header[name]; len(v) > 0 {
-			h[name] = v
-		}
-	}
+	h := c.R.Header.Clone()
+	authn.StripCredentials(h)
 	left := max(1, time.Until(c.Deadline).Milliseconds())
 	h.Set(api.HeaderRequestID, c.ID)
 	h.Set(api.HeaderAttemptID, a.id)
@@ -90,24 +95,37 @@
 	return h
 }
 
-// failure is the error of an attempt that got no answer.
-func (a *attempt) failure(ctx context.Context) *api.Error {
+// lost is the end of an attempt whose connection failed or was ended. ctx is
+// that of the attempt.
+func (a *attempt) lost(ctx context.Context) *end {
 	outcome := api.NotRun
 	if a.sent.Load() {
 		outcome = api.Unknown
 	}
-	if ctx.Err() != nil {
-		return deadline(outcome)
+	switch context.Cause(ctx) {
+	case nil:
+		broken := outcome == api.Unknown
+		return &end{err: lostError(outcome), repeat: true, failed: true, broken: broken}
+	case errSilent:
+		return &end{err: lostError(outcome), repeat: true, failed: true}
+	case context.DeadlineExceeded:
+		return &end{err: deadlineError(outcome)}
 	}
-	return lost(outcome)
+	return &end{err: goneError(outcome)}
 }
 
-func deadline(o api.Outcome) *api.Error {
+func deadlineError(o api.Outcome) *api.Error {
 	e := api.NewError(http.StatusGatewayTimeout, api.CodeDeadline, "no answer before the deadline")
-	return e.WithOutcome(o).WithRetryAfter(RetryAfter)
+	return e.WithOutcome(o)
 }
 
-func lost(o api.Outcome) *api.Error {
+func lostError(o api.Outcome) *api.Error {
 	e := api.NewError(http.StatusBadGateway, api.CodeEndpointLost, "the endpoint was lost")
-	return e.WithOutcome(o).WithRetryAfter(RetryAfter)
+	return e.WithOutcome(o)
+}
+
+// goneError ends a call whose caller has gone or whose key was withdrawn.
+func goneError(o api.Outcome) *api.Error {
+	e := api.NewError(http.StatusServiceUnavailable, api.CodeInternal, "the call was cancelled")
+	return e.WithOutcome(o)
 }
--- /dev/null
+++ b/dispatch/parts_test.go
@@ -0,0 +1,94 @@
+package dispatch
+
+import (
+	"bufio"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"dandelionrelay/api"
+	"dandelionrelay/membership"
+	"dandelionrelay/platform"
+)
+
+func TestReadEvent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	long := "data: " + strings.Repeat("x", 3*eventBufferBytes) + "\n\n"
+	in := bufio.NewReaderSize(strings.NewReader("data: a\r\n\r\n: note\ndata: b\n\n"+long+"data: half"), 16)
+	for _, want := range []string{"data: a\r\n\r\n", ": note\ndata: b\n\n", long} {
+		got, err := readEvent(in, nil)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(string(got)).To(gomega.Equal(want))
+	}
+	_, err := readEvent(in, nil)
+	g.Expect(err).To(gomega.MatchError(errUnfinished))
+	_, err = readEvent(in, nil)
+	g.Expect(err).To(gomega.MatchError(io.EOF))
+}
+
+func TestBodySaltAndPosition(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, body := range []string{`{"model":"m"}`, "{\"model\":\"m\"} \n"} {
+		out, err := appendSalt([]byte(body), `c"1`)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(out).To(gomega.MatchJSON(`{"model":"m","cache_salt":"c\"1"}`))
+	}
+	out, err := appendSalt([]byte("{}"), "c")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(out).To(gomega.MatchJSON(`{"cache_salt":"c"}`))
+	var s stream
+	s.text.WriteString("ab")
+	s.tokens = 2
+	out, err = rewriteBody([]byte(`{"cache_salt":"forged","x":1}`), "c", s.position(&api.Resume{Text: "0", Tokens: 1}))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(out).To(gomega.MatchJSON(`{"cache_salt":"c","x":1,"resume":{"text":"0ab","tokens":3}}`))
+}
+
+func TestBudgetBoundsRepeats(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := NewBudget()
+	repeats := 0
+	const calls = 1000
+	for range calls {
+		b.Deposit()
+		for b.Withdraw() {
+			repeats++
+		}
+	}
+	g.Expect(repeats).To(gomega.BeNumerically("<=", RetryBurst+RetryFraction*calls))
+}
+
+func instance(id, dc string) platform.Instance {
+	return platform.Instance{ID: id, DataCentre: dc, State: platform.Live}
+}
+
+func TestPickPrefersNearThenShortWait(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	loads := NewLoads()
+	p := NewPicker(loads)
+	rnd := rand.New(rand.NewPCG(1, 1))
+	near, far := instance("near", "a"), instance("far", "b")
+	q := &Query{
+		Now: now, Slots: 8, Usable: func(string) bool { return true },
+		Subset: membership.Subset{Local: []platform.Instance{near}, Remote: []platform.Instance{far}},
+	}
+	pick := func() string {
+		i, _ := p.Pick(q, rnd)
+		return i.ID
+	}
+	g.Expect(pick()).To(gomega.Equal("near"))
+	loads.Begin(near, true, now)
+	loads.Report("near", 10*Distance, now)
+	g.Expect(pick()).To(gomega.Equal("far"))
+	q.Now = now.Add(10 * Distance)
+	g.Expect(pick()).To(gomega.Equal("near"), "the reported wait has passed")
+	q.Suspect = true
+	g.Expect(pick()).To(gomega.Equal("far"), "another suspect runs there")
+	q.Skip = []string{"far"}
+	g.Expect(pick()).To(gomega.BeEmpty())
+}
