--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -15,7 +15,7 @@
 func newMetrics(r prometheus.Registerer) *metrics {
 	counter := func(name, help string) prometheus.Counter {
 		c := prometheus.NewCounter(prometheus.CounterOpts{
-			Namespace: "dandelionrelay", Subsystem: "dispatch", Name: name, Help: help,
+			Namespace: "relay", Subsystem: "dispatch", Name: name, Help: help,
 		})
 		if r != nil {
 			r.MustRegister(c)
