Entry: dispatcher with its probes, quarantine and members service

Cause: a suspected endpoint comes back only by a probe, so the dispatcher's Run must run; quarantine stands before the limit, as a refused request costs its customer nothing.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -26,6 +26,7 @@
 	"dandelionrelay/peer"
 	"dandelionrelay/pipeline"
 	"dandelionrelay/platform"
+	"dandelionrelay/quarantine"
 	"dandelionrelay/route"
 	"dandelionrelay/settings"
 )
@@ -50,6 +51,8 @@
 	sessions *authn.Sessions
 	limits   *limit.Service
 	jobs     *jobs.Service
+	suspects *quarantine.Node
+	dispatch *dispatch.Dispatcher
 	pool     *peer.Pool
 	peers    *peer.Server
 	ready    ops.Ready
@@ -99,6 +102,16 @@
 		Retention:   time.Duration(s.LogRetention),
 		OnBadRecord: e.badRecord,
 	})
+	e.suspects = quarantine.NewNode(quarantine.Deps{
+		ID:         s.ID,
+		DataCentre: s.DataCentre,
+		Log:        d.Log,
+		Members:    e.view,
+		Peers:      e.pool,
+		Logger:     d.Logger,
+	})
+	e.peers.Register(quarantine.ServiceName, e.suspects.Service())
+	e.peers.Register(membership.ServiceName, membership.NewService(e.view))
 	e.peers.Register("Limit", e.limits.RPC())
 	e.jobs.Register(e.peers)
 	e.compose()
@@ -121,10 +134,16 @@
 // to last.
 func (e *Entry) compose() {
 	checks := e.deps.Invariants
-	dispatcher := dispatch.New(dispatch.Deps{
-		Members:    e.view,
-		Transport:  e.transport(),
-		Invariants: checks,
+	e.dispatch = dispatch.New(dispatch.Deps{
+		Members:     e.view,
+		Suspects:    e.suspects,
+		Transport:   e.transport(),
+		Invariants:  checks,
+		Metrics:     e.deps.Registry,
+		Logger:      e.deps.Logger,
+		ID:          e.settings.ID,
+		DataCentre:  e.settings.DataCentre,
+		NoteLeaving: e.view.NoteLeaving,
 	})
 	guard := &authn.Guard{
 		Source:       &e.holder,
@@ -133,10 +152,11 @@
 		MaxStaleness: time.Duration(e.settings.MaxStaleness),
 		Staleness:    e.follower.Staleness,
 	}
-	online := pipeline.Chain(dispatcher.Handle,
+	online := pipeline.Chain(e.dispatch.Handle,
 		authn.Identify(&e.holder),
 		route.Filter(),
 		guard.Authorize(),
+		e.suspects.Filter,
 		limit.Filter(e.limits),
 	)
 	batch := pipeline.Chain(serveJobs(jobs.NewHandler(e.jobs)),
@@ -198,6 +218,8 @@
 	wg.Go(func() { e.sessions.Run(ctx) })
 	wg.Go(func() { e.limits.Run(ctx) })
 	wg.Go(func() { e.jobs.Run(ctx) })
+	wg.Go(func() { e.suspects.Run(ctx) })
+	wg.Go(func() { e.dispatch.Run(ctx) })
 	wg.Wait()
 	e.pool.Close()
 	e.peers.Close()
--- a/membership/service.go
+++ b/membership/service.go
@@ -6,6 +6,9 @@
 	"dandelionrelay/platform"
 )
 
+// ServiceName is the name of the RPC service.
+const ServiceName = "Members"
+
 // MethodAnnounce is the RPC by which an instance says that it serves or
 // leaves, ahead of the platform's list.
 const MethodAnnounce = "Members.Announce"
