--- a/cli/demo.go
+++ b/cli/demo.go
@@ -1,7 +1,9 @@
 package cli
 
+import "dandelionrelay/demo"
+
 // DemoCmd runs the whole system in one process.
 type DemoCmd struct{}
 
 // Run implements the verb.
-func (DemoCmd) Run(*Env) error { return notYet("demo") }
+func (DemoCmd) Run(env *Env) error { return demo.Run(env.Ctx, env.Stdout) }
--- a/cli/standin.go
+++ b/cli/standin.go
@@ -1,7 +1,6 @@
 package cli
 
 import (
-	"fmt"
 	"time"
 
 	"dandelionrelay/settings"
@@ -69,5 +68,3 @@
 func findingsExit(err error) error {
 	return &exitError{code: ExitFindings, err: err}
 }
-
-func notYet(what string) error { return fmt.Errorf("%s: not built yet", what) }
