sidecar: an empty answer to a pull is not asked for again at once

Cause: the pull loop paused only after errors; an owner, or a client without any owner, that answers "none" at once was asked in a busy loop. The system test never ended: fake time stood still while five sidecars span.

--- a/sidecar/batch.go
+++ b/sidecar/batch.go
@@ -62,9 +62,11 @@
 		if !ok || !b.drain.enter() {
 			return
 		}
-		err := b.pull(ctx, slots)
+		began := time.Now()
+		items, err := b.pull(ctx, slots)
 		b.drain.exit()
-		if err != nil {
+		// An owner that answers "none" at once must not be asked in a loop.
+		if err != nil || items == 0 && time.Since(began) < retryPause {
 			pause(ctx, retryPause)
 		}
 	}
@@ -95,9 +97,9 @@
 	}
 }
 
-// pull asks for items and takes them. It ends early when the endpoint is
-// leaving.
-func (b *batchRunner) pull(ctx context.Context, slots int) error {
+// pull asks for items, takes them and returns how many there were. It ends
+// early when the endpoint is leaving.
+func (b *batchRunner) pull(ctx context.Context, slots int) (int, error) {
 	pullCtx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	go func() {
@@ -114,12 +116,12 @@
 		Wait:       pullWait,
 	})
 	if err != nil {
-		return err
+		return 0, err
 	}
 	for _, w := range reply.Work {
 		b.take(ctx, w)
 	}
-	return nil
+	return len(reply.Work), nil
 }
 
 // take queues a pulled item, or returns it if the endpoint is leaving or lost.
--- a/test/processes/harness_test.go
+++ b/test/processes/harness_test.go
@@ -110,7 +110,7 @@
 		s.start(fmt.Sprintf("entry-%d", n), "entry", "--settings", fmt.Sprintf("entry-%d.json", n))
 	}
 	s.answers(s.url(7203, "/healthz"))
-	s.verb("apply", "--admin", s.url(7203, ""), "--yes", "config")
+	s.verb("apply", "config", "--server", s.url(7203, ""))
 	for _, port := range []int{7203, 7213, 7113, 7123, 7133} {
 		s.answers(s.url(port, "/readyz"))
 	}
@@ -120,7 +120,7 @@
 func (s *system) verb(args ...string) string {
 	cmd := exec.Command(s.binary, args...)
 	cmd.Dir = s.dir
-	cmd.Env = append(os.Environ(), "RELAY_TOKEN=local-operator")
+	cmd.Env = append(os.Environ(), "DANDELIONRELAY_TOKEN=local-operator")
 	out, err := cmd.CombinedOutput()
 	s.Expect(err).NotTo(HaveOccurred(), "%v: %s", args, out)
 	return string(out)
