--- /dev/null
+++ b/test/processes/faults_test.go
@@ -0,0 +1,91 @@
+package processes
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"dandelionrelay/platform"
+	standin "dandelionrelay/standin/platform"
+)
+
+func TestLeavingProcessesCutNoRequest(t *testing.T) {
+	s := newSystem(t)
+	s.startAll()
+	long := strings.Replace(streamed, `"max_tokens":12`, `"max_tokens":300`, 1)
+	const streams = 12
+	results := make(chan string, streams)
+	var wg sync.WaitGroup
+	for n := range streams {
+		wg.Go(func() {
+			status, text := s.send("POST", []int{7201, 7211}[n%2], "/v1/chat/completions", gardenKey, long)
+			if status != http.StatusOK {
+				text = "refused: " + text
+			}
+			results <- text
+		})
+	}
+	time.Sleep(time.Second) // the streams are under way
+	s.list(func(all []platform.Instance) []platform.Instance {
+		for n := range all {
+			if all[n].ID == "entry-1" || all[n].ID == "sidecar-1" {
+				all[n].State = platform.Leaving
+			}
+		}
+		return all
+	})
+	s.Expect(s.leave("entry-1")).To(BeTrue())
+	s.Expect(s.leave("sidecar-1")).To(BeTrue())
+	wg.Wait()
+	close(results)
+	for text := range results {
+		s.Expect(text).To(HaveSuffix("data: [DONE]\n\n"))
+	}
+	status, text := s.send("POST", 7211, "/v1/chat/completions", gardenKey, chat)
+	s.Expect(status).To(Equal(http.StatusOK), text)
+}
+
+// TestAPausedEntryAddsNothingToTheRate pauses an entry that counts limits,
+// has the platform drop it from its list, so that another takes over, and
+// continues it while the log is down.
+func TestAPausedEntryAddsNothingToTheRate(t *testing.T) {
+	const rate, burst = 20, 40 // of the local example's customers
+	s := newSystem(t)
+	s.startAll()
+	start := time.Now()
+	admitted := 0
+	ask := func(port int, times int) {
+		for range times {
+			status, _ := s.send("POST", port, "/v1/chat/completions", "station-demo-key", chat)
+			if status == http.StatusOK {
+				admitted++
+			}
+		}
+	}
+	ask(7201, 30)
+	resume := s.pause("entry-1")
+	s.list(func(all []platform.Instance) []platform.Instance {
+		var rest []platform.Instance
+		for _, i := range all {
+			if i.ID != "entry-1" {
+				rest = append(rest, i)
+			}
+		}
+		return rest
+	})
+	for time.Since(start) < 8*time.Second {
+		ask(7211, 10)
+	}
+	s.faults(standin.FaultSettings{Down: true})
+	resume()
+	for range 20 {
+		ask(7201, 5)
+		ask(7211, 5)
+	}
+	elapsed := time.Since(start).Seconds()
+	s.Expect(float64(admitted)).To(BeNumerically("<=", rate*elapsed+burst))
+}
