Sidecar: randomised runs under faults; an item that ran is never not_run

One run mixes online requests, batch items and one or two of: entry cuts, crashes, requests that crash the engine, pauses, slowness, owners down, cancels, slot changes, refused connections, and ends with a drain under load.

--- a/sidecar/item.go
+++ b/sidecar/item.go
@@ -10,6 +10,7 @@
 
 	"dandelionrelay/api"
 	"dandelionrelay/config"
+	"dandelionrelay/invariant"
 	"dandelionrelay/lane"
 )
 
@@ -178,7 +179,6 @@
 	defer cancel()
 	resp, e := r.runner.call(ctx, r.request())
 	if e != nil {
-		r.runner.checkNotRun(e, r.id)
 		return r.lost(parent, ctx, e.Outcome)
 	}
 	defer resp.Body.Close()
@@ -227,23 +227,26 @@
 	yielded := r.yield
 	r.mu.Unlock()
 	switch {
-	case outcome == api.NotRun && !r.Idempotent:
-		return r.result(api.ResultNotRun), true
 	case !r.Idempotent:
-		return r.result(api.ResultUnknown), true
+		// It isn't cut for others, and goes no further.
 	case r.over(parent):
 		return r.result(api.ResultReturned), true
 	case yielded && ctx.Err() != nil:
 		return api.Result{}, false
-	case outcome == api.NotRun:
-		r.runner.endpointLost()
-		return r.result(api.ResultNotRun), true
 	}
 	r.runner.endpointLost()
-	return r.result(api.ResultUnknown), true
+	switch {
+	case outcome != api.NotRun:
+		return r.result(api.ResultUnknown), true
+	case r.runner.attempts.runs(r.id) > 0: // an earlier run of an idempotent item was cut
+		return r.result(api.ResultReturned), true
+	}
+	return r.result(api.ResultNotRun), true
 }
 
 func (r *itemRun) result(state api.ResultState) api.Result {
+	runs := r.runner.attempts.runs(r.id)
+	r.runner.deps.Invariants.Check(state != api.ResultNotRun || runs == 0, invariant.NotRunIsTrue, "item %s was sent", r.id)
 	return api.Result{WorkRef: r.WorkRef, State: state, Resume: r.Resume}
 }
 
--- /dev/null
+++ b/sidecar/random_test.go
@@ -0,0 +1,247 @@
+package sidecar_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dandelionrelay/api"
+	"dandelionrelay/standin/engine"
+)
+
+var seeds = flag.Int("seeds", 10, "number of seeds of randomised runs")
+
+// Faults of randomised runs.
+var faults = []string{
+	"none", "entry_cut", "crash", "poison", "pause", "slow", "owner_down", "cancel", "slots", "refused",
+}
+
+// chaos is one randomised run: online requests and batch items under faults,
+// then a drain while work is under way.
+type chaos struct {
+	*rig
+	engine *engine.Engine
+	src    *source
+	active map[string]bool // faults of this run
+
+	mu    sync.Mutex
+	rnd   *rand.Rand
+	after time.Time // when leaving began; zero before
+	group sync.WaitGroup
+}
+
+func (c *chaos) intN(n int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rnd.IntN(n)
+}
+
+func (c *chaos) leftAt() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.after
+}
+
+func (c *chaos) prompt(i int) string {
+	p := fmt.Sprintf("question %d %s", i, strings.Repeat("seed ", c.intN(100)))
+	if c.active["poison"] && c.intN(40) == 0 {
+		p += "poison"
+	}
+	return p
+}
+
+// losesEndpoint reports whether a fault of the run cuts the endpoint off.
+func (c *chaos) losesEndpoint() bool {
+	return c.active["crash"] || c.active["poison"] || c.active["refused"]
+}
+
+// online sends one request and checks what its answer says.
+func (c *chaos) online(i int) {
+	id := fmt.Sprint("r", i)
+	tokens := 1 + c.intN(60)
+	body := chat(c.prompt(i), tokens)
+	body.Stream = c.intN(2) == 0
+	ctx, cancel := context.WithTimeout(c.t.Context(), time.Minute)
+	defer cancel()
+	faulty := c.losesEndpoint()
+	if c.active["entry_cut"] && c.intN(4) == 0 {
+		faulty = true
+		time.AfterFunc(time.Duration(c.intN(500))*time.Millisecond, cancel)
+	}
+	deadline := 500 + c.intN(10_000)
+	sent := time.Now()
+	got := c.result(ctx, call{
+		id: id, customer: fmt.Sprint("c", c.intN(4)), body: body,
+		header: map[string]string{api.HeaderDeadline: fmt.Sprint(deadline)},
+	})
+	runs := c.engine.Runs(id)
+	if runs > 1 {
+		c.t.Errorf("%s ran %d times", id, runs)
+	}
+	if time.Since(sent) > time.Duration(deadline+100)*time.Millisecond {
+		c.t.Errorf("%s was answered %s after it was sent, deadline %d ms", id, time.Since(sent), deadline)
+	}
+	if got.failure != nil {
+		if got.failure.Outcome == api.NotRun && runs > 0 {
+			c.t.Errorf("%s ran, but its answer says not_run", id)
+		}
+		if got.failure.Status == http.StatusServiceUnavailable && got.failure.Outcome != api.NotRun {
+			c.t.Errorf("%s was refused as %s", id, got.failure.Outcome)
+		}
+		return
+	}
+	if got.cut {
+		late := time.Since(sent) >= time.Duration(deadline)*time.Millisecond
+		if !faulty && !late {
+			c.t.Errorf("%s was cut without a fault", id)
+		}
+		return
+	}
+	if want := engine.Answer(&body, tokens); got.status == http.StatusOK && text(got.body) != want {
+		c.t.Errorf("%s got %q, want %q", id, text(got.body), want)
+	}
+	if left := c.leftAt(); !left.IsZero() && sent.After(left) {
+		c.t.Errorf("%s was sent after the endpoint left, and ran", id)
+	}
+}
+
+func (c *chaos) addItem(i int) {
+	w := work(i, chat(c.prompt(1_000_000+i), 1+c.intN(300)))
+	w.Idempotent = c.intN(5) > 0
+	c.src.add(w)
+}
+
+// fault lets one fault of the run happen and pass.
+func (c *chaos) fault() {
+	pass := time.Duration(c.intN(2000)) * time.Millisecond
+	for _, name := range faults {
+		if !c.active[name] || c.intN(2) == 0 {
+			continue
+		}
+		switch name {
+		case "crash":
+			c.engine.Crash()
+		case "pause":
+			c.engine.Pause(true)
+			defer c.engine.Pause(false)
+		case "slow":
+			c.engine.SetSlow(10)
+			defer c.engine.SetSlow(1)
+		case "owner_down":
+			c.src.setDown(true)
+			defer c.src.setDown(false)
+		case "cancel":
+			c.src.cancel(c.intN(20))
+		case "slots":
+			c.setSlots(1 + c.intN(8))
+		case "refused":
+			c.net.Refuse(endpointAddr, true)
+			c.net.Cut(endpointAddr)
+			defer c.net.Refuse(endpointAddr, false)
+		}
+	}
+	time.Sleep(pass)
+}
+
+func (c *chaos) checkItems() {
+	for i := range 60 {
+		final, ends := c.src.final(i)
+		done := 0
+		for _, e := range ends {
+			if e == api.ResultDone {
+				done++
+			}
+		}
+		if done > 1 {
+			c.t.Errorf("item %d completed %d times", i, done)
+		}
+		w, known := c.src.item(i)
+		if !known {
+			continue
+		}
+		if !w.Idempotent && c.src.starts(i, c.engine) > 1 {
+			c.t.Errorf("non-idempotent item %d started more than once", i)
+		}
+		if final.State == api.ResultUnknown && !c.losesEndpoint() && !c.active["cancel"] {
+			c.t.Errorf("item %d is unknown without a fault", i)
+		}
+		if final.State == api.ResultDone && final.Status == http.StatusOK {
+			req := request(w)
+			if got, want := batchText(c.t, final), engine.Answer(&req, req.MaxTokens); got != want {
+				c.t.Errorf("item %d got %q, want %q", i, got, want)
+			}
+		}
+	}
+}
+
+func (c *chaos) run() {
+	c.runBatch()
+	for i := range 60 {
+		c.addItem(i)
+	}
+	for i := range 150 {
+		c.group.Go(func() { c.online(i) })
+		if c.intN(3) > 0 { // bursts
+			time.Sleep(time.Duration(c.intN(120)) * time.Millisecond)
+		}
+		if i%20 == 10 {
+			c.fault()
+		}
+	}
+	c.mu.Lock()
+	c.after = time.Now()
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(c.t.Context(), 5*time.Minute)
+	defer cancel()
+	c.group.Go(func() {
+		time.Sleep(time.Millisecond)
+		for i := range 20 {
+			c.online(1000 + i)
+		}
+	})
+	if err := c.sidecar.Drain(ctx); err != nil {
+		c.t.Errorf("drain: %v", err)
+	}
+	synctest.Wait()
+	c.sidecar.Close() // asserts that nothing is under way
+	if n := c.engine.Running(); n > 0 {
+		c.t.Errorf("%d still run after the drain", n)
+	}
+	if n := c.src.handedOut(); n > 0 {
+		c.t.Errorf("%d items were neither reported nor returned", n)
+	}
+	c.group.Wait()
+	c.checkItems()
+}
+
+func TestRandomisedFaults(t *testing.T) {
+	for seed := range *seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := rand.New(rand.NewPCG(uint64(seed), 2))
+				c := &chaos{rnd: r, src: newSource(), active: map[string]bool{
+					faults[seed%len(faults)]:    true,
+					faults[r.IntN(len(faults))]: true,
+				}}
+				c.engine = newEngine(t, engine.Options{CrashMarker: "poison", OnCrash: func() {
+					c.group.Go(func() {
+						time.Sleep(300 * time.Millisecond)
+						c.engine.Restart()
+					})
+				}})
+				c.rig = newRig(t, c.engine, modelDeployment(1+r.IntN(6)), withBatch(c.src))
+				c.run()
+				if t.Failed() {
+					t.Logf("faults: %v", c.active)
+				}
+			})
+		})
+	}
+}
--- a/sidecar/rig_test.go
+++ b/sidecar/rig_test.go
@@ -38,9 +38,7 @@
 func newRig(t *testing.T, endpoint http.Handler, d config.Deployment, options ...func(*sidecar.Settings, *sidecar.Deps)) *rig {
 	r := &rig{t: t, net: network.New(), config: &config.Holder{}}
 	r.checks = invariant.New(func(v invariant.Violation) { t.Error(v) })
-	r.config.Set(config.NewSnapshot(1, &config.State{
-		Deployments: map[string]config.Deployment{deployment: d},
-	}))
+	r.deploy(d)
 	r.serve(endpointAddr, endpoint)
 	settings := sidecar.Settings{ID: "s1", Deployment: deployment, Endpoint: "http://" + endpointAddr}
 	deps := sidecar.Deps{Config: r.config, Invariants: r.checks, Dial: r.net.DialContext}
@@ -61,6 +59,20 @@
 	return r
 }
 
+// deploy puts a configuration of the deployment in force.
+func (r *rig) deploy(d config.Deployment) {
+	version := r.config.Current().Version + 1
+	r.config.Set(config.NewSnapshot(version, &config.State{
+		Deployments: map[string]config.Deployment{deployment: d},
+	}))
+}
+
+func (r *rig) setSlots(n int) {
+	d := r.config.Current().State.Deployments[deployment]
+	d.Slots = n
+	r.deploy(d)
+}
+
 func (r *rig) serve(addr string, h http.Handler) {
 	server := &http.Server{Handler: h}
 	l := r.net.Listen(addr)
--- a/sidecar/source_test.go
+++ b/sidecar/source_test.go
@@ -17,6 +17,7 @@
 	"dandelionrelay/api"
 	"dandelionrelay/config"
 	"dandelionrelay/sidecar"
+	"dandelionrelay/standin/engine"
 )
 
 // source is a job owner in memory: it hands out items, again and again until
@@ -26,20 +27,27 @@
 	ready    []api.Work
 	out      map[api.WorkRef]api.Work // handed out
 	stop     map[api.WorkRef]bool
+	all      map[int]api.Work   // by item
 	finals   map[int]api.Result // by item
 	ends     map[int][]api.ResultState
+	deaths   map[int]int
 	down     bool
 	pulls    int
 	attempts int
 	grown    chan struct{}
 }
 
+// maxDeaths is how often an item may be lost with its endpoint.
+const maxDeaths = 3
+
 func newSource() *source {
 	return &source{
 		out:    make(map[api.WorkRef]api.Work),
 		stop:   make(map[api.WorkRef]bool),
+		all:    make(map[int]api.Work),
 		finals: make(map[int]api.Result),
 		ends:   make(map[int][]api.ResultState),
+		deaths: make(map[int]int),
 		grown:  make(chan struct{}, 1),
 	}
 }
@@ -97,6 +105,7 @@
 		s.attempts++
 		work[i].Attempt = fmt.Sprint(s.attempts)
 		s.out[work[i].WorkRef] = work[i]
+		s.all[work[i].Item] = work[i]
 	}
 	return work, nil
 }
@@ -127,7 +136,11 @@
 	}
 	delete(s.out, r.WorkRef)
 	s.ends[r.Item] = append(s.ends[r.Item], r.State)
-	if r.State == api.ResultDone || r.State == api.ResultUnknown && !w.Idempotent || s.stop[r.WorkRef] {
+	if r.State == api.ResultUnknown {
+		s.deaths[r.Item]++
+	}
+	final := r.State == api.ResultDone || r.State == api.ResultUnknown && !w.Idempotent
+	if final || s.stop[r.WorkRef] || s.deaths[r.Item] >= maxDeaths {
 		s.finals[r.Item] = r
 		return
 	}
@@ -235,3 +248,29 @@
 		g.Expect(source.pulls.Load()).To(gomega.BeNumerically("<=", 40), "pulls in 10 s")
 	})
 }
+
+// request returns the chat request of an item.
+func request(w api.Work) api.ChatRequest {
+	var r api.ChatRequest
+	_ = json.Unmarshal(w.Body, &r)
+	return r
+}
+
+// item returns an item as it was handed out.
+func (s *source) item(i int) (api.Work, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w, ok := s.all[i]
+	return w, ok
+}
+
+// starts returns how often the engine got an item, by any attempt.
+func (s *source) starts(item int, e *engine.Engine) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for a := 1; a <= s.attempts; a++ {
+		n += e.Runs(fmt.Sprintf("batch/j/%d/%d", item, a))
+	}
+	return n
+}
