Orders to engines: fenced by log offsets, spaced over the fleet, read back

Each order is announced by a log record: the offset is its fencing number, and the announcements before it give its time, the same for every reader, so that no minute has more loads than the weight store admits, with no coordination. Ruled out: slots by rank of the instance (ranks shift while the list lags, two engines get one slot); naming the slot in the record (every concurrent append but one has to be repeated).

Engines that ignore numbers: the sidecar reads the state back before each order and every 30 s. Two that overlap: the one that meets a later order than its own yields for a minute. A sidecar paused between its read and its order costs one wrong load, which the other one mends (v3, v2, v3 in the test); engines that obey see none. Stopping for good was ruled out: the later number may be that of the one which leaves.

Failing first: without spacing TestLoadsStayUnderTheRate fails, without the yield or the second look TestPausedOldSidecarOverlapsWithNew, without the read back TestNewSidecarReadsBackFirst. Versions aren't in the configuration yet: the target is the deployment's model.

--- /dev/null
+++ b/order/client.go
@@ -0,0 +1,61 @@
+package order
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+)
+
+var noState = Errors.NewType("no_state")
+
+// maxStateBytes bounds an engine's answer.
+const maxStateBytes = 64 << 10
+
+// Client is an Engine over HTTP: GET /state and POST /orders.
+type Client struct {
+	Base string // URL of the engine, with an IP address
+	HTTP http.RoundTripper
+}
+
+// State implements Engine.
+func (c *Client) State(ctx context.Context) (State, error) {
+	var s State
+	resp, err := c.call(ctx, http.MethodGet, "/state", nil)
+	if err != nil {
+		return s, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return s, noState.New("engine answered %d", resp.StatusCode)
+	}
+	return s, json.NewDecoder(io.LimitReader(resp.Body, maxStateBytes)).Decode(&s)
+}
+
+// Order implements Engine.
+func (c *Client) Order(ctx context.Context, o Order) error {
+	b, err := json.Marshal(o)
+	if err != nil {
+		return err
+	}
+	resp, err := c.call(ctx, http.MethodPost, "/orders", b)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusConflict {
+		return Refused.New("order %d", o.Fence)
+	}
+	return nil
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.Base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.GetBody = nil // the transport sends it once
+	req.Header.Set("Content-Type", "application/json")
+	return c.HTTP.RoundTrip(req)
+}
--- /dev/null
+++ b/order/order_test.go
@@ -0,0 +1,223 @@
+package order_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"dandelionrelay/order"
+	"dandelionrelay/platform"
+	"dandelionrelay/standin/engine"
+	"dandelionrelay/standin/network"
+	standin "dandelionrelay/standin/platform"
+)
+
+// weights is a weight store that admits a fixed number of loads a minute.
+type weights int
+
+func (w weights) LoadsPerMinute(context.Context) (int, error) { return int(w), nil }
+
+// fixture is a log and engines on a network in memory.
+type fixture struct {
+	t   *testing.T
+	net *network.Network
+	log *standin.Log
+	out http.RoundTripper
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{t: t, net: network.New(), log: standin.NewLog(0, 1)}
+	transport := &http.Transport{DialContext: f.net.DialContext}
+	f.out = transport
+	t.Cleanup(transport.CloseIdleConnections)
+	return f
+}
+
+// engine starts an engine at addr that serves version v1 of model m.
+func (f *fixture) engine(addr string, obeys bool) *engine.Engine {
+	e := engine.New(engine.Options{Model: "m", ObeysFencing: obeys, LoadTime: 5 * time.Second})
+	server := &http.Server{Handler: e}
+	l := f.net.Listen(addr)
+	go func() { _ = server.Serve(l) }()
+	f.t.Cleanup(func() {
+		e.Close()
+		_ = server.Close()
+	})
+	synctest.Wait()
+	return e
+}
+
+// sidecar gives orders to the engine at addr until the test ends.
+func (f *fixture) sidecar(id, addr string, perMinute int, target func() order.Target, wrap func(order.Engine) order.Engine) {
+	var client order.Engine = &order.Client{Base: "http://" + addr, HTTP: f.out}
+	if wrap != nil {
+		client = wrap(client)
+	}
+	r := &order.Runner{
+		Endpoint: id, Engine: client, Log: f.log, Weights: weights(perMinute),
+		Target: target, Leaving: make(chan struct{}),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.Run(ctx)
+	}()
+	f.t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+func version(v string) func() order.Target {
+	return func() order.Target { return order.Target{Model: "m", Version: v} }
+}
+
+func versions(e *engine.Engine) []string {
+	var out []string
+	for _, o := range e.Orders() {
+		out = append(out, o.Version)
+	}
+	return out
+}
+
+func TestNewSidecarReadsBackFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		f := newFixture(t)
+		e := f.engine("10.0.0.1:80", true)
+		f.sidecar("s1", "10.0.0.1:80", 60, version("v2"), nil)
+		time.Sleep(20 * time.Second)
+		g.Expect(versions(e)).To(gomega.Equal([]string{"v2"}))
+		f.sidecar("s2", "10.0.0.1:80", 60, version("v2"), nil)
+		time.Sleep(10 * time.Minute)
+		g.Expect(versions(e)).To(gomega.Equal([]string{"v2"}), "what is served isn't loaded again")
+	})
+}
+
+// heldEngine delays the first order until release: its sidecar was paused
+// between reading the engine's state and sending.
+type heldEngine struct {
+	order.Engine
+	once    sync.Once
+	release chan struct{}
+	sent    chan struct{}
+}
+
+func (h *heldEngine) Order(ctx context.Context, o order.Order) error {
+	h.once.Do(func() {
+		<-h.release
+		ctx = context.WithoutCancel(ctx)
+		defer close(h.sent)
+	})
+	return h.Engine.Order(ctx, o)
+}
+
+func TestPausedOldSidecarOverlapsWithNew(t *testing.T) {
+	for _, obeys := range []bool{true, false} {
+		t.Run(fmt.Sprint("obeys=", obeys), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				f := newFixture(t)
+				e := f.engine("10.0.0.1:80", obeys)
+				held := &heldEngine{release: make(chan struct{}), sent: make(chan struct{})}
+				f.sidecar("old", "10.0.0.1:80", 60, version("v2"), func(c order.Engine) order.Engine {
+					held.Engine = c
+					return held
+				})
+				time.Sleep(10 * time.Second)
+				f.sidecar("new", "10.0.0.1:80", 60, version("v3"), nil)
+				time.Sleep(20 * time.Second)
+				g.Expect(e.State().Version).To(gomega.Equal("v3"))
+
+				close(held.release)
+				<-held.sent
+				time.Sleep(50 * time.Second) // old yields for a minute
+				g.Expect(e.State().Version).To(gomega.Equal("v3"))
+				if obeys {
+					g.Expect(versions(e)).To(gomega.Equal([]string{"v3"}))
+					return
+				}
+				g.Expect(versions(e)).To(gomega.Equal([]string{"v3", "v2", "v3"}), "one wrong load, then mended")
+			})
+		})
+	}
+}
+
+func TestLoadsStayUnderTheRateOfTheWeightStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		f := newFixture(t)
+		const engines, perMinute = 40, 10
+		var mu sync.Mutex
+		var starts []time.Time
+		count := func(c order.Engine) order.Engine {
+			return countingEngine{Engine: c, started: func() {
+				mu.Lock()
+				defer mu.Unlock()
+				starts = append(starts, time.Now())
+			}}
+		}
+		f.log.SetFaults(standin.Faults{LoseAnswer: 0.1, Refuse: 0.1})
+		var all []*engine.Engine
+		for i := range engines {
+			addr := fmt.Sprintf("10.0.1.%d:80", i)
+			all = append(all, f.engine(addr, i%2 == 0))
+			f.sidecar(fmt.Sprint("s", i), addr, perMinute, version("v2"), count)
+		}
+		time.Sleep(15 * time.Minute)
+		for _, e := range all {
+			g.Expect(e.State().Version).To(gomega.Equal("v2"))
+			g.Expect(e.Orders()).To(gomega.HaveLen(1))
+		}
+		slices.SortFunc(starts, time.Time.Compare)
+		for i := perMinute; i < len(starts); i++ {
+			g.Expect(starts[i].Sub(starts[i-perMinute])).To(gomega.BeNumerically(">", time.Minute))
+		}
+	})
+}
+
+type countingEngine struct {
+	order.Engine
+	started func()
+}
+
+func (c countingEngine) Order(ctx context.Context, o order.Order) error {
+	c.started()
+	return c.Engine.Order(ctx, o)
+}
+
+func TestNoOrderWithoutTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		f := newFixture(t)
+		f.log.SetFaults(standin.Faults{Down: true})
+		e := f.engine("10.0.0.1:80", false)
+		f.sidecar("s1", "10.0.0.1:80", 60, version("v2"), nil)
+		time.Sleep(10 * time.Minute)
+		g.Expect(versions(e)).To(gomega.BeEmpty())
+		f.log.SetFaults(standin.Faults{})
+		time.Sleep(20 * time.Second)
+		g.Expect(versions(e)).To(gomega.Equal([]string{"v2"}))
+	})
+}
+
+func TestWaitIsTheSameForEveryReader(t *testing.T) {
+	g := gomega.NewWithT(t)
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	at := func(seconds int) platform.Record {
+		return platform.Record{Time: start.Add(time.Duration(seconds) * time.Second)}
+	}
+	records := []platform.Record{at(0), at(1), at(2), at(60)}
+	wants := []time.Duration{0, 9 * time.Second, 18 * time.Second, 0}
+	for i, want := range wants {
+		g.Expect(order.Wait(records[:i+1], 10*time.Second)).To(gomega.Equal(want))
+	}
+}
--- a/sidecar/batch.go
+++ b/sidecar/batch.go
@@ -39,8 +39,8 @@
 	return &batchRunner{Sidecar: s, out: newOutbox(), items: make(map[api.WorkRef]*itemRun)}
 }
 
-// Run pulls and reports batch work, and follows the instance list, until ctx
-// ends. Items under way are cut then; call Drain before for a graceful end.
+// Run pulls and reports batch work, gives orders to the engine and follows the
+// instance list, until ctx ends. Items under way are cut then; call Drain before for a graceful end.
 func (s *Sidecar) Run(ctx context.Context) {
 	var group sync.WaitGroup
 	if s.deps.Members != nil {
@@ -51,6 +51,9 @@
 		group.Go(func() { s.batch.reportLoop(ctx) })
 		group.Go(func() { s.batch.heartbeatLoop(ctx) })
 	}
+	if s.deps.Log != nil && s.deps.Weights != nil {
+		group.Go(func() { s.runOrders(ctx) })
+	}
 	group.Wait()
 	s.batch.group.Wait()
 }
--- a/sidecar/process.go
+++ b/sidecar/process.go
@@ -26,8 +26,9 @@
 type ProcessDeps struct {
 	Log        platform.Log
 	Instances  platform.Instances
-	Dial       peer.Dialer // to peers; nil means TCP
-	Endpoint   peer.Dialer // to the endpoint; nil means TCP
+	Weights    platform.Weights // nil: engines get no orders
+	Dial       peer.Dialer      // to peers; nil means TCP
+	Endpoint   peer.Dialer      // to the endpoint; nil means TCP
 	Logger     zerolog.Logger
 	Registry   *prometheus.Registry
 	Invariants *invariant.Set
@@ -85,6 +86,8 @@
 			Logger:     d.Logger,
 			Batch:      jobs.NewClient(p.view, p.pool, rand.IntN(maxTurn)),
 			Members:    p.view,
+			Log:        d.Log,
+			Weights:    d.Weights,
 			Dial: func(ctx context.Context, _, addr string) (net.Conn, error) {
 				return d.Endpoint(ctx, addr)
 			},
@@ -104,6 +107,7 @@
 	p, err := NewProcess(s, ProcessDeps{
 		Log:        remote,
 		Instances:  remote,
+		Weights:    remote,
 		Logger:     logger,
 		Dial:       security.Dialer(peer.DialTCP),
 		Registry:   reg,
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -16,6 +16,7 @@
 	"dandelionrelay/invariant"
 	"dandelionrelay/lane"
 	"dandelionrelay/membership"
+	"dandelionrelay/platform"
 )
 
 // Defaults of Settings.
@@ -42,6 +43,10 @@
 	Logger     zerolog.Logger
 	Batch      BatchSource        // nil: no batch work
 	Members    membership.Members // says whether this instance is leaving; may be nil
+	// Log and Weights serve to give orders to a model engine; without both of
+	// them none are given.
+	Log     platform.Log
+	Weights platform.Weights
 	// Dial opens connections to the endpoint; nil means TCP.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 }
