--- a/jobs/owner.go
+++ b/jobs/owner.go
@@ -118,7 +118,7 @@
 	b := o.backlog(j, deployment)
 	b.retry = slices.DeleteFunc(b.retry, func(r retry) bool { return !o.waiting(j, r.item) })
 	for _, r := range b.retry {
-		if r.at.After(now) || suspects && j.items[r.item].deaths > 0 {
+		if r.at.After(now) || suspects && j.items[r.item].deaths > 0 || o.orphaned(now, j, r.item) {
 			continue
 		}
 		return r.item, true
@@ -131,7 +131,7 @@
 			continue
 		}
 		if suspects && j.items[b.cursor].deaths > 0 {
-			b.retry = append(b.retry, retry{b.cursor, now})
+			o.postpone(j, b.cursor, now)
 			continue
 		}
 		return b.cursor, true
@@ -196,11 +196,7 @@
 		return taken{}, false
 	}
 	tgt, _ := j.target(i)
-	open, gen := j.currentBegin(i)
-	if open != nil { // its release is not replayed yet
-		o.postpone(j, i, now.Add(RetryDelay))
-		return taken{}, false
-	}
+	_, gen := j.currentBegin(i)
 	o.attempts++
 	ref := api.WorkRef{Job: j.ID, Item: i, Attempt: fmt.Sprintf("%s-%d", o.nonce, o.attempts)}
 	o.start(now, j, ref, endpoint)
--- a/jobs/report.go
+++ b/jobs/report.go
@@ -210,6 +210,10 @@
 		delete(o.orphans, key)
 		return nil
 	}
+	if b, _ := j.currentBegin(key.item); b == nil {
+		delete(o.orphans, key) // released meanwhile
+		return nil
+	}
 	if now.Sub(since) <= LostAfter {
 		return nil
 	}
