--- a/jobs/fleet_test.go
+++ b/jobs/fleet_test.go
@@ -77,8 +77,9 @@
 type runs struct {
 	mu       sync.Mutex
 	n        int
-	last     time.Time
-	accepted bool // an owner has accepted a result
+	last     time.Time // when it last started
+	until    time.Time // when it last ran
+	accepted time.Time // when an owner accepted a result
 }
 
 func newFleet(t *testing.T, retention time.Duration, seed uint64) *fleet {
@@ -294,11 +295,13 @@
 		defer t.Stop()
 		select {
 		case <-ctx.Done():
+			count.ended()
 			s.mu.Lock()
 			delete(s.running, w.WorkRef)
 			s.mu.Unlock()
 			return
 		case <-t.C:
+			count.ended()
 		}
 		r := api.Result{State: api.ResultDone, Status: 200, Body: fmt.Appendf(nil, `{"by":%q}`, w.Attempt)}
 		if s.run != nil {
@@ -355,7 +358,13 @@
 	r := v.(*runs)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.accepted = true
+	r.accepted = time.Now()
+}
+
+func (r *runs) ended() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.until = time.Now()
 }
 
 // lines returns a batch file of n items.
--- a/jobs/handout.go
+++ b/jobs/handout.go
@@ -92,6 +92,7 @@
 	if !p.owned || !p.ready || now.Before(p.handOut) || p.writer.full() {
 		return nil
 	}
+	p.owner.noBegins = p.blind(now) || p.writer.stuck(now)
 	out := p.owner.candidates(now, deployment, endpoint)
 	for i := range out {
 		out[i].partition = p
--- a/jobs/owner.go
+++ b/jobs/owner.go
@@ -51,6 +51,7 @@
 	endpoints map[string]time.Time // last heard of
 	open      []*job               // by due time; refreshed when commits changes
 	commits   int
+	noBegins  bool // the log is down: non-idempotent items can't start
 }
 
 func newOwner(inv *invariant.Set, table *Table, nonce string) *owner {
@@ -116,6 +117,9 @@
 // next returns the item of j to hand out next, without taking it.
 func (o *owner) next(now time.Time, j *job, deployment string, suspects bool) (int, bool) {
 	b := o.backlog(j, deployment)
+	if o.noBegins && !j.idempotent() {
+		return 0, false
+	}
 	b.retry = slices.DeleteFunc(b.retry, func(r retry) bool { return !o.waiting(j, r.item) })
 	for _, r := range b.retry {
 		if r.at.After(now) || suspects && j.items[r.item].deaths > 0 || o.orphaned(now, j, r.item) {
--- a/jobs/random_test.go
+++ b/jobs/random_test.go
@@ -13,6 +13,8 @@
 	"testing/synctest"
 	"time"
 
+	"dandelionrelay/membership"
+	"dandelionrelay/platform"
 	standin "dandelionrelay/standin/platform"
 )
 
@@ -66,7 +68,8 @@
 	items     int
 	once      bool // its items are not idempotent
 	cancelled time.Time
-	results   string // as first read after its end
+	status    string // as first read after its end
+	results   string
 }
 
 func newScenario(t *testing.T, seed uint64, with ...fault) *scenario {
@@ -92,6 +95,11 @@
 	if s.faults[answersLost] {
 		s.log.SetFaults(standin.Faults{LoseAnswer: 0.3, Refuse: 0.2})
 	}
+	if s.faults[cancelRaces] {
+		s.mu.Lock()
+		s.slow = 30 * time.Second
+		s.mu.Unlock()
+	}
 	if s.faults[shortRetention] {
 		s.mu.Lock()
 		s.slow = 30 * time.Second
@@ -191,8 +199,20 @@
 // replaceEntry starts an entry and kills another one.
 func (s *scenario) replaceEntry() {
 	victims := s.Entries()
+	victim := victims[s.rnd.IntN(len(victims))]
+	if s.rnd.IntN(2) == 0 {
+		victim = s.ownerOf(s.jobs[s.rnd.IntN(len(s.jobs))])
+	}
 	s.newEntry()
-	s.kill(victims[s.rnd.IntN(len(victims))].ID, time.Duration(s.rnd.IntN(5))*time.Second)
+	s.kill(victim.ID, time.Duration(s.rnd.IntN(5))*time.Second)
+}
+
+func (s *scenario) ownerOf(j *submitted) platform.Instance {
+	var partition int
+	if _, err := fmt.Sscanf(j.id, "batch-%02x-", &partition); err != nil {
+		s.t.Fatal(err)
+	}
+	return membership.Rank(fmt.Sprintf("jobs/%02d", partition), s.Entries())[0]
 }
 
 // insist repeats a request through any entry until it is answered with 200.
@@ -240,6 +260,7 @@
 // finish waits for the end of a job and checks its results.
 func (s *scenario) finish(j *submitted) {
 	d := s.await(j.id, time.Hour)
+	j.status = s.insist("GET", "/v1/batches/"+j.id, "", "", "")
 	j.results = s.insist("GET", "/v1/batches/"+j.id+"/results", "", "", "")
 	seen := make(map[string]bool)
 	for line := range strings.Lines(j.results) {
@@ -270,7 +291,7 @@
 		return
 	}
 	v, ran := s.runs.Load(r.CustomID)
-	if j.once && ran && v.(*runs).accepted {
+	if j.once && ran && !v.(*runs).accepted.IsZero() {
 		s.t.Errorf("job %s: the accepted result of %s is lost: %s", j.id, r.CustomID, r.Error.Code)
 	}
 	lost := s.faults[sidecarKilled] && r.Error.Code == "crashed_endpoints"
@@ -279,8 +300,12 @@
 	}
 }
 
-// cancelSlack is how long after a cancel was acknowledged an item may start.
-const cancelSlack = 3 * time.Second
+// Bounds in which a fleet reacts.
+const (
+	startSlack = 3 * time.Second  // an item may start after the cancel was acknowledged
+	runSlack   = 15 * time.Second // an item may run on after that
+	doneSlack  = 2 * time.Second  // an item may start after its result was accepted
+)
 
 func (s *scenario) checkRuns(j *submitted) {
 	for i := range j.items {
@@ -291,16 +316,29 @@
 		}
 		r := v.(*runs)
 		r.mu.Lock()
-		if j.once && r.n > 1 {
-			s.t.Errorf("%s is not idempotent and ran %d times", id, r.n)
-		}
-		if !j.cancelled.IsZero() && r.last.After(j.cancelled.Add(cancelSlack)) {
-			s.t.Errorf("%s started %s after its cancel", id, r.last.Sub(j.cancelled))
-		}
+		s.checkRun(j, id, r)
 		r.mu.Unlock()
 	}
 }
 
+func (s *scenario) checkRun(j *submitted, id string, r *runs) {
+	if j.once && r.n > 1 {
+		s.t.Errorf("%s is not idempotent and ran %d times", id, r.n)
+	}
+	if !j.cancelled.IsZero() && r.last.After(j.cancelled.Add(startSlack)) {
+		s.t.Errorf("%s started %s after its cancel", id, r.last.Sub(j.cancelled))
+	}
+	// An owner that takes over while the log is down learns of the cancel
+	// later.
+	reachable := !s.faults[logDown] || !s.faults[ownerKilled]
+	if reachable && !j.cancelled.IsZero() && r.until.After(j.cancelled.Add(runSlack)) {
+		s.t.Errorf("%s ran on %s after its cancel", id, r.until.Sub(j.cancelled))
+	}
+	if !s.faults[logDown] && !r.accepted.IsZero() && r.last.After(r.accepted.Add(doneSlack)) {
+		s.t.Errorf("%s started %s after its result was accepted", id, r.last.Sub(r.accepted))
+	}
+}
+
 // readAgain replaces every entry, outlives the retention, and reads the same
 // bytes.
 func (s *scenario) readAgain() {
@@ -323,6 +361,10 @@
 		time.Sleep(2 * s.retention)
 	}
 	for _, j := range s.jobs {
+		status := s.insist("GET", "/v1/batches/"+j.id, "", "", "")
+		if status != j.status {
+			s.t.Errorf("job %s: status differs: %s %s", j.id, j.status, status)
+		}
 		again := s.insist("GET", "/v1/batches/"+j.id+"/results", "", "", "")
 		if again != j.results {
 			s.t.Errorf("job %s: results differ:\n%s\n%s", j.id, j.results, again)
