--- a/cli/cli.go
+++ b/cli/cli.go
@@ -26,10 +26,11 @@
 
 // App is the whole command line.
 type App struct {
-	Entry   EntryCmd   `cmd:"" help:"Run an entry: it admits callers' requests and sends them to endpoints." group:"Roles"`
-	Sidecar SidecarCmd `cmd:"" help:"Run a sidecar beside an endpoint." group:"Roles"`
-	Standin StandinCmd `cmd:"" help:"Run a stand-in for the platform or for an endpoint (tests, demonstrations)." group:"Stand-ins"`
-	Demo    DemoCmd    `cmd:"" help:"Run the whole system in one process on loopback and show what it does." group:"Stand-ins"`
+	Entry      EntryCmd      `cmd:"" help:"Run an entry: it admits callers' requests and sends them to endpoints." group:"Roles"`
+	Sidecar    SidecarCmd    `cmd:"" help:"Run a sidecar beside an endpoint." group:"Roles"`
+	Standin    StandinCmd    `cmd:"" help:"Run a stand-in for the platform or for an endpoint (tests, demonstrations)." group:"Stand-ins"`
+	Demo       DemoCmd       `cmd:"" help:"Run the whole system in one process on loopback and show what it does." group:"Stand-ins"`
+	Experiment ExperimentCmd `cmd:"" help:"Measure this system beside its baselines, on stand-ins." group:"Stand-ins"`
 
 	Init     InitCmd     `cmd:"" help:"Write configuration files to start from." group:"Operator"`
 	Validate ValidateCmd `cmd:"" help:"Check configuration files." group:"Operator"`
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -58,6 +58,6 @@
 	g.Expect(WriteCSV(&out, []Named{{Scheme: "s", Result: r}})).To(Succeed())
 	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
 	g.Expect(lines).To(HaveLen(4))
-	g.Expect(lines[3]).To(HavePrefix("s,all,2,1,1,0,1.0,1.0"))
+	g.Expect(lines[3]).To(HavePrefix("s,all,2,1,1,rate_limited,0,1.0,1.0"))
 	g.Expect(lines[3]).To(HaveSuffix("4,2.000"))
 }
--- a/load/report.go
+++ b/load/report.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 	"text/tabwriter"
 	"time"
 )
@@ -19,7 +20,7 @@
 
 // columns of the report, in order.
 var columns = []string{
-	"scheme", "customer", "sent", "done", "refused", "broken",
+	"scheme", "customer", "sent", "done", "refused", "refused_as", "broken",
 	"ttft_p50_ms", "ttft_p99_ms", "whole_p99_ms", "tokens_per_s", "cached_share", "items_done", "items_per_s",
 }
 
@@ -33,13 +34,10 @@
 }
 
 func (n Named) row(customer string, t *Tally, jobs []JobResult) []string {
-	refused := 0
-	for _, count := range t.Refused {
-		refused += count
-	}
+	refused, codes := refusals(t)
 	items, perSecond := jobFigures(jobs)
 	return []string{
-		n.Scheme, customer, strconv.Itoa(t.Sent), strconv.Itoa(t.Done), strconv.Itoa(refused), strconv.Itoa(t.Broken),
+		n.Scheme, customer, strconv.Itoa(t.Sent), strconv.Itoa(t.Done), strconv.Itoa(refused), codes, strconv.Itoa(t.Broken),
 		millis(t.FirstToken.ValueAtQuantile(50)), millis(t.FirstToken.ValueAtQuantile(99)),
 		millis(t.Whole.ValueAtQuantile(99)),
 		ratio(float64(t.Tokens), n.Elapsed.Seconds()), ratio(float64(t.Cached), float64(t.Prompt)),
@@ -47,6 +45,19 @@
 	}
 }
 
+// refusals returns the number of refusals and their codes.
+func refusals(t *Tally) (n int, codes string) {
+	var list []string
+	for _, code := range slices.Sorted(maps.Keys(t.Refused)) {
+		n += t.Refused[code]
+		list = append(list, string(code))
+	}
+	if n == 0 {
+		return 0, "-"
+	}
+	return n, strings.Join(list, "+")
+}
+
 // jobFigures adds up jobs: items done, and items done per second of the
 // longest job.
 func jobFigures(jobs []JobResult) (items, perSecond string) {
--- a/sidecar/process.go
+++ b/sidecar/process.go
@@ -14,6 +14,7 @@
 	"dandelionrelay/daemon"
 	"dandelionrelay/invariant"
 	"dandelionrelay/jobs"
+	"dandelionrelay/lane"
 	"dandelionrelay/membership"
 	"dandelionrelay/ops"
 	"dandelionrelay/peer"
@@ -32,6 +33,8 @@
 	Logger     zerolog.Logger
 	Registry   *prometheus.Registry
 	Invariants *invariant.Set
+	Policy     lane.Policy     // the zero value in production
+	BatchLimit lane.BatchLimit // the zero value in production
 }
 
 // Process is a sidecar with all that it needs around it, not yet listening.
@@ -79,7 +82,13 @@
 	}, &p.holder, func(*config.Snapshot) { p.ready.Set(true) })
 	var err error
 	p.sidecar, err = New(
-		Settings{ID: s.ID, Deployment: s.Deployment, Endpoint: s.EndpointURL},
+		Settings{
+			ID:         s.ID,
+			Deployment: s.Deployment,
+			Endpoint:   s.EndpointURL,
+			Policy:     d.Policy,
+			BatchLimit: d.BatchLimit,
+		},
 		Deps{
 			Config:     &p.holder,
 			Invariants: d.Invariants,
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -17,6 +17,7 @@
 
 	"dandelionrelay/config"
 	"dandelionrelay/invariant"
+	"dandelionrelay/lane"
 	"dandelionrelay/platform"
 	"dandelionrelay/standin/engine"
 	standin "dandelionrelay/standin/platform"
@@ -40,6 +41,9 @@
 	ListLag     time.Duration  // of the instance list
 	Seed        uint64         // of injected faults
 	Logger      zerolog.Logger
+	// Policy and BatchLimit are the schemes of the sidecars.
+	Policy     lane.Policy
+	BatchLimit lane.BatchLimit
 	// OnViolation is told of every broken invariant of every process.
 	OnViolation func(invariant.Violation)
 	// DrainDelay and DrainTimeout are the entries' settings.
--- a/standin/fleet/instance.go
+++ b/standin/fleet/instance.go
@@ -133,6 +133,7 @@
 	p, err := sidecar.NewProcess(s, sidecar.ProcessDeps{
 		Log: f.Log, Instances: f.Instances, Dial: f.opts.Network.Dial, Endpoint: f.opts.Network.Dial,
 		Logger: f.opts.Logger.With().Str("id", i.ID).Logger(), Registry: reg, Invariants: checks,
+		Policy: f.opts.Policy, BatchLimit: f.opts.BatchLimit,
 	})
 	if err != nil {
 		return nil, err
