--- a/admin/handler.go
+++ b/admin/handler.go
@@ -40,6 +40,7 @@
 	Follower  *config.Follower
 	Source    config.Source
 	Members   membership.Members
+	Jobs      JobLister
 	Operators []settings.Operator
 	Logger    zerolog.Logger
 }
@@ -58,6 +59,7 @@
 	h.handle("GET "+PathState, h.state)
 	h.handle("GET "+PathAudit, h.audit)
 	h.handle("GET "+PathStatus, h.status)
+	h.handle("GET "+PathJobs, h.jobs)
 	return h
 }
 
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -39,6 +39,7 @@
 	Key      KeyCmd      `cmd:"" help:"Issue and withdraw callers' keys." group:"Operator"`
 	Audit    AuditCmd    `cmd:"" help:"Show accepted and rejected changes." group:"Operator"`
 	Status   StatusCmd   `cmd:"" help:"Show what an entry knows of the configuration." group:"Operator"`
+	Jobs     JobsCmd     `cmd:"" help:"List batch jobs and their progress." group:"Operator"`
 	State    StateCmd    `cmd:"" help:"Print the state in force." group:"Operator"`
 	Token    TokenCmd    `cmd:"" help:"Make an operator's token." group:"Operator"`
 	Version  VersionCmd  `cmd:"" help:"Print the version." group:"Operator"`
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -180,6 +180,7 @@
 		Follower:  e.follower,
 		Source:    &e.holder,
 		Members:   e.view,
+		Jobs:      e.jobs,
 		Operators: e.settings.Operators,
 		Logger:    logger,
 	}))
--- a/test/processes/processes_test.go
+++ b/test/processes/processes_test.go
@@ -43,6 +43,8 @@
 	results := s.results(7211, job)
 	s.Expect(strings.Count(results, `"custom_id"`)).To(Equal(3))
 
+	s.Expect(s.verb("jobs", "--server", s.url(7213, ""))).To(ContainSubstring(job))
+
 	// Results outlive the entries: the platform replaces both.
 	s.kill("entry-1")
 	s.kill("entry-2")
