System test: under the race detector the run without faults only

Cause: go test -race ./... ran all 37 sets with the detector, whose runtime fails an internal CHECK (kEpochLast) after 167 s and slows the machine for everybody.

--- a/test/system/system_test.go
+++ b/test/system/system_test.go
@@ -18,6 +18,9 @@
 // fault meets several others.
 func sets() [][]fault {
 	all := [][]fault{nil}
+	if raceDetector {
+		return all
+	}
 	for n, f := range faults {
 		all = append(all, []fault{f})
 		for _, step := range []int{1, 3} {
