--- a/config/follower.go
+++ b/config/follower.go
@@ -197,7 +197,7 @@
 	if err := f.fleet.Peers.Call(ctx, p.RPCAddr, MethodFollow, args, &reply); err != nil {
 		return err
 	}
-	if err := f.applyReply(reply); err != nil {
+	if err := f.applyReply(args, reply); err != nil {
 		return err
 	}
 	if reply.Age != ageUnknown {
@@ -209,13 +209,27 @@
 	return nil
 }
 
-func (f *Follower) applyReply(reply FollowReply) error {
+// applyReply applies the answer to args. An answer that cannot be used is an
+// error, as a peer would give it again at once.
+func (f *Follower) applyReply(args FollowArgs, reply FollowReply) error {
 	if reply.Full == nil {
 		f.apply(reply.Records)
-		return nil
+	} else if err := f.applyFull(reply.Full); err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	moved := f.replica.Through() > args.Through || f.replica.Known() != args.Known
+	if !moved && (reply.Full != nil || len(reply.Records) > 0) {
+		return errUseless
 	}
+	return nil
+}
+
+// applyFull takes the whole state of a peer.
+func (f *Follower) applyFull(b []byte) error {
 	full := new(Full)
-	if err := json.Unmarshal(reply.Full, full); err != nil {
+	if err := json.Unmarshal(b, full); err != nil {
 		return err
 	}
 	f.mu.Lock()
@@ -226,6 +240,8 @@
 	return nil
 }
 
+var errUseless = Errors.NewType("useless_answer").New("the peer's answer does not lead on from the state here")
+
 func (f *Follower) apply(records []platform.Record) {
 	if len(records) == 0 {
 		return
--- a/config/spread.go
+++ b/config/spread.go
@@ -35,7 +35,8 @@
 // ViewArgs asks an entry for the part of the state that concerns a sidecar.
 type ViewArgs struct {
 	Deployment string
-	Hash       Hash // of the view that the caller has
+	Version    uint64 // highest at which the caller saw the view
+	Hash       Hash   // of the view that the caller has
 	Wait       time.Duration
 }
 
@@ -73,8 +74,8 @@
 	return err
 }
 
-// View returns the part of the state that concerns a deployment, once its
-// hash is another one than the caller's, or nothing after the wait.
+// View returns the part of the state that concerns a deployment, once this
+// entry has a newer version in which it differs, or nothing after the wait.
 func (s *Service) View(args ViewArgs, reply *ViewReply) error {
 	f := s.follower
 	var view *State
@@ -84,10 +85,10 @@
 			seen = v
 			view = f.replica.State().ViewOf(args.Deployment)
 		}
-		return view != nil && HashOf(view) != args.Hash
+		return seen > args.Version && HashOf(view) != args.Hash
 	})
 	reply.Version = seen
-	if view == nil || HashOf(view) == args.Hash {
+	if seen <= args.Version || HashOf(view) == args.Hash {
 		return nil
 	}
 	b, err := json.Marshal(view)
--- a/config/viewer.go
+++ b/config/viewer.go
@@ -14,7 +14,8 @@
 	holder   *Holder
 	onChange func(*Snapshot)
 	feed     *Feed
-	hash     Hash // of the view in force
+	hash     Hash   // of the view in force
+	version  uint64 // highest at which the view was seen
 }
 
 // NewViewer returns a Viewer for the sidecar fleet.Self that puts new views
@@ -42,22 +43,35 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, followWait+callMargin)
 	defer cancel()
-	args := ViewArgs{Deployment: v.fleet.Self.Deployment, Hash: v.hash, Wait: followWait}
+	args := ViewArgs{Deployment: v.fleet.Self.Deployment, Version: v.version, Hash: v.hash, Wait: followWait}
 	var reply ViewReply
 	if err := v.fleet.Peers.Call(ctx, source.Peer.RPCAddr, MethodView, args, &reply); err != nil {
 		return err
 	}
-	if reply.State == nil || reply.Version <= v.holder.Current().Version {
+	return v.take(reply)
+}
+
+// take puts a newer view in force. An entry that is behind another one which
+// was asked before must not turn the view back.
+func (v *Viewer) take(reply ViewReply) error {
+	if reply.Version <= v.version {
+		if reply.State != nil {
+			return errUseless
+		}
 		return nil
 	}
-	state := new(State)
-	if err := json.Unmarshal(reply.State, state); err != nil {
-		return err
+	state, changed := v.holder.Current().State, reply.State != nil
+	if changed {
+		state = new(State)
+		if err := json.Unmarshal(reply.State, state); err != nil {
+			return err
+		}
+		v.hash = HashOf(state)
 	}
-	v.hash = HashOf(state)
+	v.version = reply.Version
 	snapshot := NewSnapshot(reply.Version, state)
 	v.holder.Set(snapshot)
-	if v.onChange != nil {
+	if changed && v.onChange != nil {
 		v.onChange(snapshot)
 	}
 	return nil
