--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -28,3 +28,33 @@
 	check("local/engine-*.json", func(p string) error { _, err := settings.LoadEngine(p); return err })
 	check("local/platform.json", func(p string) error { _, err := settings.LoadPlatform(p); return err })
 }
+
+// TestSitesAreValid checks the examples of the two users: 8 customers each, an
+// open route, and a plain service whose calls may not be repeated.
+func TestSitesAreValid(t *testing.T) {
+	for _, site := range []string{"imbuto", "cykelnav"} {
+		t.Run(site, func(t *testing.T) {
+			g := NewWithT(t)
+			state, findings := config.LoadDir(filepath.Join(site, "config"))
+			g.Expect(findings).To(BeEmpty())
+			g.Expect(state.Customers).To(HaveLen(8))
+			var open, once int
+			for _, r := range state.Routes {
+				if r.Open {
+					open++
+				}
+				if !r.Idempotent {
+					once++
+				}
+			}
+			g.Expect(open).To(Equal(1))
+			g.Expect(once).To(Equal(1))
+			entry, err := settings.LoadEntry(filepath.Join(site, "entry-1.json"))
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(entry.Operators).NotTo(BeEmpty())
+			sidecar, err := settings.LoadSidecar(filepath.Join(site, "sidecar-1.json"))
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(state.Deployments).To(HaveKey(sidecar.Deployment))
+		})
+	}
+}
