Keys: search bodies that are read in pieces for the caller's key

Batch files are not held whole, so the key in one of their lines would have reached an endpoint as part of an item. The body now fails at that piece, and the submission is refused before anything is committed. Shown failing first: without it TestStreamedBodyWithKeyFails reads the key.

--- a/authn/identify.go
+++ b/authn/identify.go
@@ -59,6 +59,9 @@
 		return api.NewError(http.StatusBadRequest, api.CodeKeyInQuery,
 			"the key stands in the path, a header or the body that would be passed on; send it in the Authorization header only")
 	}
+	if c.Body == nil && c.R.Body != nil {
+		c.R.Body = &searchedBody{ReadCloser: c.R.Body, key: key}
+	}
 	c.KeyID = id
 	c.Customer = k.Customer
 	return nil
