--- a/jobs/client.go
+++ b/jobs/client.go
@@ -122,6 +122,9 @@
 			break
 		}
 	}
+	if len(out.Work) == 0 && failure != nil {
+		pause(ctx, min(args.Wait, pollWait)) // an owner that is down answers at once
+	}
 	if !reached && failure != nil {
 		return out, failure
 	}
--- a/jobs/fleet_test.go
+++ b/jobs/fleet_test.go
@@ -36,9 +36,35 @@
 	entries  map[string]*entry
 	sidecars map[string]*sidecar
 	members  []platform.Instance
+	split    bool          // entries see only themselves, sidecars one entry each
+	slow     time.Duration // added to the run of each item
 	wg       sync.WaitGroup
 }
 
+// view is how one instance sees the members.
+type view struct {
+	*fleet
+	of     string
+	number int
+}
+
+// Entries implements membership.Members.
+func (v view) Entries() []platform.Instance {
+	all := v.fleet.Entries()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.split || len(all) == 0 {
+		return all
+	}
+	for _, m := range all {
+		if m.ID == v.of {
+			return []platform.Instance{m}
+		}
+	}
+	i := v.number % len(all)
+	return all[i : i+1]
+}
+
 type entry struct {
 	id      string
 	service *jobs.Service
@@ -49,9 +75,11 @@
 
 // runs counts how often an item ran.
 type runs struct {
-	mu   sync.Mutex
-	n    int
-	last time.Time
+	mu       sync.Mutex
+	n        int
+	last     time.Time // when it last started
+	until    time.Time // when it last ran
+	accepted time.Time // when an owner accepted a result
 }
 
 func newFleet(t *testing.T, retention time.Duration, seed uint64) *fleet {
@@ -104,7 +132,7 @@
 	e := &entry{id: id, server: peer.NewServer(), cancel: cancel}
 	pool := peer.NewPool(f.dial)
 	e.service = jobs.NewService(jobs.Options{
-		Self: id, Log: f.log, Members: f, Pool: pool, Config: f.config,
+		Self: id, Log: f.log, Members: view{f, id, 0}, Pool: pool, Config: f.config,
 		Invariants: f.inv, Retention: f.retention, ResultsKept: time.Hour,
 	})
 	e.handler = jobs.NewHandler(e.service)
@@ -202,7 +230,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	pool := peer.NewPool(f.dial)
 	s := &sidecar{
-		id: id, f: f, client: jobs.NewClient(f, pool, int(seed)), cancel: cancel, run: run,
+		id: id, f: f, client: jobs.NewClient(view{f, id, int(seed)}, pool, int(seed)), cancel: cancel, run: run,
 		rnd:     rand.New(rand.NewPCG(seed, 1)),
 		running: make(map[api.WorkRef]context.CancelFunc),
 		ended:   make(map[api.WorkRef]api.Result),
@@ -252,6 +280,9 @@
 	s.running[w.WorkRef] = cancel
 	d := time.Duration(100+s.rnd.IntN(1500)) * time.Millisecond
 	s.mu.Unlock()
+	s.f.mu.Lock()
+	d += s.f.slow
+	s.f.mu.Unlock()
 	s.f.wg.Go(func() {
 		defer cancel()
 		v, _ := s.f.runs.LoadOrStore(w.CustomID, new(runs))
@@ -264,11 +295,13 @@
 		defer t.Stop()
 		select {
 		case <-ctx.Done():
+			count.ended()
 			s.mu.Lock()
 			delete(s.running, w.WorkRef)
 			s.mu.Unlock()
 			return
 		case <-t.C:
+			count.ended()
 		}
 		r := api.Result{State: api.ResultDone, Status: 200, Body: fmt.Appendf(nil, `{"by":%q}`, w.Attempt)}
 		if s.run != nil {
@@ -296,6 +329,9 @@
 			args.Results = append(args.Results, r)
 		}
 		s.mu.Unlock()
+		if len(args.Running) == 0 {
+			continue
+		}
 		reply, err := s.client.Report(ctx, args)
 		s.mu.Lock()
 		for _, ref := range reply.Stop {
@@ -306,6 +342,7 @@
 		for _, r := range args.Results {
 			if err == nil {
 				delete(s.ended, r.WorkRef)
+				s.f.noteAccepted(r.CustomID)
 			}
 		}
 		s.mu.Unlock()
@@ -315,6 +352,21 @@
 	}
 }
 
+// noteAccepted notes that an owner has accepted a result of an item.
+func (f *fleet) noteAccepted(customID string) {
+	v, _ := f.runs.Load(customID)
+	r := v.(*runs)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.accepted = time.Now()
+}
+
+func (r *runs) ended() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.until = time.Now()
+}
+
 // lines returns a batch file of n items.
 func lines(prefix string, n int) string {
 	var b strings.Builder
--- a/jobs/handout.go
+++ b/jobs/handout.go
@@ -41,12 +41,9 @@
 	var out []api.Work
 	bytes := 0
 	for len(out) < args.Slots && bytes < PullBytes {
-		w, ok := s.takeOne(ctx, args)
-		if !ok {
-			break
-		}
+		w := s.takeOne(ctx, args)
 		if w == nil {
-			continue
+			break
 		}
 		bytes += len(w.Body)
 		out = append(out, *w)
@@ -54,35 +51,32 @@
 	return out
 }
 
-// takeOne takes one item. It returns nil and true if the one it chose could
-// not be handed out after all.
-func (s *Service) takeOne(ctx context.Context, args api.PullArgs) (*api.Work, bool) {
+// takeOne takes one item. It returns nil if there is none, or if the one it
+// chose could not be handed out after all.
+func (s *Service) takeOne(ctx context.Context, args api.PullArgs) *api.Work {
 	now := time.Now()
 	var all []candidate
 	for _, p := range s.ownedPartitions() {
 		all = append(all, p.candidates(now, args.Deployment, args.Endpoint)...)
 	}
 	if len(all) == 0 {
-		return nil, false
+		return nil
 	}
 	c := all[s.fair.choose(all)]
 	p := c.partition
 	p.mu.Lock()
 	t, ok := p.owner.take(now, c.job, args.Deployment, args.Endpoint)
 	p.mu.Unlock()
-	if !ok {
-		return nil, true
-	}
-	if !p.load(ctx, &t) {
-		return nil, false
+	if !ok || !p.load(ctx, &t) {
+		return nil
 	}
 	customer := s.o.Config.Current().State.Customers[t.work.Customer]
 	t.work.Weight = customer.Weight
 	s.fair.charge(t.work.Customer, customer.Weight, cost(&t.work))
 	if !t.work.Idempotent && !p.begun(ctx, &t) {
-		return nil, false
+		return nil
 	}
-	return &t.work, true
+	return &t.work
 }
 
 // cost estimates the work of an item: its bytes stand for its prompt.
@@ -98,6 +92,7 @@
 	if !p.owned || !p.ready || now.Before(p.handOut) || p.writer.full() {
 		return nil
 	}
+	p.owner.noBegins = p.blind(now) || p.writer.stuck(now)
 	out := p.owner.candidates(now, deployment, endpoint)
 	for i := range out {
 		out[i].partition = p
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -86,6 +86,11 @@
 	return j.end != 0 || j.file != nil && j.done == len(j.items)
 }
 
+// idempotent says whether all items of the job may be repeated.
+func (j *job) idempotent() bool {
+	return !slices.ContainsFunc(j.file.Targets, func(t target) bool { return !t.Idempotent })
+}
+
 // target returns where an item goes, false if its chunk is not kept.
 func (j *job) target(i int) (target, bool) {
 	c := j.file.chunkOf(i)
--- a/jobs/owner.go
+++ b/jobs/owner.go
@@ -51,6 +51,7 @@
 	endpoints map[string]time.Time // last heard of
 	open      []*job               // by due time; refreshed when commits changes
 	commits   int
+	noBegins  bool // the log is down: non-idempotent items can't start
 }
 
 func newOwner(inv *invariant.Set, table *Table, nonce string) *owner {
@@ -116,9 +117,12 @@
 // next returns the item of j to hand out next, without taking it.
 func (o *owner) next(now time.Time, j *job, deployment string, suspects bool) (int, bool) {
 	b := o.backlog(j, deployment)
+	if o.noBegins && !j.idempotent() {
+		return 0, false
+	}
 	b.retry = slices.DeleteFunc(b.retry, func(r retry) bool { return !o.waiting(j, r.item) })
 	for _, r := range b.retry {
-		if r.at.After(now) || suspects && j.items[r.item].deaths > 0 {
+		if r.at.After(now) || suspects && j.items[r.item].deaths > 0 || o.orphaned(now, j, r.item) {
 			continue
 		}
 		return r.item, true
@@ -131,7 +135,7 @@
 			continue
 		}
 		if suspects && j.items[b.cursor].deaths > 0 {
-			b.retry = append(b.retry, retry{b.cursor, now})
+			o.postpone(j, b.cursor, now)
 			continue
 		}
 		return b.cursor, true
@@ -196,11 +200,7 @@
 		return taken{}, false
 	}
 	tgt, _ := j.target(i)
-	open, gen := j.currentBegin(i)
-	if open != nil { // its release is not replayed yet
-		o.postpone(j, i, now.Add(RetryDelay))
-		return taken{}, false
-	}
+	_, gen := j.currentBegin(i)
 	o.attempts++
 	ref := api.WorkRef{Job: j.ID, Item: i, Attempt: fmt.Sprintf("%s-%d", o.nonce, o.attempts)}
 	o.start(now, j, ref, endpoint)
--- a/jobs/partition.go
+++ b/jobs/partition.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,7 +18,7 @@
 const readBatch = 8
 
 // readWait is how long a read waits for the next record.
-const readWait = 10 * time.Second
+const readWait = 5 * time.Second
 
 // retryPause is the time between two tries while the log is down.
 const retryPause = time.Second
@@ -38,6 +39,7 @@
 	ready   bool          // replayed to the end
 	handOut time.Time     // no work is handed out before
 	used    time.Time     // last asked for anything
+	read    time.Time     // when the log last answered a read
 	changed chan struct{} // closed when the table changes
 }
 
@@ -86,6 +88,29 @@
 	}
 }
 
+// blindAfter is the silence of the log after which the table may be behind
+// what other instances have stored.
+const blindAfter = readWait + 2*time.Second
+
+// blind says whether the log has been silent for long. The caller holds the
+// lock.
+func (p *partition) blind(now time.Time) bool {
+	return now.Sub(p.read) > blindAfter
+}
+
+// noteRead notes that the log answered. After a long silence heartbeats are
+// awaited, as after a takeover, before any attempt counts as lost. The caller
+// holds the lock.
+func (p *partition) noteRead(now time.Time) {
+	if p.ready && p.blind(now) {
+		p.handOut = now.Add(TakeoverGrace)
+		for key := range p.owner.orphans {
+			p.owner.orphans[key] = now
+		}
+	}
+	p.read = now
+}
+
 // begin finds where the stream starts and ends.
 func (p *partition) begin(ctx context.Context) (end platform.Offset, ok bool) {
 	for ctx.Err() == nil {
@@ -129,10 +154,12 @@
 }
 
 func (p *partition) apply(records []platform.Record) {
+	p.mu.Lock()
+	p.noteRead(time.Now())
 	if len(records) == 0 {
+		p.mu.Unlock()
 		return
 	}
-	p.mu.Lock()
 	for _, r := range records {
 		if err := p.owner.table.Apply(r); err != nil {
 			p.s.badRecord(p.stream, r.Offset, err)
@@ -219,50 +246,68 @@
 		now := time.Now()
 		p.mu.Lock()
 		var facts []fact
-		if p.ready && p.owned && !now.Before(p.handOut) {
+		if p.ready && p.owned && !p.blind(now) && !now.Before(p.handOut) {
 			facts = p.owner.tick(now)
 		}
 		if p.ready {
 			p.owner.table.Forget(now)
 		}
 		p.mu.Unlock()
-		p.complete(ctx, facts)
-		p.submit(facts)
+		p.submit(p.complete(ctx, facts))
 		p.s.wake()
 	}
 }
 
-// complete fills in the custom ids that facts lack.
-func (p *partition) complete(ctx context.Context, facts []fact) {
-	for i := range facts {
-		f := &facts[i]
-		if f.Kind != factDone || f.CustomID != "" {
-			continue
+// complete fills in the custom ids that facts lack and returns those that are
+// whole. The others are decided again later, when the log can be read.
+func (p *partition) complete(ctx context.Context, facts []fact) []fact {
+	whole := facts[:0]
+	for _, f := range facts {
+		if f.Kind == factDone && f.CustomID == "" {
+			f.CustomID = p.customID(ctx, &f)
 		}
-		p.mu.Lock()
-		j := p.owner.table.Job(f.Job)
-		if j == nil {
-			p.mu.Unlock()
+		if f.Kind == factDone && f.CustomID == "" {
+			p.undecide(&f)
 			continue
 		}
-		found := j.file.chunkOf(f.Item)
-		if found == nil {
-			p.mu.Unlock()
-			continue
-		}
-		c := *found
+		whole = append(whole, f)
+	}
+	return whole
+}
+
+// customID reads the custom id of an item; it is empty if that fails.
+func (p *partition) customID(ctx context.Context, f *fact) string {
+	p.mu.Lock()
+	var c *chunk
+	if j := p.owner.table.Job(f.Job); j != nil {
+		c = j.file.chunkOf(f.Item)
+	}
+	if c == nil {
 		p.mu.Unlock()
-		record, err := p.s.cache.get(ctx, p.stream, c.at)
-		if err == nil && record.header.Chunk != nil {
-			f.CustomID = record.header.Chunk.Items[f.Item-c.first].CustomID
-		}
+		return ""
+	}
+	at, index := c.at, f.Item-c.first
+	p.mu.Unlock()
+	record, err := p.s.cache.get(ctx, p.stream, at)
+	if err != nil || record.header.Chunk == nil {
+		return ""
+	}
+	return record.header.Chunk.Items[index].CustomID
+}
+
+// undecide takes back the end of an attempt.
+func (p *partition) undecide(f *fact) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if a, ok := p.owner.running[itemKey{f.Job, f.Item}]; ok {
+		a.committing = false
 	}
 }
 
 // report handles the results of a sidecar. It returns once all that are final
 // are durable.
 func (p *partition) report(ctx context.Context, endpoint string, results []api.Result) error {
-	if err := p.waitReady(ctx); err != nil {
+	if err := p.waitReplayed(ctx, results); err != nil {
 		return err
 	}
 	now := time.Now()
@@ -276,12 +321,26 @@
 		facts = append(facts, p.owner.report(now, endpoint, &results[i])...)
 	}
 	p.mu.Unlock()
-	p.complete(ctx, facts)
-	p.submit(facts)
+	p.submit(p.complete(ctx, facts))
 	p.s.wake()
 	return p.waitSettled(ctx, results)
 }
 
+// waitReplayed waits until the table knows the attempts that results are of.
+// One that it never learns of belongs to a job that is forgotten.
+func (p *partition) waitReplayed(ctx context.Context, results []api.Result) error {
+	known := func() bool {
+		return p.ready && !slices.ContainsFunc(results, func(r api.Result) bool { return p.owner.behind(r.WorkRef) })
+	}
+	p.mu.Lock()
+	ok := known()
+	p.mu.Unlock()
+	if ok {
+		return nil
+	}
+	return p.catchUp(ctx)
+}
+
 // waitSettled waits until no result waits for the log.
 func (p *partition) waitSettled(ctx context.Context, results []api.Result) error {
 	return p.await(ctx, func() bool {
--- a/jobs/report.go
+++ b/jobs/report.go
@@ -2,12 +2,29 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"dandelionrelay/api"
 )
 
-// report takes the end of an attempt and returns the facts to append.
+// behind says whether a table has yet to replay what an attempt follows from:
+// its job, or its begin. A result must not be accepted before.
+func (o *owner) behind(ref api.WorkRef) bool {
+	j, it := o.find(ref)
+	if it == nil {
+		known, ok := o.table.jobs[ref.Job]
+		return !ok || known.deleted == 0
+	}
+	tgt, ok := j.target(ref.Item)
+	if !ok || tgt.Idempotent || it.first != 0 || j.ended() {
+		return false
+	}
+	return !slices.ContainsFunc(j.begins[ref.Item], func(b begin) bool { return b.attempt == ref.Attempt })
+}
+
+// report takes the end of an attempt that is not behind and returns the facts
+// to append.
 func (o *owner) report(now time.Time, endpoint string, r *api.Result) []fact {
 	o.endpoints[endpoint] = now
 	j, it := o.find(r.WorkRef)
@@ -125,6 +142,9 @@
 
 // alive notes that an attempt runs and says whether it shall go on.
 func (o *owner) alive(now time.Time, endpoint string, ref api.WorkRef) bool {
+	if o.behind(ref) {
+		return true
+	}
 	j, it := o.find(ref)
 	if it == nil || it.first != 0 || j.ended() {
 		o.forget(itemKey{ref.Job, ref.Item})
@@ -210,6 +230,10 @@
 		delete(o.orphans, key)
 		return nil
 	}
+	if b, _ := j.currentBegin(key.item); b == nil {
+		delete(o.orphans, key) // released meanwhile
+		return nil
+	}
 	if now.Sub(since) <= LostAfter {
 		return nil
 	}
--- a/jobs/rpc.go
+++ b/jobs/rpc.go
@@ -45,6 +45,9 @@
 func (r *rpcService) Pull(args api.PullArgs, reply *api.PullReply) error {
 	ctx, cancel := r.s.callContext(maxPullWait)
 	defer cancel()
+	if ctx.Err() != nil {
+		return NotReady.New("the job service does not run")
+	}
 	reply.Work = r.s.pull(ctx, args)
 	return nil
 }
--- a/jobs/view.go
+++ b/jobs/view.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"dandelionrelay/invariant"
 	"dandelionrelay/membership"
 )
 
@@ -233,6 +234,8 @@
 		if j.items[i].first == 0 {
 			continue
 		}
+		p.s.o.Invariants.Check(j.end == 0 || j.items[i].first < j.end, invariant.CancelStops,
+			"job %s item %d: result of offset %d shown after the end at %d", j.ID, i, j.items[i].first, j.end)
 		if len(refs) == pageItems {
 			return refs, true
 		}
--- a/jobs/writer.go
+++ b/jobs/writer.go
@@ -13,6 +13,7 @@
 	pending []fact
 	bytes   int // bodies in pending
 	flight  bool
+	started time.Time // of the group in flight
 	next    time.Time // when the next group may start
 }
 
@@ -38,6 +39,11 @@
 	return w.bytes > PendingBytes || len(w.pending) > maxPending
 }
 
+// stuck says whether the log has not answered for long.
+func (w *writer) stuck(now time.Time) bool {
+	return w.flight && now.Sub(w.started) > beginWait
+}
+
 // maxPending is the number of facts that may wait in one partition.
 const maxPending = 20_000
 
@@ -70,6 +76,7 @@
 	}
 	w.pending = append([]fact(nil), w.pending[n:]...)
 	w.flight = true
+	w.started = now
 	w.next = now.Add(CommitInterval)
 	return g, 0
 }
