jobs: linear recovery, items read ahead, deleted jobs stay deleted

A bigger record cache was ruled out: 370 chunks are 185 MB. A submission resent after its job was deleted was acknowledged and could not be read; it is a conflict now. A cancel is answered once the owner has replayed it, if it can be reached (TestDeletedJobStaysDeleted read the job after its deletion before).

--- a/jobs/accept.go
+++ b/jobs/accept.go
@@ -142,7 +142,13 @@
 	return hex.EncodeToString(h.Sum(nil)[:12])
 }
 
+// sameContent returns the error of a resend that can't be answered with the
+// job of the first try.
 func sameContent(known View, digest string) *api.Error {
+	if known.Status == StatusDeleted {
+		return api.NewError(http.StatusConflict, api.CodeConflict,
+			"job "+known.ID+" of the same key or content was deleted: use another idempotency key")
+	}
 	if known.Digest == digest {
 		return nil
 	}
--- /dev/null
+++ b/jobs/accept_test.go
@@ -0,0 +1,146 @@
+package jobs_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"dandelionrelay/config"
+	"dandelionrelay/jobs"
+	"dandelionrelay/membership"
+	"dandelionrelay/platform"
+	standin "dandelionrelay/standin/platform"
+)
+
+func TestLogDownRefusesTruthfully(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		f := newFleet(t, 0, 1)
+		defer f.close()
+		f.start("e1")
+		time.Sleep(time.Second)
+		f.log.SetFaults(standin.Faults{Down: true})
+		code, body := f.call("POST", "/v1/batches", "application/jsonl", "k", lines("x", 3))
+		g.Expect(code).To(gomega.Equal(http.StatusServiceUnavailable))
+		g.Expect(body).To(gomega.ContainSubstring(`"outcome":"not_run"`))
+		g.Expect(f.log.Appends()).To(gomega.BeZero())
+
+		f.log.SetFaults(standin.Faults{Refuse: 1}) // reads work, no append is answered
+		code, body = f.call("POST", "/v1/batches", "application/jsonl", "k", lines("x", 3))
+		g.Expect(code).To(gomega.Equal(http.StatusServiceUnavailable))
+		g.Expect(body).To(gomega.ContainSubstring(`"outcome":"unknown"`))
+		g.Expect(body).To(gomega.ContainSubstring("same idempotency key"))
+
+		f.log.SetFaults(standin.Faults{LoseAnswer: 1}) // stored, but no answer comes
+		code, body = f.call("POST", "/v1/batches", "application/jsonl", "k", lines("x", 3))
+		g.Expect(code).To(gomega.Equal(http.StatusOK), body)
+
+		f.log.SetFaults(standin.Faults{})
+		code, body = f.call("POST", "/v1/batches", "application/jsonl", "k", lines("other", 3))
+		g.Expect(code).To(gomega.Equal(http.StatusConflict), body)
+	})
+}
+
+// countingLog stores nothing and counts.
+type countingLog struct {
+	mu      sync.Mutex
+	appends int
+	largest int
+}
+
+func (l *countingLog) Append(_ context.Context, _, _ string, data []byte) (platform.Offset, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.appends++
+	l.largest = max(l.largest, len(data))
+	return platform.Offset(l.appends), nil
+}
+
+func (l *countingLog) Read(context.Context, string, platform.Offset, int, time.Duration) ([]platform.Record, error) {
+	return nil, platform.Unavailable.New("counting only")
+}
+
+func (l *countingLog) Bounds(context.Context, string) (platform.Offset, platform.Offset, error) {
+	return 1, 1, nil
+}
+
+// generated is a batch file that is made while it is read.
+type generated struct {
+	items, next int
+	line        string
+	body        string
+}
+
+func (r *generated) Read(p []byte) (int, error) {
+	if r.line == "" {
+		if r.next == r.items {
+			return 0, io.EOF
+		}
+		r.line = fmt.Sprintf(`{"custom_id":"i-%d","method":"POST","url":"/v1/chat/completions","body":{"model":"m","prompt":%q}}`+"\n", r.next, r.body)
+		r.next++
+	}
+	n := copy(p, r.line)
+	r.line = r.line[n:]
+	return n, nil
+}
+
+func counting(log platform.Log) *jobs.Service {
+	holder := new(config.Holder)
+	holder.Set(config.NewSnapshot(1, &config.State{
+		Routes: map[string]config.Route{"chat": {Model: "m", Deployment: "d", Idempotent: true}},
+	}))
+	return jobs.NewService(jobs.Options{Self: "e", Log: log, Members: membership.Static(nil), Config: holder})
+}
+
+func TestLargeJobIsStreamedInChunks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		log := new(countingLog)
+		in := &jobs.Submission{Customer: "a", Body: &generated{items: 160_000, body: strings.Repeat("x", 100)}, Job: new(jobs.JobParams)}
+		start := time.Now()
+		_, v, e := counting(log).Accept(t.Context(), in)
+		g.Expect(e).To(gomega.BeNil())
+		g.Expect(v.Total).To(gomega.Equal(160_000))
+		g.Expect(log.largest).To(gomega.BeNumerically("<", 2*jobs.ChunkBytes))
+		g.Expect(log.appends).To(gomega.BeNumerically(">=", 160_000/jobs.ChunkItems))
+		rate := float64(log.appends) / (time.Since(start).Seconds() + 1)
+		g.Expect(rate).To(gomega.BeNumerically("<=", jobs.AcceptAppends))
+	})
+}
+
+func TestTooManyItemsAndFaultsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		_, _, e := counting(new(countingLog)).Accept(t.Context(), &jobs.Submission{
+			Customer: "a", Body: strings.NewReader(strings.Repeat("{}\n", jobs.MaxItems+1)),
+		})
+		g.Expect(e.Findings).To(gomega.HaveLen(jobs.MaxFindings))
+		faults := 3*(jobs.MaxItems+1) + 1 // custom_id, method and body of each, and the number
+		g.Expect(e.Message).To(gomega.ContainSubstring(fmt.Sprint(faults)))
+
+		long := strings.Repeat("x", 2*jobs.MaxItemBytes)
+		_, _, e = counting(new(countingLog)).Accept(t.Context(), &jobs.Submission{
+			Customer: "a", Body: strings.NewReader("\n" + long + "\n"),
+		})
+		g.Expect(e.Findings).To(gomega.HaveLen(1))
+		g.Expect(e.Findings[0].Line).To(gomega.Equal(2))
+
+		_, _, e = counting(new(countingLog)).Accept(t.Context(), &jobs.Submission{
+			Customer: "a", Body: io.MultiReader(&generated{items: 5}, brokenReader{}),
+		})
+		g.Expect(e.Status).To(gomega.Equal(http.StatusBadRequest))
+	})
+}
+
+type brokenReader struct{}
+
+func (brokenReader) Read([]byte) (int, error) { return 0, errors.New("connection lost") }
--- a/jobs/cache.go
+++ b/jobs/cache.go
@@ -1,9 +1,8 @@
 package jobs
 
 import (
-	"container/list"
 	"context"
-	"sync"
+	"slices"
 
 	"dandelionrelay/platform"
 )
@@ -45,75 +44,106 @@
 	return s, nil
 }
 
-// cacheKey is the place of a record.
-type cacheKey struct {
+// recordKey is the place of a record.
+type recordKey struct {
 	stream string
 	offset platform.Offset
 }
 
-// cache reads records of the log and keeps the ones used last, up to
-// CacheBytes.
-type cache struct {
-	log   platform.Log
-	mu    sync.Mutex
-	bytes int
-	order *list.List // of cacheEntry, the latest used first
-	byKey map[cacheKey]*list.Element
+// itemPlace is the place of an item in a chunk record.
+type itemPlace struct {
+	recordKey
+	index int
 }
 
-type cacheEntry struct {
-	key    cacheKey
-	record *stored
+// inputItem is an item as the caller sent it.
+type inputItem struct {
+	customID string
+	body     []byte
+}
+
+// cache reads from the log and keeps what was used last: whole records, for
+// results, and single items, for handing out. An item is read together with
+// those after it, as they are handed out next.
+type cache struct {
+	log     platform.Log
+	records *lru[recordKey, *stored]
+	items   *lru[itemPlace, inputItem]
 }
 
 func newCache(log platform.Log) *cache {
-	return &cache{log: log, order: list.New(), byKey: make(map[cacheKey]*list.Element)}
+	return &cache{
+		log:     log,
+		records: newLRU[recordKey, *stored](CacheBytes),
+		items:   newLRU[itemPlace, inputItem](ItemCacheBytes),
+	}
 }
 
 // get returns the record at an offset.
 func (c *cache) get(ctx context.Context, stream string, offset platform.Offset) (*stored, error) {
-	key := cacheKey{stream, offset}
-	if s := c.lookup(key); s != nil {
+	key := recordKey{stream, offset}
+	if s, ok := c.records.get(key); ok {
 		return s, nil
 	}
-	records, err := c.log.Read(ctx, stream, offset, 1, 0)
+	s, err := c.read(ctx, key)
 	if err != nil {
 		return nil, err
 	}
-	if len(records) == 0 || records[0].Offset != offset {
-		return nil, BadRecord.New("stream %s has no offset %d", stream, offset)
-	}
-	s, err := newStored(records[0].Data)
+	c.records.add(key, s, s.bytes)
+	return s, nil
+}
+
+func (c *cache) read(ctx context.Context, key recordKey) (*stored, error) {
+	records, err := c.log.Read(ctx, key.stream, key.offset, 1, 0)
 	if err != nil {
 		return nil, err
 	}
-	c.add(key, s)
-	return s, nil
+	if len(records) == 0 || records[0].Offset != key.offset {
+		return nil, BadRecord.New("stream %s has no offset %d", key.stream, key.offset)
+	}
+	return newStored(records[0].Data)
 }
 
-func (c *cache) lookup(key cacheKey) *stored {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	e, ok := c.byKey[key]
-	if !ok {
-		return nil
+// item returns an item of the chunk at an offset.
+func (c *cache) item(ctx context.Context, stream string, offset platform.Offset, index int) (inputItem, error) {
+	key := recordKey{stream, offset}
+	if it, ok := c.items.get(itemPlace{key, index}); ok {
+		return it, nil
+	}
+	s, err := c.read(ctx, key)
+	if err != nil {
+		return inputItem{}, err
+	}
+	first, err := s.item(index)
+	if err != nil {
+		return inputItem{}, err
 	}
-	c.order.MoveToFront(e)
-	return e.Value.(cacheEntry).record
+	bytes := 0
+	for i := index; bytes <= prefetchBytes; i++ {
+		it, err := s.item(i)
+		if err != nil {
+			break
+		}
+		it.body = slices.Clone(it.body) // the record is not kept
+		size := len(it.body) + len(it.customID) + itemOverhead
+		c.items.add(itemPlace{key, i}, it, size)
+		bytes += size
+	}
+	return first, nil
 }
 
-func (c *cache) add(key cacheKey, s *stored) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if _, ok := c.byKey[key]; ok {
-		return
-	}
-	c.byKey[key] = c.order.PushFront(cacheEntry{key, s})
-	c.bytes += s.bytes
-	for c.bytes > CacheBytes && c.order.Len() > 1 {
-		last := c.order.Back()
-		entry := c.order.Remove(last).(cacheEntry)
-		delete(c.byKey, entry.key)
-		c.bytes -= entry.record.bytes
+// prefetchBytes is how much is kept of a chunk that one item was read from.
+const prefetchBytes = 32 << 10
+
+// itemOverhead is the memory that an item in the cache takes besides its
+// bytes.
+const itemOverhead = 256
+
+// item returns an item of a chunk record.
+func (s *stored) item(i int) (inputItem, error) {
+	if s.header.Chunk == nil || i >= len(s.header.Chunk.Items) {
+		return inputItem{}, BadRecord.New("no item %d", i)
 	}
+	body, err := s.body(i)
+	return inputItem{s.header.Chunk.Items[i].CustomID, body}, err
 }
--- a/jobs/doc.go
+++ b/jobs/doc.go
@@ -37,7 +37,8 @@
 	PullBytes      = 2 << 20   // bodies in one answer to a pull
 	ReportBytes    = 2 << 20   // bodies in one report
 	PendingBytes   = 8 << 20   // result bodies that wait for the log in one partition
-	CacheBytes     = 16 << 20  // log records kept in memory by one instance
+	CacheBytes     = 8 << 20   // log records with results kept by one instance
+	ItemCacheBytes = 16 << 20  // items to hand out kept by one instance
 	ResumeBytes    = 4 << 20   // resume positions kept by one partition
 )
 
--- a/jobs/handout.go
+++ b/jobs/handout.go
@@ -102,13 +102,7 @@
 
 // load reads the body of an item, or gives the item back.
 func (p *partition) load(ctx context.Context, t *taken) bool {
-	record, err := p.s.cache.get(ctx, p.stream, t.chunk.at)
-	if err == nil {
-		t.work.Body, err = record.body(t.index)
-	}
-	if err == nil && record.header.Chunk == nil {
-		err = BadRecord.New("no chunk at %d", t.chunk.at)
-	}
+	in, err := p.s.cache.item(ctx, p.stream, t.chunk.at, t.index)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err != nil {
@@ -116,7 +110,7 @@
 		p.giveBack(t, time.Now().Add(RetryDelay))
 		return false
 	}
-	t.work.CustomID = record.header.Chunk.Items[t.index].CustomID
+	t.work.Body, t.work.CustomID = in.body, in.customID
 	if a, ok := p.owner.running[itemKey{t.work.Job, t.work.Item}]; ok {
 		a.ref.CustomID = t.work.CustomID
 	}
--- a/jobs/http.go
+++ b/jobs/http.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"dandelionrelay/api"
+	"dandelionrelay/platform"
 )
 
 // HeaderIdempotencyKey is the caller's key for a submission.
@@ -210,7 +211,7 @@
 	if err != nil {
 		return v, unavailable()
 	}
-	if v.ID == "" {
+	if v.ID == "" || v.Status == StatusDeleted {
 		return v, api.NewError(http.StatusNotFound, api.CodeNotFound, "no such batch: "+id)
 	}
 	return v, nil
@@ -230,35 +231,38 @@
 	if e != nil {
 		return e
 	}
-	if e := h.s.end(r.Context(), v.ID, kind); e != nil {
+	offset, e := h.s.end(r.Context(), v.ID, kind)
+	if e != nil {
 		return e
 	}
+	// The owner has heard of it before the caller does, if it can be reached.
+	after, err := h.s.get(r.Context(), GetArgs{Customer: customer, ID: v.ID, After: offset})
 	if kind == factDelete {
 		api.WriteJSON(w, http.StatusOK, deletedDocument{ID: v.ID, Object: "batch", Deleted: true})
 		return nil
 	}
-	if after, err := h.s.Get(r.Context(), customer, v.ID); err == nil && after.ID != "" {
+	if err == nil && after.Status != "" {
 		v = after
 	}
 	api.WriteJSON(w, http.StatusOK, newJobDocument(v))
 	return nil
 }
 
-// end appends the end of a job.
-func (s *Service) end(ctx context.Context, id string, kind factKind) *api.Error {
+// end appends the end of a job and returns its offset.
+func (s *Service) end(ctx context.Context, id string, kind factKind) (platform.Offset, *api.Error) {
 	n, _ := partitionOf(jobPrefix, id)
 	a, err := newAppender(ctx, s.o.Log, streamName(n))
 	if err != nil {
-		return logDown()
+		return 0, logDown()
 	}
-	_, outcome := a.append(ctx, s.nextNonce(), encodeFacts([]fact{{Kind: kind, Job: id}}))
+	offset, outcome := a.append(ctx, s.nextNonce(), encodeFacts([]fact{{Kind: kind, Job: id}}))
 	switch outcome {
 	case api.Done:
-		return nil
+		return offset, nil
 	case api.NotRun:
-		return logDown()
+		return 0, logDown()
 	default:
-		return api.NewError(http.StatusServiceUnavailable, api.CodeLogDown,
+		return 0, api.NewError(http.StatusServiceUnavailable, api.CodeLogDown,
 			"the log did not confirm: send the request again").
 			WithOutcome(api.Unknown).WithRetryAfter(logRetryAfter)
 	}
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -67,8 +67,9 @@
 // attach joins the job with its file.
 func (j *job) attach(f *file) {
 	j.file = f
-	j.grow(f.Items - 1)
-	j.items = j.items[:f.Items:f.Items]
+	exact := make([]item, f.Items)
+	copy(exact, j.items)
+	j.items = exact
 }
 
 // grow makes room for the item with index i.
@@ -76,9 +77,7 @@
 	if i < len(j.items) {
 		return
 	}
-	grown := make([]item, i+1)
-	copy(grown, j.items)
-	j.items = grown
+	j.items = slices.Grow(j.items, i+1-len(j.items))[:i+1]
 }
 
 // ended says whether no further item may complete.
--- a/jobs/owner.go
+++ b/jobs/owner.go
@@ -91,12 +91,13 @@
 func (o *owner) candidates(now time.Time, deployment, endpoint string) []candidate {
 	var out []candidate
 	suspects := o.hasSuspect(endpoint)
+	known := make(map[string]bool)
 	for _, j := range o.openJobs() {
-		known := slices.ContainsFunc(out, func(c candidate) bool { return c.customer == j.Customer })
-		if known || now.After(j.Expires) {
+		if known[j.Customer] || now.After(j.Expires) {
 			continue
 		}
 		if _, ok := o.next(now, j, deployment, suspects); ok {
+			known[j.Customer] = true
 			out = append(out, candidate{customer: j.Customer, job: j.ID, due: j.Due})
 		}
 	}
--- a/jobs/partition.go
+++ b/jobs/partition.go
@@ -288,11 +288,11 @@
 	}
 	at, index := c.at, f.Item-c.first
 	p.mu.Unlock()
-	record, err := p.s.cache.get(ctx, p.stream, at)
-	if err != nil || record.header.Chunk == nil {
+	in, err := p.s.cache.item(ctx, p.stream, at, index)
+	if err != nil {
 		return ""
 	}
-	return record.header.Chunk.Items[index].CustomID
+	return in.customID
 }
 
 // undecide takes back the end of an attempt.
--- a/jobs/rpc.go
+++ b/jobs/rpc.go
@@ -6,6 +6,7 @@
 
 	"dandelionrelay/api"
 	"dandelionrelay/peer"
+	"dandelionrelay/platform"
 )
 
 // Names of the RPC methods between entries.
@@ -69,13 +70,14 @@
 	Customer   string // empty: any
 	ID         string
 	Partitions []int
+	After      platform.Offset // of a job: the answer reflects the stream up to there
 }
 
 // Get returns one job; its id is empty if there is none.
 func (r *rpcService) Get(args GetArgs, reply *View) error {
 	ctx, cancel := r.s.callContext(ReportWait)
 	defer cancel()
-	v, err := r.s.localGet(ctx, args.Customer, args.ID)
+	v, err := r.s.localGet(ctx, args)
 	*reply = v
 	return err
 }
--- a/jobs/service_test.go
+++ b/jobs/service_test.go
@@ -140,3 +140,32 @@
 		g.Expect(d.Counts.Completed).To(gomega.Equal(60))
 	})
 }
+
+func TestDeletedJobStaysDeleted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		f := newFleet(t, 2*time.Minute, 1)
+		defer f.close()
+		f.start("e1")
+		f.start("e2")
+		time.Sleep(time.Second)
+		code, body := f.call("POST", "/v1/batches", "application/jsonl", "k", lines("x", 3))
+		g.Expect(code).To(gomega.Equal(http.StatusOK), body)
+		id := parse(t, body).ID
+		code, body = f.call("DELETE", "/v1/batches/"+id, "", "", "")
+		g.Expect(code).To(gomega.Equal(http.StatusOK), body)
+		f.startSidecar("s1", 1, nil)
+		for range 3 {
+			code, _ = f.call("GET", "/v1/batches/"+id, "", "", "")
+			g.Expect(code).To(gomega.Equal(http.StatusNotFound))
+			code, body = f.call("POST", "/v1/batches", "application/jsonl", "k", lines("x", 3))
+			g.Expect(code).To(gomega.Equal(http.StatusConflict), body)
+			time.Sleep(3 * time.Minute) // longer than the log keeps a record
+			f.start(time.Now().String())
+			f.kill(f.Entries()[0].ID, 0)
+			time.Sleep(3 * time.Second)
+		}
+		_, ran := f.runs.Load("x-0")
+		g.Expect(ran).To(gomega.BeFalse())
+	})
+}
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -202,6 +202,7 @@
 	known.jobRecord = *j
 	known.at = r.Offset
 	known.file = nil
+	t.attach(known)
 	t.commits++
 }
 
@@ -225,6 +226,12 @@
 	return j
 }
 
+// Deleted says whether a job was deleted and is not forgotten yet.
+func (t *Table) Deleted(id string) bool {
+	j, ok := t.jobs[id]
+	return ok && j.deleted != 0
+}
+
 // attach joins a job with its file and says whether that is known.
 func (t *Table) attach(j *job) bool {
 	if j.file != nil {
--- a/jobs/view.go
+++ b/jobs/view.go
@@ -19,6 +19,7 @@
 	StatusCompleted  Status = "completed"
 	StatusCancelled  Status = "cancelled"
 	StatusExpired    Status = "expired"
+	StatusDeleted    Status = "deleted" // of a view without further content
 )
 
 // View is the state of a job.
@@ -103,7 +104,8 @@
 	}
 }
 
-func (s *Service) localGet(ctx context.Context, customer, id string) (View, error) {
+func (s *Service) localGet(ctx context.Context, args GetArgs) (View, error) {
+	customer, id := args.Customer, args.ID
 	n, ok := partitionOf(jobPrefix, id)
 	if !ok {
 		return View{}, nil
@@ -112,13 +114,19 @@
 	if err != nil {
 		return View{}, err
 	}
-	if !p.has(func(t *Table) bool { return t.Job(id) != nil }) {
+	if err := p.await(ctx, func() bool { return p.owner.table.next > args.After }); err != nil {
+		return View{}, err
+	}
+	if !p.has(func(t *Table) bool { return t.Job(id) != nil || t.Deleted(id) }) {
 		if err := p.catchUp(ctx); err != nil {
 			return View{}, err
 		}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.owner.table.Deleted(id) {
+		return View{ID: id, Status: StatusDeleted}, nil
+	}
 	j := p.owner.table.Job(id)
 	if j == nil || customer != "" && j.Customer != customer || time.Now().After(j.Kept) {
 		return View{}, nil
@@ -282,16 +290,19 @@
 }
 
 // Get returns a job of a customer, asking its owner; the id is empty if there
-// is none.
+// is none. Of a job that was deleted only id and status are set.
 func (s *Service) Get(ctx context.Context, customer, id string) (View, error) {
+	return s.get(ctx, GetArgs{Customer: customer, ID: id})
+}
+
+func (s *Service) get(ctx context.Context, args GetArgs) (View, error) {
 	var v View
-	n, ok := partitionOf(jobPrefix, id)
+	n, ok := partitionOf(jobPrefix, args.ID)
 	if !ok {
 		return v, nil
 	}
-	args := GetArgs{Customer: customer, ID: id}
 	err := s.ask(ctx, n, methodGet, args, &v, func(ctx context.Context) (err error) {
-		v, err = s.localGet(ctx, customer, id)
+		v, err = s.localGet(ctx, args)
 		return err
 	})
 	return v, err
