Try: keep slots free of batch for a while after a burst began

The idea: the first arrival of a burst cuts more items than it needs.

Every lone arrival takes the slot of an item while batch fills all, so the reserve is in force most of the time.

--- a/sidecar/scheduler.go
+++ b/sidecar/scheduler.go
@@ -14,6 +14,7 @@
 	slots   int
 	tickets map[string]*ticket
 	idle    chan struct{} // signalled when items could start
+	waking  bool          // a call of Tick is due
 }
 
 // ticket is the place of a request or an item in the queue.
@@ -133,7 +134,7 @@
 func (s *scheduler) idleSlots() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.queue.Idle()
+	return s.queue.Idle(time.Now())
 }
 
 func (s *scheduler) wait() time.Duration {
@@ -154,13 +155,30 @@
 		s.tickets[r.ID].refused <- r
 		delete(s.tickets, r.ID)
 	}
+	if !d.Wake.IsZero() {
+		s.wakeAt(d.Wake)
+	}
 	s.signalIdle()
 }
 
+// wakeAt calls the queue's Tick at t. The caller holds the lock.
+func (s *scheduler) wakeAt(t time.Time) {
+	if s.waking {
+		return
+	}
+	s.waking = true
+	time.AfterFunc(time.Until(t), func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.waking = false
+		s.apply(s.queue.Tick(time.Now()))
+	})
+}
+
 // signalIdle wakes the pull loop if items could start. The caller holds the
 // lock.
 func (s *scheduler) signalIdle() {
-	if s.queue.Idle() == 0 {
+	if s.queue.Idle(time.Now()) == 0 {
 		return
 	}
 	select {
@@ -168,3 +186,11 @@
 	default:
 	}
 }
+
+// Load returns the numbers of online requests and of batch items that the
+// endpoint runs.
+func (s *Sidecar) Load() (online, batch int) {
+	s.schedule.mu.Lock()
+	defer s.schedule.mu.Unlock()
+	return s.schedule.queue.Running(), s.schedule.queue.RunningItems()
+}
