--- /dev/null
+++ b/lane/bench_test.go
@@ -0,0 +1,72 @@
+package lane_test
+
+import (
+	"fmt"
+	"testing"
+
+	"dandelionrelay/lane"
+)
+
+// BenchmarkDecision measures one arrival and one end of a request while that
+// many requests of that many customers wait.
+func BenchmarkDecision(b *testing.B) {
+	for _, customers := range []int{1, 10, 100, 370} {
+		for _, queued := range []int{0, 64, 512} {
+			b.Run(fmt.Sprintf("customers=%d/queued=%d", customers, queued), func(b *testing.B) {
+				benchmarkDecision(b, customers, queued)
+			})
+		}
+	}
+}
+
+func benchmarkDecision(b *testing.B, customers, queued int) {
+	const slots = 16
+	q := lane.New(lane.Options{Slots: slots, MaxQueued: queued + slots})
+	names := make([]string, customers)
+	for i := range names {
+		names[i] = fmt.Sprint("customer", i)
+	}
+	ids := make([]string, queued+2*slots)
+	for i := range ids {
+		ids[i] = fmt.Sprint(i)
+	}
+	var running, free []string
+	free = append(free, ids...)
+	n := 0
+	arrive := func() {
+		id := free[0]
+		free = free[1:]
+		n++
+		d := q.Arrive(at(n/10), lane.Request{ID: id, Customer: names[n%customers], Cost: 100, Deadline: at(1 << 40)})
+		running = append(running, d.Start...)
+	}
+	for range queued + slots {
+		arrive()
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		id := running[0]
+		running = running[1:]
+		free = append(free, id)
+		running = append(running, q.Finish(at(n/10), id, 90).Start...)
+		arrive()
+	}
+}
+
+// BenchmarkPreemption measures an arrival that cuts an item, and its end.
+func BenchmarkPreemption(b *testing.B) {
+	for _, slots := range []int{16, 64, 256} {
+		b.Run(fmt.Sprintf("slots=%d", slots), func(b *testing.B) {
+			q := lane.New(lane.Options{Slots: slots})
+			for i := range slots {
+				q.Offer(at(0), lane.Item{ID: fmt.Sprint("item", i), Preemptible: true, Resumable: true})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				d := q.Arrive(at(1), lane.Request{ID: "online", Customer: "c", Cost: 100})
+				q.Park(at(1), d.Preempt[0], 100)
+				q.Finish(at(2), "online", 100)
+			}
+		})
+	}
+}
