Sidecar: salts prompts without parsing them whole, whatever the salt's name

The body of an online request was parsed into fields and written again to set the salt. It is spliced in front now, unless the body could name a salt of its own (any case, escapes): then the fields are parsed and every such name is dropped. Cache_Salt passed through before, and the stand-in engine, like other readers that ignore case, took it; with the check off TestSaltIsOfTheCustomerAlone fails (got victim).

--- a/sidecar/body.go
+++ b/sidecar/body.go
@@ -1,7 +1,9 @@
 package sidecar
 
 import (
+	"bytes"
 	"encoding/json"
+	"strings"
 
 	"dandelionrelay/api"
 	"dandelionrelay/config"
@@ -31,17 +33,25 @@
 	return p, nil
 }
 
-// set replaces a field.
+// set replaces a field, however its name is capitalised: some engines match
+// names without regard to case.
 func (p *prompt) set(name string, value any) {
+	for other := range p.fields {
+		if strings.EqualFold(other, name) {
+			delete(p.fields, other)
+		}
+	}
 	b, err := json.Marshal(value)
 	if err == nil {
 		p.fields[name] = b
 	}
 }
 
+const saltField = "cache_salt"
+
 // salt separates the prompt cache of a customer from the others'. A salt of
 // the caller's choice is replaced.
-func (p *prompt) salt(customer string) { p.set("cache_salt", customer) }
+func (p *prompt) salt(customer string) { p.set(saltField, customer) }
 
 func (p *prompt) bytes() []byte {
 	b, _ := json.Marshal(p.fields)
@@ -51,14 +61,12 @@
 // promptTokens estimates the tokens of the prompt.
 func (p *prompt) promptTokens() float64 { return float64(p.size / tokenBytes) }
 
-// cost estimates the tokens of the prompt and the answer.
-func (p *prompt) cost() float64 {
-	answer := 0
-	_ = json.Unmarshal(p.fields["max_tokens"], &answer)
-	if answer <= 0 {
-		answer = defaultAnswerTokens
+// estimate returns the tokens of a prompt of that many bytes and its answer.
+func estimate(bytes, maxTokens int) float64 {
+	if maxTokens <= 0 {
+		maxTokens = defaultAnswerTokens
 	}
-	return p.promptTokens() + float64(answer)
+	return float64(bytes/tokenBytes + maxTokens)
 }
 
 // unmergeable are fields whose answers can't be put together from a stream of
@@ -90,11 +98,66 @@
 	if d.Kind != config.KindModel || len(req.Body) == 0 {
 		return 1, nil
 	}
+	var head struct {
+		MaxTokens int `json:"max_tokens"`
+	}
+	if err := json.Unmarshal(req.Body, &head); err != nil {
+		return 0, api.NewError(400, api.CodeBadRequest, "request body is not a valid JSON object")
+	}
+	cost = estimate(len(req.Body), head.MaxTokens)
+	if salted, ok := spliceSalt(req.Body, req.Customer); ok {
+		req.Body = salted
+		return cost, nil
+	}
 	p, err := parsePrompt(req.Body)
 	if err != nil {
 		return 0, api.NewError(400, api.CodeBadRequest, "request body is not a JSON object")
 	}
 	p.salt(req.Customer)
 	req.Body = p.bytes()
-	return p.cost(), nil
+	return cost, nil
+}
+
+// spliceSalt puts the salt in front of the fields of a valid JSON object
+// without parsing it. It returns false if the object could have a salt of its
+// own, whose name may be written with escapes.
+func spliceSalt(body []byte, customer string) ([]byte, bool) {
+	body = bytes.TrimLeft(body, " \t\r\n")
+	if len(body) == 0 || body[0] != '{' || mayHaveSalt(body) {
+		return nil, false
+	}
+	rest := bytes.TrimLeft(body[1:], " \t\r\n")
+	if rest[0] == '}' {
+		return nil, false
+	}
+	name, err := json.Marshal(customer)
+	if err != nil {
+		return nil, false
+	}
+	out := make([]byte, 0, len(body)+len(name)+len(saltField)+4)
+	out = append(out, `{"`+saltField+`":`...)
+	out = append(out, name...)
+	out = append(out, ',')
+	return append(out, rest...), true
+}
+
+// mayHaveSalt reports whether the name of the salt, in any case, or an escaped
+// character is anywhere in body.
+func mayHaveSalt(body []byte) bool {
+	if bytes.Contains(body, []byte(`\u`)) {
+		return true
+	}
+	prefix := len("cache")
+	for i := prefix; i < len(body); i++ {
+		next := bytes.IndexByte(body[i:], '_')
+		if next < 0 {
+			return false
+		}
+		i += next
+		end := min(len(body), i-prefix+len(saltField))
+		if bytes.EqualFold(body[i-prefix:end], []byte(saltField)) {
+			return true
+		}
+	}
+	return false
 }
--- /dev/null
+++ b/sidecar/body_test.go
@@ -0,0 +1,42 @@
+package sidecar_test
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/onsi/gomega"
+
+	"dandelionrelay/standin/engine"
+)
+
+// TestSaltIsOfTheCustomerAlone sends bodies that name a salt of another
+// customer, in every way that an engine could read as one.
+func TestSaltIsOfTheCustomerAlone(t *testing.T) {
+	fields := `"model":"m","max_tokens":1,"messages":[{"role":"user","content":"hello"}]`
+	bodies := []string{
+		`{` + fields + `}`,
+		` { ` + fields + `}`,
+		`{"cache_salt":"victim",` + fields + `}`,
+		`{` + fields + `,"cache_salt":"victim"}`,
+		`{` + fields + `,"Cache_SALT":"victim"}`,
+		`{` + fields + `,"cache\u005fsalt":"victim"}`,
+		`{"x_":1,` + fields + `,"_cache_salt":1,"cache_salt":"victim","cache_salt":"victim"}`,
+	}
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		e := newEngine(t, engine.Options{})
+		r := newRig(t, e, modelDeployment(4))
+		for i, body := range bodies {
+			got := r.result(t.Context(), call{id: string(rune('a' + i)), customer: `acme"`, body: json.RawMessage(body)})
+			g.Expect(got.failure).To(gomega.BeNil(), body)
+			seen := e.Requests()[i].Body
+			var all map[string]any
+			g.Expect(json.Unmarshal(seen, &all)).To(gomega.Succeed())
+			g.Expect(all["cache_salt"]).To(gomega.Equal(`acme"`))
+			g.Expect(strings.Contains(string(seen), "victim")).To(gomega.BeFalse(), "%s", seen)
+			g.Expect(all["messages"]).To(gomega.HaveLen(1))
+		}
+	})
+}
--- a/sidecar/request.go
+++ b/sidecar/request.go
@@ -54,7 +54,7 @@
 		}
 		req.Deadline = now.Add(time.Duration(ms) * time.Millisecond)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.settings.MaxBodyBytes))
+	body, err := readBody(http.MaxBytesReader(w, r.Body, s.settings.MaxBodyBytes), r.ContentLength)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, api.NewError(http.StatusRequestEntityTooLarge, api.CodeTooLarge, "request body is too large")
@@ -74,3 +74,16 @@
 	}
 	return float64(len(r.Body)/tokenBytes + tokens)
 }
+
+// maxPreallocated bounds the memory taken on the word of a Content-Length.
+const maxPreallocated = 256 << 10
+
+// readBody reads all of r, whose length may be known.
+func readBody(r io.Reader, length int64) ([]byte, error) {
+	if length <= 0 || length > maxPreallocated {
+		return io.ReadAll(r)
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(r, body)
+	return body, err
+}
