--- a/entry/entry.go
+++ b/entry/entry.go
@@ -84,6 +84,7 @@
 		Retention: time.Duration(s.LogRetention),
 	})
 	e.peers.Register(config.ServiceName, config.NewService(e.follower))
+	e.follower.RegisterMetrics(d.Registry)
 	e.limits = limit.NewService(limit.Options{
 		Self:       e.self(),
 		Log:        d.Log,
