--- /dev/null
+++ b/jobs/settle.go
@@ -0,0 +1,131 @@
+package jobs
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"dandelionrelay/api"
+	"dandelionrelay/invariant"
+)
+
+// complete fills in the custom ids that facts lack and returns those that are
+// whole. The others are decided again later, when the log can be read.
+func (p *partition) complete(ctx context.Context, facts []fact) []fact {
+	whole := facts[:0]
+	for _, f := range facts {
+		if f.Kind == factDone && f.CustomID == "" {
+			f.CustomID = p.customID(ctx, &f)
+		}
+		if f.Kind == factDone && f.CustomID == "" {
+			p.undecide(&f)
+			continue
+		}
+		whole = append(whole, f)
+	}
+	return whole
+}
+
+// customID reads the custom id of an item; it is empty if that fails.
+func (p *partition) customID(ctx context.Context, f *fact) string {
+	p.mu.Lock()
+	var c *chunk
+	if j := p.owner.table.Job(f.Job); j != nil {
+		c = j.file.chunkOf(f.Item)
+	}
+	if c == nil {
+		p.mu.Unlock()
+		return ""
+	}
+	at, index := c.at, f.Item-c.first
+	p.mu.Unlock()
+	in, err := p.s.cache.item(ctx, p.stream, at, index)
+	if err != nil {
+		return ""
+	}
+	return in.customID
+}
+
+// undecide takes back the end of an attempt.
+func (p *partition) undecide(f *fact) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if a, ok := p.owner.running[itemKey{f.Job, f.Item}]; ok {
+		a.committing = false
+	}
+}
+
+// report handles the results of a sidecar. It returns once all that are final
+// are durable.
+func (p *partition) report(ctx context.Context, endpoint string, results []api.Result) error {
+	if err := p.waitReplayed(ctx, results); err != nil {
+		return err
+	}
+	now := time.Now()
+	p.mu.Lock()
+	if p.writer.full() {
+		p.mu.Unlock()
+		return NotDurable.New("%d bytes of results wait for the log", PendingBytes)
+	}
+	var facts []fact
+	for i := range results {
+		facts = append(facts, p.owner.report(now, endpoint, &results[i])...)
+	}
+	p.mu.Unlock()
+	p.submit(p.complete(ctx, facts))
+	p.s.wake()
+	return p.waitSettled(ctx, results)
+}
+
+// waitReplayed waits until the table knows the attempts that results are of.
+// One that it never learns of belongs to a job that is forgotten.
+func (p *partition) waitReplayed(ctx context.Context, results []api.Result) error {
+	known := func() bool {
+		return p.ready && !slices.ContainsFunc(results, func(r api.Result) bool { return p.owner.behind(r.WorkRef) })
+	}
+	p.mu.Lock()
+	ok := known()
+	p.mu.Unlock()
+	if ok {
+		return nil
+	}
+	return p.catchUp(ctx)
+}
+
+// waitSettled waits until no result waits for the log.
+func (p *partition) waitSettled(ctx context.Context, results []api.Result) error {
+	return p.await(ctx, func() bool {
+		for i := range results {
+			if p.committing(&results[i]) {
+				return false
+			}
+		}
+		for i := range results {
+			p.checkDurable(&results[i])
+		}
+		return true
+	})
+}
+
+// committing says whether the result of an item is on its way to the log. The
+// caller holds the lock.
+func (p *partition) committing(r *api.Result) bool {
+	j, it := p.owner.find(r.WorkRef)
+	if it == nil || it.first != 0 || j.ended() {
+		return false
+	}
+	a, ok := p.owner.running[itemKey{r.Job, r.Item}]
+	return ok && a.committing
+}
+
+// checkDurable asserts that a final result about to be acknowledged is in the
+// log. The caller holds the lock.
+func (p *partition) checkDurable(r *api.Result) {
+	j, it := p.owner.find(r.WorkRef)
+	if it == nil || r.State != api.ResultDone || retryable(r.Status) {
+		return
+	}
+	tgt, _ := j.target(r.Item)
+	p.s.o.Invariants.Check(it.first != 0 || j.ended() || !tgt.Idempotent, invariant.AcknowledgedIsDurable,
+		"job %s item %d: result acknowledged but not in the log", r.Job, r.Item)
+}
--- a/jobs/view.go
+++ b/jobs/view.go
@@ -6,7 +6,6 @@
 	"strings"
 	"time"
 
-	"dandelionrelay/invariant"
 	"dandelionrelay/membership"
 )
 
@@ -185,110 +184,6 @@
 	return p, p.waitReady(ctx)
 }
 
-// pageBytes is the size of one page of results, pageItems their number.
-const (
-	pageBytes = 1 << 20
-	pageItems = 2_000
-)
-
-// resultRef is where the result of an item lies.
-type resultRef struct {
-	item  int
-	state item
-}
-
-// localPage returns results in the order of the items.
-func (s *Service) localPage(ctx context.Context, args PageArgs) (Page, error) {
-	var page Page
-	n, ok := partitionOf(jobPrefix, args.Job)
-	if !ok {
-		return page, nil
-	}
-	p, err := s.ready(ctx, n)
-	if err != nil {
-		return page, err
-	}
-	refs, more := p.results(args)
-	bytes := 0
-	for i, ref := range refs {
-		if bytes > pageBytes {
-			page.Next = ref.item
-			return page, nil
-		}
-		r, err := p.result(ctx, args.Job, ref)
-		if err != nil {
-			return Page{}, err
-		}
-		bytes += len(r.Body)
-		page.Results = append(page.Results, r)
-		if i == len(refs)-1 && more {
-			page.Next = ref.item + 1
-		}
-	}
-	return page, nil
-}
-
-// results returns where the next results of a job lie, and whether there are
-// more.
-func (p *partition) results(args PageArgs) ([]resultRef, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	j := p.owner.table.Job(args.Job)
-	if j == nil || args.Customer != "" && j.Customer != args.Customer {
-		return nil, false
-	}
-	var refs []resultRef
-	for i := max(args.From, 0); i < len(j.items); i++ {
-		if j.items[i].first == 0 {
-			continue
-		}
-		p.s.o.Invariants.Check(j.end == 0 || j.items[i].first < j.end, invariant.CancelStops,
-			"job %s item %d: result of offset %d shown after the end at %d", j.ID, i, j.items[i].first, j.end)
-		if len(refs) == pageItems {
-			return refs, true
-		}
-		refs = append(refs, resultRef{i, j.items[i]})
-	}
-	return refs, false
-}
-
-// result reads one result from the log. If it was carried meanwhile, it looks
-// again where it lies.
-func (p *partition) result(ctx context.Context, job string, ref resultRef) (ItemResult, error) {
-	record, err := p.s.cache.get(ctx, p.stream, ref.state.at)
-	if err != nil {
-		p.mu.Lock()
-		j := p.owner.table.Job(job)
-		moved := j != nil && j.items[ref.item].at != ref.state.at
-		if moved {
-			ref.state = j.items[ref.item]
-		} else {
-			p.checkReadable(err, job)
-		}
-		p.mu.Unlock()
-		if !moved {
-			return ItemResult{}, err
-		}
-		record, err = p.s.cache.get(ctx, p.stream, ref.state.at)
-	}
-	if err != nil {
-		return ItemResult{}, err
-	}
-	body, err := record.body(int(ref.state.index))
-	if err != nil {
-		return ItemResult{}, err
-	}
-	f := record.header.Facts[ref.state.index]
-	return ItemResult{
-		Item:     ref.item,
-		CustomID: f.CustomID,
-		Attempt:  f.Attempt,
-		Code:     string(f.Code),
-		Status:   f.Status,
-		Body:     body,
-	}, nil
-}
-
 // Get returns a job of a customer, asking its owner; the id is empty if there
 // is none. Of a job that was deleted only id and status are set.
 func (s *Service) Get(ctx context.Context, customer, id string) (View, error) {
