Idempotency: one run for each Idempotency-Key, decided by the log

Cause: a caller that thinks its non-idempotent call lost resends it, through any entry; it must run at most once. With two homes the offsets still decide. Weighed: each entry following all streams (each would read every begin of the fleet, far over 4 KB/s) against a home, which reads on only when it appends. Found by the random run and mended: a home that gave up waiting made the begin void while the holder of the token, which had asked a second home, ran it; the resend ran again (log slow + entries cut off). Now only the holder voids its token.

--- /dev/null
+++ b/idempotency/parts_test.go
@@ -0,0 +1,193 @@
+package idempotency
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/onsi/gomega"
+
+	"dandelionrelay/api"
+	"dandelionrelay/platform"
+	standin "dandelionrelay/standin/platform"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// record returns a record at an offset with one event.
+func record(offset platform.Offset, at time.Time, e Event) platform.Record {
+	data, _ := json.Marshal([]Event{e})
+	return platform.Record{Offset: offset, Time: at, Data: data}
+}
+
+func TestFirstBeginInOffsetOrderRuns(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tab := NewTable(Window, 1)
+	begin := func(token string) Event {
+		return Event{Kind: Begin, Token: token, Until: start.Add(time.Minute)}
+	}
+	look := func(token string, now time.Time) Verdict {
+		v, _ := tab.Look(Key{}, Body{}, token, now)
+		return v
+	}
+	tab.Apply(record(1, start, begin("a")))
+	tab.Apply(record(2, start, begin("b")))
+	g.Expect(look("a", start)).To(gomega.Equal(Run))
+	g.Expect(look("b", start)).To(gomega.Equal(Running))
+	g.Expect(look("b", start.Add(time.Hour))).To(gomega.Equal(Lost))
+	tab.Apply(record(3, start, begin("b").as(Void)))
+	g.Expect(look("a", start)).To(gomega.Equal(Run), "only the holder can void its token")
+	tab.Apply(record(4, start, begin("a").as(Void)))
+	g.Expect(look("c", start)).To(gomega.Equal(Free))
+	tab.Apply(record(5, start, begin("c")))
+	end := begin("c").as(End)
+	end.Answer = &Answer{Status: 200}
+	tab.Apply(record(6, start, end))
+	tab.Apply(record(6, start, end.as(Void)))
+	g.Expect(look("d", start)).To(gomega.Equal(Answered))
+	v, _ := tab.Look(Key{}, Body{1}, "d", start)
+	g.Expect(v).To(gomega.Equal(Conflict))
+	tab.Apply(record(7, start.Add(2*Window), Event{Kind: Void}))
+	g.Expect(look("d", start)).To(gomega.Equal(Free))
+	g.Expect(tab.order).To(gomega.BeEmpty())
+}
+
+func TestGroupPacesRecords(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var group Group
+	group.Add(Event{Token: "a", Kind: Begin})
+	events, _ := group.Take(start)
+	g.Expect(events).To(gomega.HaveLen(1), "an idle stream takes an event at once")
+	for i := range maxGroup + 1 {
+		group.Add(Event{Token: fmt.Sprint(i), Kind: Begin})
+	}
+	events, wait := group.Take(start)
+	g.Expect(events).To(gomega.BeEmpty())
+	g.Expect(wait).To(gomega.Equal(appendInterval))
+	g.Expect(group.Drop("0")).To(gomega.BeTrue())
+	g.Expect(group.Drop("0")).To(gomega.BeFalse())
+	events, _ = group.Take(start.Add(wait))
+	g.Expect(events).To(gomega.HaveLen(maxGroup))
+	g.Expect(group.Len()).To(gomega.BeZero())
+}
+
+func TestSeekSkipsWhatNoKeyNeeds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		log := standin.NewLog(0, 1)
+		for range 300 {
+			_, _ = log.Append(t.Context(), "calls/00", "x", []byte("[]"))
+			time.Sleep(time.Minute)
+		}
+		h := newHome("calls/00", log, Window, nil)
+		g.Expect(h.open(t.Context())).To(gomega.Succeed())
+		g.Expect(h.table.Next()).To(gomega.BeNumerically("~", 300-60, 2))
+	})
+}
+
+func TestKeysWithATimeAreRefusedOnceForgotten(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := NewService(Deps{Retention: 10 * time.Minute})
+	g.Expect(s.window).To(gomega.BeNumerically("<", 10*time.Minute))
+	key, err := uuid.NewV7()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	now := time.Now()
+	g.Expect(s.checkKey(key.String(), now)).To(gomega.BeNil())
+	g.Expect(s.checkKey(key.String(), now.Add(s.window)).Code).To(gomega.Equal(api.CodeConflict))
+	g.Expect(s.checkKey(key.String(), now.Add(-time.Hour)).Code).To(gomega.Equal(api.CodeBadRequest))
+	g.Expect(s.checkKey("any other", now)).To(gomega.BeNil())
+}
+
+// TestResendsAndLogOutage covers each answer to a resend.
+func TestResendsAndLogOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		r := newRig(t, 1)
+		var first got
+		for i := 0; first.body == ""; i++ { // until the endpoint answers
+			first = r.send(0, fmt.Sprint("a", i), fmt.Sprint("key", i), "body")
+			first.id = fmt.Sprint("key", i)
+		}
+		time.Sleep(time.Second)
+		g.Expect(r.send(1, "b", first.id, "body").body).To(gomega.Equal(first.body))
+		other := r.send(2, "c", first.id, "other body")
+		g.Expect(other.err.Status).To(gomega.Equal(422))
+		r.log.SetFaults(standin.Faults{Down: true})
+		refused := r.send(1, "d", "new", "body")
+		g.Expect(refused.err.Code).To(gomega.Equal(api.CodeLogDown))
+		g.Expect(refused.err.Outcome).To(gomega.Equal(api.NotRun))
+		g.Expect(refused.err.RetryAfter).To(gomega.BeNumerically(">", 0))
+		g.Expect(r.ran["d"]).To(gomega.BeFalse())
+		r.log.SetFaults(standin.Faults{})
+		time.Sleep(time.Minute)
+	})
+}
+
+// storesAndFalls is a log that goes down as it stores a record, unless it has
+// fallen before.
+type storesAndFalls struct {
+	*standin.Log
+	fallen *atomic.Bool
+}
+
+// Append implements platform.Log.
+func (l storesAndFalls) Append(ctx context.Context, stream, id string, data []byte) (platform.Offset, error) {
+	offset, err := l.Log.Append(ctx, stream, id, data)
+	if l.fallen.Swap(true) {
+		return offset, err
+	}
+	l.SetFaults(standin.Faults{Down: true})
+	return 0, platform.Unavailable.New("append")
+}
+
+// TestRefusedBeginIsMadeVoid stores a begin whose answer is lost, as the log
+// goes down, and resends once it is back: the resend runs.
+func TestRefusedBeginIsMadeVoid(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		fallen := new(atomic.Bool)
+		fallen.Store(true)
+		r := newRigOn(t, 1, func(log *standin.Log) platform.Log { return storesAndFalls{log, fallen} })
+		g.Expect(r.send(0, "warm", "warm", "body").err).NotTo(gomega.Equal(refusal(Down)))
+		time.Sleep(time.Second)
+		fallen.Store(false)
+		refused := r.send(0, "a", "key", "body")
+		g.Expect(refused.err.Code).To(gomega.Equal(api.CodeLogDown))
+		r.log.SetFaults(standin.Faults{})
+		time.Sleep(5 * time.Second)
+		for i := 0; i < 20 && r.runs["key"] == 0; i++ { // the endpoint may refuse
+			r.send(1, fmt.Sprint("b", i), "key", "body")
+			time.Sleep(time.Second)
+		}
+		g.Expect(r.runs["key"]).To(gomega.Equal(1))
+		time.Sleep(time.Minute)
+	})
+}
+
+// TestGroupCommitBoundsAppends begins many calls at once and counts records.
+func TestGroupCommitBoundsAppends(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		const seconds, perSecond = 10, 2000
+		log := standin.NewLog(0, 1)
+		h := newHome("calls/00", log, Window, nil)
+		for i := range seconds * perSecond {
+			go func() {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				e := Event{Kind: Begin, Key: KeyOf("c", "r", fmt.Sprint(i)), Token: fmt.Sprint(i), Until: time.Now().Add(time.Hour)}
+				if v, _ := h.begin(ctx, e); v != Run {
+					t.Errorf("call %d: verdict %d", i, v)
+				}
+			}()
+			time.Sleep(time.Second / perSecond)
+		}
+		time.Sleep(time.Second)
+		g.Expect(log.Appends()).To(gomega.BeNumerically("<=", 1+(seconds+1)*uint64(time.Second/appendInterval)))
+	})
+}
