Dispatch: prefix affinity within a load bound, even subsets, comparison

The idea of routing by the longest cached prefix, weighed against load, is that of 'Reduce LLM inference costs with prefix caching'.

--- a/dispatch/delivery.go
+++ b/dispatch/delivery.go
@@ -27,6 +27,7 @@
 	d *Dispatcher
 	c *pipeline.Call
 
+	blocks     []uint64 // of the prompt, once they are needed
 	attempts   int
 	tried      []string // ids of the endpoints that failed
 	suspect    bool
@@ -102,13 +103,15 @@
 // pick chooses the endpoint of the next attempt.
 func (y *delivery) pick() (platform.Instance, bool) {
 	d := y.d
-	deployment := y.c.Route.Deployment
+	affine, depth := y.prefix()
 	q := Query{
 		Now:     time.Now(),
-		Subset:  d.subsets.of(deployment, d.members.Endpoints(deployment)),
+		Subset:  d.subsets.of(y.c.Route.Deployment, d.members),
 		Slots:   y.c.Deployment.Slots,
 		Suspect: y.suspect,
 		Skip:    y.tried,
+		Affine:  affine,
+		Saving:  time.Duration(depth) * blockSaving,
 		Usable:  d.detector.Usable,
 	}
 	i, ok := d.picker.Pick(&q, d.rand)
@@ -119,6 +122,18 @@
 	return i, ok
 }
 
+// prefix returns the endpoint that last got the longest prefix of the prompt,
+// and the length of that prefix in blocks.
+func (y *delivery) prefix() (endpoint string, depth int) {
+	if y.c.Chat == nil {
+		return "", 0
+	}
+	if y.blocks == nil {
+		y.blocks = Blocks(y.c.Customer, y.c.Chat.Messages)
+	}
+	return y.d.affinity.Lookup(y.blocks)
+}
+
 // try makes one attempt. It returns nil once the caller has the whole answer.
 func (y *delivery) try(ctx context.Context, endpoint platform.Instance) *end {
 	d := y.d
@@ -146,6 +161,7 @@
 // note keeps what the end of an attempt tells.
 func (y *delivery) note(a *attempt, e *end, now time.Time) {
 	if e == nil {
+		y.d.affinity.Learn(y.blocks, a.endpoint.ID)
 		y.finished()
 		return
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -65,11 +65,12 @@
 	rand        Rand
 	noteLeaving func(id string)
 
-	loads   *Loads
-	picker  *Picker
-	budgets budgets
-	subsets subsets
-	watch   *watch
+	loads    *Loads
+	picker   *Picker
+	affinity *Affinity
+	budgets  budgets
+	subsets  subsets
+	watch    *watch
 }
 
 // New returns a Dispatcher.
@@ -99,6 +100,7 @@
 		noteLeaving: d.NoteLeaving,
 		loads:       loads,
 		picker:      NewPicker(loads),
+		affinity:    NewAffinity(),
 		subsets:     subsets{self: d.ID, dataCentre: d.DataCentre},
 		watch:       newWatch(),
 	}
--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -130,17 +130,23 @@
 	}
 }
 
-// cost estimates the time until an endpoint would start a new request.
-// alone says that another suspect is in flight there.
-func (l *Loads) cost(id string, slots int, now time.Time) (cost time.Duration, suspects int) {
+// view is what a pick needs to know of an endpoint.
+type view struct {
+	cost     time.Duration // estimated until a new request would start
+	inFlight int
+	suspects int
+}
+
+// look returns the view of an endpoint with that many slots.
+func (l *Loads) look(id string, slots int, now time.Time) view {
 	s := l.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e, ok := s.loads[id]
 	if !ok {
-		return 0, 0
+		return view{}
 	}
-	return e.cost(slots, now), e.suspects
+	return view{cost: e.cost(slots, now), inFlight: e.inFlight, suspects: e.suspects}
 }
 
 func (e *load) cost(slots int, now time.Time) time.Duration {
--- a/dispatch/picker.go
+++ b/dispatch/picker.go
@@ -18,6 +18,10 @@
 	// inFlightCost is what each request in flight adds to the start of the
 	// next at an endpoint with free slots.
 	inFlightCost = 500 * time.Microsecond
+	// affineBound and affineSlack limit what the endpoint that holds a prefix
+	// may have in flight, against the best of the sample.
+	affineBound = 1.25
+	affineSlack = 2
 )
 
 // Rand is the random source of a pick.
@@ -49,6 +53,7 @@
 type choice struct {
 	instance platform.Instance
 	cost     time.Duration
+	inFlight int
 	found    bool
 }
 
@@ -99,23 +104,34 @@
 	}
 }
 
-// affine compares the endpoint that holds a prefix.
+// affine prefers the endpoint that holds a prefix, unless it has much more in
+// flight than the best of the sample or its wait outweighs the saving.
 func (p *Picker) affine(q *Query, best *choice) {
 	if q.Affine == "" {
 		return
 	}
-	for i := range q.Subset.Local {
-		if q.Subset.Local[i].ID == q.Affine {
-			p.consider(q, &q.Subset.Local[i], -q.Saving, best)
-			return
-		}
+	var held choice
+	if !p.find(q, q.Subset.Local, 0, &held) {
+		p.find(q, q.Subset.Remote, Distance, &held)
 	}
-	for i := range q.Subset.Remote {
-		if q.Subset.Remote[i].ID == q.Affine {
-			p.consider(q, &q.Subset.Remote[i], Distance-q.Saving, best)
-			return
+	if !held.found {
+		return
+	}
+	bound := affineSlack + int(affineBound*float64(best.inFlight))
+	if !best.found || held.inFlight <= bound && held.cost-q.Saving < best.cost {
+		*best = held
+	}
+}
+
+// find looks the affine endpoint up in list.
+func (p *Picker) find(q *Query, list []platform.Instance, distance time.Duration, held *choice) bool {
+	for i := range list {
+		if list[i].ID == q.Affine {
+			p.consider(q, &list[i], distance, held)
+			return true
 		}
 	}
+	return false
 }
 
 // consider makes i the best choice if it may be used and costs less.
@@ -123,12 +139,12 @@
 	if i.State == platform.Leaving || slices.Contains(q.Skip, i.ID) || !q.Usable(i.ID) {
 		return
 	}
-	cost, suspects := p.loads.cost(i.ID, q.Slots, q.Now)
-	if q.Suspect && suspects > 0 {
+	l := p.loads.look(i.ID, q.Slots, q.Now)
+	if q.Suspect && l.suspects > 0 {
 		return
 	}
-	cost += extra
+	cost := l.cost + extra
 	if !best.found || cost < best.cost {
-		*best = choice{instance: *i, cost: cost, found: true}
+		*best = choice{instance: *i, cost: cost, inFlight: l.inFlight, found: true}
 	}
 }
--- a/dispatch/subsets.go
+++ b/dispatch/subsets.go
@@ -16,20 +16,36 @@
 }
 
 type cachedSubset struct {
-	of     []platform.Instance
-	subset membership.Subset
+	endpoints []platform.Instance
+	entries   []platform.Instance
+	subset    membership.Subset
 }
 
-// of returns the subset of a deployment's endpoints, an immutable slice.
-func (s *subsets) of(deployment string, endpoints []platform.Instance) membership.Subset {
-	if v, ok := s.m.Load(deployment); ok && same(v.(*cachedSubset).of, endpoints) {
-		return v.(*cachedSubset).subset
+// of returns the subset of a deployment. The slices of members are immutable.
+func (s *subsets) of(deployment string, members membership.Members) membership.Subset {
+	endpoints, entries := members.Endpoints(deployment), members.Entries()
+	if v, ok := s.m.Load(deployment); ok {
+		c := v.(*cachedSubset)
+		if same(c.endpoints, endpoints) && same(c.entries, entries) {
+			return c.subset
+		}
 	}
-	subset := membership.NewSubset(s.self, s.dataCentre, endpoints)
-	s.m.Store(deployment, &cachedSubset{of: endpoints, subset: subset})
+	subset := membership.NewSubset(s.self, s.dataCentre, s.local(entries), endpoints)
+	s.m.Store(deployment, &cachedSubset{endpoints: endpoints, entries: entries, subset: subset})
 	return subset
 }
 
+// local counts the entries in the data centre of this one.
+func (s *subsets) local(entries []platform.Instance) int {
+	n := 0
+	for _, e := range entries {
+		if e.DataCentre == s.dataCentre && e.State == platform.Live {
+			n++
+		}
+	}
+	return n
+}
+
 // same says that a and b are one slice.
 func same(a, b []platform.Instance) bool {
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
--- a/membership/detector_test.go
+++ b/membership/detector_test.go
@@ -91,10 +91,10 @@
 	used := make(map[string]int)
 	for e := range entries {
 		id, dc := fmt.Sprintf("e%03d", e), fmt.Sprintf("dc%d", e%dataCentres)
-		s := NewSubset(id, dc, endpoints)
+		s := NewSubset(id, dc, entries/dataCentres, endpoints)
 		g.Expect(s.Local).To(gomega.HaveLen(LocalEndpoints))
 		g.Expect(s.Remote).To(gomega.HaveLen(RemoteEndpoints * (dataCentres - 1)))
-		without := NewSubset(id, dc, endpoints[1:])
+		without := NewSubset(id, dc, entries/dataCentres, endpoints[1:])
 		g.Expect(moved(s, without)).To(gomega.BeNumerically("<=", 1))
 		for _, i := range append(s.Local, s.Remote...) {
 			used[i.ID]++
@@ -107,6 +107,14 @@
 	}
 }
 
+func TestFewEntriesTakeLargerSubsets(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := NewSubset("e", "dc0", 13, fleet(240, 3))
+	g.Expect(s.Local).To(gomega.HaveLen(80))
+	s = NewSubset("e", "dc0", 64, fleet(480, 3))
+	g.Expect(s.Local).To(gomega.HaveLen(Coverage * 160 / 64))
+}
+
 // moved returns how many endpoints of b are not in a.
 func moved(a, b Subset) int {
 	in := make(map[string]bool)
--- a/membership/subset.go
+++ b/membership/subset.go
@@ -4,8 +4,14 @@
 
 // Sizes of an entry's subset of the endpoints of a deployment.
 const (
-	LocalEndpoints  = 16 // in the entry's own data centre
-	RemoteEndpoints = 4  // in each other data centre
+	// LocalEndpoints is the least number in the entry's own data centre.
+	LocalEndpoints = 16
+	// RemoteEndpoints is the number in each other data centre.
+	RemoteEndpoints = 4
+	// Coverage is how many entries of its data centre an endpoint has on
+	// average: with few entries their subsets are larger, as otherwise some
+	// endpoints would be chosen far more often than others.
+	Coverage = 16
 )
 
 // Subset is the part of a deployment's endpoints that one entry works with.
@@ -17,19 +23,20 @@
 // Len returns the number of endpoints.
 func (s Subset) Len() int { return len(s.Local) + len(s.Remote) }
 
-// NewSubset chooses the endpoints of the entry self for a deployment, by
-// rendezvous hashing: entries choose evenly, and the choice changes by one
+// NewSubset chooses the endpoints of the entry self, one of some entries in its
+// data centre, for a deployment, by rendezvous hashing: entries choose evenly, and the choice changes by one
 // endpoint when one comes or goes. Every data centre is represented, so that
 // the loss of one leaves the others.
-func NewSubset(self, dataCentre string, endpoints []platform.Instance) Subset {
+func NewSubset(self, dataCentre string, entries int, endpoints []platform.Instance) Subset {
 	var s Subset
+	size := localSize(dataCentre, entries, endpoints)
 	remote := make(map[string]int)
 	for _, e := range Rank(self, endpoints) {
 		if e.State == platform.Leaving {
 			continue
 		}
 		if e.DataCentre == dataCentre {
-			if len(s.Local) < LocalEndpoints {
+			if len(s.Local) < size {
 				s.Local = append(s.Local, e)
 			}
 			continue
@@ -41,3 +48,14 @@
 	}
 	return s
 }
+
+// localSize is how many endpoints of its own data centre an entry takes.
+func localSize(dataCentre string, entries int, endpoints []platform.Instance) int {
+	local := 0
+	for _, e := range endpoints {
+		if e.DataCentre == dataCentre {
+			local++
+		}
+	}
+	return max(LocalEndpoints, Coverage*local/max(1, entries))
+}
