Membership: rank computes each score once

Cause: a new subset of 2,400 endpoints took 4.5 ms, as scores were computed in every comparison; 1.6 ms now (BenchmarkSubset; 0.60 to 0.19 ms at 240).

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -2,7 +2,9 @@
 package membership
 
 import (
+	"cmp"
 	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -52,17 +54,30 @@
 // Rank orders members for key by rendezvous hashing, the preferred one first.
 // The order of the others does not change when one goes.
 func Rank(key string, members []platform.Instance) []platform.Instance {
-	out := slices.Clone(members)
-	slices.SortFunc(out, func(a, b platform.Instance) int {
-		ha, hb := score(key, a.ID), score(key, b.ID)
-		if ha > hb || ha == hb && a.ID < b.ID {
-			return -1
+	ranked := make([]rankedInstance, len(members))
+	for i := range members {
+		ranked[i].score = score(key, members[i].ID)
+		ranked[i].instance = &members[i]
+	}
+	slices.SortFunc(ranked, func(a, b rankedInstance) int {
+		if a.score != b.score {
+			return cmp.Compare(b.score, a.score)
 		}
-		return 1
+		return strings.Compare(a.instance.ID, b.instance.ID)
 	})
+	out := make([]platform.Instance, len(members))
+	for i := range ranked {
+		out[i] = *ranked[i].instance
+	}
 	return out
 }
 
+// rankedInstance is an instance with its score for a key.
+type rankedInstance struct {
+	score    uint64
+	instance *platform.Instance
+}
+
 func score(key, id string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
