Idempotency: draining and stopping

Cause: an entry that leaves must store the answers that it gave, and its appends must end with it: the system test under a log outage found the flusher of a stopped entry still trying. The end of a call is handed to the home, or queued here; Drain waits for both.

--- a/idempotency/home.go
+++ b/idempotency/home.go
@@ -27,6 +27,8 @@
 	window time.Duration
 	checks *invariant.Set
 
+	stop <-chan struct{} // closed when the entry ends
+
 	// reading lets one goroutine at a time read on.
 	reading sync.Mutex
 
@@ -37,8 +39,11 @@
 	flushing bool
 }
 
-func newHome(stream string, log platform.Log, window time.Duration, checks *invariant.Set) *home {
-	return &home{stream: stream, log: log, window: window, checks: checks, settled: make(map[string]chan struct{})}
+func newHome(stream string, log platform.Log, window time.Duration, checks *invariant.Set, stop <-chan struct{}) *home {
+	return &home{
+		stream: stream, log: log, window: window, checks: checks, stop: stop,
+		settled: make(map[string]chan struct{}),
+	}
 }
 
 // begin settles which token runs the call of e, which is a Begin. It returns
@@ -168,7 +173,26 @@
 	}
 }
 
-// flush appends what is queued until nothing is.
+// busy says that events wait to be stored.
+func (h *home) busy() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.flushing
+}
+
+// sleep lets d pass. It returns false if the entry ends.
+func (h *home) sleep(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-h.stop:
+		return false
+	}
+}
+
+// flush appends what is queued until nothing is, or the entry ends.
 func (h *home) flush() {
 	for {
 		h.mu.Lock()
@@ -179,30 +203,28 @@
 			return
 		}
 		h.mu.Unlock()
-		if wait > 0 {
-			time.Sleep(wait)
-			continue
+		if wait > 0 && !h.sleep(wait) || wait == 0 && !h.append(events) {
+			return
 		}
-		h.append(events)
 	}
 }
 
 // append stores one record and reads up to it. If its answer is lost, reading
 // on tells whether it is there; if not it is stored once more, which changes
 // nothing if the first turns up later, as the tokens are the same.
-func (h *home) append(events []Event) {
+// It returns false if the entry ends before.
+func (h *home) append(events []Event) bool {
 	data, err := json.Marshal(events)
 	if err != nil {
-		return
+		return true
 	}
-	for {
-		id := uuid.NewString()
-		if h.store(id, data) {
-			h.settle(events)
-			return
+	for !h.store(uuid.NewString(), data) {
+		if !h.sleep(retryBackoff) {
+			return false
 		}
-		time.Sleep(retryBackoff)
 	}
+	h.settle(events)
+	return true
 }
 
 // store appends a record and reads on until it is seen.
--- a/idempotency/parts_test.go
+++ b/idempotency/parts_test.go
@@ -84,7 +84,7 @@
 			_, _ = log.Append(t.Context(), "calls/00", "x", []byte("[]"))
 			time.Sleep(time.Minute)
 		}
-		h := newHome("calls/00", log, Window, nil)
+		h := newHome("calls/00", log, Window, nil, nil)
 		g.Expect(h.open(t.Context())).To(gomega.Succeed())
 		g.Expect(h.table.Next()).To(gomega.BeNumerically("~", 300-60, 2))
 	})
@@ -169,13 +169,34 @@
 	})
 }
 
+// TestDrainStoresTheEnds replaces every entry after a drain: the answer is
+// still there.
+func TestDrainStoresTheEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		r := newRig(t, 1)
+		var first got
+		for i := 0; first.body == ""; i++ { // until the endpoint answers
+			first = r.send(0, fmt.Sprint("a", i), fmt.Sprint("key", i), "body")
+			first.id = fmt.Sprint("key", i)
+		}
+		for _, s := range r.services {
+			g.Expect(s.Drain(t.Context())).To(gomega.Succeed())
+		}
+		for i := range r.services {
+			r.kill(i)
+		}
+		g.Expect(r.send(2, "b", first.id, "body").body).To(gomega.Equal(first.body))
+	})
+}
+
 // TestGroupCommitBoundsAppends begins many calls at once and counts records.
 func TestGroupCommitBoundsAppends(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
 		const seconds, perSecond = 10, 2000
 		log := standin.NewLog(0, 1)
-		h := newHome("calls/00", log, Window, nil)
+		h := newHome("calls/00", log, Window, nil, nil)
 		for i := range seconds * perSecond {
 			go func() {
 				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/idempotency/service.go
+++ b/idempotency/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -21,10 +20,10 @@
 	clockMargin = time.Minute
 	// beginTimeout bounds the wait for a begin's place in the log.
 	beginTimeout = 3 * time.Second
-	// finishTimeout bounds the tries to store the end of a call.
-	finishTimeout = time.Minute
-	// maxFinishing bounds the calls whose end is not stored yet.
+	// maxFinishing bounds the calls whose end no home has taken yet.
 	maxFinishing = 1024
+	// drainTick is how often Drain looks again.
+	drainTick = 50 * time.Millisecond
 )
 
 // Names of the RPC service and of its methods.
@@ -55,8 +54,8 @@
 	deps      Deps
 	window    time.Duration
 	homes     [streams]*home
-	finishing chan struct{} // one token for each end that is not stored
-	wg        sync.WaitGroup
+	stop      chan struct{} // closed when Run ends
+	finishing chan struct{} // one token for each end that no home has taken
 }
 
 // NewService returns a Service.
@@ -66,26 +65,45 @@
 		// Records must outlive the keys in them.
 		window = min(window, d.Retention*9/10-2*clockMargin)
 	}
-	s := &Service{deps: d, window: window, finishing: make(chan struct{}, maxFinishing)}
+	s := &Service{deps: d, window: window, finishing: make(chan struct{}, maxFinishing), stop: make(chan struct{})}
 	for i := range s.homes {
-		s.homes[i] = newHome(fmt.Sprintf("calls/%02d", i), d.Log, window, d.Invariants)
+		s.homes[i] = newHome(fmt.Sprintf("calls/%02d", i), d.Log, window, d.Invariants, s.stop)
 	}
 	return s
 }
 
+// Run lets the entry settle calls until ctx ends; what is not stored by then is
+// dropped.
+func (s *Service) Run(ctx context.Context) {
+	<-ctx.Done()
+	close(s.stop)
+}
+
 // Drain waits until the ends of all calls are stored, or ctx ends.
 func (s *Service) Drain(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		s.wg.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+	ticker := time.NewTicker(drainTick)
+	defer ticker.Stop()
+	for !s.idle() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// idle says that nothing waits to be stored.
+func (s *Service) idle() bool {
+	if len(s.finishing) > 0 {
+		return false
 	}
+	for _, h := range s.homes {
+		if h.busy() {
+			return false
+		}
+	}
+	return true
 }
 
 // BeginArgs asks to begin a call.
@@ -182,19 +200,23 @@
 		s.deps.Logger.Warn().Msg("idempotency: too many ends to store")
 		return
 	}
-	s.wg.Go(func() {
+	go func() {
 		defer func() { <-s.finishing }()
-		ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
-		defer cancel()
-		if home, remote := s.homeOf(e.Key); remote {
-			var reply FinishReply
-			ctx, cancel := context.WithTimeout(ctx, beginTimeout)
-			defer cancel()
-			err := s.deps.Peers.Call(ctx, home.RPCAddr, MethodFinish, FinishArgs{Event: e}, &reply)
-			if err == nil && reply.Taken {
-				return
-			}
+		if !s.tellHome(e) && !s.home(e.Key).finish(e) {
+			s.deps.Logger.Warn().Msg("idempotency: no room for the end of a call")
 		}
-		s.home(e.Key).finish(e)
-	})
+	}()
+}
+
+// tellHome hands the end of a call to another entry, if that is the home.
+func (s *Service) tellHome(e Event) bool {
+	home, remote := s.homeOf(e.Key)
+	if !remote {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), beginTimeout)
+	defer cancel()
+	var reply FinishReply
+	err := s.deps.Peers.Call(ctx, home.RPCAddr, MethodFinish, FinishArgs{Event: e}, &reply)
+	return err == nil && reply.Taken
 }
