--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"dandelionrelay/config"
 	"dandelionrelay/dispatch"
 	"dandelionrelay/front"
+	"dandelionrelay/idempotency"
 	"dandelionrelay/invariant"
 	"dandelionrelay/jobs"
 	"dandelionrelay/limit"
@@ -52,6 +53,7 @@
 	limits   *limit.Service
 	jobs     *jobs.Service
 	suspects *quarantine.Node
+	calls    *idempotency.Service
 	dispatch *dispatch.Dispatcher
 	pool     *peer.Pool
 	peers    *peer.Server
@@ -112,6 +114,16 @@
 		Logger:     d.Logger,
 	})
 	e.peers.Register(quarantine.ServiceName, e.suspects.Service())
+	e.calls = idempotency.NewService(idempotency.Deps{
+		ID:         s.ID,
+		Log:        d.Log,
+		Retention:  time.Duration(s.LogRetention),
+		Members:    e.view,
+		Peers:      e.pool,
+		Invariants: d.Invariants,
+		Logger:     d.Logger,
+	})
+	e.peers.Register(idempotency.ServiceName, e.calls.RPC())
 	e.peers.Register(membership.ServiceName, membership.NewService(e.view))
 	e.peers.Register("Limit", e.limits.RPC())
 	e.jobs.Register(e.peers)
@@ -159,6 +171,7 @@
 		guard.Authorize(),
 		e.suspects.Filter,
 		limit.Filter(e.limits),
+		e.calls.Filter,
 	)
 	batch := pipeline.Chain(serveJobs(jobs.NewHandler(e.jobs)),
 		authn.Identify(&e.holder),
@@ -221,6 +234,7 @@
 	wg.Go(func() { e.limits.Run(ctx) })
 	wg.Go(func() { e.jobs.Run(ctx) })
 	wg.Go(func() { e.suspects.Run(ctx) })
+	wg.Go(func() { e.calls.Run(ctx) })
 	wg.Go(func() { e.dispatch.Run(ctx) })
 	wg.Wait()
 	e.pool.Close()
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -106,6 +106,11 @@
 	if !whole {
 		e.deps.Logger.Warn().Msg("drain timeout: requests were cut")
 	}
+	ctx, cancel = context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	if err := e.calls.Drain(ctx); err != nil {
+		e.deps.Logger.Warn().Msg("answers to calls with an idempotency key were not stored")
+	}
 }
 
 // wait lets d pass and reports whether the entry was killed by then.
