--- a/limit/claim.go
+++ b/limit/claim.go
@@ -13,10 +13,15 @@
 	claimStagger = time.Second      // the next in rank claims this much later
 	settleTime   = 10 * time.Second // an entry must be listed so long before it is handed shares
 	maxHandover  = 8                // partitions handed to new entries in one record
+	cutWait      = 2 * time.Hour    // before entries of a data centre that is not listed at all count as gone
+	forgetAfter  = cutWait + time.Hour
 )
 
-// sighting is when an instance was first and last seen listed.
-type sighting struct{ first, last time.Time }
+// sighting is when an entry was first and last seen listed.
+type sighting struct {
+	first, last time.Time
+	dataCentre  string
+}
 
 // Plan is what an entry wants recorded. The partitions to hand over must be
 // closed first, with Table.Closing and Minter.Close.
@@ -35,47 +40,56 @@
 // Empty reports whether there is nothing to record.
 func (p Plan) Empty() bool { return len(p.Claims) == 0 && len(p.Handovers) == 0 }
 
-// Plan decides what this entry should record, given the platform's list. If
-// leaving, it hands over what it holds. The log must have been read to its
-// end.
-func (t *Table) Plan(now time.Time, listed []platform.Instance, leaving bool) Plan {
+// List takes in the platform's list.
+func (t *Table) List(now time.Time, listed []platform.Instance) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.observe(now)
-	live := t.note(now, listed)
-	var p Plan
-	if t.down || !t.certain(now) {
-		return p
-	}
-	for i := range t.slots {
-		t.plan(now, i, live, leaving, &p)
-	}
-	return p
-}
-
-// note takes in the platform's list and returns the live entries.
-func (t *Table) note(now time.Time, listed []platform.Instance) []platform.Instance {
-	var live []platform.Instance
+	t.live = t.live[:0]
+	t.dataCentres = make(map[string]struct{}, len(t.dataCentres))
 	for _, in := range listed {
+		t.dataCentres[in.DataCentre] = struct{}{}
 		if in.Role != platform.RoleEntry {
 			continue
 		}
-		seen, ok := t.seen[in.ID]
-		if !ok {
-			seen.first = now
-		}
-		seen.last = now
-		t.seen[in.ID] = seen
+		t.sight(now, in)
 		if in.State == platform.Live {
-			live = append(live, in)
+			t.live = append(t.live, in)
 		}
 	}
+	self, known := t.seen[t.self]
+	t.dropped = known && self.last.Before(now)
 	for id, seen := range t.seen {
-		if now.Sub(seen.last) > 10*GoneAfter {
+		if now.Sub(seen.last) > forgetAfter {
 			delete(t.seen, id)
 		}
 	}
-	return live
+}
+
+func (t *Table) sight(now time.Time, in platform.Instance) {
+	seen, ok := t.seen[in.ID]
+	if !ok {
+		seen.first = now
+	}
+	seen.last = now
+	seen.dataCentre = in.DataCentre
+	t.seen[in.ID] = seen
+}
+
+// Plan decides what this entry should record. If leaving, it hands over what
+// it holds. The log must have been read to its end, and List called just now.
+func (t *Table) Plan(now time.Time, leaving bool) Plan {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.observe(now)
+	var p Plan
+	if t.down || !t.certain(now) {
+		return p
+	}
+	for i := range t.slots {
+		t.plan(now, i, t.live, leaving, &p)
+	}
+	return p
 }
 
 func (t *Table) plan(now time.Time, i int, live []platform.Instance, leaving bool, p *Plan) {
@@ -118,16 +132,23 @@
 }
 
 // mayClaim reports whether a partition that others hold is free to be taken
-// over: its holder is gone from the list, or nobody is known to hold it.
+// over: its holder is gone from the list, or nobody is known to hold it. When
+// a whole data centre disappears from the list it is more likely cut off than
+// gone, and its entries go on minting.
 func (t *Table) mayClaim(now time.Time, s *slot) bool {
 	if s.holder == "" {
 		return t.whole || now.Sub(t.started) > RenewEvery+TakeoverWait
 	}
-	last := t.seen[s.holder].last
+	seen, known := t.seen[s.holder]
+	last := seen.last
 	if last.Before(s.updated) {
 		last = s.updated
 	}
-	return now.Sub(last) > GoneAfter
+	wait := GoneAfter
+	if _, listed := t.dataCentres[seen.dataCentre]; known && !listed {
+		wait = cutWait
+	}
+	return now.Sub(last) > wait
 }
 
 // turn reports whether this entry is to claim partition i: the first in rank
--- a/limit/fleet_test.go
+++ b/limit/fleet_test.go
@@ -146,7 +146,7 @@
 }
 
 func TestSingleCallerInsideItsRateIsNeverRefused(t *testing.T) {
-	for _, l := range []Limits{{10, 1}, {0.5, 1}, {0.5, 3}, {7, 2}, {40, 30}, {100, 200}} {
+	for _, l := range []Limits{{Rate: 10, Burst: 1}, {Rate: 0.5, Burst: 1}, {Rate: 0.5, Burst: 3}, {Rate: 7, Burst: 2}, {Rate: 40, Burst: 30}, {Rate: 100, Burst: 200}} {
 		for _, spread := range []int{1, 3} {
 			t.Run(fmt.Sprintf("rate %g burst %g over %d", l.Rate, l.Burst, spread), func(t *testing.T) {
 				bubble(t, map[string]config.Customer{"x": {Rate: l.Rate, Burst: l.Burst}}, func(f *fleet) {
--- a/limit/follow.go
+++ b/limit/follow.go
@@ -25,12 +25,14 @@
 	s      *Service
 	next   platform.Offset // 0: to be looked up
 	listed time.Time       // when the list was last read
+	due    bool            // the list was read, and nothing planned since
 }
 
 func newFollower(s *Service) *follower { return &follower{s: s} }
 
 func (f *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
+		f.list(ctx)
 		if err := f.round(ctx); err != nil {
 			f.s.table.Failed(time.Now())
 		}
@@ -48,12 +50,30 @@
 	if err := f.read(ctx); err != nil {
 		return err
 	}
-	if f.s.leaving.Load() || time.Since(f.listed) >= listEvery {
+	if f.due {
+		f.due = false
 		return f.record(ctx)
 	}
 	return nil
 }
 
+// list reads the platform's list when it is time to, after which what is
+// planned is due to be recorded.
+func (f *follower) list(ctx context.Context) {
+	if !f.s.leaving.Load() && time.Since(f.listed) < listEvery {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	list, err := f.s.Instances.List(ctx)
+	if err != nil {
+		return // nobody is known to be gone
+	}
+	f.listed = time.Now()
+	f.s.table.List(f.listed, list)
+	f.due = true
+}
+
 // locate starts the replay at the oldest record kept.
 func (f *follower) locate(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -116,13 +136,8 @@
 func (f *follower) record(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	list, err := f.s.Instances.List(ctx)
-	if err != nil {
-		return nil // says nothing about the log
-	}
 	now := time.Now()
-	f.listed = now
-	r := f.prepare(now, f.s.table.Plan(now, list, f.s.leaving.Load()))
+	r := f.prepare(now, f.s.table.Plan(now, f.s.leaving.Load()))
 	if len(r.Claims) == 0 {
 		return nil
 	}
--- a/limit/ledger.go
+++ b/limit/ledger.go
@@ -41,18 +41,36 @@
 // Admitted counts one admission at now and reports whether the bound still
 // holds. A change of limits starts a new count.
 func (l *Ledger) Admitted(now time.Time, customer string, limits Limits) bool {
-	shard := &l.shards[xxhash.Sum64String(customer)%ledgerShards]
+	shard := l.shard(customer)
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
-	b, ok := shard.buckets[customer]
+	b := shard.bucket(now, customer, limits)
+	b.level--
+	shard.buckets[customer] = b
+	return b.level >= -1e3*epsilon-limits.Rate*l.slack.Seconds()
+}
+
+// Level returns how many more admissions at now would keep the bound.
+func (l *Ledger) Level(now time.Time, customer string, limits Limits) float64 {
+	shard := l.shard(customer)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	return shard.bucket(now, customer, limits).level
+}
+
+func (l *Ledger) shard(customer string) *ledgerShard {
+	return &l.shards[xxhash.Sum64String(customer)%ledgerShards]
+}
+
+// bucket returns the bucket as of now. The caller holds the lock.
+func (s *ledgerShard) bucket(now time.Time, customer string, limits Limits) virtualBucket {
+	b, ok := s.buckets[customer]
 	if !ok || b.limits != limits {
-		b = virtualBucket{limits: limits, level: limits.Burst, last: now}
+		return virtualBucket{limits: limits, level: limits.Burst, last: now}
 	}
 	if d := now.Sub(b.last); d > 0 {
 		b.level = min(limits.Burst, b.level+limits.Rate*d.Seconds())
 		b.last = now
 	}
-	b.level--
-	shard.buckets[customer] = b
-	return b.level >= -1e3*epsilon-limits.Rate*l.slack.Seconds()
+	return b
 }
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -51,11 +51,15 @@
 type Limits struct {
 	Rate  float64 // requests per second, over the whole fleet
 	Burst float64 // requests
+	fixed int     // if not 0, the number of shares; set only where schemes are compared
 }
 
 // Shares returns the number of shares that the bucket is split into: none
 // holds less than one token, unless the whole bucket does.
 func (l Limits) Shares() int {
+	if l.fixed != 0 {
+		return l.fixed
+	}
 	return max(1, min(MaxShares, int(math.Floor(l.Burst))))
 }
 
--- a/limit/table.go
+++ b/limit/table.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"dandelionrelay/platform"
 )
 
 // slot is what is known of one partition.
@@ -13,6 +15,7 @@
 	updated time.Time // when the record in force was read
 	tenure  Tenure    // if this process is the holder
 	closing bool      // this process has closed its shares to hand them over
+	passed  uint64    // the highest epoch that another entry told of
 	stale   bool      // another claimed an epoch that this holder had already passed
 }
 
@@ -32,7 +35,10 @@
 	confirmed time.Time // start of the last read that reached the end of the log
 	down      bool      // the log did not answer since then
 
-	seen map[string]sighting
+	seen        map[string]sighting // entries by id
+	live        []platform.Instance // entries as last listed
+	dataCentres map[string]struct{} // as last listed
+	dropped     bool                // this entry was listed and is no longer
 }
 
 // NewTable returns the table of the entry self, whose peers reach it at addr.
@@ -73,7 +79,7 @@
 	renewed := s.holder == c.Holder && c.Carry == nil && !s.closing
 	first := s.epoch == 0 && c.Epoch == 1 && t.whole
 	previous := *s
-	*s = slot{epoch: c.Epoch, holder: c.Holder, addr: c.Addr, updated: now}
+	*s = slot{epoch: c.Epoch, holder: c.Holder, addr: c.Addr, updated: now, passed: previous.passed}
 	if c.Holder != t.self {
 		return
 	}
@@ -150,12 +156,16 @@
 }
 
 // Tenure returns this entry's right to mint for a partition, if it has it at
-// now. Epoch is the one that the asker knows.
+// now. Epoch is the one that the asker knows; a higher one than the table's
+// ends the right until the log has been read that far.
 func (t *Table) Tenure(now time.Time, partition int, epoch uint64) (Tenure, bool) {
+	if t.behind(partition, epoch) {
+		return Tenure{}, false
+	}
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	s := &t.slots[partition]
-	if s.holder != t.self || s.closing || epoch > s.epoch || !t.certain(now) {
+	if s.holder != t.self || s.closing || s.passed > s.epoch || !t.certain(now) {
 		return Tenure{}, false
 	}
 	if now.Before(s.tenure.From) && s.tenure.Carry == nil {
@@ -164,12 +174,28 @@
 	return s.tenure, true
 }
 
+// behind notes an epoch told by another entry and reports whether the table
+// does not know it yet.
+func (t *Table) behind(partition int, epoch uint64) bool {
+	t.mu.RLock()
+	known := t.slots[partition].epoch
+	t.mu.RUnlock()
+	if epoch <= known {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := &t.slots[partition]
+	s.passed = max(s.passed, epoch)
+	return s.passed > s.epoch
+}
+
 // certain reports whether the table may still be acted on as holder: it was
-// confirmed lately, or the log is down and this process has not been paused
-// since it was confirmed. The caller holds the lock.
+// confirmed lately, or the log is down, this process has not been paused since
+// it was confirmed, and the list still shows it. The caller holds the lock.
 func (t *Table) certain(now time.Time) bool {
 	if t.confirmed.IsZero() || t.confirmed.Before(t.resumed) || now.Sub(t.observed) > MaxGap {
 		return false
 	}
-	return t.down || now.Sub(t.confirmed) <= FreshFor
+	return t.down && !t.dropped || now.Sub(t.confirmed) <= FreshFor
 }
