limit: tests of the service; new limits take effect at once

Found on the way: a raised rate counted only from a customer's next request on; the minter now brings all its shares to new limits when the configuration changes, at the latest a tick later.

--- a/limit/fleet_test.go
+++ b/limit/fleet_test.go
@@ -153,13 +153,13 @@
 					for round := range 3 {
 						for i := range int(l.Burst) {
 							if ok, _ := f.admit(string(rune('a'+i%spread)), "x"); !ok {
-								t.Fatalf("round %d: request %d of the burst was refused", round, i)
+								f.t.Fatalf("round %d: request %d of the burst was refused", round, i)
 							}
 						}
 						for i := range 50 {
 							time.Sleep(time.Duration(float64(time.Second) / l.Rate))
 							if ok, _ := f.admit(string(rune('a'+i%spread)), "x"); !ok {
-								t.Fatalf("round %d: request %d at the rate was refused", round, i)
+								f.t.Fatalf("round %d: request %d at the rate was refused", round, i)
 							}
 						}
 						time.Sleep(time.Duration(float64(time.Second) * l.Burst / l.Rate))
@@ -174,16 +174,16 @@
 	bubble(t, map[string]config.Customer{"x": {Rate: 0.5, Burst: 3}}, func(f *fleet) {
 		for range 3 {
 			if ok, _ := f.admit("a", "x"); !ok {
-				t.Fatal("refused inside the burst")
+				f.t.Fatal("refused inside the burst")
 			}
 		}
 		ok, wait := f.admit("b", "x")
 		if ok || wait < 1900*time.Millisecond || wait > 2*time.Second {
-			t.Fatalf("admitted %v, retry after %v", ok, wait)
+			f.t.Fatalf("admitted %v, retry after %v", ok, wait)
 		}
 		time.Sleep(wait)
 		if ok, _ := f.admit("c", "x"); !ok {
-			t.Fatal("refused at the promised time")
+			f.t.Fatal("refused at the promised time")
 		}
 	})
 }
--- a/limit/minter.go
+++ b/limit/minter.go
@@ -43,7 +43,7 @@
 	shards     [minterShards]minterShard
 
 	mu     sync.RWMutex
-	limits map[string]Limits
+	limits map[string]Limits // never changed in place
 	known  map[string]growth // of every customer that ever was
 }
 
@@ -77,17 +77,50 @@
 // SetLimits replaces the limits of all customers. No change adds tokens to a
 // share at once; shares that a customer did not have before start empty.
 func (m *Minter) SetLimits(now time.Time, limits map[string]Limits) {
+	limits = maps.Clone(limits)
+	grown := m.replace(now, limits)
+	for i := range m.shards {
+		m.shards[i].setLimits(now, limits, grown)
+	}
+}
+
+// replace puts limits in force and returns, for each customer that has got
+// more shares, the first new one.
+func (m *Minter) replace(now time.Time, limits map[string]Limits) (grown map[string]int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	grown = make(map[string]int)
 	for customer, l := range limits {
 		g, known := m.known[customer]
+		if known && l.Shares() > g.shares {
+			grown[customer] = g.shares
+		}
 		for i := g.shares; known && i < l.Shares(); i++ {
 			g.since[i] = now
 		}
 		g.shares = l.Shares()
 		m.known[customer] = g
 	}
-	m.limits = maps.Clone(limits)
+	m.limits = limits
+	return grown
+}
+
+// setLimits brings the shares in use to new limits. Those of customers that
+// are no longer known stay as they are, in case they come back.
+func (sh *minterShard) setLimits(now time.Time, limits map[string]Limits, grown map[string]int) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	for key, s := range sh.shares {
+		l, ok := limits[key.customer]
+		if !ok || key.share >= l.Shares() {
+			continue
+		}
+		s.advance(now)
+		s.setLimits(l.part(), now)
+		if first, ok := grown[key.customer]; ok && key.share >= first {
+			s.level = min(s.level, 0)
+		}
+	}
 }
 
 // lookup returns the limits of one share and when it came into use.
--- a/limit/service.go
+++ b/limit/service.go
@@ -73,7 +73,8 @@
 	wg.Wait()
 }
 
-// tick tells the table that the process has not been paused.
+// tick tells the table that the process has not been paused, and the minter of
+// new limits.
 func (s *Service) tick(ctx context.Context) {
 	t := time.NewTicker(MaxGap / 4)
 	defer t.Stop()
@@ -83,6 +84,7 @@
 			return
 		case <-t.C:
 			s.table.Observe(time.Now())
+			s.refreshLimits()
 		}
 	}
 }
