--- a/limit/claim.go
+++ b/limit/claim.go
@@ -1,10 +1,10 @@
 package limit
 
 import (
-	"strconv"
 	"time"
 
-	"dandelionrelay/membership"
+	"github.com/cespare/xxhash/v2"
+
 	"dandelionrelay/platform"
 )
 
@@ -135,11 +135,35 @@
 // successor returns the first in rank for partition i, unless it is this
 // entry or there is none.
 func (t *Table) successor(i int, live []platform.Instance) (platform.Instance, bool) {
-	ranked := membership.Rank(rankKey(i), live)
-	if len(ranked) == 0 || ranked[0].ID == t.self {
-		return platform.Instance{}, false
+	first, _ := t.rank(i, live)
+	return first, first.ID != "" && first.ID != t.self
+}
+
+// rank returns the first of live by rendezvous hashing for partition i, and
+// how many come before this entry; len(live) if it is not among them.
+func (t *Table) rank(i int, live []platform.Instance) (first platform.Instance, before int) {
+	own, best, among := score(i, t.self), uint64(0), false
+	for _, in := range live {
+		points := score(i, in.ID)
+		if points >= best {
+			first, best = in, points
+		}
+		if points > own {
+			before++
+		}
+		among = among || in.ID == t.self
+	}
+	if !among {
+		before = len(live)
 	}
-	return ranked[0], true
+	return first, before
+}
+
+func score(partition int, id string) uint64 {
+	var d xxhash.Digest
+	d.ResetWithSeed(uint64(partition))
+	_, _ = d.WriteString(id)
+	return d.Sum64()
 }
 
 // mayClaim reports whether a partition that others hold is free to be taken
@@ -165,21 +189,19 @@
 // turn reports whether this entry is to claim partition i: the first in rank
 // at once, the others later in case the first does not.
 func (t *Table) turn(now time.Time, i int, live []platform.Instance) bool {
-	for rank, in := range membership.Rank(rankKey(i), live) {
-		if in.ID != t.self {
-			continue
-		}
-		s := &t.slots[i]
-		since := s.updated
-		if last := t.seen[s.holder].last; last.After(since) {
-			since = last
-		}
-		if since.Before(t.started) {
-			since = t.started
-		}
-		return rank == 0 || now.Sub(since) > GoneAfter+time.Duration(rank)*claimStagger
+	_, before := t.rank(i, live)
+	if before == len(live) {
+		return false
 	}
-	return false
+	s := &t.slots[i]
+	since := s.updated
+	if last := t.seen[s.holder].last; last.After(since) {
+		since = last
+	}
+	if since.Before(t.started) {
+		since = t.started
+	}
+	return before == 0 || now.Sub(since) > GoneAfter+time.Duration(before)*claimStagger
 }
 
 // Closing says that this entry is about to close its shares of a partition,
@@ -194,5 +216,3 @@
 	s.closing = true
 	return s.tenure, s.epoch, true
 }
-
-func rankKey(partition int) string { return "limits/" + strconv.Itoa(partition) }
