Batch items that an endpoint died of run apart from other suspects

Owners keep two suspect items apart, entries two suspect requests, but nothing kept a suspect item from a suspect request. Ruled out: a higher bound on deaths (a crashing item would cost one more endpoint each time). api.Work now says that an item is suspect, and the sidecar's one suspect at a time counts items too. Before: TestSuspectItemsRunOneAtATime sees 4 at once; after: 1.

--- a/api/batch.go
+++ b/api/batch.go
@@ -20,6 +20,7 @@
 	Path       string // URL path of the call at the endpoint
 	Body       []byte
 	Idempotent bool
+	Suspect    bool      // an endpoint died with it running: no two such run at once
 	Due        time.Time // completion is wanted by then
 	Resume     *Resume   // where an earlier attempt was cut, if it was
 }
--- a/jobs/owner.go
+++ b/jobs/owner.go
@@ -214,6 +214,7 @@
 		Deployment: tgt.Deployment,
 		Path:       tgt.Path,
 		Idempotent: tgt.Idempotent,
+		Suspect:    j.items[i].deaths > 0,
 		Due:        j.Due,
 		Resume:     o.resumes[key],
 	}
--- a/sidecar/batch.go
+++ b/sidecar/batch.go
@@ -133,14 +133,22 @@
 		b.out.add(api.Result{WorkRef: w.WorkRef, State: api.ResultReturned, Resume: w.Resume})
 		return
 	}
+	free, busy := b.suspect.enter(w.Suspect)
+	if busy != nil {
+		b.drain.exit()
+		b.out.add(api.Result{WorkRef: w.WorkRef, State: api.ResultNotRun})
+		return
+	}
 	run := newItemRun(b, w)
 	if b.attempts.add(run.id, time.Now()) != fresh || !b.remember(run) {
+		free()
 		b.drain.exit() // it runs already
 		return
 	}
 	run.queue()
 	b.group.Go(func() {
 		defer b.drain.exit()
+		defer free()
 		b.out.add(run.do(ctx))
 		b.forget(run)
 	})
--- a/sidecar/batch_test.go
+++ b/sidecar/batch_test.go
@@ -183,3 +183,23 @@
 		g.Expect(batchText(t, final)).To(gomega.Equal(engine.Answer(&req, 200)))
 	})
 }
+
+func TestSuspectItemsRunOneAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		e, src := newEngine(t, engine.Options{}), newSource()
+		r := newRig(t, e, modelDeployment(4), withBatch(src))
+		for i := range 4 {
+			w := work(i, chat(fmt.Sprint("item ", i), 50))
+			w.Suspect = true
+			src.add(w)
+		}
+		r.runBatch()
+		most := 0
+		eventually(t, "all complete", func() bool {
+			most = max(most, e.Running())
+			return src.completed() == 4
+		})
+		g.Expect(most).To(gomega.Equal(1))
+	})
+}
