--- a/sidecar/batch.go
+++ b/sidecar/batch.go
@@ -100,7 +100,7 @@
 	}
 }
 
-// pull asks for items, takes them and returns how many there were. It ends
+// pull asks for items and returns how many of them it took. It ends
 // early when the endpoint is leaving.
 func (b *batchRunner) pull(ctx context.Context, slots int) (int, error) {
 	pullCtx, cancel := context.WithTimeout(ctx, pullTimeout)
@@ -121,29 +121,33 @@
 	if err != nil {
 		return 0, err
 	}
+	taken := 0
 	for _, w := range reply.Work {
-		b.take(ctx, w)
+		if b.take(ctx, w) {
+			taken++
+		}
 	}
-	return len(reply.Work), nil
+	return taken, nil
 }
 
-// take queues a pulled item, or returns it if the endpoint is leaving or lost.
-func (b *batchRunner) take(ctx context.Context, w api.Work) {
+// take queues a pulled item. It returns false if the item can't run here now:
+// the endpoint is leaving or lost, or another suspect runs.
+func (b *batchRunner) take(ctx context.Context, w api.Work) bool {
 	if b.health.lost.Load() || !b.drain.enter() {
 		b.out.add(api.Result{WorkRef: w.WorkRef, State: api.ResultReturned, Resume: w.Resume})
-		return
+		return false
 	}
 	free, busy := b.suspect.enter(w.Suspect)
 	if busy != nil {
 		b.drain.exit()
 		b.out.add(api.Result{WorkRef: w.WorkRef, State: api.ResultNotRun})
-		return
+		return false
 	}
 	run := newItemRun(b, w)
 	if b.attempts.add(run.id, time.Now()) != fresh || !b.remember(run) {
 		free()
 		b.drain.exit() // it runs already
-		return
+		return false
 	}
 	run.queue()
 	b.group.Go(func() {
@@ -152,6 +156,7 @@
 		b.out.add(run.do(ctx))
 		b.forget(run)
 	})
+	return true
 }
 
 func (b *batchRunner) remember(run *itemRun) bool {
