Entry: ready once it knows who counts its customers' limits

Cause: an entry was ready with its configuration alone, and refused keyed calls with 503 (the customer's rate can't be checked now) until it had read the limits stream; seen once in TestLeavingProcessesCutNoRequest at load 40. Ruled out: admitting without a check (the rate is a hard bound). Before: TestAReadyEntryAdmitsRequests gets 503; after: 200 from each of three entries. A leaving process stays unready whatever is known later.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -217,7 +217,24 @@
 func (e *Entry) configChanged(s *config.Snapshot) {
 	e.sessions.Sweep(s, time.Now())
 	e.deps.Logger.Info().Uint64("version", s.Version).Msg("configuration in force")
-	e.ready.Set(true)
+}
+
+// readyInterval is the time between two looks at what is missing to be ready.
+const readyInterval = 100 * time.Millisecond
+
+// awaitReady makes the entry ready once it can admit requests: it has a
+// configuration and knows who counts its customers' limits.
+func (e *Entry) awaitReady(ctx context.Context) {
+	tick := time.NewTicker(readyInterval)
+	defer tick.Stop()
+	for e.holder.Current().Version == 0 || !e.limits.Ready() {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+	e.ready.Set()
 }
 
 // badRecord reports a record of a job stream that can't be read.
@@ -228,6 +245,7 @@
 // Run does the background work until ctx ends.
 func (e *Entry) Run(ctx context.Context) {
 	var wg sync.WaitGroup
+	wg.Go(func() { e.awaitReady(ctx) })
 	wg.Go(func() { e.follower.Run(ctx) })
 	wg.Go(func() { e.view.Run(ctx) })
 	wg.Go(func() { e.sessions.Run(ctx) })
--- a/limit/service.go
+++ b/limit/service.go
@@ -89,6 +89,10 @@
 	}
 }
 
+// Ready reports whether this entry knows whom to ask for every customer's
+// tokens.
+func (s *Service) Ready() bool { return s.table.Covered() }
+
 // Leave hands over what this entry holds, and returns once it holds nothing
 // or ctx ends. Requests are admitted as before.
 func (s *Service) Leave(ctx context.Context) {
--- a/limit/table.go
+++ b/limit/table.go
@@ -141,6 +141,22 @@
 	return s.holder, s.addr
 }
 
+// Covered reports whether the log was read to its end and each partition has a
+// holder, dead or alive.
+func (t *Table) Covered() bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	if t.confirmed.IsZero() {
+		return false
+	}
+	for i := range t.slots {
+		if t.slots[i].holder == "" {
+			return false
+		}
+	}
+	return true
+}
+
 // Held returns the number of partitions that this entry holds.
 func (t *Table) Held() int {
 	t.mu.RLock()
--- a/ops/ops.go
+++ b/ops/ops.go
@@ -16,13 +16,16 @@
 )
 
 // Ready says whether the process wants new work. The zero value says no.
-type Ready struct{ yes atomic.Bool }
+type Ready struct{ yes, left atomic.Bool }
 
-// Set changes the answer.
-func (r *Ready) Set(yes bool) { r.yes.Store(yes) }
+// Set says yes, unless the process is leaving.
+func (r *Ready) Set() { r.yes.Store(true) }
+
+// Leave says no for good.
+func (r *Ready) Leave() { r.left.Store(true) }
 
 // Get returns the answer.
-func (r *Ready) Get() bool { return r.yes.Load() }
+func (r *Ready) Get() bool { return r.yes.Load() && !r.left.Load() }
 
 // Handler returns the mux with /metrics, /healthz, /readyz and /debug/pprof/.
 func Handler(reg *prometheus.Registry, ready *Ready) *http.ServeMux {
--- a/sidecar/process.go
+++ b/sidecar/process.go
@@ -79,7 +79,7 @@
 		Self:    platform.Instance{ID: s.ID, Role: platform.RoleSidecar, DataCentre: s.DataCentre, Deployment: s.Deployment},
 		Members: p.view,
 		Peers:   p.pool,
-	}, &p.holder, func(*config.Snapshot) { p.ready.Set(true) })
+	}, &p.holder, func(*config.Snapshot) { p.ready.Set() })
 	var err error
 	p.sidecar, err = New(
 		Settings{
@@ -173,7 +173,7 @@
 	default:
 	}
 	p.deps.Logger.Info().Msg("sidecar is leaving")
-	p.ready.Set(false)
+	p.ready.Leave()
 	timeout := time.Duration(p.settings.DrainTimeout)
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
--- /dev/null
+++ b/standin/fleet/ready_test.go
@@ -0,0 +1,53 @@
+package fleet_test
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"dandelionrelay/invariant"
+	"dandelionrelay/standin/engine"
+	"dandelionrelay/standin/fleet"
+)
+
+// TestAReadyEntryAdmitsRequests asks each new entry as soon as it says that it
+// is ready.
+func TestAReadyEntryAdmitsRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f, err := fleet.New(t.Context(), fleet.Options{
+			Network:     fleet.NewMemory(),
+			State:       state(),
+			ListLag:     time.Second,
+			Engine:      engine.Options{Model: "m"},
+			OnViolation: func(v invariant.Violation) { t.Error(v) },
+		})
+		g.Expect(err).NotTo(HaveOccurred())
+		defer f.Close()
+		_, _, err = f.AddEngine("assistant")
+		g.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(5 * time.Second)
+		for range 3 {
+			e, err := f.AddEntry()
+			g.Expect(err).NotTo(HaveOccurred())
+			for !ready(f, e) {
+				time.Sleep(10 * time.Millisecond)
+			}
+			resp := chat(g, f, e.URL(), key, "beans?")
+			resp.Body.Close()
+			g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
+		}
+	})
+}
+
+func ready(f *fleet.Fleet, i *fleet.Instance) bool {
+	resp, err := f.Client().Get("http://" + i.OpsAddr + "/readyz")
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
