--- a/config/follower.go
+++ b/config/follower.go
@@ -10,6 +10,7 @@
 	"dandelionrelay/invariant"
 	"dandelionrelay/membership"
 	"dandelionrelay/platform"
+	"dandelionrelay/sleep"
 )
 
 // Times and sizes of following the log and peers.
@@ -91,7 +92,7 @@
 		source := f.source()
 		if err := f.poll(ctx, source); err != nil {
 			f.failed(source)
-			pause(ctx, retryPause)
+			sleep.For(ctx, retryPause)
 			continue
 		}
 		f.carryForward(ctx)
@@ -288,13 +289,3 @@
 	}
 	return max(now.Sub(f.fresh), 0)
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/config/viewer.go
+++ b/config/viewer.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"time"
+
+	"dandelionrelay/sleep"
 )
 
 // Viewer keeps a Holder up to date with the part of the state that concerns a
@@ -30,7 +32,7 @@
 		source := v.feed.NextPeer(time.Now(), v.fleet.Members.Entries())
 		if err := v.poll(ctx, source); err != nil {
 			v.feed.Failed(time.Now(), source)
-			pause(ctx, retryPause)
+			sleep.For(ctx, retryPause)
 		}
 	}
 }
--- a/jobs/accept.go
+++ b/jobs/accept.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"dandelionrelay/api"
+	"dandelionrelay/sleep"
 )
 
 // logRetryAfter is when a caller should come back that met a log that is
@@ -225,7 +226,7 @@
 func (i *intake) flush(ctx context.Context) *api.Error {
 	entries := max(len(i.s.o.Members.Entries()), 1)
 	wait := i.s.pace.reserve(time.Now(), AcceptAppends/float64(entries))
-	if wait > 0 && !pause(ctx, wait) {
+	if wait > 0 && !sleep.For(ctx, wait) {
 		return readError(ctx.Err())
 	}
 	c := i.seal()
--- a/jobs/appender.go
+++ b/jobs/appender.go
@@ -6,6 +6,7 @@
 
 	"dandelionrelay/api"
 	"dandelionrelay/platform"
+	"dandelionrelay/sleep"
 )
 
 // Bounds on settling the fate of an append whose answer was lost.
@@ -47,7 +48,7 @@
 		if offset, ok := a.find(ctx, id); ok {
 			return offset, api.Done
 		}
-		if !pause(ctx, retryPause) {
+		if !sleep.For(ctx, retryPause) {
 			break
 		}
 	}
--- a/jobs/carry.go
+++ b/jobs/carry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dandelionrelay/platform"
+	"dandelionrelay/sleep"
 )
 
 // carryChecks is the number of times that records are checked for age in the
@@ -162,7 +163,7 @@
 		return
 	}
 	c := &carrier{p: p, nonce: p.s.nextNonce()}
-	for pause(ctx, p.s.o.Retention/carryChecks) {
+	for sleep.For(ctx, p.s.o.Retention/carryChecks) {
 		now := time.Now()
 		p.mu.Lock()
 		var plan carryPlan
@@ -201,7 +202,7 @@
 func (c *carrier) append(ctx context.Context, data []byte) {
 	c.count++
 	c.p.appendRecord(ctx, fmt.Sprintf("%s-c%d", c.nonce, c.count), data)
-	pause(ctx, CommitInterval)
+	sleep.For(ctx, CommitInterval)
 }
 
 // read returns the record at an offset, waiting while the log is down. It
@@ -210,7 +211,7 @@
 	for ctx.Err() == nil {
 		records, err := c.p.s.o.Log.Read(ctx, c.p.stream, at, 1, 0)
 		if isUnavailable(err) {
-			pause(ctx, retryPause)
+			sleep.For(ctx, retryPause)
 			continue
 		}
 		if err != nil || len(records) == 0 || records[0].Offset != at {
--- a/jobs/client.go
+++ b/jobs/client.go
@@ -10,6 +10,7 @@
 	"dandelionrelay/membership"
 	"dandelionrelay/peer"
 	"dandelionrelay/platform"
+	"dandelionrelay/sleep"
 )
 
 // sweepOwners is the number of owners that one pull asks.
@@ -123,7 +124,7 @@
 		}
 	}
 	if len(out.Work) == 0 && failure != nil {
-		pause(ctx, min(args.Wait, pollWait)) // an owner that is down answers at once
+		sleep.For(ctx, min(args.Wait, pollWait)) // an owner that is down answers at once
 	}
 	if !reached && failure != nil {
 		return out, failure
--- a/jobs/partition.go
+++ b/jobs/partition.go
@@ -9,6 +9,7 @@
 	"github.com/joomcode/errorx"
 
 	"dandelionrelay/platform"
+	"dandelionrelay/sleep"
 )
 
 // readBatch is the number of records asked for at once.
@@ -118,7 +119,7 @@
 			p.mu.Unlock()
 			return next, true
 		}
-		pause(ctx, retryPause)
+		sleep.For(ctx, retryPause)
 	}
 	return 0, false
 }
@@ -128,7 +129,7 @@
 func (p *partition) readFailed(ctx context.Context, err error, end platform.Offset) platform.Offset {
 	var expired *platform.ExpiredError
 	if !errors.As(err, &expired) {
-		pause(ctx, retryPause)
+		sleep.For(ctx, retryPause)
 		return end
 	}
 	p.mu.Lock()
@@ -198,7 +199,7 @@
 			continue
 		}
 		if wait > 0 {
-			pause(ctx, wait)
+			sleep.For(ctx, wait)
 			continue
 		}
 		select {
@@ -226,7 +227,7 @@
 		if _, err := p.s.o.Log.Append(ctx, p.stream, id, data); err == nil {
 			return true
 		}
-		pause(ctx, retryPause)
+		sleep.For(ctx, retryPause)
 		p.mu.Lock()
 		_, found := p.owner.table.Stored(id)
 		p.mu.Unlock()
@@ -239,7 +240,7 @@
 
 // tick drives what follows from the passing of time.
 func (p *partition) tick(ctx context.Context) {
-	for pause(ctx, time.Second) {
+	for sleep.For(ctx, time.Second) {
 		now := time.Now()
 		p.mu.Lock()
 		var facts []fact
@@ -298,15 +299,3 @@
 func isUnavailable(err error) bool {
 	return errorx.IsOfType(err, platform.Unavailable)
 }
-
-// pause waits and says whether ctx is still open.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -17,6 +17,7 @@
 	"dandelionrelay/membership"
 	"dandelionrelay/peer"
 	"dandelionrelay/platform"
+	"dandelionrelay/sleep"
 )
 
 // Options is what a Service needs.
@@ -81,7 +82,7 @@
 	s.ctx = ctx
 	s.mu.Unlock()
 	s.assign(time.Now())
-	for pause(ctx, time.Second) {
+	for sleep.For(ctx, time.Second) {
 		s.assign(time.Now())
 	}
 	s.mu.Lock()
--- a/limit/follow.go
+++ b/limit/follow.go
@@ -8,6 +8,7 @@
 	"github.com/google/uuid"
 
 	"dandelionrelay/platform"
+	"dandelionrelay/sleep"
 )
 
 // Times and bounds of following the log.
@@ -36,7 +37,7 @@
 		if err := f.round(ctx); err != nil {
 			f.s.table.Failed(time.Now())
 		}
-		sleep(ctx, pollPause)
+		sleep.For(ctx, pollPause)
 	}
 }
 
--- a/limit/service.go
+++ b/limit/service.go
@@ -10,6 +10,7 @@
 	"dandelionrelay/invariant"
 	"dandelionrelay/peer"
 	"dandelionrelay/platform"
+	"dandelionrelay/sleep"
 )
 
 // Times and bounds of the calls to others.
@@ -126,7 +127,7 @@
 			return false, step.Wait, step.Unavailable
 		case Wait:
 			s.send(step.Returns)
-			if !sleep(ctx, step.Wait) {
+			if !sleep.For(ctx, step.Wait) {
 				s.finish(g, false)
 				return false, 0, false
 			}
@@ -268,14 +269,3 @@
 	reply.ID = r.s.Self.ID
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/sidecar/batch.go
+++ b/sidecar/batch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dandelionrelay/api"
+	"dandelionrelay/sleep"
 )
 
 const (
@@ -70,7 +71,7 @@
 		b.drain.exit()
 		// An owner that answers "none" at once must not be asked in a loop.
 		if err != nil || items == 0 && time.Since(began) < retryPause {
-			pause(ctx, retryPause)
+			sleep.For(ctx, retryPause)
 		}
 	}
 }
@@ -208,7 +209,7 @@
 		for b.out.size() > 0 && ctx.Err() == nil {
 			results := b.out.next()
 			if !b.report(ctx, api.ReportArgs{Results: results}, reportTimeout) {
-				pause(ctx, retryPause)
+				sleep.For(ctx, retryPause)
 				continue
 			}
 			b.out.drop(len(results))
@@ -254,16 +255,6 @@
 	}
 }
 
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // itemID names an item's attempt in the queue, apart from online attempts.
 func itemID(ref api.WorkRef) string {
 	return fmt.Sprintf("batch/%s/%d/%s", ref.Job, ref.Item, ref.Attempt)
--- /dev/null
+++ b/sleep/sleep.go
@@ -0,0 +1,22 @@
+// Package sleep lets time pass.
+package sleep
+
+import (
+	"context"
+	"time"
+)
+
+// For waits for d and returns true, or returns false as soon as ctx ends.
+func For(ctx context.Context, d time.Duration) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/standin/platform/log.go
+++ b/standin/platform/log.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"dandelionrelay/platform"
+	"dandelionrelay/sleep"
 )
 
 // Faults are the failures that a Log shows. The zero value shows none.
@@ -66,7 +67,7 @@
 	l.mu.Lock()
 	delay := l.faults.Delay
 	l.mu.Unlock()
-	if err := sleep(ctx, delay); err != nil {
+	if !sleep.For(ctx, delay) {
 		return 0, unavailable("append", name)
 	}
 	l.mu.Lock()
@@ -171,17 +172,3 @@
 func unavailable(op, stream string) error {
 	return platform.Unavailable.New("%s %s", op, stream)
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
