--- a/admin/jobs.go
+++ b/admin/jobs.go
@@ -47,7 +47,7 @@
 	for _, c := range customers {
 		views, err := h.Jobs.List(r.Context(), c)
 		if err != nil {
-			e := api.NewError(http.StatusServiceUnavailable, api.CodeLogDown, "the jobs can't be read now")
+			e := api.NewError(http.StatusServiceUnavailable, api.CodeLogDown, "some jobs are still being read from the log, or their owner does not answer")
 			return nil, e.WithRetryAfter(time.Second)
 		}
 		for _, v := range views {
