dispatch: an endpoint that takes no work costs one repeat, not one for each call

Cause: a sidecar that is listed before it has its configuration answers no_endpoint; each call there paid a repeat, until the budget was empty, and an endpoint lost after that was answered 502 although others were idle. Ruled out: a larger budget, repeats without one (half a fleet that refuses everything would double the load). Now such an endpoint is suspect until a probe is answered well, and the probe fails while there is no configuration.

--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -100,7 +100,11 @@
 	switch e.Code {
 	case api.CodeEndpointLost:
 		return &end{err: e, repeat: true, failed: true, broken: e.Outcome == api.Unknown}
-	case api.CodeOverloaded, api.CodeNoEndpoint:
+	case api.CodeNoEndpoint:
+		// It is leaving or has no configuration yet: nothing more goes there
+		// until a probe is answered well, so that repeats are not spent on it.
+		return &end{err: e, repeat: true, failed: true}
+	case api.CodeOverloaded:
 		return &end{err: e, repeat: true}
 	}
 	return &end{err: e}
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -155,6 +155,10 @@
 }
 
 func (s *Sidecar) serveProbe(w http.ResponseWriter, r *http.Request) {
+	if _, ok := s.deployment(); !ok {
+		api.WriteError(w, unavailable(api.CodeNoEndpoint, "the deployment is not configured"))
+		return
+	}
 	if e := s.checkHealth(r.Context()); e != nil {
 		api.WriteError(w, e)
 		return
