--- a/demo/demo.go
+++ b/demo/demo.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"io"
 	"net/http"
@@ -14,6 +12,7 @@
 
 	"github.com/rs/zerolog"
 
+	"dandelionrelay/authn"
 	"dandelionrelay/config"
 	"dandelionrelay/invariant"
 	"dandelionrelay/standin/engine"
@@ -90,11 +89,6 @@
 	fmt.Fprintf(t.out, "   "+format+"\n", args...)
 }
 
-func digest(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
-}
-
 func state() *config.State {
 	return &config.State{
 		Customers: map[string]config.Customer{
@@ -102,8 +96,8 @@
 			"station": {Rate: 1, Burst: 2},
 		},
 		Keys: map[string]config.Key{
-			"garden-1":  {Customer: "garden", Digest: digest(gardenKey)},
-			"station-1": {Customer: "station", Digest: digest(riderKey)},
+			"garden-1":  {Customer: "garden", Digest: authn.Digest(gardenKey)},
+			"station-1": {Customer: "station", Digest: authn.Digest(riderKey)},
 		},
 		Routes: map[string]config.Route{
 			"assistant": {Model: model, Deployment: "assistant", Idempotent: true},
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"io"
 	"net/http"
@@ -15,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"dandelionrelay/authn"
 	"dandelionrelay/config"
 	"dandelionrelay/lane"
 	"dandelionrelay/load"
@@ -111,9 +110,8 @@
 		Deployments: map[string]config.Deployment{deployment: {Kind: config.KindModel, Model: model, Slots: slots, CanResume: true}},
 	}
 	for _, n := range names {
-		sum := sha256.Sum256([]byte(key(n)))
 		s.Customers[n] = config.Customer{Rate: 1000, Burst: 1000}
-		s.Keys[n] = config.Key{Customer: n, Digest: hex.EncodeToString(sum[:])}
+		s.Keys[n] = config.Key{Customer: n, Digest: authn.Digest(key(n))}
 	}
 	return s
 }
--- a/standin/fleet/fleet_test.go
+++ b/standin/fleet/fleet_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"bytes"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -14,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"dandelionrelay/api"
+	"dandelionrelay/authn"
 	"dandelionrelay/config"
 	"dandelionrelay/invariant"
 	"dandelionrelay/standin/engine"
@@ -22,15 +21,10 @@
 
 const key = "garden-demo-key"
 
-func digest(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
-}
-
 func state() *config.State {
 	return &config.State{
 		Customers: map[string]config.Customer{"garden": {Rate: 100, Burst: 100}},
-		Keys:      map[string]config.Key{"garden-1": {Customer: "garden", Digest: digest(key)}},
+		Keys:      map[string]config.Key{"garden-1": {Customer: "garden", Digest: authn.Digest(key)}},
 		Routes: map[string]config.Route{
 			"assistant": {Model: "m", Deployment: "assistant", Idempotent: true},
 			"pickups":   {PathPrefix: "/pickups", Deployment: "pickups"},
--- a/standin/fleet/withdraw_test.go
+++ b/standin/fleet/withdraw_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"dandelionrelay/api"
+	"dandelionrelay/authn"
 	"dandelionrelay/config"
 	"dandelionrelay/invariant"
 	"dandelionrelay/standin/engine"
@@ -64,7 +65,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		s := state()
-		s.Keys["station-1"] = config.Key{Customer: "garden", Digest: digest(otherKey)}
+		s.Keys["station-1"] = config.Key{Customer: "garden", Digest: authn.Digest(otherKey)}
 		f, err := fleet.New(t.Context(), fleet.Options{
 			Network:     fleet.NewMemory(),
 			State:       s,
@@ -89,7 +90,7 @@
 
 		next := state()
 		next.Keys["station-1"] = s.Keys["station-1"]
-		next.Keys["garden-1"] = config.Key{Customer: "garden", Digest: digest(key), Withdrawn: true}
+		next.Keys["garden-1"] = config.Key{Customer: "garden", Digest: authn.Digest(key), Withdrawn: true}
 		g.Expect(f.Apply(t.Context(), next)).To(Succeed())
 
 		cut, refused := <-stream, <-whole
--- a/test/overhead/overhead_test.go
+++ b/test/overhead/overhead_test.go
@@ -4,8 +4,6 @@
 package overhead
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"io"
 	"net/http"
@@ -18,6 +16,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"dandelionrelay/authn"
 	"dandelionrelay/config"
 	"dandelionrelay/standin/fleet"
 	"dandelionrelay/standin/plain"
@@ -29,10 +28,9 @@
 const longest = int64(time.Minute / time.Microsecond)
 
 func state() *config.State {
-	sum := sha256.Sum256([]byte(key))
 	return &config.State{
 		Customers: map[string]config.Customer{"c": {Rate: 1e6, Burst: 1e6}},
-		Keys:      map[string]config.Key{"k": {Customer: "c", Digest: hex.EncodeToString(sum[:])}},
+		Keys:      map[string]config.Key{"k": {Customer: "c", Digest: authn.Digest(key)}},
 		Routes: map[string]config.Route{
 			"keyed": {PathPrefix: "/keyed", Deployment: "d"},
 			"open":  {PathPrefix: "/open", Deployment: "d", Open: true},
--- a/test/system/world_test.go
+++ b/test/system/world_test.go
@@ -1,8 +1,6 @@
 package system
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -10,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"dandelionrelay/authn"
 	"dandelionrelay/config"
 	"dandelionrelay/invariant"
 	"dandelionrelay/standin/engine"
@@ -29,11 +28,6 @@
 
 func keyOf(customer string) string { return customer + "-secret-key-0123456789" }
 
-func digest(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
-}
-
 // rate and burst of every customer.
 const (
 	rate  = 20
@@ -55,7 +49,7 @@
 	}
 	for _, c := range customers {
 		s.Customers[c] = config.Customer{Rate: rate, Burst: burst}
-		s.Keys[c+"-1"] = config.Key{Customer: c, Digest: digest(keyOf(c))}
+		s.Keys[c+"-1"] = config.Key{Customer: c, Digest: authn.Digest(keyOf(c))}
 	}
 	return s
 }
