test/processes: a loopback address of its own for each system

Ruled out: the entry itself (its log shows only the bind error); a longer wait (the process had ended).

Change: ports of the example stay as they are (below the range of outgoing connections), the host is a 127/8 address made from the test's process id.

Conclusion: the verdict no longer depends on what else the machine runs.

--- a/test/processes/harness_test.go
+++ b/test/processes/harness_test.go
@@ -5,12 +5,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -26,21 +26,24 @@
 // patience bounds each wait for a process; tests assert no speed.
 const patience = 60 * time.Second
 
-// system is a set of processes on loopback with settings made from the local
-// example, each address replaced by a free one.
+// systems counts the systems that this test process has made.
+var systems atomic.Uint32
+
+// system is a set of processes with settings made from the local example, its
+// ports kept, its host replaced by a loopback address of the system's own.
 type system struct {
 	*WithT
 	t       *testing.T
 	dir     string
 	binary  string
-	ports   map[string]string // address in the example -> address here
+	host    string
 	running map[string]*exec.Cmd
 }
 
 func newSystem(t *testing.T) *system {
 	s := &system{
 		WithT: NewWithT(t), t: t, dir: t.TempDir(),
-		ports: make(map[string]string), running: make(map[string]*exec.Cmd),
+		host: ownHost(), running: make(map[string]*exec.Cmd),
 	}
 	s.binary = filepath.Join(s.dir, "dandelionrelay")
 	out, err := exec.Command("go", "build", "-o", s.binary, "dandelionrelay/cmd/dandelionrelay").CombinedOutput()
@@ -55,31 +58,25 @@
 	return s
 }
 
-// copySettings copies a settings file with its addresses replaced.
+// ownHost returns a loopback address that nothing else on this machine listens
+// on. A free port of 127.0.0.1 that is found, closed and handed to a process can
+// be taken by another test, or by an outgoing connection, in between. The ports
+// of the example lie below the range of outgoing connections.
+func ownHost() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 100+systems.Add(1), pid>>8&0xff, 1+pid&0xff%254)
+}
+
+// copySettings copies a settings file with its host replaced.
 func (s *system) copySettings(path string) {
 	text, err := os.ReadFile(path)
 	s.Expect(err).NotTo(HaveOccurred())
-	for port := 7100; port < 7220; port++ {
-		example := fmt.Sprintf("127.0.0.1:%d", port)
-		if bytes.Contains(text, []byte(example)) {
-			text = bytes.ReplaceAll(text, []byte(example), []byte(s.addr(port)))
-		}
-	}
+	text = bytes.ReplaceAll(text, []byte("127.0.0.1:"), []byte(s.host+":"))
 	s.Expect(os.WriteFile(filepath.Join(s.dir, filepath.Base(path)), text, 0o600)).To(Succeed())
 }
 
 // addr returns the address that stands for a port of the example.
-func (s *system) addr(port int) string {
-	example := fmt.Sprintf("127.0.0.1:%d", port)
-	if known, ok := s.ports[example]; ok {
-		return known
-	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	s.Expect(err).NotTo(HaveOccurred())
-	s.ports[example] = l.Addr().String()
-	s.Expect(l.Close()).To(Succeed())
-	return s.ports[example]
-}
+func (s *system) addr(port int) string { return fmt.Sprintf("%s:%d", s.host, port) }
 
 // url returns the URL that stands for a port of the example.
 func (s *system) url(port int, path string) string { return "http://" + s.addr(port) + path }
