Command: what a newcomer met when trying every verb on a fresh clone

Each verb and flag was tried on a fresh clone by README and OPERATIONS alone.

Ruled out: keeping the base version in a file beside the configuration; it would have to be merged by hand in every repository of such files.

--- a/admin/client.go
+++ b/admin/client.go
@@ -95,7 +95,7 @@
 	if resp.StatusCode == http.StatusOK {
 		return json.Unmarshal(b, reply)
 	}
-	if refusal := api.ReadError(resp.StatusCode, resp.Header, b); refusal != nil {
+	if refusal := api.ReadError(resp.StatusCode, resp.Header, b); refusal != nil && refusal.Code != api.CodeNoRoute {
 		return refusal
 	}
 	return Unreachable.New("%s answered with status %d; is this the operations address of an entry?", c.URL, resp.StatusCode)
--- a/admin/handler.go
+++ b/admin/handler.go
@@ -152,7 +152,7 @@
 func undecided(id string, err error) *api.Error {
 	switch {
 	case errorx.IsOfType(err, config.BadBase):
-		return api.NewError(http.StatusConflict, CodeBadBase, err.Error())
+		return api.NewError(http.StatusConflict, CodeBadBase, errorx.Cast(err).Message())
 	case errorx.IsOfType(err, config.NotKnown):
 		return api.NewError(http.StatusServiceUnavailable, api.CodeLogDown,
 			"this entry does not know the configuration yet").WithRetryAfter(undecidedWait)
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -24,8 +24,15 @@
 	ExitUndecided = 5
 )
 
+// description heads the help.
+const description = `Serves online and batch inference on one fleet.
+
+Exit codes: 0 done; 1 the work could not be done; 2 the command line is wrong; 3 the input has faults, all of which were printed; 4 somebody else's change came first; 5 it is not known whether a change takes effect.`
+
 // App is the whole command line.
 type App struct {
+	VersionFlag versionFlag `name:"version" help:"Print the version."`
+
 	Entry      EntryCmd      `cmd:"" help:"Run an entry: it admits callers' requests and sends them to endpoints." group:"Roles"`
 	Sidecar    SidecarCmd    `cmd:"" help:"Run a sidecar beside an endpoint." group:"Roles"`
 	Standin    StandinCmd    `cmd:"" help:"Run a stand-in for the platform or for an endpoint (tests, demonstrations)." group:"Stand-ins"`
@@ -68,10 +75,11 @@
 	helped := false // help was asked for and printed
 	parser, err := kong.New(&app,
 		kong.Name("dandelionrelay"),
-		kong.Description("Serves online and batch inference on one fleet."),
+		kong.Description(description),
 		kong.Writers(stdout, stderr),
 		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
 		kong.Bind(env),
+		kong.Vars{"schemes": schemeNames()},
 		kong.Exit(func(int) { helped = true }),
 	)
 	if err != nil {
--- a/cli/experiment.go
+++ b/cli/experiment.go
@@ -1,7 +1,12 @@
 package cli
 
 import (
+	"errors"
+	"fmt"
 	"os"
+	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"dandelionrelay/experiment"
@@ -14,7 +19,7 @@
 	Engines  int           `default:"3" help:"Stand-in engines."`
 	Entries  int           `default:"2" help:"Entries."`
 	Seed     uint64        `default:"1" help:"Seed of arrivals."`
-	Scheme   []string      `placeholder:"NAME" help:"Run this scheme only; may be repeated."`
+	Scheme   []string      `placeholder:"NAME" sep:"none" help:"Run this scheme only; may be repeated. Names: ${schemes}."`
 	CSV      string        `type:"path" placeholder:"FILE" help:"Write the table as comma-separated values too."`
 }
 
@@ -22,7 +27,36 @@
 func (ExperimentCmd) Help() string {
 	return `Runs one load under several schemes, each on a fresh fleet of stand-ins on loopback.
 
-Example: dandelionrelay experiment --duration 20s --csv result.csv`
+Example: dandelionrelay experiment --duration 20s --csv result.csv
+
+Example: dandelionrelay experiment --scheme "online alone" --scheme lanes`
+}
+
+// Validate implements kong's check of a command line.
+func (c *ExperimentCmd) Validate() error {
+	switch {
+	case c.Duration <= 0:
+		return errors.New("--duration must be above 0")
+	case c.Engines < 1:
+		return errors.New("--engines must be 1 at least")
+	case c.Entries < 1:
+		return errors.New("--entries must be 1 at least")
+	}
+	for _, name := range c.Scheme {
+		if !slices.Contains(experiment.Names(), name) {
+			return fmt.Errorf("--scheme must be one of %s, not %q", schemeNames(), name)
+		}
+	}
+	return nil
+}
+
+// schemeNames lists the schemes for help and errors.
+func schemeNames() string {
+	names := experiment.Names()
+	for i := range names {
+		names[i] = strconv.Quote(names[i])
+	}
+	return strings.Join(names, "; ")
 }
 
 // Run implements the verb.
@@ -30,20 +64,24 @@
 	options := experiment.Options{
 		Duration: c.Duration, Engines: c.Engines, Entries: c.Entries, Seed: c.Seed, Only: c.Scheme,
 	}
-	results, err := experiment.Run(env.Ctx, options, env.Stderr)
-	if err != nil {
-		return err
-	}
-	if err := load.WriteTable(env.Stdout, results); err != nil {
-		return err
-	}
 	if c.CSV == "" {
-		return nil
+		_, err := measure(env, options)
+		return err
 	}
+	// The file is opened first: a wrong path is not found after the work.
 	file, err := os.Create(c.CSV)
 	if err != nil {
 		return err
 	}
-	defer file.Close()
-	return load.WriteCSV(file, results)
+	results, err := measure(env, options)
+	return errors.Join(err, load.WriteCSV(file, results), file.Close())
+}
+
+// measure runs the schemes and prints the table of those that ran to the end.
+func measure(env *Env, options experiment.Options) ([]load.Named, error) {
+	results, err := experiment.Run(env.Ctx, options, env.Stderr)
+	if len(results) == 0 {
+		return nil, err
+	}
+	return results, errors.Join(err, load.WriteTable(env.Stdout, results))
 }
--- a/cli/operator.go
+++ b/cli/operator.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/url"
 	"os"
 	"strings"
 
@@ -36,7 +37,28 @@
 		return token, nil
 	}
 	b, err := os.ReadFile(s.TokenFile)
-	return strings.TrimSpace(string(b)), err
+	if err != nil {
+		return "", &exitError{ExitUsage, fmt.Errorf("operator token: %w", err)}
+	}
+	token := strings.TrimSpace(string(b))
+	if token == "" {
+		return "", &exitError{ExitUsage, fmt.Errorf("operator token: %s is empty", s.TokenFile)}
+	}
+	return token, nil
+}
+
+// servers returns the entries to ask.
+func (s *Server) servers() ([]string, error) {
+	if len(s.Server) == 0 {
+		return nil, &exitError{ExitUsage, errors.New("no entry to ask: set --server or DANDELIONRELAY_SERVER")}
+	}
+	for _, text := range s.Server {
+		u, err := url.Parse(text)
+		if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+			return nil, &exitError{ExitUsage, fmt.Errorf("--server must be http://ip:port, not %q", text)}
+		}
+	}
+	return s.Server, nil
 }
 
 // call runs f with a client of each server in turn until one answers.
@@ -45,10 +67,11 @@
 	if err != nil {
 		return err
 	}
-	if len(s.Server) == 0 {
-		return &exitError{ExitUsage, errors.New("no entry to ask: set --server or DANDELIONRELAY_SERVER")}
+	servers, err := s.servers()
+	if err != nil {
+		return err
 	}
-	for _, url := range s.Server {
+	for _, url := range servers {
 		err = f(env.Ctx, &admin.Client{URL: url, Token: token})
 		if !tryNext(err) {
 			break
@@ -74,21 +97,41 @@
 	}
 	var refusal *api.Error
 	if !errors.As(err, &refusal) {
-		return err
+		return errors.New(plainText(err))
 	}
 	printFindings(env, refusal.Findings)
 	plain := errors.New(refusal.Message)
 	switch refusal.Code {
 	case admin.CodeFindings:
-		return &exitError{ExitFindings, plain}
+		return &exitError{ExitFindings, errors.New(count(len(refusal.Findings), "finding"))}
 	case api.CodeConflict, admin.CodeBadBase:
 		return &exitError{ExitConflict, plain}
 	case admin.CodeUndecided:
 		return &exitError{ExitUndecided, plain}
+	case admin.CodeNoToken:
+		return fmt.Errorf("%w (it is read from --token-file or %s)", plain, tokenVariable)
 	}
 	return plain
 }
 
+// plainText words an error for a person: without the names of types, and with
+// the innermost cause alone.
+func plainText(err error) string {
+	typed := errorx.Cast(err)
+	if typed == nil {
+		return err.Error()
+	}
+	if typed.Cause() == nil {
+		return typed.Message()
+	}
+	cause := typed.Cause()
+	var request *url.Error
+	if errors.As(cause, &request) {
+		cause = request.Err
+	}
+	return typed.Message() + ": " + cause.Error()
+}
+
 func printFindings(env *Env, findings []api.Finding) {
 	for _, f := range findings {
 		fmt.Fprintln(env.Stderr, f.String())
--- a/cli/operator_apply.go
+++ b/cli/operator_apply.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 
 	"github.com/google/uuid"
 
 	"dandelionrelay/admin"
+	"dandelionrelay/api"
 	"dandelionrelay/config"
 )
 
@@ -27,7 +29,7 @@
 func (c *ValidateCmd) Run(env *Env) error {
 	state, findings := config.LoadDir(c.Dir)
 	if c.JSON {
-		if err := printJSON(env, findings); err != nil {
+		if err := printJSON(env, append([]api.Finding{}, findings...)); err != nil {
 			return err
 		}
 	}
@@ -35,8 +37,9 @@
 		return err
 	}
 	if !c.JSON {
-		fmt.Fprintf(env.Stdout, "valid: %d customers, %d keys, %d routes, %d deployments\n",
-			len(state.Customers), len(state.Keys), len(state.Routes), len(state.Deployments))
+		fmt.Fprintf(env.Stdout, "valid: %s, %s, %s, %s\n",
+			count(len(state.Customers), "customer"), count(len(state.Keys), "key"),
+			count(len(state.Routes), "route"), count(len(state.Deployments), "deployment"))
 	}
 	return nil
 }
@@ -76,6 +79,7 @@
 		return nil, err
 	}
 	if asJSON {
+		reply.Changes = listed(reply.Changes)
 		return reply, printJSON(env, reply)
 	}
 	for _, change := range reply.Changes {
@@ -85,6 +89,12 @@
 	return reply, nil
 }
 
+// listed returns changes, an empty list for none, so that scripts always find a
+// list.
+func listed(changes []config.EntryChange) []config.EntryChange {
+	return append([]config.EntryChange{}, changes...)
+}
+
 // count words a number of things.
 func count(n int, thing string) string {
 	if n == 1 {
@@ -99,17 +109,32 @@
 	Dir    string  `arg:"" type:"path" help:"Directory of the configuration files."`
 	DryRun bool    `help:"Show the plan only."`
 	Base   *uint64 `placeholder:"VERSION" help:"Version that the files were made from; default: the one in force when the plan is made."`
+	ID     string  `name:"id" placeholder:"UUID" help:"Id of the change; that of an earlier try makes this one a repeat of it. Default: a new one."`
 	JSON   bool    `name:"json" help:"Print the result as JSON, without the plan."`
 }
 
 // Help implements kong.HelpProvider.
 func (ApplyCmd) Help() string {
-	return `Shows the plan, then applies the whole directory as one change. Exit code 3 if the files have faults, 4 if another operator was first, 5 if the log did not answer in time.
+	return `Shows the plan, then applies the whole directory as one change. Exit code 3 if the files have faults, 4 if another operator was first, 5 if the log did not answer in time: the change may still take effect, and the command that repeats it safely is printed.
+
+Without --base the files win over whatever is in force when the plan is made. Two operators who change files at the same time each give the version that their files were made from.
 
 Example: dandelionrelay apply ./config --server http://10.0.0.5:7203
+
 Example: dandelionrelay apply ./config --base 41 --json`
 }
 
+// Validate implements kong's check of a command line.
+func (c *ApplyCmd) Validate() error {
+	if c.ID == "" {
+		return nil
+	}
+	if _, err := uuid.Parse(c.ID); err != nil {
+		return fmt.Errorf("--id must be a UUID, not %q", c.ID)
+	}
+	return nil
+}
+
 // Run implements the verb.
 func (c *ApplyCmd) Run(env *Env) error {
 	files, err := readFiles(env, c.Dir)
@@ -120,17 +145,26 @@
 		_, err := plan(env, &c.Server, files, c.JSON)
 		return err
 	}
-	return apply(env, &c.Server, files, c.Base, c.JSON)
+	return apply(env, &c.Server, change{dir: c.Dir, files: files, base: c.Base, id: c.ID}, c.JSON)
+}
+
+// change is what apply is to make the desired state.
+type change struct {
+	dir   string
+	files map[string]string
+	base  *uint64 // nil: the version in force when the plan is made
+	id    string  // empty: a new one
 }
 
-// apply shows the plan of files and applies them.
-func apply(env *Env, s *Server, files map[string]string, base *uint64, asJSON bool) error {
+// apply shows the plan of a change and makes it.
+func apply(env *Env, s *Server, c change, asJSON bool) error {
+	base := c.base
 	if !asJSON || base == nil {
 		quiet := *env
 		if asJSON {
 			quiet.Stdout = discard{}
 		}
-		planned, err := plan(&quiet, s, files, false)
+		planned, err := plan(&quiet, s, c.files, false)
 		if err != nil {
 			return err
 		}
@@ -138,16 +172,23 @@
 			base = &planned.Base
 		}
 	}
-	req := admin.ApplyRequest{ID: uuid.NewString(), Base: *base, Files: files}
+	if c.id == "" {
+		c.id = uuid.NewString()
+	}
+	req := admin.ApplyRequest{ID: c.id, Base: *base, Files: c.files}
 	var reply *admin.ApplyReply
 	err := s.call(env, func(ctx context.Context, c *admin.Client) (err error) {
 		reply, err = c.Apply(ctx, req)
 		return err
 	})
+	if mayHappen(err) {
+		fmt.Fprintf(env.Stderr, "to repeat this change: dandelionrelay apply %s --base %d --id %s\n", c.dir, req.Base, req.ID)
+	}
 	if err != nil {
 		return err
 	}
 	if asJSON {
+		reply.Changes = listed(reply.Changes)
 		return printJSON(env, reply)
 	}
 	if reply.Offset == 0 {
@@ -158,6 +199,13 @@
 	return err
 }
 
+// mayHappen reports whether a change that failed with err may still take
+// effect.
+func mayHappen(err error) bool {
+	var coded *exitError
+	return errors.As(err, &coded) && coded.code == ExitUndecided
+}
+
 // discard is a writer that drops what it gets.
 type discard struct{}
 
--- a/cli/operator_keys.go
+++ b/cli/operator_keys.go
@@ -17,11 +17,12 @@
 // KeyNewCmd makes a key and puts its digest into the configuration files.
 type KeyNewCmd struct {
 	Server
-	Customer string `arg:"" help:"Customer that the key is for."`
-	Dir      string `required:"" type:"path" help:"Directory of the configuration files."`
-	ID       string `name:"id" help:"Id of the key; default: the customer and a number."`
-	Apply    bool   `help:"Apply the directory at once."`
-	JSON     bool   `name:"json" help:"Print the key as JSON."`
+	Customer string  `arg:"" help:"Customer that the key is for."`
+	Dir      string  `required:"" type:"path" placeholder:"DIR" help:"Directory of the configuration files."`
+	ID       string  `name:"id" help:"Id of the key; default: the customer and a number."`
+	Apply    bool    `help:"Apply the directory at once."`
+	Base     *uint64 `placeholder:"VERSION" help:"With --apply: version that the files were made from; default: the one in force."`
+	JSON     bool    `name:"json" help:"Print the key as JSON."`
 }
 
 // Help implements kong.HelpProvider.
@@ -63,7 +64,7 @@
 	}
 	quiet := *env
 	quiet.Stdout = env.Stderr // the output is the key alone
-	return applyIf(c.Apply, &quiet, &c.Server, c.Dir)
+	return applyIf(c.Apply, &quiet, &c.Server, c.Dir, c.Base)
 }
 
 func (c *KeyNewCmd) show(env *Env, k newKey) error {
@@ -88,9 +89,11 @@
 // KeyWithdrawCmd marks a key as withdrawn in the configuration files.
 type KeyWithdrawCmd struct {
 	Server
-	ID    string `arg:"" name:"id" help:"Id of the key."`
-	Dir   string `required:"" type:"path" help:"Directory of the configuration files."`
-	Apply bool   `help:"Apply the directory at once."`
+	ID    string  `arg:"" name:"id" help:"Id of the key."`
+	Dir   string  `required:"" type:"path" placeholder:"DIR" help:"Directory of the configuration files."`
+	Apply bool    `help:"Apply the directory at once."`
+	Base  *uint64 `placeholder:"VERSION" help:"With --apply: version that the files were made from; default: the one in force."`
+	JSON  bool    `name:"json" help:"Print the key's id, customer and state as JSON."`
 }
 
 // Help implements kong.HelpProvider.
@@ -100,6 +103,13 @@
 Example: dandelionrelay key withdraw north-1 --dir ./config --apply`
 }
 
+// withdrawnKey is the output of key withdraw.
+type withdrawnKey struct {
+	ID        string `json:"id"`
+	Customer  string `json:"customer"`
+	Withdrawn bool   `json:"withdrawn"`
+}
+
 // Run implements the verb.
 func (c *KeyWithdrawCmd) Run(env *Env) error {
 	state, findings := config.LoadDir(c.Dir)
@@ -117,11 +127,19 @@
 		}
 	}
 	fmt.Fprintf(env.Stderr, "key %s of customer %s is marked as withdrawn in %s\n", c.ID, key.Customer, c.Dir)
-	return applyIf(c.Apply, env, &c.Server, c.Dir)
+	if !c.JSON {
+		return applyIf(c.Apply, env, &c.Server, c.Dir, c.Base)
+	}
+	if err := printJSON(env, withdrawnKey{ID: c.ID, Customer: key.Customer, Withdrawn: true}); err != nil {
+		return err
+	}
+	quiet := *env
+	quiet.Stdout = env.Stderr // the output is the key alone
+	return applyIf(c.Apply, &quiet, &c.Server, c.Dir, c.Base)
 }
 
 // applyIf applies the directory if asked to, and else says that it is due.
-func applyIf(now bool, env *Env, s *Server, dir string) error {
+func applyIf(now bool, env *Env, s *Server, dir string, base *uint64) error {
 	if !now {
 		fmt.Fprintf(env.Stderr, "now apply it: dandelionrelay apply %s\n", dir)
 		return nil
@@ -130,12 +148,24 @@
 	if err != nil {
 		return err
 	}
-	return apply(env, s, files, nil, false)
+	err = apply(env, s, change{dir: dir, files: files, base: base}, false)
+	if err != nil {
+		fmt.Fprintf(env.Stderr, "the key is written to %s, but it is not known to be in force; then: dandelionrelay apply %s\n", dir, dir)
+	}
+	return err
 }
 
 // TokenCmd makes an operator's token.
 type TokenCmd struct {
 	Name string `arg:"" help:"Name of the operator, as the audit trail shows it."`
+	JSON bool   `name:"json" help:"Print the token and its digest as JSON."`
+}
+
+// newToken is the output of token.
+type newToken struct {
+	Name   string `json:"name"`
+	Digest string `json:"digest"`
+	Token  string `json:"token"`
 }
 
 // Help implements kong.HelpProvider.
@@ -145,12 +175,20 @@
 Example: dandelionrelay token ann`
 }
 
-// Run implements the verb.
-func (c *TokenCmd) Run(env *Env) error {
+// Validate implements kong's check of a command line.
+func (c *TokenCmd) Validate() error {
 	if c.Name == "" {
 		return errors.New("the name must not be empty")
 	}
+	return nil
+}
+
+// Run implements the verb.
+func (c *TokenCmd) Run(env *Env) error {
 	token := authn.NewToken()
+	if c.JSON {
+		return printJSON(env, newToken{Name: c.Name, Digest: authn.Digest(token), Token: token})
+	}
 	fmt.Fprintf(env.Stdout, "%s\n", token)
 	_, err := fmt.Fprintf(env.Stderr, "settings of each entry: \"operators\": [{\"name\": %q, \"digest\": %q}]\n", c.Name, authn.Digest(token))
 	return err
--- a/cli/operator_show.go
+++ b/cli/operator_show.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -27,6 +28,14 @@
 Example: dandelionrelay audit --limit 50 --diff --server http://10.0.0.5:7203`
 }
 
+// Validate implements kong's check of a command line.
+func (c *AuditCmd) Validate() error {
+	if c.Limit < 1 {
+		return errors.New("--limit must be a number from 1")
+	}
+	return nil
+}
+
 // Run implements the verb.
 func (c *AuditCmd) Run(env *Env) error {
 	var reply *admin.AuditReply
@@ -121,6 +130,7 @@
 // StateCmd prints the state in force.
 type StateCmd struct {
 	Server
+	JSON bool `name:"json" help:"Print the state as JSON, which is done anyway."`
 }
 
 // Help implements kong.HelpProvider.
@@ -140,5 +150,21 @@
 	if err != nil {
 		return err
 	}
+	fillSections(reply.State)
 	return printJSON(env, reply)
 }
+
+// fillSections makes missing sections empty ones, so that scripts always find
+// an object.
+func fillSections(s *config.State) {
+	fill(&s.Customers)
+	fill(&s.Keys)
+	fill(&s.Routes)
+	fill(&s.Deployments)
+}
+
+func fill[T any](section *map[string]T) {
+	if *section == nil {
+		*section = make(map[string]T)
+	}
+}
--- a/cli/standin.go
+++ b/cli/standin.go
@@ -1,6 +1,8 @@
 package cli
 
 import (
+	"fmt"
+	"net/netip"
 	"time"
 
 	"dandelionrelay/settings"
@@ -21,6 +23,13 @@
 	Settings string `required:"" help:"Settings file (JSON)." placeholder:"FILE"`
 }
 
+// Help implements kong.HelpProvider.
+func (StandinPlatformCmd) Help() string {
+	return `PUT /standin/faults takes the log down or slows it, PUT /v1/instances replaces the instance list: see docs/API.md.
+
+Example: dandelionrelay standin platform --settings examples/local/platform.json`
+}
+
 // Run implements the verb.
 func (c *StandinPlatformCmd) Run(env *Env) error {
 	s, err := settings.LoadPlatform(c.Settings)
@@ -38,6 +47,11 @@
 	Settings string `required:"" help:"Settings file (JSON)." placeholder:"FILE"`
 }
 
+// Help implements kong.HelpProvider.
+func (StandinEngineCmd) Help() string {
+	return "Example: dandelionrelay standin engine --settings examples/local/engine-1.json"
+}
+
 // Run implements the verb.
 func (c *StandinEngineCmd) Run(env *Env) error {
 	s, err := settings.LoadEngine(c.Settings)
@@ -59,6 +73,21 @@
 	Addr string `required:"" help:"Address to serve on." placeholder:"IP:PORT"`
 }
 
+// Help implements kong.HelpProvider.
+func (StandinPlainCmd) Help() string {
+	return `Answers every call with what it was sent.
+
+Example: dandelionrelay standin plain --addr 127.0.0.1:7130`
+}
+
+// Validate implements kong's check of a command line.
+func (c *StandinPlainCmd) Validate() error {
+	if _, err := netip.ParseAddrPort(c.Addr); err != nil {
+		return fmt.Errorf("--addr must be ip:port, not %q", c.Addr)
+	}
+	return nil
+}
+
 // Run implements the verb.
 func (c *StandinPlainCmd) Run(env *Env) error {
 	return serveStandin(env, c.Addr, plain.New())
--- a/config/load.go
+++ b/config/load.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 
@@ -22,6 +23,9 @@
 // ReadDir reads the *.json files of a directory, name to content. The files
 // are nil if there are none.
 func ReadDir(dir string) (map[string][]byte, []api.Finding) {
+	if _, err := os.ReadDir(dir); err != nil {
+		return nil, []api.Finding{{File: dir, Message: errors.Unwrap(err).Error()}}
+	}
 	names, err := filepath.Glob(filepath.Join(dir, "*.json"))
 	if err != nil || len(names) == 0 {
 		return nil, []api.Finding{{File: dir, Message: "no *.json files found"}}
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -70,6 +70,15 @@
 	}
 }
 
+// Names returns the names of the schemes.
+func Names() []string {
+	var names []string
+	for _, s := range Schemes() {
+		names = append(names, s.Name)
+	}
+	return names
+}
+
 // greedy has the first customer send 5 times as much.
 func greedy(p *load.Plan) { p.Customers[0].Rate *= 5 }
 
--- a/settings/load.go
+++ b/settings/load.go
@@ -76,6 +76,10 @@
 
 func (e *decodeError) Error() string { return e.err.Error() }
 
+// embedded is how the decoder names the fields of Process, which the file has
+// at its top.
+const embedded = "Process."
+
 // place turns a decoding error into a finding with its line.
 func place(path string, b []byte, err error) api.Finding {
 	finding := api.Finding{File: path, Message: err.Error()}
@@ -86,7 +90,7 @@
 	}
 	var kind *json.UnmarshalTypeError
 	if errors.As(at.err, &kind) {
-		finding.Pointer = "/" + strings.ReplaceAll(kind.Field, ".", "/")
+		finding.Pointer = "/" + strings.ReplaceAll(strings.TrimPrefix(kind.Field, embedded), ".", "/")
 		finding.Message = fmt.Sprintf("%s cannot be read as %s", kind.Value, kind.Type)
 	}
 	return finding
