sidecar: metrics of lanes, slots, batch work, refusals and orders

Cause: a sidecar showed only runtime metrics and invariants, so that an operator could see neither how much idle time batch used nor what it did to the online tail.

Change: slot seconds by use (online, batch, idle), items and tokens done, time to the first token and between tokens by whether batch items ran when the request arrived and by the online load then, queue, running and wait by lane, slots, batch slots, preemptions, pulls, held bytes, refusals, suspects, losses, orders, configuration version and age. The load label is there since batch runs where there is little online load: without it the comparison with and without batch would flatter batch.

Ruled out: labels by customer at sidecars, 2,400 times 370 series.

--- a/api/api.go
+++ b/api/api.go
@@ -43,6 +43,10 @@
 	HeaderLeaving    = "Relay-Leaving"       // "1": send no new work
 	HeaderIdempotent = "Relay-Idempotent"    // "1": may be repeated
 	HeaderSuspect    = "Relay-Suspect"       // "1": an endpoint died of it; run no two at once
+
+	// HeaderBesideBatch is "1" on an answer if batch items ran at the endpoint
+	// when the request arrived.
+	HeaderBesideBatch = "Relay-Beside-Batch"
 )
 
 // Code is a machine-readable reason of a refusal or failure.
--- a/config/metrics.go
+++ b/config/metrics.go
@@ -31,3 +31,20 @@
 			return 0
 		})
 }
+
+// RegisterMetrics registers what operators watch of v.
+func (v *Viewer) RegisterMetrics(reg prometheus.Registerer) {
+	gauge := func(name, help string, value func() float64) {
+		reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+	}
+	gauge("relay_config_version", "Version of the configuration in force here.",
+		func() float64 { return float64(v.holder.Current().Version) })
+	gauge("relay_config_contact_age_seconds", "Time since an entry last told this sidecar of its configuration; -1 if never.",
+		func() float64 {
+			heard := v.heard.Load()
+			if heard == 0 {
+				return -1
+			}
+			return time.Since(time.Unix(0, heard)).Seconds()
+		})
+}
--- a/config/viewer.go
+++ b/config/viewer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"dandelionrelay/sleep"
@@ -16,8 +17,9 @@
 	holder   *Holder
 	onChange func(*Snapshot)
 	feed     *Feed
-	hash     Hash   // of the view in force
-	version  uint64 // highest at which the view was seen
+	hash     Hash         // of the view in force
+	version  uint64       // highest at which the view was seen
+	heard    atomic.Int64 // Unix time in nanoseconds of an entry's last answer; 0: none
 }
 
 // NewViewer returns a Viewer for the sidecar fleet.Self that puts new views
@@ -50,6 +52,7 @@
 	if err := v.fleet.Peers.Call(ctx, source.Peer.RPCAddr, MethodView, args, &reply); err != nil {
 		return err
 	}
+	v.heard.Store(time.Now().UnixNano())
 	return v.take(reply)
 }
 
--- a/sidecar/batch.go
+++ b/sidecar/batch.go
@@ -68,6 +68,7 @@
 		}
 		began := time.Now()
 		items, err := b.pull(ctx, slots)
+		b.metrics.pulled(items, err)
 		b.drain.exit()
 		// An owner that answers "none" at once must not be asked in a loop.
 		if err != nil || items == 0 && time.Since(began) < retryPause {
@@ -144,6 +145,7 @@
 		b.out.add(api.Result{WorkRef: w.WorkRef, State: api.ResultNotRun})
 		return false
 	}
+	b.metrics.suspected(w.Suspect)
 	run := newItemRun(b, w)
 	if b.attempts.add(run.id, time.Now()) != fresh || !b.remember(run) {
 		free()
@@ -154,7 +156,7 @@
 	b.group.Go(func() {
 		defer b.drain.exit()
 		defer free()
-		b.out.add(run.do(ctx))
+		b.out.add(b.metrics.ended(run.do(ctx)))
 		b.forget(run)
 	})
 	return true
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -97,6 +98,12 @@
 	body   io.Reader
 	first  func() // called before the first byte
 	events int    // server-sent events passed on
+	watch  *answerWatch
+}
+
+// streamed reports whether an answer is a stream of events.
+func streamed(resp *http.Response) bool {
+	return strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
 }
 
 var eventStart = []byte("data: ")
@@ -126,7 +133,10 @@
 		a.first()
 		a.first = nil
 	}
-	a.events += bytes.Count(b, eventStart)
+	if n := bytes.Count(b, eventStart); n > 0 {
+		a.events += n
+		a.watch.read(time.Now())
+	}
 	if _, err := a.w.Write(b); err != nil {
 		return false
 	}
--- a/sidecar/health.go
+++ b/sidecar/health.go
@@ -22,7 +22,10 @@
 
 // endpointLost notes that a call failed: nothing is pulled until the endpoint
 // answers its health check.
-func (s *Sidecar) endpointLost() { s.health.lost.Store(true) }
+func (s *Sidecar) endpointLost() {
+	s.metrics.losses.Inc()
+	s.health.lost.Store(true)
+}
 
 // endpointAnswers reports whether the endpoint is usable, asking it if the
 // last call failed.
--- a/sidecar/item.go
+++ b/sidecar/item.go
@@ -186,7 +186,10 @@
 		return r.whole(parent, ctx, resp)
 	}
 	c := newCollector(r.Resume)
-	c.seen = func(tokens int) { r.runner.schedule.progress(r.id, tokens-r.resumedTokens()) }
+	c.seen = func(tokens int) {
+		r.runner.metrics.itemTokens.Inc()
+		r.runner.schedule.progress(r.id, tokens-r.resumedTokens())
+	}
 	if err := c.read(resp.Body); err != nil {
 		result, ended := r.lost(parent, ctx, api.Unknown)
 		r.Resume = c.position()
@@ -213,6 +216,7 @@
 	}
 	result := r.result(api.ResultDone)
 	result.Status, result.Body, result.Resume = resp.StatusCode, body, nil
+	r.runner.metrics.answered(body)
 	if len(body) > maxResultBytes {
 		result.Status = http.StatusBadGateway
 		result.Body, _ = json.Marshal(api.NewError(0, api.CodeTooLarge, "the answer is too large").WithOutcome(api.Done))
--- /dev/null
+++ b/sidecar/metrics.go
@@ -0,0 +1,201 @@
+package sidecar
+
+import (
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"dandelionrelay/api"
+	"dandelionrelay/lane"
+)
+
+// Buckets of the histograms, in seconds. They hold the targets of the first
+// token and of the time between tokens as bounds.
+var (
+	firstTokenBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.8, 2.5, 5, 10, 30, 60}
+	tokenGapBuckets   = []float64{0.005, 0.01, 0.015, 0.02, 0.025, 0.029, 0.035, 0.05, 0.1, 0.25, 1, 5}
+	waitBuckets       = []float64{0.001, 0.005, 0.02, 0.1, 0.4, 1, 1.8, 5, 10, 30, 60}
+)
+
+// metrics counts what a sidecar does.
+type metrics struct {
+	firstToken    *prometheus.HistogramVec
+	tokenGap      *prometheus.HistogramVec
+	wait          *prometheus.HistogramVec
+	refusals      *prometheus.CounterVec
+	queueRefusals *prometheus.CounterVec
+	preemptions   prometheus.Counter
+	pulls         *prometheus.CounterVec
+	items         *prometheus.CounterVec
+	itemTokens    prometheus.Counter
+	suspects      prometheus.Counter
+	losses        prometheus.Counter
+	orders        *prometheus.CounterVec
+}
+
+// newMetrics returns the metrics of a sidecar, registered with reg unless that
+// is nil.
+func newMetrics(reg prometheus.Registerer) *metrics {
+	f := factory{reg}
+	return &metrics{
+		firstToken: f.histogram("first_token_seconds",
+			"Time from an online request's arrival to the first byte of its streamed answer, by whether batch items ran "+
+				"when it arrived and by the part of the slots that online requests wanted then.",
+			firstTokenBuckets, "beside_batch", "online_load"),
+		tokenGap: f.histogram("token_gap_seconds",
+			"Time between two reads of tokens of one streamed answer, labelled as the first token.",
+			tokenGapBuckets, "beside_batch", "online_load"),
+		wait: f.histogram("wait_seconds",
+			"Time from queued to started at the endpoint, by lane.", waitBuckets, "lane"),
+		refusals: f.counters("refusals_total",
+			"Requests that the sidecar answered itself with an error, by code and outcome.", "code", "outcome"),
+		queueRefusals: f.counters("queue_refusals_total",
+			"Requests that the queue refused, by reason.", "reason"),
+		preemptions: f.counter("preemptions_total", "Batch items cut for online requests."),
+		pulls:       f.counters("pulls_total", "Pulls of batch items, by result.", "result"),
+		items: f.counters("batch_items_total",
+			"Batch items that ended here, by state; an item that did not end as done runs again elsewhere.", "state"),
+		itemTokens: f.counter("batch_tokens_total", "Tokens that the endpoint generated for batch items."),
+		suspects:   f.counter("suspects_total", "Requests and items that ran here after an endpoint had died with them."),
+		losses:     f.counter("endpoint_losses_total", "Calls in which the endpoint was lost."),
+		orders:     f.counters("orders_total", "Orders given to the engine, by result.", "result"),
+	}
+}
+
+// factory makes metrics and registers them with reg, which may be nil.
+type factory struct{ reg prometheus.Registerer }
+
+func (f factory) add(c prometheus.Collector) {
+	if f.reg != nil {
+		f.reg.MustRegister(c)
+	}
+}
+
+func (f factory) counter(name, help string) prometheus.Counter {
+	c := prometheus.NewCounter(prometheus.CounterOpts{Namespace: "relay", Subsystem: "sidecar", Name: name, Help: help})
+	f.add(c)
+	return c
+}
+
+func (f factory) counters(name, help string, labels ...string) *prometheus.CounterVec {
+	c := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "relay", Subsystem: "sidecar", Name: name, Help: help}, labels)
+	f.add(c)
+	return c
+}
+
+func (f factory) histogram(name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
+	h := prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: "relay", Subsystem: "sidecar", Name: name, Help: help, Buckets: buckets,
+	}, labels)
+	f.add(h)
+	return h
+}
+
+// admission is how the endpoint stood when an online request arrived.
+type admission struct {
+	besideBatch bool   // batch items ran
+	load        string // part of the slots that online requests wanted, without this one
+}
+
+// newAdmission describes an endpoint with that many slots.
+func newAdmission(slots, online, items int) admission {
+	a := admission{besideBatch: items > 0, load: "under_half"}
+	switch {
+	case online >= slots:
+		a.load = "full"
+	case 2*online >= slots:
+		a.load = "over_half"
+	}
+	return a
+}
+
+// watchAnswer observes a streamed answer to req.
+func (m *metrics) watchAnswer(req *request) *answerWatch {
+	beside := strconv.FormatBool(req.admission.besideBatch)
+	return &answerWatch{
+		first: m.firstToken.WithLabelValues(beside, req.admission.load),
+		gap:   m.tokenGap.WithLabelValues(beside, req.admission.load),
+		from:  req.Received,
+	}
+}
+
+// answerWatch observes when the tokens of one answer come. A nil one observes
+// nothing.
+type answerWatch struct {
+	first prometheus.Observer
+	gap   prometheus.Observer
+	from  time.Time // of the request, then of the last token
+}
+
+// read notes that tokens came.
+func (a *answerWatch) read(now time.Time) {
+	if a == nil {
+		return
+	}
+	observer := a.gap
+	if a.first != nil {
+		observer, a.first = a.first, nil
+	}
+	observer.Observe(now.Sub(a.from).Seconds())
+	a.from = now
+}
+
+// started notes that what waited with t has started.
+func (m *metrics) started(t *ticket, now time.Time) {
+	l := api.Online
+	if t.cut != nil {
+		l = api.Batch
+	}
+	m.wait.WithLabelValues(string(l)).Observe(now.Sub(t.queued).Seconds())
+}
+
+// refused counts a request that the sidecar answered itself.
+func (m *metrics) refused(e *api.Error) {
+	m.refusals.WithLabelValues(string(e.Code), string(e.Outcome)).Inc()
+}
+
+// queueRefused counts a refusal of the queue.
+func (m *metrics) queueRefused(r lane.Reason) {
+	reason := "queue_full"
+	if r == lane.DeadlineMiss {
+		reason = "deadline_miss"
+	}
+	m.queueRefusals.WithLabelValues(reason).Inc()
+}
+
+// pulled counts a pull that brought that many items.
+func (m *metrics) pulled(items int, err error) {
+	result := "items"
+	switch {
+	case err != nil:
+		result = "failed"
+	case items == 0:
+		result = "none"
+	}
+	m.pulls.WithLabelValues(result).Inc()
+}
+
+// ended counts an item that has ended here.
+func (m *metrics) ended(r api.Result) api.Result {
+	m.items.WithLabelValues(string(r.State)).Inc()
+	return r
+}
+
+// answered counts the tokens of a whole answer to an item.
+func (m *metrics) answered(body []byte) {
+	var answer struct {
+		Usage api.Usage `json:"usage"`
+	}
+	if json.Unmarshal(body, &answer) == nil {
+		m.itemTokens.Add(float64(max(0, answer.Usage.CompletionTokens)))
+	}
+}
+
+// suspected counts a run of a suspect.
+func (m *metrics) suspected(suspect bool) {
+	if suspect {
+		m.suspects.Inc()
+	}
+}
--- a/sidecar/process.go
+++ b/sidecar/process.go
@@ -80,6 +80,7 @@
 		Members: p.view,
 		Peers:   p.pool,
 	}, &p.holder, func(*config.Snapshot) { p.ready.Set() })
+	p.viewer.RegisterMetrics(d.Registry)
 	var err error
 	p.sidecar, err = New(
 		Settings{
@@ -93,6 +94,7 @@
 			Config:     &p.holder,
 			Invariants: d.Invariants,
 			Logger:     d.Logger,
+			Metrics:    d.Registry,
 			Batch:      jobs.NewClient(p.view, p.pool, rand.IntN(maxTurn)),
 			Members:    p.view,
 			Log:        d.Log,
--- a/sidecar/request.go
+++ b/sidecar/request.go
@@ -26,6 +26,7 @@
 	Path       string // with the query
 	Header     http.Header
 	Body       []byte
+	admission  admission
 }
 
 // readRequest reads the whole request of an entry.
--- a/sidecar/scheduler.go
+++ b/sidecar/scheduler.go
@@ -14,6 +14,8 @@
 	slots   int
 	tickets map[string]*ticket
 	idle    chan struct{} // signalled when items could start
+	usage   usage
+	metrics *metrics
 }
 
 // ticket is the place of a request or an item in the queue.
@@ -21,19 +23,24 @@
 	started chan struct{}     // signalled at each start
 	refused chan lane.Refusal // gets at most one
 	cut     func()            // cancels the run of an item; nil for requests
+	queued  time.Time
+	admission
 }
 
-func newScheduler(o lane.Options) *scheduler {
-	return &scheduler{
+func newScheduler(o lane.Options, m *metrics) *scheduler {
+	s := &scheduler{
 		queue:   lane.New(o),
 		slots:   o.Slots,
 		tickets: make(map[string]*ticket),
 		idle:    make(chan struct{}, 1),
+		metrics: m,
 	}
+	s.recordUsage(time.Now())
+	return s
 }
 
 func newTicket(cut func()) *ticket {
-	return &ticket{started: make(chan struct{}, 1), refused: make(chan lane.Refusal, 1), cut: cut}
+	return &ticket{started: make(chan struct{}, 1), refused: make(chan lane.Refusal, 1), cut: cut, queued: time.Now()}
 }
 
 // setSlots follows the configuration.
@@ -51,6 +58,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := newTicket(nil)
+	t.admission = newAdmission(s.slots, s.queue.Running()+s.queue.Waiting(), s.queue.RunningItems())
 	s.tickets[r.ID] = t
 	s.apply(s.queue.Arrive(time.Now(), r))
 	return t
@@ -106,6 +114,7 @@
 func (s *scheduler) park(id string, prompt float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.tickets[id].queued = time.Now()
 	s.apply(s.queue.Park(time.Now(), id, prompt))
 }
 
@@ -144,13 +153,18 @@
 
 // apply carries out d. The caller holds the lock.
 func (s *scheduler) apply(d lane.Decision) {
+	now := time.Now()
+	s.recordUsage(now)
 	for _, id := range d.Start {
+		s.metrics.started(s.tickets[id], now)
 		s.tickets[id].started <- struct{}{}
 	}
+	s.metrics.preemptions.Add(float64(len(d.Preempt)))
 	for _, id := range d.Preempt {
 		s.tickets[id].cut()
 	}
 	for _, r := range d.Refuse {
+		s.metrics.queueRefused(r.Reason)
 		s.tickets[r.ID].refused <- r
 		delete(s.tickets, r.ID)
 	}
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -30,6 +30,7 @@
 	}
 	if e != nil {
 		s.checkNotRun(e, r.Header.Get(api.HeaderAttemptID))
+		s.metrics.refused(e)
 		e.RequestID = r.Header.Get(api.HeaderRequestID)
 		s.setState(w.Header())
 		api.WriteError(w, e)
@@ -61,10 +62,12 @@
 		return unavailable(api.CodeNoEndpoint, "the endpoint is leaving")
 	}
 	defer s.drain.exit()
-	exit, e := s.suspect.enter(r.Header.Get(api.HeaderSuspect) == "1")
+	suspect := r.Header.Get(api.HeaderSuspect) == "1"
+	exit, e := s.suspect.enter(suspect)
 	if e != nil {
 		return e
 	}
+	s.metrics.suspected(suspect)
 	defer exit()
 	switch s.attempts.add(req.Attempt, req.Received) {
 	case duplicate:
@@ -94,6 +97,7 @@
 		Cost:     cost,
 		Deadline: req.Deadline,
 	})
+	req.admission = t.admission
 	select {
 	case <-t.started:
 		return nil
@@ -146,6 +150,12 @@
 	defer resp.Body.Close()
 	s.setState(w.Header())
 	answer := &answerCopy{w: w, body: resp.Body, first: func() { s.schedule.firstToken(time.Since(req.Received)) }}
+	if streamed(resp) {
+		answer.watch = s.metrics.watchAnswer(req)
+	}
+	if req.admission.besideBatch {
+		w.Header().Set(api.HeaderBesideBatch, "1")
+	}
 	whole := answer.copy(resp)
 	tokens = answer.events
 	if !whole {
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"dandelionrelay/config"
@@ -41,8 +42,9 @@
 	Config     config.Source
 	Invariants *invariant.Set // may be nil
 	Logger     zerolog.Logger
-	Batch      BatchSource        // nil: no batch work
-	Members    membership.Members // says whether this instance is leaving; may be nil
+	Metrics    prometheus.Registerer // may be nil
+	Batch      BatchSource           // nil: no batch work
+	Members    membership.Members    // says whether this instance is leaving; may be nil
 	// Log and Weights serve to give orders to a model engine; without both of
 	// them none are given.
 	Log     platform.Log
@@ -60,6 +62,7 @@
 	attempts  *attempts
 	drain     *drainState
 	schedule  *scheduler
+	metrics   *metrics
 	batch     *batchRunner
 	health    health
 	suspect   suspectSlot
@@ -84,6 +87,7 @@
 		base:     base,
 		attempts: newAttempts(),
 		drain:    newDrainState(),
+		metrics:  newMetrics(deps.Metrics),
 		transport: &http.Transport{
 			DialContext:         deps.Dial,
 			DisableCompression:  true,
@@ -97,8 +101,9 @@
 		Limit:      settings.BatchLimit,
 		Policy:     settings.Policy,
 		Invariants: deps.Invariants,
-	})
+	}, s.metrics)
 	s.batch = newBatchRunner(s)
+	s.registerGauges(deps.Metrics)
 	return s, nil
 }
 
