The four measures as metrics of the running daemons; cut answers counted

A fault found: an answer cut after its first byte passed by the accounting of the front. TestACutAnswerIsCounted failed on the commit before.

promlint checks the running registries of both roles in test/system; the in-memory fleet now has the invariants' counters as the daemons do.

Ruled out: finding every refusal inside the rate at one entry. Who began a share empty is known to its holder alone.

--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -179,6 +179,7 @@
 	if whole {
 		h.Set(api.HeaderOutcome, string(api.Done))
 	}
+	y.c.BesideBatch = resp.Header.Get(api.HeaderBesideBatch) == "1"
 	y.c.W.WriteHeader(resp.StatusCode)
 	y.c.Started = true
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -87,6 +87,7 @@
 	})
 	e.peers.Register(config.ServiceName, config.NewService(e.follower))
 	e.follower.RegisterMetrics(d.Registry)
+	d.Registry.MustRegister(newLimitsCollector(&e.holder))
 	e.limits = limit.NewService(limit.Options{
 		Self:       e.self(),
 		Log:        d.Log,
@@ -94,6 +95,7 @@
 		Config:     &e.holder,
 		Pool:       e.pool,
 		Invariants: d.Invariants,
+		Metrics:    d.Registry,
 	})
 	e.jobs = jobs.NewService(jobs.Options{
 		Self:        s.ID,
@@ -104,6 +106,7 @@
 		Invariants:  d.Invariants,
 		Retention:   time.Duration(s.LogRetention),
 		OnBadRecord: e.badRecord,
+		Metrics:     d.Registry,
 	})
 	e.suspects = quarantine.NewNode(quarantine.Deps{
 		ID:         s.ID,
--- a/front/front.go
+++ b/front/front.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"dandelionrelay/api"
@@ -31,29 +30,6 @@
 	metrics *Metrics
 }
 
-// Metrics counts what fronts answer. The fronts of a process share one.
-type Metrics struct {
-	answered *prometheus.CounterVec
-	seconds  *prometheus.HistogramVec
-}
-
-// NewMetrics returns the metrics of fronts, registered with reg.
-func NewMetrics(reg prometheus.Registerer) *Metrics {
-	m := &Metrics{
-		answered: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "relay_requests_total",
-			Help: "Requests answered, by customer, error code (empty: none) and outcome.",
-		}, []string{"customer", "code", "outcome"}),
-		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name:    "relay_request_duration_seconds",
-			Help:    "Time from the request read to its answer sent, by route.",
-			Buckets: prometheus.ExponentialBuckets(0.001, 2, 17),
-		}, []string{"route"}),
-	}
-	reg.MustRegister(m.answered, m.seconds)
-	return m
-}
-
 // New returns a Front that hands calls to handle and refuses bodies of more
 // than maxBody bytes. With maxBody 0 the pipeline reads the body itself.
 func New(handle pipeline.Handler, source config.Source, maxBody int64, log zerolog.Logger, m *Metrics) *Front {
@@ -68,6 +44,7 @@
 	err := f.readBody(c)
 	if err == nil {
 		c.Received = time.Now()
+		f.watch(c)
 		c.Snapshot = f.source.Current()
 		err = f.run(r.Context(), c)
 	}
@@ -95,6 +72,19 @@
 	return nil
 }
 
+// codeCut counts answers that ended with an error after their first byte.
+const codeCut api.Code = "answer_cut"
+
+var errCut = &api.Error{Code: codeCut, Outcome: api.Unknown}
+
+// watch observes the events of an answer that is a stream. Answers of a
+// pipeline that reads the body itself are none.
+func (f *Front) watch(c *pipeline.Call) {
+	if f.maxBody > 0 {
+		c.W = &watchedWriter{ResponseWriter: c.W, call: c, metrics: f.metrics}
+	}
+}
+
 // run calls the pipeline. A panic there fails this call only.
 func (f *Front) run(ctx context.Context, c *pipeline.Call) (err *api.Error) {
 	defer func() {
@@ -103,6 +93,8 @@
 			return
 		}
 		if p == http.ErrAbortHandler {
+			f.metrics.finished(c, errCut, time.Since(c.Received))
+			f.log.Debug().Str("request", c.ID).Str("customer", c.Customer).Str("route", c.RouteID).Msg("answer was cut")
 			panic(p)
 		}
 		f.log.Error().Str("request", c.ID).Interface("panic", p).Stack().Msg("request handler panicked")
@@ -114,14 +106,12 @@
 // finish answers err, if any, and accounts for the call.
 func (f *Front) finish(c *pipeline.Call, err *api.Error) {
 	took := time.Since(c.Received)
-	f.metrics.seconds.WithLabelValues(c.RouteID).Observe(took.Seconds())
+	f.metrics.finished(c, err, took)
 	event := f.log.Debug().Str("request", c.ID).Str("customer", c.Customer).Str("route", c.RouteID).Dur("took_ms", took)
 	if err == nil {
-		f.metrics.answered.WithLabelValues(c.Customer, "", string(api.Done)).Inc()
 		event.Msg("request answered")
 		return
 	}
-	f.metrics.answered.WithLabelValues(c.Customer, string(err.Code), string(err.Outcome)).Inc()
 	event.Str("code", string(err.Code)).Str("outcome", string(err.Outcome)).Msg("request refused or failed")
 	if c.Started {
 		// The answer is under way and can't be changed any more: the caller
--- /dev/null
+++ b/front/metrics_test.go
@@ -0,0 +1,79 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
+
+	"dandelionrelay/api"
+	"dandelionrelay/config"
+	"dandelionrelay/pipeline"
+)
+
+// serve sends one request through a front before handle and returns what its
+// metrics show then.
+func serve(t *testing.T, handle pipeline.Handler) string {
+	t.Helper()
+	reg := prometheus.NewRegistry()
+	f := New(handle, new(config.Holder), 1<<10, zerolog.Nop(), NewMetrics(reg))
+	server := httptest.NewServer(f)
+	defer server.Close()
+	resp, err := http.Post(server.URL, "application/json", strings.NewReader("{}"))
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+	w := httptest.NewRecorder()
+	promhttp.HandlerFor(reg, promhttp.HandlerOpts{}).ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/", nil))
+	return w.Body.String()
+}
+
+// events answers with a stream of three events.
+func events(c *pipeline.Call) {
+	c.Customer = "garden"
+	c.BesideBatch = true
+	c.W.Header().Set("Content-Type", "text/event-stream")
+	c.W.WriteHeader(http.StatusOK)
+	c.Started = true
+	for range 3 {
+		_, _ = c.W.Write([]byte("data: x\n\n"))
+		_ = http.NewResponseController(c.W).Flush()
+	}
+}
+
+func TestStreamsAreObservedEventByEvent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	text := serve(t, func(_ context.Context, c *pipeline.Call) *api.Error {
+		events(c)
+		return nil
+	})
+	g.Expect(text).To(gomega.ContainSubstring(`relay_first_token_seconds_count{beside_batch="true"} 1`))
+	g.Expect(text).To(gomega.ContainSubstring(`relay_token_gap_seconds_count{beside_batch="true"} 2`))
+	g.Expect(text).To(gomega.ContainSubstring(`relay_stream_events_total{customer="garden"} 3`))
+	g.Expect(text).To(gomega.ContainSubstring(`relay_requests_total{code="",customer="garden",outcome="done"} 1`))
+}
+
+func TestOtherAnswersHaveNoFirstToken(t *testing.T) {
+	g := gomega.NewWithT(t)
+	text := serve(t, func(_ context.Context, c *pipeline.Call) *api.Error {
+		_, _ = c.W.Write([]byte("{}"))
+		return nil
+	})
+	g.Expect(text).NotTo(gomega.ContainSubstring("relay_first_token_seconds_count"))
+	g.Expect(text).To(gomega.ContainSubstring("relay_request_duration_seconds_count"))
+}
+
+func TestACutAnswerIsCounted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	text := serve(t, func(_ context.Context, c *pipeline.Call) *api.Error {
+		events(c)
+		panic(http.ErrAbortHandler)
+	})
+	g.Expect(text).To(gomega.ContainSubstring(`relay_requests_total{code="answer_cut",customer="garden",outcome="unknown"} 1`))
+}
--- a/jobs/facts.go
+++ b/jobs/facts.go
@@ -58,11 +58,14 @@
 	}
 	t.inv.Check(it.first == 0 || !t.visible, invariant.ItemCompletesOnce,
 		"job %s item %d: result of offset %d replaced by that of %d", j.ID, f.Item, it.first, f.Orig)
+	failed := f.Code != itemDone || f.Status >= 400
 	if it.first != 0 {
 		j.uncount(it)
+	} else {
+		t.completed(j, failed)
 	}
 	it.first, it.at, it.index = f.Orig, r.Offset, uint32(index)
-	it.failed = f.Code != itemDone || f.Status >= 400
+	it.failed = failed
 	j.count(it)
 	if f.Time.After(j.last) {
 		j.last = f.Time
--- a/jobs/handout.go
+++ b/jobs/handout.go
@@ -76,6 +76,7 @@
 	if !t.work.Idempotent && !p.begun(ctx, &t) {
 		return nil
 	}
+	s.metrics.handedOut.WithLabelValues(t.work.Customer).Inc()
 	return &t.work
 }
 
--- /dev/null
+++ b/jobs/metrics.go
@@ -0,0 +1,78 @@
+package jobs
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// metrics counts the batch work that this entry owns.
+type metrics struct {
+	completed *prometheus.CounterVec
+	handedOut *prometheus.CounterVec
+}
+
+// newMetrics returns the metrics of s, registered with reg unless that is nil.
+func newMetrics(reg prometheus.Registerer, s *Service) *metrics {
+	m := &metrics{
+		completed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "relay_batch_items_completed_total",
+			Help: "Items whose completion was recorded first, counted by the owner of the job, by customer and whether they failed.",
+		}, []string{"customer", "failed"}),
+		handedOut: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "relay_batch_items_handed_out_total",
+			Help: "Attempts at items handed to sidecars, by customer.",
+		}, []string{"customer"}),
+	}
+	if reg == nil {
+		return m
+	}
+	waiting := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "relay_batch_items_open",
+		Help: "Items without a completion, of the open jobs that this entry owns.",
+	}, func() float64 { return float64(s.openWork().items) })
+	due := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "relay_batch_earliest_due_timestamp_seconds",
+		Help: "Unix time at which the open job due first is due, of those that this entry owns; 0: none is open.",
+	}, func() float64 { return s.openWork().due() })
+	reg.MustRegister(m.completed, m.handedOut, waiting, due)
+	return m
+}
+
+// openWork is the work that is open.
+type openWork struct {
+	items    int
+	earliest time.Time // zero: no job is open
+}
+
+func (b openWork) due() float64 {
+	if b.earliest.IsZero() {
+		return 0
+	}
+	return float64(b.earliest.UnixMilli()) / 1000
+}
+
+// openWork returns the open work of the partitions owned.
+func (s *Service) openWork() openWork {
+	var b openWork
+	for _, p := range s.ownedPartitions() {
+		p.mu.Lock()
+		for _, j := range p.owner.openJobs() {
+			b.items += len(j.items) - j.done
+			if b.earliest.IsZero() || j.Due.Before(b.earliest) {
+				b.earliest = j.Due
+			}
+		}
+		p.mu.Unlock()
+	}
+	return b
+}
+
+// countCompleted counts a completion that was replayed. The caller holds the
+// lock.
+func (p *partition) countCompleted(j *job, failed bool) {
+	if p.owned && p.ready {
+		p.s.metrics.completed.WithLabelValues(j.Customer, strconv.FormatBool(failed)).Inc()
+	}
+}
--- a/jobs/partition.go
+++ b/jobs/partition.go
@@ -42,7 +42,7 @@
 }
 
 func newPartition(s *Service, number int) *partition {
-	return &partition{
+	p := &partition{
 		s:       s,
 		number:  number,
 		stream:  streamName(number),
@@ -52,6 +52,8 @@
 		used:    time.Now(),
 		changed: make(chan struct{}),
 	}
+	p.owner.table.completed = p.countCompleted
+	return p
 }
 
 // run drives the partition until ctx ends.
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"dandelionrelay/config"
 	"dandelionrelay/invariant"
@@ -32,17 +33,19 @@
 	ResultsKept time.Duration // after the due time; 0: DefaultResultsKept
 	// OnBadRecord is told of records that are not ours; nil: ignored.
 	OnBadRecord func(stream string, offset platform.Offset, err error)
+	Metrics     prometheus.Registerer // may be nil
 }
 
 // Service runs the batch jobs of one entry. Run must be running for it to
 // work.
 type Service struct {
-	o     Options
-	boot  string
-	count atomic.Uint64
-	cache *cache
-	fair  *fairQueue
-	pace  *pacer
+	o       Options
+	boot    string
+	count   atomic.Uint64
+	cache   *cache
+	fair    *fairQueue
+	pace    *pacer
+	metrics *metrics
 
 	mu         sync.Mutex
 	ctx        context.Context // of Run; nil before
@@ -65,7 +68,7 @@
 	if o.ResultsKept == 0 {
 		o.ResultsKept = DefaultResultsKept
 	}
-	return &Service{
+	s := &Service{
 		o:          o,
 		boot:       fmt.Sprintf("%s-%s", o.Self, rand.Text()[:10]),
 		cache:      newCache(o.Log),
@@ -74,6 +77,8 @@
 		partitions: make(map[int]*partition),
 		changed:    make(chan struct{}),
 	}
+	s.metrics = newMetrics(o.Metrics, s)
+	return s
 }
 
 // Run owns partitions until ctx ends.
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -25,7 +25,9 @@
 	commits int // changes whenever another job may have become known
 	marks   []mark
 	seen    map[string]platform.Offset // ids of recent records
-	recent  []string
+	// completed is told of each completion of an item that had none.
+	completed func(j *job, failed bool)
+	recent    []string
 }
 
 // mark remembers when a record was stored.
@@ -65,12 +67,13 @@
 // NewTable returns an empty table whose broken promises are counted in inv.
 func NewTable(inv *invariant.Set) *Table {
 	return &Table{
-		inv:     inv,
-		next:    1,
-		uploads: make(map[string]*upload),
-		files:   make(map[string]*file),
-		jobs:    make(map[string]*job),
-		seen:    make(map[string]platform.Offset),
+		inv:       inv,
+		completed: func(*job, bool) {},
+		next:      1,
+		uploads:   make(map[string]*upload),
+		files:     make(map[string]*file),
+		jobs:      make(map[string]*job),
+		seen:      make(map[string]platform.Offset),
 	}
 }
 
--- a/limit/service.go
+++ b/limit/service.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"dandelionrelay/config"
 	"dandelionrelay/invariant"
 	"dandelionrelay/peer"
@@ -31,17 +33,19 @@
 	Pool       *peer.Pool
 	Invariants *invariant.Set
 	Scheme     Scheme
+	Metrics    prometheus.Registerer // may be nil
 }
 
 // Service admits requests at one entry and mints the shares that the entry
 // holds. Run drives it.
 type Service struct {
 	Options
-	table  *Table
-	minter *Minter
-	taker  *Taker
-	ledger *Ledger
-	seen   atomic.Pointer[config.Snapshot] // whose limits the minter has
+	table   *Table
+	minter  *Minter
+	taker   *Taker
+	ledger  *Ledger
+	metrics *metrics
+	seen    atomic.Pointer[config.Snapshot] // whose limits the minter has
 
 	returns chan Return
 	leaving atomic.Bool
@@ -58,6 +62,7 @@
 		minter:  NewMinter(o.Invariants),
 		taker:   NewTaker(table, o.Scheme),
 		ledger:  NewLedger(ledgerSlack),
+		metrics: newMetrics(o.Metrics),
 		returns: make(chan Return, settleQueue),
 	}
 }
@@ -123,6 +128,7 @@
 			s.check(now, customer, l)
 			return true, 0, false
 		case Refuse:
+			s.metrics.refused(g, now)
 			s.finish(g, false)
 			return false, step.Wait, step.Unavailable
 		case Wait:
--- a/ops/ops.go
+++ b/ops/ops.go
@@ -57,8 +57,9 @@
 }
 
 // Invariants returns the invariants of a process: a violation is logged and
-// counted in relay_invariant_violations_total.
-func Invariants(reg prometheus.Registerer, log zerolog.Logger) *invariant.Set {
+// counted in relay_invariant_violations_total, and handed to each of also that
+// is not nil.
+func Invariants(reg prometheus.Registerer, log zerolog.Logger, also ...func(invariant.Violation)) *invariant.Set {
 	violations := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "relay_invariant_violations_total",
 		Help: "Violations of the promises of the system, by invariant.",
@@ -70,5 +71,10 @@
 	return invariant.New(func(v invariant.Violation) {
 		violations.WithLabelValues(string(v.Name)).Inc()
 		log.Error().Str("invariant", string(v.Name)).Str("detail", v.Detail).Msg("invariant violated")
+		for _, f := range also {
+			if f != nil {
+				f(v)
+			}
+		}
 	})
 }
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -31,6 +31,9 @@
 
 	// Started is set as soon as a byte of the answer was sent to the caller.
 	Started bool
+	// BesideBatch says that batch items ran at the endpoint when the call came
+	// there; set by dispatch before the first byte of the answer.
+	BesideBatch bool
 }
 
 // Handler serves a call. It returns nil once it has answered the caller, or
--- a/sidecar/metrics_test.go
+++ b/sidecar/metrics_test.go
@@ -61,7 +61,7 @@
 		eventually(t, "item completes", func() bool { return src.completed() == 1 })
 		use := func(use string) float64 { return sum(t, reg, "relay_sidecar_slot_seconds_total", "use", use) }
 		elapsed := time.Since(start).Seconds()
-		g.Expect(use("batch")+use("idle")+use("online")).To(gomega.BeNumerically("~", 2*elapsed, 1e-6))
+		g.Expect(use("batch") + use("idle") + use("online")).To(gomega.BeNumerically("~", 2*elapsed, 1e-6))
 		g.Expect(use("batch")).To(gomega.BeNumerically(">", 0))
 		g.Expect(use("online")).To(gomega.BeZero())
 		g.Expect(sum(t, reg, "relay_sidecar_batch_items_total", "state", "done")).To(gomega.Equal(1.0))
--- a/standin/fleet/instance.go
+++ b/standin/fleet/instance.go
@@ -90,8 +90,8 @@
 	}
 	i := f.newInstance(platform.RoleEntry, "", listeners[0], listeners[1])
 	reg := ops.NewRegistry()
-	checks := invariant.New(f.opts.OnViolation)
 	logger := f.opts.Logger.With().Str("id", i.ID).Logger()
+	checks := ops.Invariants(reg, logger, f.opts.OnViolation)
 	s := &settings.Entry{
 		Process:      f.process(i),
 		MaxBodyBytes: settings.DefaultMaxBodyBytes,
@@ -123,7 +123,8 @@
 	}
 	i := f.newInstance(platform.RoleSidecar, deployment, listeners[0], listeners[1])
 	reg := ops.NewRegistry()
-	checks := invariant.New(f.opts.OnViolation)
+	logger := f.opts.Logger.With().Str("id", i.ID).Logger()
+	checks := ops.Invariants(reg, logger, f.opts.OnViolation)
 	s := &settings.Sidecar{
 		Process:      f.process(i),
 		Deployment:   deployment,
@@ -132,7 +133,7 @@
 	}
 	p, err := sidecar.NewProcess(s, sidecar.ProcessDeps{
 		Log: f.Log, Instances: f.Instances, Dial: f.opts.Network.Dial, Endpoint: f.opts.Network.Dial,
-		Logger: f.opts.Logger.With().Str("id", i.ID).Logger(), Registry: reg, Invariants: checks,
+		Logger: logger, Registry: reg, Invariants: checks,
 		Policy: f.opts.Policy, BatchLimit: f.opts.BatchLimit,
 	})
 	if err != nil {
--- /dev/null
+++ b/test/system/metrics_test.go
@@ -0,0 +1,116 @@
+package system
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/prometheus/client_golang/prometheus/testutil/promlint"
+
+	"dandelionrelay/invariant"
+	"dandelionrelay/standin/fleet"
+)
+
+// scrape returns what an instance shows to the metrics system.
+func (w *world) scrape(i *fleet.Instance) string {
+	resp, err := w.fleet.Client().Get("http://" + i.OpsAddr + "/metrics")
+	w.must(err)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	w.must(err)
+	return string(text)
+}
+
+// lint checks the names, units and help texts of the system's own metrics.
+func lint(t *testing.T, text string) {
+	problems, err := promlint.New(strings.NewReader(text)).Lint()
+	if err != nil {
+		t.Error(err)
+	}
+	for _, p := range problems {
+		if strings.HasPrefix(p.Metric, "relay_") {
+			t.Errorf("%s: %s", p.Metric, p.Text)
+		}
+	}
+}
+
+// The series that the alerts and examples of docs/OPERATIONS.md name.
+var (
+	entrySeries = []string{
+		`relay_requests_total{code="",customer="garden",outcome="done"}`,
+		`relay_stream_events_total{customer="garden"}`,
+		`relay_first_token_seconds_bucket{beside_batch="false",le="1.8"}`,
+		`relay_token_gap_seconds_bucket{beside_batch="false",le="0.029"}`,
+		`relay_customer_rate_requests_per_second{customer="garden"} 20`,
+		`relay_customer_burst_requests{customer="garden"} 40`,
+		"relay_request_duration_seconds_count", "relay_config_version", "relay_config_age_seconds",
+		"relay_batch_items_open", "relay_batch_earliest_due_timestamp_seconds",
+	}
+	sidecarSeries = []string{
+		`relay_sidecar_slot_seconds_total{use="online"}`,
+		`relay_sidecar_slot_seconds_total{use="batch"}`,
+		`relay_sidecar_slot_seconds_total{use="idle"}`,
+		`relay_sidecar_waiting{lane="online"}`, `relay_sidecar_running{lane="batch"}`,
+		`relay_sidecar_wait_seconds_count{lane="online"}`,
+		`relay_sidecar_pulls_total`, `relay_sidecar_batch_tokens_total`,
+		"relay_sidecar_slots 6", "relay_sidecar_batch_slots", "relay_sidecar_results_held_bytes 0",
+		"relay_sidecar_first_token_seconds_bucket", "relay_sidecar_token_gap_seconds_bucket",
+		"relay_config_version", "relay_config_contact_age_seconds",
+	}
+)
+
+// TestMetricsOfAllRoles: the registries of running instances are free of
+// faults that promlint knows, and hold what the operators' page names.
+func TestMetricsOfAllRoles(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, nil)
+		defer w.fleet.Close()
+		for n := range 60 {
+			w.chat("garden", fmt.Sprint("beans ", n), true)
+		}
+		w.await(w.submit("garden", "ledger", 30), "completed")
+		var all strings.Builder
+		for _, i := range w.entries {
+			all.WriteString(w.checkSeries(i, entrySeries))
+		}
+		for _, e := range w.endpoints {
+			all.WriteString(w.checkSeries(e.Instance, sidecarSeries))
+		}
+		for _, series := range []string{
+			`relay_batch_items_completed_total{customer="garden",failed="false"}`,
+			`relay_batch_items_handed_out_total{customer="garden"}`,
+			`relay_sidecar_batch_items_total{state="done"}`,
+		} {
+			if !strings.Contains(all.String(), series) {
+				t.Errorf("no instance shows %s", series)
+			}
+		}
+	})
+}
+
+// checkSeries returns what an instance shows and checks that the series are
+// part of it.
+func (w *world) checkSeries(i *fleet.Instance, series []string) string {
+	text := w.scrape(i)
+	lint(w.t, text)
+	for _, name := range invariant.All {
+		series = append(series, fmt.Sprintf("relay_invariant_violations_total{invariant=%q} 0", name))
+	}
+	for _, s := range series {
+		if !strings.Contains(text, s) {
+			w.t.Errorf("%s does not show %s", i.ID, s)
+		}
+	}
+	return text
+}
+
+// TestLintFindsAMissingUnit guards lint itself.
+func TestLintFindsAMissingUnit(t *testing.T) {
+	text := "# HELP relay_wait_milliseconds x\n# TYPE relay_wait_milliseconds gauge\nrelay_wait_milliseconds 1\n"
+	problems, err := promlint.New(strings.NewReader(text)).Lint()
+	if err != nil || len(problems) == 0 {
+		t.Error("promlint accepts a unit that is no base unit", err)
+	}
+}
