--- a/front/metrics_test.go
+++ b/front/metrics_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -24,11 +25,12 @@
 	reg := prometheus.NewRegistry()
 	f := New(handle, new(config.Holder), 1<<10, zerolog.Nop(), NewMetrics(reg))
 	server := httptest.NewServer(f)
-	defer server.Close()
 	resp, err := http.Post(server.URL, "application/json", strings.NewReader("{}"))
 	if err == nil {
+		_, _ = io.Copy(io.Discard, resp.Body)
 		_ = resp.Body.Close()
 	}
+	server.Close() // waits for the call to end
 	w := httptest.NewRecorder()
 	promhttp.HandlerFor(reg, promhttp.HandlerOpts{}).ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/", nil))
 	return w.Body.String()
