Bytes of control traffic by method and by kind of stream

Cause: the budget of 4 KB/s a node could be worked out, not read off a node.

Change: peer counts each message by method and side as encoded; the platform's client counts start line, headers and body by call and kind of stream. Methods that only the other end names share one label.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -76,6 +76,9 @@
 		pool:     peer.NewPool(d.Dial),
 		killed:   make(chan struct{}),
 	}
+	traffic := peer.NewMetrics(d.Registry)
+	e.pool.Count(traffic)
+	e.peers.Count(traffic)
 	e.sessions = authn.NewSessions(d.Invariants)
 	e.view = membership.NewView(d.Instances)
 	e.follower = config.NewFollower(d.Log, &e.holder, d.Invariants, e.configChanged)
--- a/peer/client.go
+++ b/peer/client.go
@@ -34,6 +34,7 @@
 // Pool keeps one connection to each peer that was called.
 type Pool struct {
 	dial    Dialer
+	meter   *meter
 	mu      sync.Mutex
 	clients map[string]*client
 }
@@ -49,9 +50,13 @@
 	if dial == nil {
 		dial = DialTCP
 	}
-	return &Pool{dial: dial, clients: make(map[string]*client)}
+	return &Pool{dial: dial, meter: newMeter(caller), clients: make(map[string]*client)}
 }
 
+// Count has the bytes of all calls counted in m. It must be called before the
+// first call.
+func (p *Pool) Count(m *Metrics) { p.meter.Metrics = m }
+
 // Call calls method at addr and fills reply, a pointer. An Unreachable error
 // means that the peer may or may not have run the call; any other error is the
 // method's own answer.
@@ -92,7 +97,7 @@
 	if err != nil {
 		return nil, err
 	}
-	fresh := &client{Client: rpc.NewClientWithCodec(clientCodec{newCodec(conn)})}
+	fresh := &client{Client: rpc.NewClientWithCodec(clientCodec{newCodec(conn, p.meter)})}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if other, ok := p.clients[addr]; ok {
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -62,12 +62,31 @@
 	enc    *gob.Encoder
 	out    *bufio.Writer
 	once   sync.Once
+	meter  *meter
+	wrote  *countingWriter
+	method string // of the message that is read
 }
 
-func newCodec(conn net.Conn) *codec {
+// countingWriter counts the bytes that pass. It belongs to one writer.
+type countingWriter struct {
+	w io.Writer
+	n int
+}
+
+// Write implements io.Writer.
+func (c *countingWriter) Write(p []byte) (int, error) {
+	n, err := c.w.Write(p)
+	c.n += n
+	return n, err
+}
+
+func newCodec(conn net.Conn, m *meter) *codec {
 	budget := &budgetReader{r: bufio.NewReader(conn)}
-	out := bufio.NewWriter(conn)
+	wrote := &countingWriter{w: conn}
+	out := bufio.NewWriter(wrote)
 	return &codec{
+		meter:  m,
+		wrote:  wrote,
 		conn:   conn,
 		budget: budget,
 		dec:    gob.NewDecoder(budget),
@@ -82,13 +101,17 @@
 }
 
 func (c *codec) readBody(body any) error {
-	if err := c.dec.Decode(body); err != nil {
+	err := c.dec.Decode(body)
+	c.meter.read(c.method, MaxMessageBytes-c.budget.left)
+	if err != nil {
 		return c.fail(err)
 	}
 	return nil
 }
 
-func (c *codec) write(header, body any) error {
+func (c *codec) write(method string, header, body any) error {
+	c.wrote.n = 0
+	defer func() { c.meter.wrote(method, c.wrote.n) }()
 	if err := c.conn.SetWriteDeadline(time.Now().Add(WriteTimeout)); err != nil {
 		return c.fail(err)
 	}
@@ -120,14 +143,27 @@
 
 type serverCodec struct{ *codec }
 
-func (s serverCodec) ReadRequestHeader(r *rpc.Request) error { return s.readHeader(r) }
-func (s serverCodec) ReadRequestBody(body any) error         { return s.readBody(body) }
+func (s serverCodec) ReadRequestHeader(r *rpc.Request) error {
+	err := s.readHeader(r)
+	s.method = r.ServiceMethod
+	return err
+}
+func (s serverCodec) ReadRequestBody(body any) error { return s.readBody(body) }
 func (s serverCodec) WriteResponse(r *rpc.Response, body any) error {
-	return s.write(r, body)
+	return s.write(r.ServiceMethod, r, body)
 }
 
 type clientCodec struct{ *codec }
 
-func (c clientCodec) WriteRequest(r *rpc.Request, body any) error { return c.write(r, body) }
-func (c clientCodec) ReadResponseHeader(r *rpc.Response) error    { return c.readHeader(r) }
-func (c clientCodec) ReadResponseBody(body any) error             { return c.readBody(body) }
+func (c clientCodec) WriteRequest(r *rpc.Request, body any) error {
+	if !c.meter.knows(r.ServiceMethod) {
+		c.meter.know(r.ServiceMethod)
+	}
+	return c.write(r.ServiceMethod, r, body)
+}
+func (c clientCodec) ReadResponseHeader(r *rpc.Response) error {
+	err := c.readHeader(r)
+	c.method = r.ServiceMethod
+	return err
+}
+func (c clientCodec) ReadResponseBody(body any) error { return c.readBody(body) }
--- a/peer/server.go
+++ b/peer/server.go
@@ -12,11 +12,16 @@
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
 	done  bool
+	meter *meter
 }
 
 // NewServer returns a Server without services.
 func NewServer() *Server {
-	return &Server{rpc: rpc.NewServer(), conns: make(map[net.Conn]struct{})}
+	return &Server{
+		rpc:   rpc.NewServer(),
+		conns: make(map[net.Conn]struct{}),
+		meter: newMeter(server),
+	}
 }
 
 // Register adds the methods of service under name. It panics if service has
@@ -25,8 +30,15 @@
 	if err := s.rpc.RegisterName(name, service); err != nil {
 		panic(err)
 	}
+	for _, method := range methodsOf(name, service) {
+		s.meter.know(method)
+	}
 }
 
+// Count has the bytes of all calls counted in m. Like Register it must be
+// called before the first connection is served.
+func (s *Server) Count(m *Metrics) { s.meter.Metrics = m }
+
 // Serve accepts connections on l until l or the server is closed.
 func (s *Server) Serve(l net.Listener) {
 	for {
@@ -45,7 +57,7 @@
 		return
 	}
 	defer s.remove(conn)
-	s.rpc.ServeCodec(serverCodec{newCodec(conn)})
+	s.rpc.ServeCodec(serverCodec{newCodec(conn, s.meter)})
 }
 
 func (s *Server) add(conn net.Conn) bool {
--- a/sidecar/process.go
+++ b/sidecar/process.go
@@ -75,6 +75,7 @@
 		view:     membership.NewView(d.Instances),
 		killed:   make(chan struct{}),
 	}
+	p.pool.Count(peer.NewMetrics(d.Registry))
 	p.viewer = config.NewViewer(config.Fleet{
 		Self:    platform.Instance{ID: s.ID, Role: platform.RoleSidecar, DataCentre: s.DataCentre, Deployment: s.Deployment},
 		Members: p.view,
@@ -114,7 +115,7 @@
 		return err
 	}
 	reg := ops.NewRegistry()
-	remote := client.New(s.PlatformURL, nil)
+	remote := client.New(s.PlatformURL, client.CountTraffic(nil, reg))
 	p, err := NewProcess(s, ProcessDeps{
 		Log:        remote,
 		Instances:  remote,
--- a/test/system/metrics_test.go
+++ b/test/system/metrics_test.go
@@ -46,6 +46,8 @@
 		`relay_customer_rate_requests_per_second{customer="garden"} 20`,
 		`relay_customer_burst_requests{customer="garden"} 40`,
 		"relay_request_duration_seconds_count", "relay_config_version", "relay_config_age_seconds",
+		`relay_peer_sent_bytes_total{method="Limit.Take",side="caller"}`,
+		`relay_peer_received_bytes_total{method="Limit.Take",side="server"}`,
 		"relay_batch_items_open", "relay_batch_earliest_due_timestamp_seconds",
 	}
 	sidecarSeries = []string{
@@ -57,6 +59,8 @@
 		`relay_sidecar_pulls_total`, `relay_sidecar_batch_tokens_total`,
 		"relay_sidecar_slots 6", "relay_sidecar_batch_slots", "relay_sidecar_results_held_bytes 0",
 		"relay_sidecar_first_token_seconds_bucket", "relay_sidecar_token_gap_seconds_bucket",
+		`relay_peer_sent_bytes_total{method="Jobs.Pull",side="caller"}`,
+		`relay_peer_received_bytes_total{method="Jobs.Report",side="caller"}`,
 		"relay_config_version", "relay_config_contact_age_seconds",
 	}
 )
