One request id through entry, sidecar and peers; callers may give it

Cause: sidecars logged no requests, owners no items and peers nothing, so an id in an answer led to the entry's lines only; a caller could not give one.

Change: an id is taken from the caller if it is a UUID in its usual form, so that neither a key nor a text gets into logs as an id. Sidecars log the end of each attempt and item, owners hand-outs and reports, holders of limits, homes of idempotency keys and owners of jobs the questions that name a request. A change of configuration is logged wherever it comes to under its own id, which is the request id of apply. An entry sends ids to peers only while it logs at debug: gob leaves an empty field out, so the bytes of a call stay as they were.

Test: TestOneRequestIDGoesThroughAllRoles at debug level, with marked prompts, keys and an operator's token. It fails with any of these switched off: the line of the holder of limits, of the sidecar for a request and for an item, of the owner for a list; and with the caller's id taken unchecked, and with the path of a call in a line. It does not notice the loss of the owner's line at hand-out (its report names the item too) nor of the home's line (the limits' line stands for a second entry).

--- a/admin/client.go
+++ b/admin/client.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/joomcode/errorx"
 
 	"dandelionrelay/api"
@@ -38,10 +39,11 @@
 	return reply, c.call(ctx, http.MethodPost, PathPlan, PlanRequest{Files: files}, reply)
 }
 
-// Apply makes files the desired state.
+// Apply makes files the desired state. The id of the change is the request id
+// in the logs of the instances that it comes to.
 func (c *Client) Apply(ctx context.Context, req ApplyRequest) (*ApplyReply, error) {
 	reply := new(ApplyReply)
-	return reply, c.call(ctx, http.MethodPost, PathApply, req, reply)
+	return reply, c.callAs(ctx, req.ID, http.MethodPost, PathApply, req, reply)
 }
 
 // State returns the state in force.
@@ -63,6 +65,11 @@
 }
 
 func (c *Client) call(ctx context.Context, method, path string, body, reply any) error {
+	return c.callAs(ctx, uuid.NewString(), method, path, body, reply)
+}
+
+// callAs makes a call with a request id.
+func (c *Client) callAs(ctx context.Context, id, method, path string, body, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var content io.Reader
@@ -77,6 +84,7 @@
 	if err != nil {
 		return err
 	}
+	req.Header.Set(api.HeaderRequestID, id)
 	req.Header.Set("Authorization", "Bearer "+c.Token)
 	req.Header.Set("Content-Type", "application/json")
 	client := c.HTTP
--- a/admin/handler.go
+++ b/admin/handler.go
@@ -20,6 +20,7 @@
 	"dandelionrelay/authn"
 	"dandelionrelay/config"
 	"dandelionrelay/membership"
+	"dandelionrelay/pipeline"
 	"dandelionrelay/platform"
 	"dandelionrelay/settings"
 )
@@ -71,13 +72,13 @@
 
 func (h *Handler) handle(pattern string, serve endpoint) {
 	h.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
-		id := uuid.NewString()
+		id := api.RequestID(r.Header)
 		w.Header().Set(api.HeaderRequestID, id)
 		operator, err := h.operator(r)
 		var reply any
 		if err == nil {
 			r.Body = http.MaxBytesReader(w, r.Body, MaxRequestBytes)
-			reply, err = serve(r, operator)
+			reply, err = serve(r.WithContext(pipeline.WithRequestID(r.Context(), id)), operator)
 		}
 		event := h.Logger.Info().Str("request", id).Str("operator", operator).Str("path", r.URL.Path)
 		if err != nil {
--- /dev/null
+++ b/api/request_id.go
@@ -0,0 +1,29 @@
+package api
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/google/uuid"
+)
+
+// uuidBytes is the length of a UUID in its usual form.
+const uuidBytes = 36
+
+// RequestID returns the id of a request: the one that the caller gave, if it
+// is a UUID in its usual form, or else a new one. No other form is taken, so
+// that neither a key nor a text gets into logs as an id.
+func RequestID(h http.Header) string {
+	given := h.Get(HeaderRequestID)
+	if len(given) == uuidBytes {
+		if id, err := uuid.Parse(given); err == nil {
+			return id.String()
+		}
+	}
+	return uuid.NewString()
+}
+
+// ItemID returns the request id of an attempt at a batch item.
+func (r WorkRef) ItemID() string {
+	return fmt.Sprintf("batch/%s/%d/%s", r.Job, r.Item, r.Attempt)
+}
--- a/config/follower.go
+++ b/config/follower.go
@@ -261,6 +261,7 @@
 	f.noteKnown()
 	if v := f.replica.Version(); v > f.holder.Current().Version {
 		snapshot := NewSnapshot(v, f.replica.State())
+		snapshot.Change = f.replica.LastChange()
 		f.holder.Set(snapshot)
 		if f.onChange != nil {
 			f.onChange(snapshot)
--- a/config/replica.go
+++ b/config/replica.go
@@ -61,6 +61,17 @@
 // Audit returns the accepted and rejected changes kept, oldest first.
 func (r *Replica) Audit() []AuditEntry { return slices.Clone(r.trail.entries) }
 
+// LastChange returns the id of the last accepted change; empty if it is not
+// kept.
+func (r *Replica) LastChange() string {
+	for _, e := range slices.Backward(r.trail.entries) {
+		if e.Verdict == Accepted {
+			return e.ID
+		}
+	}
+	return ""
+}
+
 // VerdictOn returns the verdict on the change with the given id.
 func (r *Replica) VerdictOn(id string) (AuditEntry, bool) { return r.trail.find(id) }
 
--- a/config/spread.go
+++ b/config/spread.go
@@ -44,6 +44,7 @@
 type ViewReply struct {
 	Version uint64
 	State   []byte // JSON of a State, or nil if the view is as before
+	Change  string // id of the last change, with State
 }
 
 // Service answers peers that follow the configuration. It is registered
@@ -93,6 +94,9 @@
 	}
 	b, err := json.Marshal(view)
 	reply.State = b
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	reply.Change = f.replica.LastChange()
 	return err
 }
 
--- a/config/state.go
+++ b/config/state.go
@@ -87,6 +87,7 @@
 type Snapshot struct {
 	Version uint64
 	State   *State
+	Change  string            // id of the last change that led here; empty if it is not known
 	keys    map[string]string // digest -> key id
 	models  map[string]string // model -> route id
 	paths   []string          // route ids with a path prefix, longest prefix first
--- a/config/viewer.go
+++ b/config/viewer.go
@@ -75,6 +75,7 @@
 	}
 	v.version = reply.Version
 	snapshot := NewSnapshot(reply.Version, state)
+	snapshot.Change = reply.Change
 	v.holder.Set(snapshot)
 	if changed && v.onChange != nil {
 		v.onChange(snapshot)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -99,6 +99,7 @@
 		Pool:       e.pool,
 		Invariants: d.Invariants,
 		Metrics:    d.Registry,
+		Logger:     d.Logger,
 	})
 	e.jobs = jobs.NewService(jobs.Options{
 		Self:        s.ID,
@@ -110,6 +111,7 @@
 		Retention:   time.Duration(s.LogRetention),
 		OnBadRecord: e.badRecord,
 		Metrics:     d.Registry,
+		Logger:      d.Logger,
 	})
 	e.suspects = quarantine.NewNode(quarantine.Deps{
 		ID:         s.ID,
@@ -222,7 +224,7 @@
 // configChanged is called with each new version in force here.
 func (e *Entry) configChanged(s *config.Snapshot) {
 	e.sessions.Sweep(s, time.Now())
-	e.deps.Logger.Info().Uint64("version", s.Version).Msg("configuration in force")
+	e.deps.Logger.Info().Uint64("version", s.Version).Str("request", s.Change).Msg("configuration in force")
 }
 
 // readyInterval is the time between two looks at what is missing to be ready.
--- a/front/front.go
+++ b/front/front.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 
 	"dandelionrelay/api"
@@ -38,7 +37,7 @@
 
 // ServeHTTP implements http.Handler.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := uuid.NewString()
+	id := api.RequestID(r.Header)
 	w.Header().Set(api.HeaderRequestID, id)
 	c := &pipeline.Call{W: w, R: r, ID: id, Received: time.Now()}
 	err := f.readBody(c)
@@ -46,11 +45,20 @@
 		c.Received = time.Now()
 		f.watch(c)
 		c.Snapshot = f.source.Current()
-		err = f.run(r.Context(), c)
+		err = f.run(f.trace(r.Context(), id), c)
 	}
 	f.finish(c, err)
 }
 
+// trace has the peers asked for a request log its id, if this process logs
+// requests. Without it the id is not sent to them.
+func (f *Front) trace(ctx context.Context, id string) context.Context {
+	if f.log.GetLevel() > zerolog.DebugLevel {
+		return ctx
+	}
+	return pipeline.WithRequestID(ctx, id)
+}
+
 // readBody reads the whole body, bounded in size and time.
 func (f *Front) readBody(c *pipeline.Call) *api.Error {
 	if f.maxBody == 0 {
--- a/idempotency/service.go
+++ b/idempotency/service.go
@@ -9,6 +9,7 @@
 
 	"dandelionrelay/invariant"
 	"dandelionrelay/membership"
+	"dandelionrelay/pipeline"
 	"dandelionrelay/platform"
 )
 
@@ -110,6 +111,9 @@
 type BeginArgs struct {
 	Event Event
 	Wait  time.Duration // the longest wait for the log
+	// Request is the id of the request, for the log; empty unless the asker
+	// logs requests.
+	Request string
 }
 
 // BeginReply says what the begin led to.
@@ -135,6 +139,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), min(args.Wait, beginTimeout))
 	defer cancel()
 	reply.Verdict, reply.Answer = r.s.home(args.Event.Key).begin(ctx, args.Event)
+	if args.Request != "" {
+		r.s.deps.Logger.Debug().Str("request", args.Request).Msg("begin of a call settled")
+	}
 	return nil
 }
 
@@ -186,7 +193,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, beginTimeout/2)
 	defer cancel()
-	args := BeginArgs{Event: e, Wait: beginTimeout / 3}
+	args := BeginArgs{Event: e, Wait: beginTimeout / 3, Request: pipeline.RequestID(ctx)}
 	err := s.deps.Peers.Call(ctx, home.RPCAddr, MethodBegin, args, &reply)
 	return reply, err == nil
 }
--- a/jobs/documents.go
+++ b/jobs/documents.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dandelionrelay/api"
+	"dandelionrelay/pipeline"
 )
 
 // jobDocument is a job as callers see it.
@@ -168,7 +169,7 @@
 	if e != nil {
 		return e
 	}
-	args := PageArgs{Customer: customer, Job: v.ID}
+	args := PageArgs{Customer: customer, Job: v.ID, Request: pipeline.RequestID(r.Context())}
 	page, err := h.s.Page(r.Context(), args)
 	if err != nil {
 		return unavailable()
--- a/jobs/handout.go
+++ b/jobs/handout.go
@@ -77,6 +77,7 @@
 		return nil
 	}
 	s.metrics.handedOut.WithLabelValues(t.work.Customer).Inc()
+	s.logItem(t.work.WorkRef, args.Endpoint, "item handed out")
 	return &t.work
 }
 
--- a/jobs/http.go
+++ b/jobs/http.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"dandelionrelay/api"
+	"dandelionrelay/pipeline"
 	"dandelionrelay/platform"
 )
 
@@ -236,7 +237,7 @@
 		return e
 	}
 	// The owner has heard of it before the caller does, if it can be reached.
-	after, err := h.s.get(r.Context(), GetArgs{Customer: customer, ID: v.ID, After: offset})
+	after, err := h.s.get(r.Context(), GetArgs{Customer: customer, ID: v.ID, After: offset, Request: pipeline.RequestID(r.Context())})
 	if kind == factDelete {
 		api.WriteJSON(w, http.StatusOK, deletedDocument{ID: v.ID, Object: "batch", Deleted: true})
 		return nil
--- a/jobs/rpc.go
+++ b/jobs/rpc.go
@@ -71,12 +71,14 @@
 	ID         string
 	Partitions []int
 	After      platform.Offset // of a job: the answer reflects the stream up to there
+	Request    string          // id of the request, for the log; may be empty
 }
 
 // Get returns one job; its id is empty if there is none.
 func (r *rpcService) Get(args GetArgs, reply *View) error {
 	ctx, cancel := r.s.callContext(ReportWait)
 	defer cancel()
+	r.s.logAsk(args.Request, methodGet)
 	v, err := r.s.localGet(ctx, args)
 	*reply = v
 	return err
@@ -86,6 +88,7 @@
 func (r *rpcService) File(args GetArgs, reply *FileView) error {
 	ctx, cancel := r.s.callContext(ReportWait)
 	defer cancel()
+	r.s.logAsk(args.Request, methodFile)
 	v, err := r.s.localFile(ctx, args.Customer, args.ID)
 	*reply = v
 	return err
@@ -95,6 +98,7 @@
 func (r *rpcService) List(args GetArgs, reply *[]View) error {
 	ctx, cancel := r.s.callContext(ReportWait)
 	defer cancel()
+	r.s.logAsk(args.Request, methodList)
 	v, err := r.s.localList(ctx, args)
 	*reply = v
 	return err
@@ -105,6 +109,7 @@
 	Customer string
 	Job      string
 	From     int
+	Request  string // id of the request, for the log; may be empty
 }
 
 // Page is some results of a job.
@@ -117,6 +122,7 @@
 func (r *rpcService) Page(args PageArgs, reply *Page) error {
 	ctx, cancel := r.s.callContext(ReportWait)
 	defer cancel()
+	r.s.logAsk(args.Request, methodPage)
 	page, err := r.s.localPage(ctx, args)
 	*reply = page
 	return err
@@ -145,6 +151,9 @@
 			stop = append(stop, p.heartbeat(args.Endpoint, refs)...)
 		}
 	}
+	for _, r := range args.Results {
+		s.logItem(r.WorkRef, args.Endpoint, "item reported")
+	}
 	for n, rs := range results {
 		p, err := s.partition(n)
 		if err == nil {
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
 
 	"dandelionrelay/config"
 	"dandelionrelay/invariant"
@@ -34,6 +35,7 @@
 	// OnBadRecord is told of records that are not ours; nil: ignored.
 	OnBadRecord func(stream string, offset platform.Offset, err error)
 	Metrics     prometheus.Registerer // may be nil
+	Logger      zerolog.Logger
 }
 
 // Service runs the batch jobs of one entry. Run must be running for it to
--- a/jobs/view.go
+++ b/jobs/view.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dandelionrelay/membership"
+	"dandelionrelay/pipeline"
 )
 
 // Status is the state of a job as callers see it.
@@ -187,7 +188,7 @@
 // Get returns a job of a customer, asking its owner; the id is empty if there
 // is none. Of a job that was deleted only id and status are set.
 func (s *Service) Get(ctx context.Context, customer, id string) (View, error) {
-	return s.get(ctx, GetArgs{Customer: customer, ID: id})
+	return s.get(ctx, GetArgs{Customer: customer, ID: id, Request: pipeline.RequestID(ctx)})
 }
 
 func (s *Service) get(ctx context.Context, args GetArgs) (View, error) {
@@ -210,7 +211,7 @@
 	if !ok {
 		return v, nil
 	}
-	args := GetArgs{Customer: customer, ID: id}
+	args := GetArgs{Customer: customer, ID: id, Request: pipeline.RequestID(ctx)}
 	err := s.ask(ctx, n, methodFile, args, &v, func(ctx context.Context) (err error) {
 		v, err = s.localFile(ctx, customer, id)
 		return err
@@ -268,7 +269,7 @@
 	}
 	var out []View
 	for id, partitions := range byOwner {
-		args := GetArgs{Customer: customer, Partitions: partitions}
+		args := GetArgs{Customer: customer, Partitions: partitions, Request: pipeline.RequestID(ctx)}
 		var part []View
 		var err error
 		if id == s.o.Self {
--- a/limit/messages.go
+++ b/limit/messages.go
@@ -15,6 +15,7 @@
 	Share    int     // from 0
 	Amount   float64 // tokens
 	Partial  bool    // less than Amount is welcome
+	Request  string  // id of the request, for the log; empty unless the asker logs requests
 }
 
 // TakeReply grants tokens. A grant may be used once, not before Wait after
--- a/limit/service.go
+++ b/limit/service.go
@@ -7,10 +7,12 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
 
 	"dandelionrelay/config"
 	"dandelionrelay/invariant"
 	"dandelionrelay/peer"
+	"dandelionrelay/pipeline"
 	"dandelionrelay/platform"
 	"dandelionrelay/sleep"
 )
@@ -34,6 +36,7 @@
 	Invariants *invariant.Set
 	Scheme     Scheme
 	Metrics    prometheus.Registerer // may be nil
+	Logger     zerolog.Logger
 }
 
 // Service admits requests at one entry and mints the shares that the entry
@@ -162,6 +165,7 @@
 	defer cancel()
 	answers := make(chan answer, len(asks))
 	for _, a := range asks {
+		a.Args.Request = pipeline.RequestID(ctx)
 		if a.Holder == s.Self.ID {
 			answers <- answer{ask: a, reply: s.take(a.Args)}
 			continue
@@ -261,6 +265,7 @@
 // Take answers an ask for tokens.
 func (r *rpcService) Take(a TakeArgs, reply *TakeReply) error {
 	*reply = r.s.take(a)
+	r.s.logTake(a, reply)
 	return nil
 }
 
--- a/sidecar/batch.go
+++ b/sidecar/batch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
@@ -156,7 +155,9 @@
 	b.group.Go(func() {
 		defer b.drain.exit()
 		defer free()
-		b.out.add(b.metrics.ended(run.do(ctx)))
+		result := run.do(ctx)
+		b.logItem(run, result)
+		b.out.add(b.metrics.ended(result))
 		b.forget(run)
 	})
 	return true
@@ -256,8 +257,3 @@
 		return ctx.Err()
 	}
 }
-
-// itemID names an item's attempt in the queue, apart from online attempts.
-func itemID(ref api.WorkRef) string {
-	return fmt.Sprintf("batch/%s/%d/%s", ref.Job, ref.Item, ref.Attempt)
-}
--- a/sidecar/process.go
+++ b/sidecar/process.go
@@ -80,7 +80,7 @@
 		Self:    platform.Instance{ID: s.ID, Role: platform.RoleSidecar, DataCentre: s.DataCentre, Deployment: s.Deployment},
 		Members: p.view,
 		Peers:   p.pool,
-	}, &p.holder, func(*config.Snapshot) { p.ready.Set() })
+	}, &p.holder, p.configChanged)
 	p.viewer.RegisterMetrics(d.Registry)
 	var err error
 	p.sidecar, err = New(
@@ -108,6 +108,12 @@
 	return p, err
 }
 
+// configChanged is called with each new view in force here.
+func (p *Process) configChanged(s *config.Snapshot) {
+	p.deps.Logger.Info().Uint64("version", s.Version).Str("request", s.Change).Msg("configuration in force")
+	p.ready.Set()
+}
+
 // Main runs a sidecar by its settings until ctx ends, then drains it.
 func Main(ctx context.Context, s *settings.Sidecar, logger zerolog.Logger) error {
 	security, err := daemon.Security(s.TLS)
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -26,6 +26,7 @@
 	}
 	req, e := s.readRequest(w, r, now)
 	if e == nil {
+		defer s.logEnd(req, &e)
 		e = s.serve(w, r, req)
 	}
 	if e != nil {
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"dandelionrelay/invariant"
 	"dandelionrelay/lane"
 	"dandelionrelay/platform"
+	"dandelionrelay/settings"
 	"dandelionrelay/standin/engine"
 	standin "dandelionrelay/standin/platform"
 )
@@ -46,7 +47,8 @@
 	BatchLimit lane.BatchLimit
 	// OnViolation is told of every broken invariant of every process.
 	OnViolation func(invariant.Violation)
-	// DrainDelay and DrainTimeout are the entries' settings.
+	// Operators, DrainDelay and DrainTimeout are the entries' settings.
+	Operators    []settings.Operator
 	DrainDelay   time.Duration
 	DrainTimeout time.Duration // default 1 minute
 }
--- a/standin/fleet/instance.go
+++ b/standin/fleet/instance.go
@@ -95,6 +95,7 @@
 	s := &settings.Entry{
 		Process:      f.process(i),
 		MaxBodyBytes: settings.DefaultMaxBodyBytes,
+		Operators:    f.opts.Operators,
 		LogRetention: config.Duration(f.opts.Retention),
 		DrainDelay:   config.Duration(f.opts.DrainDelay),
 		DrainTimeout: config.Duration(f.opts.DrainTimeout),
