test/system: the lines of hand-outs and of homes are looked for by themselves

Cause: with either of them switched off the test passed, as other lines stood for them. Now it fails with each switched off, and 10 runs pass.

--- a/test/system/requestid_test.go
+++ b/test/system/requestid_test.go
@@ -49,6 +49,7 @@
 type line struct {
 	ID      string `json:"id"`
 	Request string `json:"request"`
+	Message string `json:"message"`
 }
 
 // instances returns the instances that logged a request id which match
@@ -71,6 +72,19 @@
 	return out
 }
 
+// count returns how many lines have a message and a request id that match
+// accepts.
+func (l *logbook) count(message string, match func(id string) bool) int {
+	n := 0
+	for text := range strings.Lines(l.String()) {
+		var entry line
+		if json.Unmarshal([]byte(text), &entry) == nil && entry.Message == message && match(entry.Request) {
+			n++
+		}
+	}
+	return n
+}
+
 // roles returns how many entries and sidecars are among ids.
 func roles(ids map[string]bool) (entries, sidecars int) {
 	for id := range ids {
@@ -135,14 +149,27 @@
 			}
 			expect("online request", id, 2, 1)
 		}
-		_, id = w.ask(entry, key, "/pickups/"+marked, "", marked)
-		expect("call with an idempotency key", id, 2, 1)
+		settled := 0
+		for range 8 { // the homes of their keys are entries in turn
+			_, id = w.ask(entry, key, "/pickups/"+marked, "", marked)
+			expect("call with an idempotency key", id, 2, 1)
+			settled += book.count("begin of a call settled", func(other string) bool { return other == id })
+		}
+		if settled == 0 {
+			t.Error("no home of an idempotency key logged a request id")
+		}
 		_, id = w.ask(entry, key+"-wrong", "/v1/chat/completions", "", chat)
 		expect("refused request", id, 1, 0)
 
 		j := w.submit("station", marked, 12)
 		w.await(j, "completed")
-		items := book.instances(t, func(id string) bool { return strings.HasPrefix(id, "batch/"+j.id+"/") })
+		ofJob := func(id string) bool { return strings.HasPrefix(id, "batch/"+j.id+"/") }
+		items := book.instances(t, ofJob)
+		for _, message := range []string{"item handed out", "item ended", "item reported"} {
+			if n := book.count(message, ofJob); n < j.items {
+				t.Errorf("%d lines %q of %d items", n, message, j.items)
+			}
+		}
 		if len(items) < j.items {
 			t.Errorf("%d attempts at %d items are in the log", len(items), j.items)
 		}
