Series with known labels begin at 0; the operators' page is checked by name

Cause: a counter that first shows with 1 hides its first increase from increase() and rate(), so that an alert on a single refusal, preemption or failed order would not fire.

--- a/limit/metrics.go
+++ b/limit/metrics.go
@@ -6,6 +6,13 @@
 	"github.com/prometheus/client_golang/prometheus"
 )
 
+// How many of a customer's shares answered.
+const (
+	reachAll  = "all"
+	reachSome = "some"
+	reachNone = "none"
+)
+
 // metrics counts the refusals of one entry.
 type metrics struct{ refusals *prometheus.CounterVec }
 
@@ -17,6 +24,9 @@
 		Help: "Requests that the limit refused, by how many of the customer's shares answered: " +
 			"all, some or none. With some or none the request may have been inside the rate.",
 	}, []string{"shares"})}
+	for _, shares := range []string{reachAll, reachSome, reachNone} {
+		m.refusals.WithLabelValues(shares) // shown with 0, so that the first increase is seen
+	}
 	if reg != nil {
 		reg.MustRegister(m.refusals)
 	}
@@ -38,9 +48,9 @@
 	}
 	switch {
 	case now.Before(g.barred), answered == g.limits.Shares():
-		return "all" // a bar is set only when all had answered
+		return reachAll // a bar is set only when all had answered
 	case answered == 0:
-		return "none"
+		return reachNone
 	}
-	return "some"
+	return reachSome
 }
--- a/sidecar/gauges.go
+++ b/sidecar/gauges.go
@@ -120,12 +120,12 @@
 // Order implements order.Engine.
 func (e countedEngine) Order(ctx context.Context, o order.Order) error {
 	err := e.Engine.Order(ctx, o)
-	result := "sent"
+	result := orderSent
 	switch {
 	case errorx.IsOfType(err, order.Refused):
-		result = "refused"
+		result = orderRefused
 	case err != nil:
-		result = "failed"
+		result = orderFailed
 	}
 	e.orders.WithLabelValues(result).Inc()
 	return err
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -19,6 +19,20 @@
 	waitBuckets       = []float64{0.001, 0.005, 0.02, 0.1, 0.4, 1, 1.8, 5, 10, 30, 60}
 )
 
+// Label values.
+const (
+	reasonFull     = "queue_full"
+	reasonDeadline = "deadline_miss"
+
+	pullItems  = "items"
+	pullNone   = "none"
+	pullFailed = "failed"
+
+	orderSent    = "sent"
+	orderRefused = "refused"
+	orderFailed  = "failed"
+)
+
 // metrics counts what a sidecar does.
 type metrics struct {
 	firstToken    *prometheus.HistogramVec
@@ -39,7 +53,7 @@
 // is nil.
 func newMetrics(reg prometheus.Registerer) *metrics {
 	f := factory{reg}
-	return &metrics{
+	m := &metrics{
 		firstToken: f.histogram("first_token_seconds",
 			"Time from an online request's arrival to the first byte of its streamed answer, by whether batch items ran "+
 				"when it arrived and by the part of the slots that online requests wanted then.",
@@ -62,6 +76,28 @@
 		losses:     f.counter("endpoint_losses_total", "Calls in which the endpoint was lost."),
 		orders:     f.counters("orders_total", "Orders given to the engine, by result.", "result"),
 	}
+	m.begin()
+	return m
+}
+
+// begin shows the series whose labels are known with 0, so that their first
+// increase is seen.
+func (m *metrics) begin() {
+	for _, lane := range []api.Lane{api.Online, api.Batch} {
+		m.wait.WithLabelValues(string(lane))
+	}
+	for _, state := range []api.ResultState{api.ResultDone, api.ResultReturned, api.ResultNotRun, api.ResultUnknown} {
+		m.items.WithLabelValues(string(state))
+	}
+	for _, reason := range []string{reasonFull, reasonDeadline} {
+		m.queueRefusals.WithLabelValues(reason)
+	}
+	for _, result := range []string{pullItems, pullNone, pullFailed} {
+		m.pulls.WithLabelValues(result)
+	}
+	for _, result := range []string{orderSent, orderRefused, orderFailed} {
+		m.orders.WithLabelValues(result)
+	}
 }
 
 // factory makes metrics and registers them with reg, which may be nil.
@@ -158,21 +194,21 @@
 
 // queueRefused counts a refusal of the queue.
 func (m *metrics) queueRefused(r lane.Reason) {
-	reason := "queue_full"
+	reason := reasonFull
 	if r == lane.DeadlineMiss {
-		reason = "deadline_miss"
+		reason = reasonDeadline
 	}
 	m.queueRefusals.WithLabelValues(reason).Inc()
 }
 
 // pulled counts a pull that brought that many items.
 func (m *metrics) pulled(items int, err error) {
-	result := "items"
+	result := pullItems
 	switch {
 	case err != nil:
-		result = "failed"
+		result = pullFailed
 	case items == 0:
-		result = "none"
+		result = pullNone
 	}
 	m.pulls.WithLabelValues(result).Inc()
 }
--- a/test/system/metrics_test.go
+++ b/test/system/metrics_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"os"
+	"regexp"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -93,6 +95,7 @@
 		for _, e := range w.endpoints {
 			all.WriteString(w.checkSeries(e.Instance, sidecarSeries))
 		}
+		checkPage(t, all.String())
 		for _, series := range someSeries {
 			if !strings.Contains(all.String(), series) {
 				t.Errorf("no instance shows %s", series)
@@ -101,6 +104,21 @@
 	})
 }
 
+// checkPage checks that all metrics that the operators' page names exist. Those
+// of the platform's client are not part of a system in memory.
+func checkPage(t *testing.T, text string) {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range regexp.MustCompile(`\brelay_[a-z_]+`).FindAllString(string(page), -1) {
+		name = strings.TrimSuffix(name, "_bucket")
+		if !strings.HasPrefix(name, "relay_platform_") && !strings.Contains(text, "# TYPE "+name+" ") {
+			t.Errorf("the operators' page names %s, which does not exist", name)
+		}
+	}
+}
+
 // checkSeries returns what an instance shows and checks that the series are
 // part of it.
 func (w *world) checkSeries(i *fleet.Instance, series []string) string {
