--- a/sidecar/bench_test.go
+++ b/sidecar/bench_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 
+	"github.com/google/uuid"
+
 	"dandelionrelay/api"
 	"dandelionrelay/config"
 	"dandelionrelay/sidecar"
@@ -46,11 +48,12 @@
 
 func benchmarkCalls(b *testing.B, base string, body []byte) {
 	b.ReportAllocs()
+	run := uuid.NewString() // ids differ between the runs of -count
 	n := 0
 	for b.Loop() {
 		n++
 		req, _ := http.NewRequestWithContext(b.Context(), http.MethodPost, base+"/v1/chat/completions", bytes.NewReader(body))
-		req.Header.Set(api.HeaderAttemptID, fmt.Sprintf("%s/%d", b.Name(), n))
+		req.Header.Set(api.HeaderAttemptID, fmt.Sprintf("%s/%d", run, n))
 		req.Header.Set(api.HeaderCustomer, "c")
 		resp, err := http.DefaultClient.Do(req)
 		if err != nil {
--- a/test/overhead/overhead_test.go
+++ b/test/overhead/overhead_test.go
@@ -73,7 +73,9 @@
 	b.ReportMetric(float64(times.ValueAtQuantile(99)), "p99-µs")
 }
 
-func call(client *http.Client, url string) error {
+func call(client *http.Client, url string) error { return callAs(client, url, key) }
+
+func callAs(client *http.Client, url, key string) error {
 	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader("confirm"))
 	if err != nil {
 		return err
