idempotency: no call waits for another's reading longer than its own deadline

Cause: a home of keys held a mutex while it read the log. While the log was silent (no refusal, no answer), each call waited for the reads of those before it, 2 s each, whatever its own deadline was.

Ruled out: the log's own time limit (each read keeps it); the queue of begins.

Conclusion: a keyed call is refused, not_run, by its own deadline.

--- a/idempotency/parts_test.go
+++ b/idempotency/parts_test.go
@@ -90,6 +90,38 @@
 	})
 }
 
+// silentLog never answers.
+type silentLog struct{ platform.Log }
+
+func (silentLog) Bounds(ctx context.Context, _ string) (oldest, next platform.Offset, err error) {
+	<-ctx.Done()
+	return 0, 0, platform.Unavailable.New("no answer")
+}
+
+// TestNoBeginWaitsForAnothersReading has several begins at once while the log
+// is silent: each must be refused by its own deadline.
+func TestNoBeginWaitsForAnothersReading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		h := newHome("calls/00", silentLog{}, Window, nil, nil)
+		var late atomic.Int32
+		for n := range 5 {
+			go func() {
+				began := time.Now()
+				ctx, cancel := context.WithTimeout(t.Context(), logTimeout/2)
+				defer cancel()
+				v, _ := h.begin(ctx, Event{Kind: Begin, Key: Key{byte(n)}, Token: uuid.NewString()})
+				if v != Refused || time.Since(began) > logTimeout/2 {
+					late.Add(1)
+				}
+			}()
+		}
+		synctest.Wait()
+		time.Sleep(10 * logTimeout)
+		g.Expect(late.Load()).To(gomega.BeZero())
+	})
+}
+
 func TestKeysWithATimeAreRefusedOnceForgotten(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := NewService(Deps{Retention: 10 * time.Minute})
