idempotency: calls to the log end with the entry

Change: the contexts come from one that ends with the entry; package sleep takes the place of the home's own wait.

--- a/idempotency/home.go
+++ b/idempotency/home.go
@@ -23,7 +23,7 @@
 	window time.Duration
 	checks *invariant.Set
 
-	stop <-chan struct{} // closed when the entry ends
+	life context.Context // ends with the entry
 
 	// reading holds a value while a goroutine reads on: one at a time does.
 	reading chan struct{}
@@ -35,9 +35,9 @@
 	flushing bool
 }
 
-func newHome(stream string, log platform.Log, window time.Duration, checks *invariant.Set, stop <-chan struct{}) *home {
+func newHome(life context.Context, stream string, log platform.Log, window time.Duration, checks *invariant.Set) *home {
 	return &home{
-		stream: stream, log: log, window: window, checks: checks, stop: stop,
+		stream: stream, log: log, window: window, checks: checks, life: life,
 		reading: make(chan struct{}, 1),
 		settled: make(map[string]chan struct{}),
 	}
@@ -176,15 +176,3 @@
 	defer h.mu.Unlock()
 	return h.flushing
 }
-
-// sleep lets d pass. It returns false if the entry ends.
-func (h *home) sleep(d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-h.stop:
-		return false
-	}
-}
--- a/idempotency/home_log.go
+++ b/idempotency/home_log.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 
 	"dandelionrelay/platform"
+	"dandelionrelay/sleep"
 )
 
 // flush appends what is queued until nothing is, or the entry ends.
@@ -22,7 +23,7 @@
 			return
 		}
 		h.mu.Unlock()
-		if wait > 0 && !h.sleep(wait) || wait == 0 && !h.append(events) {
+		if wait > 0 && !sleep.For(h.life, wait) || wait == 0 && !h.append(events) {
 			return
 		}
 	}
@@ -38,7 +39,7 @@
 		return true
 	}
 	for !h.store(uuid.NewString(), data) {
-		if !h.sleep(retryBackoff) {
+		if !sleep.For(h.life, retryBackoff) {
 			return false
 		}
 	}
@@ -48,7 +49,7 @@
 
 // store appends a record and reads on until it is seen.
 func (h *home) store(id string, data []byte) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), logTimeout)
+	ctx, cancel := context.WithTimeout(h.life, logTimeout)
 	defer cancel()
 	offset, err := h.log.Append(ctx, h.stream, id, data)
 	if err == nil {
--- a/idempotency/parts_test.go
+++ b/idempotency/parts_test.go
@@ -84,7 +84,7 @@
 			_, _ = log.Append(t.Context(), "calls/00", "x", []byte("[]"))
 			time.Sleep(time.Minute)
 		}
-		h := newHome("calls/00", log, Window, nil, nil)
+		h := newHome(t.Context(), "calls/00", log, Window, nil)
 		g.Expect(h.open(t.Context())).To(gomega.Succeed())
 		g.Expect(h.table.Next()).To(gomega.BeNumerically("~", 300-60, 2))
 	})
@@ -103,7 +103,7 @@
 func TestNoBeginWaitsForAnothersReading(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
-		h := newHome("calls/00", silentLog{}, Window, nil, nil)
+		h := newHome(t.Context(), "calls/00", silentLog{}, Window, nil)
 		var late atomic.Int32
 		for n := range 5 {
 			go func() {
@@ -228,7 +228,7 @@
 		g := gomega.NewWithT(t)
 		const seconds, perSecond = 10, 2000
 		log := standin.NewLog(0, 1)
-		h := newHome("calls/00", log, Window, nil, nil)
+		h := newHome(t.Context(), "calls/00", log, Window, nil)
 		for i := range seconds * perSecond {
 			go func() {
 				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/idempotency/service.go
+++ b/idempotency/service.go
@@ -55,8 +55,8 @@
 	deps      Deps
 	window    time.Duration
 	homes     [streams]*home
-	stop      chan struct{} // closed when Run ends
-	finishing chan struct{} // one token for each end that no home has taken
+	end       context.CancelFunc // of the homes' work
+	finishing chan struct{}      // one token for each end that no home has taken
 }
 
 // NewService returns a Service.
@@ -66,9 +66,11 @@
 		// Records must outlive the keys in them.
 		window = min(window, d.Retention*9/10-2*clockMargin)
 	}
-	s := &Service{deps: d, window: window, finishing: make(chan struct{}, maxFinishing), stop: make(chan struct{})}
+	s := &Service{deps: d, window: window, finishing: make(chan struct{}, maxFinishing)}
+	life, end := context.WithCancel(context.Background())
+	s.end = end
 	for i := range s.homes {
-		s.homes[i] = newHome(fmt.Sprintf("calls/%02d", i), d.Log, window, d.Invariants, s.stop)
+		s.homes[i] = newHome(life, fmt.Sprintf("calls/%02d", i), d.Log, window, d.Invariants)
 	}
 	return s
 }
@@ -77,7 +79,7 @@
 // dropped.
 func (s *Service) Run(ctx context.Context) {
 	<-ctx.Done()
-	close(s.stop)
+	s.end()
 }
 
 // Drain waits until the ends of all calls are stored, or ctx ends.
