authn: an entry without a configuration judges no key

Cause: an entry that was started while neither the log nor a peer answered told callers whose requests reached it that their key was unknown (401) or their model was (404). Both are final for a client, and wrong. Readiness said 'not ready', but a balancer lags.

Change: such calls are refused with 503 config_stale, not_run, Retry-After 1 s.

--- a/authn/identify.go
+++ b/authn/identify.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"time"
 
 	"dandelionrelay/api"
 	"dandelionrelay/config"
@@ -21,8 +22,12 @@
 	"x-api-key":     true,
 }
 
+// startRetryAfter is when a caller comes back whose entry has no configuration.
+const startRetryAfter = time.Second
+
 // Identify returns the filter that finds the caller's key. It sets Snapshot,
-// and with a valid key KeyID and Customer. It refuses keys outside of the
+// and with a valid key KeyID and Customer. It refuses all calls while there is
+// no configuration, since no key can be judged then. It refuses keys outside of the
 // credential headers; a missing or unknown key passes, for Authorize to
 // judge once the route is known.
 func Identify(source config.Source) pipeline.Filter {
@@ -31,6 +36,10 @@
 			if c.Snapshot == nil {
 				c.Snapshot = source.Current()
 			}
+			if c.Snapshot.Version == 0 {
+				return api.NewError(http.StatusServiceUnavailable, api.CodeConfigStale,
+					"this entry has no configuration yet").WithRetryAfter(startRetryAfter)
+			}
 			if err := misplaced(c); err != nil {
 				return err
 			}
