test/system: racks, data centres and triples of faults

The stand-in network parts zones in silence: nothing is refused, what is sent arrives once they are joined. The stand-in fleet cuts a data centre off from the platform and has the list leave it out. New faults: rack lost, data centre lost, data centre cut off (from others and platform, listed or not), data centres parted. A ring of triples comes to the rings of pairs: 65 sets a seed, from 37.

--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -63,6 +63,8 @@
 
 	mu     sync.Mutex
 	listed []platform.Instance
+	cutOff map[string]bool // data centres that don't reach the platform
+	hidden map[string]bool // data centres that the list leaves out
 	ids    int
 	all    sync.WaitGroup
 	stops  []func()
@@ -82,6 +84,8 @@
 	f := &Fleet{
 		Log:       standin.NewLog(opts.Retention, opts.Seed),
 		Instances: standin.NewInstances(opts.ListLag),
+		cutOff:    make(map[string]bool),
+		hidden:    make(map[string]bool),
 		opts:      opts,
 	}
 	f.client = &http.Client{Transport: &http.Transport{
@@ -139,7 +143,7 @@
 			f.listed[n].State = state
 		}
 	}
-	f.Instances.Set(f.listed)
+	f.publish()
 }
 
 // list adds an instance to the platform's list.
@@ -147,7 +151,21 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.listed = append(f.listed, i)
-	f.Instances.Set(f.listed)
+	f.publish()
+}
+
+// Hide has the list leave out a data centre, or show it again.
+func (f *Fleet) Hide(dataCentre string, on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hidden[dataCentre] = on
+	f.publish()
+}
+
+// publish hands the list to the platform. The caller holds the lock.
+func (f *Fleet) publish() {
+	shown := slices.DeleteFunc(slices.Clone(f.listed), func(i platform.Instance) bool { return f.hidden[i.DataCentre] })
+	f.Instances.Set(shown)
 }
 
 // newInstance returns an instance with an unused id, its data centre and its
@@ -156,10 +174,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.ids++
+	dataCentre := fmt.Sprintf("dc-%d", f.ids%f.opts.DataCentres+1)
+	if z, ok := f.opts.Network.(zoned); ok {
+		z.Place(http.Addr().String(), dataCentre)
+		z.Place(rpc.Addr().String(), dataCentre)
+	}
 	return platform.Instance{
 		ID:         fmt.Sprintf("%s-%d", role, f.ids),
 		Role:       role,
-		DataCentre: fmt.Sprintf("dc-%d", f.ids%f.opts.DataCentres+1),
+		DataCentre: dataCentre,
 		State:      platform.Live,
 		HTTPAddr:   http.Addr().String(),
 		RPCAddr:    rpc.Addr().String(),
--- a/standin/fleet/instance.go
+++ b/standin/fleet/instance.go
@@ -101,7 +101,7 @@
 		DrainTimeout: config.Duration(f.opts.DrainTimeout),
 	}
 	e := entry.New(s, entry.Deps{
-		Log: f.Log, Instances: f.Instances, Dial: f.opts.Network.Dial,
+		Log: f.logOf(i), Instances: f.listOf(i), Dial: f.dialerOf(i),
 		Logger: logger, Registry: reg, Invariants: checks,
 	})
 	open := entry.Listeners{Callers: listeners[0], Peers: listeners[1], Ops: listeners[2]}
@@ -133,7 +133,7 @@
 		DrainTimeout: config.Duration(f.opts.DrainTimeout),
 	}
 	p, err := sidecar.NewProcess(s, sidecar.ProcessDeps{
-		Log: f.Log, Instances: f.Instances, Dial: f.opts.Network.Dial, Endpoint: f.opts.Network.Dial,
+		Log: f.logOf(i), Instances: f.listOf(i), Dial: f.dialerOf(i), Endpoint: f.opts.Network.Dial,
 		Logger: logger, Registry: reg, Invariants: checks,
 		Policy: f.opts.Policy, BatchLimit: f.opts.BatchLimit,
 	})
--- a/standin/network/network.go
+++ b/standin/network/network.go
@@ -1,5 +1,6 @@
 // Package network is a stand-in for TCP between processes: connections in
-// memory that work inside a testing/synctest bubble and can be cut by address.
+// memory that work inside a testing/synctest bubble and can be cut by address or
+// between zones.
 package network
 
 import (
@@ -14,11 +15,18 @@
 	mu        sync.Mutex
 	listeners map[string]*listener
 	refused   map[string]bool
+	zones     map[string]string   // of addresses
+	gates     map[[2]string]*gate // between two zones, in order
 }
 
 // New returns a network without listeners.
 func New() *Network {
-	return &Network{listeners: make(map[string]*listener), refused: make(map[string]bool)}
+	return &Network{
+		listeners: make(map[string]*listener),
+		refused:   make(map[string]bool),
+		zones:     make(map[string]string),
+		gates:     make(map[[2]string]*gate),
+	}
 }
 
 // Listen returns a listener on addr.
@@ -32,6 +40,11 @@
 
 // DialContext connects to the listener on addr; it fits http.Transport.
 func (n *Network) DialContext(ctx context.Context, _, addr string) (net.Conn, error) {
+	return n.dial(ctx, addr, nil)
+}
+
+// dial connects to the listener on addr, through a gate if there is one.
+func (n *Network) dial(ctx context.Context, addr string, g *gate) (net.Conn, error) {
 	n.mu.Lock()
 	l, refused := n.listeners[addr], n.refused[addr]
 	n.mu.Unlock()
@@ -39,6 +52,9 @@
 		return nil, refuse()
 	}
 	near, far := net.Pipe()
+	if g != nil {
+		near, far = gated(near, g), gated(far, g)
+	}
 	l.add(far)
 	select {
 	case l.accept <- far:
--- a/test/system/faults_test.go
+++ b/test/system/faults_test.go
@@ -28,6 +28,10 @@
 	{name: "instance list down", run: listDown, graceful: true},
 	{name: "operators race", run: raceOperators, graceful: true},
 	{name: "poison request", run: poisonRequests},
+	{name: "rack lost", run: loseRack},
+	{name: "data centre lost", run: loseDataCentre},
+	{name: "data centre cut off", run: cutOffDataCentre},
+	{name: "data centres parted", run: partDataCentres},
 }
 
 // repeat calls f every interval until the load ends.
--- a/test/system/system_test.go
+++ b/test/system/system_test.go
@@ -14,8 +14,8 @@
 
 var seeds = flag.Int("seeds", 1, "number of seeds for each set of faults")
 
-// sets returns no fault, each fault alone, and a ring of pairs in which each
-// fault meets several others.
+// sets returns no fault, each fault alone, and rings of pairs and triples in
+// which each fault meets several others.
 func sets() [][]fault {
 	all := [][]fault{nil}
 	if raceDetector {
@@ -26,6 +26,7 @@
 		for _, step := range []int{1, 3} {
 			all = append(all, []fault{f, faults[(n+step)%len(faults)]})
 		}
+		all = append(all, []fault{f, faults[(n+2)%len(faults)], faults[(n+7)%len(faults)]})
 	}
 	return all
 }
