A death condemns only what ran alone; one verdict for both lanes

Cause: two deaths condemned a request whoever else was in flight, suspects ran beside unknown work, entries blamed what was sent to an engine already dead, owners counted a death again when a report was repeated or a stale heartbeat took the attempt up anew, and owners did not know the entries' quarantine. A witnessed crash was also dropped as part of a mass loss when three endpoints died within 2 s, so several crashers at once went on.

Change: sidecars know what runs at their engine (gate), run a suspect while nothing else does, and say of a crash whether it was alone or beside others; a lost instance says nothing and weighs less. Two deaths condemn if one was alone, four in any case. Suspects run at a quarter of the endpoints and wait there in a bounded line, at most four of a customer. A customer with four condemned requests in 10 minutes runs as suspects for a minute. Job owners ask and feed the same table; results carry the crash and the digest, so a new owner counts what the old one did not. What comes after a crash is refused as not run. Invariant suspect_runs_alone.

Ruled out: counting deaths by intersection of what was in flight (an innocent at two different crashers is in both); isolating only after a second death (a third endpoint for each crasher); waiting for the running items (minutes).

Tests changed: the fake sidecars of dispatch now crash engines beside a living sidecar, as that is what the bound of two is about; instances that go down whole have a case of their own, with the bound of four. A suspect waits for another one at an endpoint where the picker used to refuse.

--- a/api/api.go
+++ b/api/api.go
@@ -42,13 +42,27 @@
 	HeaderQueueWait  = "Relay-Queue-Wait-Ms" // estimated wait for a new online request
 	HeaderLeaving    = "Relay-Leaving"       // "1": send no new work
 	HeaderIdempotent = "Relay-Idempotent"    // "1": may be repeated
-	HeaderSuspect    = "Relay-Suspect"       // "1": an endpoint died of it; run no two at once
+	HeaderSuspect    = "Relay-Suspect"       // "1": an endpoint died of it; run it alone
+	HeaderCrash      = "Relay-Crash"         // what was seen when the endpoint crashed with the attempt
 
 	// HeaderBesideBatch is "1" on an answer if batch items ran at the endpoint
 	// when the request arrived.
 	HeaderBesideBatch = "Relay-Beside-Batch"
 )
 
+// Crash is what a sidecar saw when its endpoint crashed with an attempt in
+// flight.
+type Crash string
+
+// What a sidecar may have seen.
+const (
+	NoCrash     Crash = ""       // no crash with the attempt
+	CrashBeside Crash = "beside" // other attempts were in flight
+	CrashAlone  Crash = "alone"  // the endpoint ran nothing else
+	// CrashLost is said by entries of a sidecar that is gone too.
+	CrashLost Crash = "lost"
+)
+
 // Code is a machine-readable reason of a refusal or failure.
 type Code string
 
--- a/api/batch.go
+++ b/api/batch.go
@@ -20,11 +20,14 @@
 	Path       string // URL path of the call at the endpoint
 	Body       []byte
 	Idempotent bool
-	Suspect    bool      // an endpoint died with it running: no two such run at once
+	Suspect    bool      // an endpoint died with it running: it runs alone
 	Due        time.Time // completion is wanted by then
 	Resume     *Resume   // where an earlier attempt was cut, if it was
 }
 
+// Digest identifies the content of a request; see package quarantine.
+type Digest [16]byte
+
 // PullArgs asks a job owner for work; the call waits up to Wait for some.
 type PullArgs struct {
 	Endpoint   string // instance id of the sidecar
@@ -51,7 +54,9 @@
 type Result struct {
 	WorkRef
 	State  ResultState
-	Status int // HTTP status of the endpoint, with ResultDone
+	Digest Digest // of the item's content, if an endpoint has died of it; else zero
+	Crash  Crash  // with ResultUnknown: how the endpoint crashed, if it did
+	Status int    // HTTP status of the endpoint, with ResultDone
 	Body   []byte
 	Resume *Resume
 }
--- a/dispatch/delivery.go
+++ b/dispatch/delivery.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
 
 	"dandelionrelay/api"
 	"dandelionrelay/invariant"
+	"dandelionrelay/membership"
 	"dandelionrelay/pipeline"
 	"dandelionrelay/platform"
 	"dandelionrelay/quarantine"
@@ -93,7 +95,7 @@
 		y.suspect = false
 		return false
 	}
-	v := y.d.suspects.Verdict(y.digest())
+	v := y.d.suspects.Verdict(y.digest(), y.c.Customer)
 	y.suspect = v == quarantine.Suspect
 	return v == quarantine.Quarantined
 }
@@ -106,7 +108,7 @@
 	affine, depth := y.prefix()
 	q := Query{
 		Now:     time.Now(),
-		Subset:  d.subsets.of(y.c.Route.Deployment, d.members),
+		Subset:  y.subset(),
 		Slots:   y.c.Deployment.Slots,
 		Suspect: y.suspect,
 		Skip:    y.tried,
@@ -122,6 +124,19 @@
 	return i, ok
 }
 
+// subset returns the endpoints to choose from: for a suspect those that
+// suspects are confined to.
+func (y *delivery) subset() membership.Subset {
+	d := y.d
+	if !y.suspect {
+		return d.subsets.of(y.c.Route.Deployment, d.members)
+	}
+	usable := slices.DeleteFunc(slices.Clone(d.members.Endpoints(y.c.Route.Deployment)), func(i platform.Instance) bool {
+		return !d.detector.Usable(i.ID)
+	})
+	return membership.Subset{Local: quarantine.Isolation(usable)}
+}
+
 // prefix returns the endpoint that last got the longest prefix of the prompt,
 // and the length of that prefix in blocks.
 func (y *delivery) prefix() (endpoint string, depth int) {
@@ -174,20 +189,35 @@
 	if e.failed {
 		y.d.detector.Failed(a.endpoint.ID, now)
 	}
-	if e.broken && y.d.confirmDeath(a.endpoint) {
-		y.d.logger.Info().Str("request", y.c.ID).Str("endpoint", a.endpoint.ID).Msg("endpoint died with the request in flight")
-		y.d.suspects.Died(y.digest(), a.id, a.endpoint.ID)
+	if e.broken {
+		y.noteDeath(a)
 	}
 }
 
-// confirmDeath tells a dead endpoint from a cut connection by one probe. It
-// takes the probe's timeout at most.
-func (d *Dispatcher) confirmDeath(endpoint platform.Instance) bool {
-	if !d.healthy(context.Background(), endpoint) {
-		return true
+// noteDeath tells a dead endpoint from a cut connection by one probe, which
+// takes the probe's timeout at most, and holds a death against the request. A
+// sidecar that answers saw what else ran; if the whole instance is gone, the
+// request counts as one of many.
+func (y *delivery) noteDeath(a *attempt) {
+	d := y.d
+	healthy, crash := d.ask(context.Background(), a.endpoint, a.id)
+	if healthy {
+		d.detector.Alive(a.endpoint.ID, time.Now())
+		return
+	}
+	if crash == api.NoCrash || crash == api.CrashLost && y.suspect && !a.turn.Load() {
+		return // it was not running there
 	}
-	d.detector.Alive(endpoint.ID, time.Now())
-	return false
+	digest := y.digest()
+	d.logger.Info().Str("request", y.c.ID).Str("endpoint", a.endpoint.ID).Str("digest", digest.String()).
+		Str("crash", string(crash)).Msg("endpoint died with the request in flight")
+	d.suspects.Died(quarantine.Death{
+		Digest:   digest,
+		Customer: y.c.Customer,
+		Attempt:  a.id,
+		Endpoint: a.endpoint.ID,
+		Crash:    crash,
+	})
 }
 
 // finished clears the request of the deaths held against it.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -30,10 +30,10 @@
 // Suspects knows the requests that endpoints died of; quarantine.Node
 // implements it.
 type Suspects interface {
-	Verdict(quarantine.Digest) quarantine.Verdict
+	Verdict(d quarantine.Digest, customer string) quarantine.Verdict
 	// Empty says that no request is suspected.
 	Empty() bool
-	Died(d quarantine.Digest, attempt, endpoint string)
+	Died(quarantine.Death)
 	Finished(quarantine.Digest)
 }
 
@@ -139,7 +139,7 @@
 // noSuspects suspects nothing.
 type noSuspects struct{}
 
-func (noSuspects) Verdict(quarantine.Digest) quarantine.Verdict { return quarantine.Clear }
-func (noSuspects) Empty() bool                                  { return true }
-func (noSuspects) Died(quarantine.Digest, string, string)       {}
-func (noSuspects) Finished(quarantine.Digest)                   {}
+func (noSuspects) Verdict(quarantine.Digest, string) quarantine.Verdict { return quarantine.Clear }
+func (noSuspects) Empty() bool                                          { return true }
+func (noSuspects) Died(quarantine.Death)                                {}
+func (noSuspects) Finished(quarantine.Digest)                           {}
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"net/url"
 	"strconv"
 	"sync/atomic"
@@ -48,6 +49,7 @@
 	endpoint platform.Instance
 	began    time.Time
 	sent     atomic.Bool // a connection was handed to the request
+	turn     atomic.Bool // a suspect's turn to run alone has come
 }
 
 // request builds the message to the sidecar. The body has no GetBody, so that
@@ -55,6 +57,12 @@
 func (a *attempt) request(ctx context.Context, c *pipeline.Call, body []byte) *http.Request {
 	trace := &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { a.sent.Store(true) },
+		Got1xxResponse: func(code int, _ textproto.MIMEHeader) error {
+			if code == http.StatusProcessing {
+				a.turn.Store(true)
+			}
+			return nil
+		},
 	}
 	r := &http.Request{
 		Method:        c.R.Method,
--- a/dispatch/picker.go
+++ b/dispatch/picker.go
@@ -18,6 +18,8 @@
 	// inFlightCost is what each request in flight adds to the start of the
 	// next at an endpoint with free slots.
 	inFlightCost = 500 * time.Microsecond
+	// suspectCost is what each suspect in flight adds to the start of the next.
+	suspectCost = 5 * time.Second
 	// affineBound and affineSlack limit what the endpoint that holds a prefix
 	// may have in flight, against the best of the sample.
 	affineBound = 1.25
@@ -32,7 +34,7 @@
 	Now     time.Time
 	Subset  membership.Subset
 	Slots   int      // requests that one endpoint runs at once; 0: unknown
-	Suspect bool     // the request runs beside no other suspect
+	Suspect bool     // the request waits for other suspects
 	Skip    []string // ids of endpoints that were tried
 	// Affine is the endpoint that holds a prefix of the prompt, if any, and
 	// Saving the time that it saves there.
@@ -140,10 +142,10 @@
 		return
 	}
 	l := p.loads.look(i.ID, q.Slots, q.Now)
-	if q.Suspect && l.suspects > 0 {
-		return
-	}
 	cost := l.cost + extra
+	if q.Suspect {
+		cost += time.Duration(l.suspects) * suspectCost
+	}
 	if !best.found || cost < best.cost {
 		*best = choice{instance: *i, cost: cost, inFlight: l.inFlight, found: true}
 	}
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"dandelionrelay/api"
 	"dandelionrelay/membership"
 	"dandelionrelay/platform"
 )
@@ -50,7 +51,7 @@
 		d.detector.Forget(id)
 		return
 	}
-	if d.healthy(ctx, endpoint) {
+	if healthy, _ := d.ask(ctx, endpoint, ""); healthy {
 		d.detector.Alive(id, time.Now())
 		return
 	}
@@ -65,19 +66,22 @@
 	})
 }
 
-func (d *Dispatcher) healthy(ctx context.Context, endpoint platform.Instance) bool {
+// ask probes an endpoint's sidecar. It returns whether the endpoint is well
+// and, if not, what the sidecar saw of its crash with an attempt: CrashLost if
+// there is no sidecar to ask.
+func (d *Dispatcher) ask(ctx context.Context, endpoint platform.Instance, attempt string) (bool, api.Crash) {
 	ctx, cancel := context.WithTimeout(ctx, membership.ProbeTimeout)
 	defer cancel()
 	r := &http.Request{
 		Method: http.MethodGet,
 		URL:    &url.URL{Scheme: "http", Host: endpoint.HTTPAddr, Path: ProbePath},
-		Header: http.Header{},
+		Header: http.Header{api.HeaderAttemptID: {attempt}},
 	}
 	resp, err := d.transport.RoundTrip(r.WithContext(ctx))
 	if err != nil {
-		return false
+		return false, api.CrashLost
 	}
 	defer resp.Body.Close()
 	d.learn(endpoint.ID, resp.Header)
-	return resp.StatusCode/100 == 2
+	return resp.StatusCode/100 == 2, api.Crash(resp.Header.Get(api.HeaderCrash))
 }
--- a/dispatch/random_test.go
+++ b/dispatch/random_test.go
@@ -135,6 +135,52 @@
 	}
 }
 
+// TestCrashersBesideInnocents sends two requests that crash endpoints and one
+// that takes whole instances down, again and again, beside innocent requests
+// that are sent again too.
+func TestCrashersBesideInnocents(t *testing.T) {
+	for seed := range uint64(*seeds) {
+		synctest.Test(t, func(t *testing.T) { runCrashers(t, seed) })
+	}
+}
+
+func runCrashers(t *testing.T, seed uint64) {
+	g := gomega.NewWithT(t)
+	r := newRig(t, seed, 8)
+	suspects := sharedTable{quarantine.NewTable()}
+	entries := []*Dispatcher{r.entry("e", suspects), r.entry("e2", suspects)}
+	var wg sync.WaitGroup
+	for i, text := range []string{poison, poison2, killer} {
+		wg.Go(func() {
+			for n := range 12 {
+				r.send(entries[r.IntN(2)], request{id: fmt.Sprint(text, n), text: text, idempotent: i > 0})
+				time.Sleep(time.Duration(r.IntN(1500)) * time.Millisecond)
+			}
+		})
+	}
+	innocent := make([][]got, 8)
+	for i := range innocent {
+		wg.Go(func() {
+			q := request{id: fmt.Sprint("r", i), text: fmt.Sprint("text", i), stream: i%2 == 0, idempotent: true, resume: true}
+			for range 60 {
+				innocent[i] = append(innocent[i], r.send(entries[r.IntN(2)], q))
+				time.Sleep(time.Duration(r.IntN(200)) * time.Millisecond)
+			}
+		})
+	}
+	wg.Wait()
+	for i := range innocent {
+		for _, out := range innocent[i] {
+			g.Expect(out.err == nil || out.err.Code != api.CodeQuarantined).To(gomega.BeTrue(), "seed %d: innocent %d", seed, i)
+		}
+		last := innocent[i][50:]
+		g.Expect(answered(last)).To(gomega.Equal(len(last)), "seed %d: innocent %d", seed, i)
+	}
+	g.Expect(r.deaths[poison]).To(gomega.BeNumerically("<=", quarantine.DeathsToQuarantine), "seed %d", seed)
+	g.Expect(r.deaths[poison2]).To(gomega.BeNumerically("<=", quarantine.DeathsToQuarantine), "seed %d", seed)
+	g.Expect(r.deaths[killer]).To(gomega.BeNumerically("<=", quarantine.LossesToQuarantine), "seed %d", seed)
+}
+
 // TestSilentEndpointIsLeftBehind pauses an endpoint with calls in flight: the
 // repeatable ones finish elsewhere soon, others wait for their deadline.
 func TestSilentEndpointIsLeftBehind(t *testing.T) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -101,6 +101,14 @@
 		Metrics:    d.Registry,
 		Logger:     d.Logger,
 	})
+	e.suspects = quarantine.NewNode(quarantine.Deps{
+		ID:         s.ID,
+		DataCentre: s.DataCentre,
+		Log:        d.Log,
+		Members:    e.view,
+		Peers:      e.pool,
+		Logger:     d.Logger,
+	})
 	e.jobs = jobs.NewService(jobs.Options{
 		Self:        s.ID,
 		Log:         d.Log,
@@ -108,19 +116,12 @@
 		Pool:        e.pool,
 		Config:      &e.holder,
 		Invariants:  d.Invariants,
+		Suspects:    e.suspects,
 		Retention:   time.Duration(s.LogRetention),
 		OnBadRecord: e.badRecord,
 		Metrics:     d.Registry,
 		Logger:      d.Logger,
 	})
-	e.suspects = quarantine.NewNode(quarantine.Deps{
-		ID:         s.ID,
-		DataCentre: s.DataCentre,
-		Log:        d.Log,
-		Members:    e.view,
-		Peers:      e.pool,
-		Logger:     d.Logger,
-	})
 	e.peers.Register(quarantine.ServiceName, e.suspects.Service())
 	e.calls = idempotency.NewService(idempotency.Deps{
 		ID:         s.ID,
--- a/invariant/invariant.go
+++ b/invariant/invariant.go
@@ -29,6 +29,7 @@
 	ShutdownCutsNothing   Name = "shutdown_cuts_nothing"
 	ConfigNeverReverts    Name = "config_never_reverts"
 	AcknowledgedIsDurable Name = "acknowledged_is_durable"
+	SuspectRunsAlone      Name = "suspect_runs_alone"
 )
 
 // All lists every promise in the order of docs/PROOFS.md.
@@ -37,6 +38,7 @@
 	CustomerOfKey, NoKeyAtEndpoint, WithdrawnKeyStops, RateBound,
 	AnswerMatchesRequest, NotRunIsTrue, AtMostOnce, NoWorkWhenLeaving,
 	ShutdownCutsNothing, ConfigNeverReverts, AcknowledgedIsDurable,
+	SuspectRunsAlone,
 }
 
 // Violation is one broken promise. Detail never holds a key or a prompt.
--- a/jobs/doc.go
+++ b/jobs/doc.go
@@ -73,11 +73,10 @@
 	UploadKept = time.Hour
 )
 
-// Bounds on attempts at one item.
-const (
-	MaxAttempts = 5 // answers with a server error before the item fails
-	MaxDeaths   = 2 // endpoints lost with the item running before it fails
-)
+// MaxAttempts is the number of server errors and broken connections after which
+// an item fails. What it takes to blame it for the loss of endpoints is
+// quarantine's to say.
+const MaxAttempts = 5
 
 // Errors is the namespace of the errors of this package.
 var Errors = errorx.NewNamespace("jobs")
--- a/jobs/documents.go
+++ b/jobs/documents.go
@@ -122,7 +122,7 @@
 // resultMessages explains the codes of items without a final answer.
 var resultMessages = map[resultCode]string{
 	itemFailed:  fmt.Sprintf("%d attempts ended with a server error; the last answer follows", MaxAttempts),
-	itemCrashed: fmt.Sprintf("%d endpoints were lost while they ran this item", MaxDeaths),
+	itemCrashed: "endpoints crashed running a request of this content; it is not run again",
 	itemUnknown: "the item may have run, and must not run twice",
 	itemTooBig:  fmt.Sprintf("the answer exceeds %d bytes", MaxResultBytes),
 }
--- a/jobs/handout.go
+++ b/jobs/handout.go
@@ -40,8 +40,14 @@
 func (s *Service) gather(ctx context.Context, args api.PullArgs) []api.Work {
 	var out []api.Work
 	bytes := 0
+	isolates := s.pullers.note(args.Deployment, args.Endpoint, time.Now())
+	screened := 0
 	for len(out) < args.Slots && bytes < PullBytes {
-		w := s.takeOne(ctx, args)
+		w, again := s.takeOne(ctx, args, isolates)
+		if w == nil && again && screened < maxScreened {
+			screened++
+			continue
+		}
 		if w == nil {
 			break
 		}
@@ -51,34 +57,43 @@
 	return out
 }
 
+// maxScreened bounds how many items one pull may pass over because endpoints
+// have died of them.
+const maxScreened = 64
+
 // takeOne takes one item. It returns nil if there is none, or if the one it
-// chose could not be handed out after all.
-func (s *Service) takeOne(ctx context.Context, args api.PullArgs) *api.Work {
+// chose could not be handed out after all; again says that another one may be.
+func (s *Service) takeOne(ctx context.Context, args api.PullArgs, isolates bool) (w *api.Work, again bool) {
 	now := time.Now()
 	var all []candidate
 	for _, p := range s.ownedPartitions() {
-		all = append(all, p.candidates(now, args.Deployment, args.Endpoint)...)
+		all = append(all, p.candidates(now, args.Deployment, args.Endpoint, isolates)...)
 	}
 	if len(all) == 0 {
-		return nil
+		return nil, false
 	}
 	c := all[s.fair.choose(all)]
 	p := c.partition
 	p.mu.Lock()
-	t, ok := p.owner.take(now, c.job, args.Deployment, args.Endpoint)
+	t, ok := p.owner.take(now, c.job, args.Deployment, args.Endpoint, isolates)
 	p.mu.Unlock()
 	if !ok || !p.load(ctx, &t) {
-		return nil
+		return nil, false
+	}
+	facts, ok := p.screen(&t, isolates, now)
+	p.submit(facts)
+	if !ok {
+		return nil, true
 	}
 	customer := s.o.Config.Current().State.Customers[t.work.Customer]
 	t.work.Weight = customer.Weight
 	s.fair.charge(t.work.Customer, customer.Weight, cost(&t.work))
 	if !t.work.Idempotent && !p.begun(ctx, &t) {
-		return nil
+		return nil, false
 	}
 	s.metrics.handedOut.WithLabelValues(t.work.Customer).Inc()
 	s.logItem(t.work.WorkRef, args.Endpoint, "item handed out")
-	return &t.work
+	return &t.work, false
 }
 
 // cost estimates the work of an item: its bytes stand for its prompt.
@@ -88,14 +103,14 @@
 
 // candidates returns what this partition offers, nothing while results pile
 // up for a log that is down.
-func (p *partition) candidates(now time.Time, deployment, endpoint string) []candidate {
+func (p *partition) candidates(now time.Time, deployment, endpoint string, isolates bool) []candidate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.owned || !p.ready || now.Before(p.handOut) || p.writer.full() {
 		return nil
 	}
 	p.owner.noBegins = p.blind(now) || p.writer.stuck(now)
-	out := p.owner.candidates(now, deployment, endpoint)
+	out := p.owner.candidates(now, deployment, endpoint, isolates)
 	for i := range out {
 		out[i].partition = p
 	}
--- a/jobs/owner.go
+++ b/jobs/owner.go
@@ -7,6 +7,7 @@
 
 	"dandelionrelay/api"
 	"dandelionrelay/invariant"
+	"dandelionrelay/quarantine"
 )
 
 // itemKey identifies an item of a partition.
@@ -20,8 +21,10 @@
 	ref        api.WorkRef
 	endpoint   string
 	seen       time.Time // of the last heartbeat that named it
-	suspect    bool      // an endpoint died with the item before
-	committing bool      // its result is on the way to the log
+	customer   string
+	digest     quarantine.Digest // zero until the item was read
+	suspect    bool              // an endpoint died with the item before
+	committing bool              // its result is on the way to the log
 }
 
 // backlog is what a job still has to hand out to one deployment: the items
@@ -51,7 +54,10 @@
 	endpoints map[string]time.Time // last heard of
 	open      []*job               // by due time; refreshed when commits changes
 	commits   int
-	noBegins  bool // the log is down: non-idempotent items can't start
+	confined  map[itemKey]bool   // suspects that no endpoint died of here
+	counted   map[itemKey]string // last attempt whose failure was counted
+	mourned   []attempt          // lost since the last look, with their endpoint
+	noBegins  bool               // the log is down: non-idempotent items can't start
 }
 
 func newOwner(inv *invariant.Set, table *Table, nonce string) *owner {
@@ -63,6 +69,8 @@
 		orphans:   make(map[itemKey]time.Time),
 		resumes:   make(map[itemKey]*api.Resume),
 		endpoints: make(map[string]time.Time),
+		confined:  make(map[itemKey]bool),
+		counted:   make(map[itemKey]string),
 		commits:   -1,
 	}
 }
@@ -88,9 +96,9 @@
 
 // candidates returns for each customer its earliest due job that has an item
 // for an endpoint of deployment.
-func (o *owner) candidates(now time.Time, deployment, endpoint string) []candidate {
+func (o *owner) candidates(now time.Time, deployment, endpoint string, isolates bool) []candidate {
 	var out []candidate
-	suspects := o.hasSuspect(endpoint)
+	suspects := isolates && !o.hasSuspect(endpoint)
 	known := make(map[string]bool)
 	for _, j := range o.openJobs() {
 		if known[j.Customer] || now.After(j.Expires) {
@@ -104,8 +112,7 @@
 	return out
 }
 
-// hasSuspect says whether a suspect runs at endpoint. Two of them never run
-// there together, so that the second death points at one.
+// hasSuspect says whether a suspect runs at endpoint: each runs alone.
 func (o *owner) hasSuspect(endpoint string) bool {
 	for _, a := range o.running {
 		if a.endpoint == endpoint && a.suspect {
@@ -115,7 +122,13 @@
 	return false
 }
 
-// next returns the item of j to hand out next, without taking it.
+// isSuspect says whether an item is only to run alone.
+func (o *owner) isSuspect(j *job, i int) bool {
+	return j.items[i].deaths > 0 || o.confined[itemKey{j.ID, i}]
+}
+
+// next returns the item of j to hand out next, without taking it. suspects
+// says whether that may be a suspect.
 func (o *owner) next(now time.Time, j *job, deployment string, suspects bool) (int, bool) {
 	b := o.backlog(j, deployment)
 	if o.noBegins && !j.idempotent() {
@@ -123,7 +136,7 @@
 	}
 	b.retry = slices.DeleteFunc(b.retry, func(r retry) bool { return !o.waiting(j, r.item) })
 	for _, r := range b.retry {
-		if r.at.After(now) || suspects && j.items[r.item].deaths > 0 || o.orphaned(now, j, r.item) {
+		if r.at.After(now) || !suspects && o.isSuspect(j, r.item) || o.orphaned(now, j, r.item) {
 			continue
 		}
 		return r.item, true
@@ -135,7 +148,7 @@
 		if o.orphaned(now, j, b.cursor) {
 			continue
 		}
-		if suspects && j.items[b.cursor].deaths > 0 {
+		if !suspects && o.isSuspect(j, b.cursor) {
 			o.postpone(j, b.cursor, now)
 			continue
 		}
@@ -191,12 +204,12 @@
 }
 
 // take marks the next item of a job as running at endpoint.
-func (o *owner) take(now time.Time, jobID, deployment, endpoint string) (taken, bool) {
+func (o *owner) take(now time.Time, jobID, deployment, endpoint string, isolates bool) (taken, bool) {
 	j := o.table.Job(jobID)
 	if j == nil || j.ended() {
 		return taken{}, false
 	}
-	i, ok := o.next(now, j, deployment, o.hasSuspect(endpoint))
+	i, ok := o.next(now, j, deployment, isolates && !o.hasSuspect(endpoint))
 	if !ok {
 		return taken{}, false
 	}
@@ -214,7 +227,7 @@
 		Deployment: tgt.Deployment,
 		Path:       tgt.Path,
 		Idempotent: tgt.Idempotent,
-		Suspect:    j.items[i].deaths > 0,
+		Suspect:    o.isSuspect(j, i),
 		Due:        j.Due,
 		Resume:     o.resumes[key],
 	}
@@ -241,7 +254,13 @@
 	it.running = true
 	key := itemKey{j.ID, ref.Item}
 	delete(o.orphans, key)
-	o.running[key] = &attempt{ref: ref, endpoint: endpoint, seen: now, suspect: it.deaths > 0}
+	o.running[key] = &attempt{
+		ref:      ref,
+		endpoint: endpoint,
+		seen:     now,
+		customer: j.Customer,
+		suspect:  o.isSuspect(j, ref.Item),
+	}
 }
 
 // release ends the attempt at an item and hands the item out again at a time.
--- a/jobs/partition.go
+++ b/jobs/partition.go
@@ -249,10 +249,13 @@
 		if p.ready && p.owned && !p.blind(now) && !now.Before(p.handOut) {
 			facts = p.owner.tick(now)
 		}
+		lost := p.owner.mourned
+		p.owner.mourned = nil
 		if p.ready {
 			p.owner.table.Forget(now)
 		}
 		p.mu.Unlock()
+		p.mourn(lost)
 		p.submit(p.complete(ctx, facts))
 		p.s.wake()
 	}
--- a/jobs/report.go
+++ b/jobs/report.go
@@ -1,11 +1,13 @@
 package jobs
 
 import (
+	"maps"
 	"net/http"
 	"slices"
 	"time"
 
 	"dandelionrelay/api"
+	"dandelionrelay/quarantine"
 )
 
 // behind says whether a table has yet to replay what an attempt follows from:
@@ -49,6 +51,8 @@
 		return nil // another attempt has taken over
 	case r.State == api.ResultDone:
 		return o.setback(now, j, r, 1, 0)
+	case r.State == api.ResultUnknown && r.Crash == api.NoCrash:
+		return o.setback(now, j, r, 1, 0) // the connection broke, the endpoint lives
 	case r.State == api.ResultUnknown:
 		return o.setback(now, j, r, 0, 1)
 	case r.State == api.ResultReturned:
@@ -109,9 +113,18 @@
 // ends if its attempts are used up.
 func (o *owner) setback(now time.Time, j *job, r *api.Result, attempts, deaths int) []fact {
 	it := &j.items[r.Item]
+	if o.alreadyCounted(r.WorkRef) {
+		o.releaseAttempt(now, j, r.WorkRef)
+		return nil
+	}
+	o.counted[itemKey{j.ID, r.Item}] = r.Attempt
 	attempts += int(it.attempts)
 	deaths += int(it.deaths)
-	if deaths >= MaxDeaths {
+	alone := 0
+	if r.Crash == api.CrashAlone {
+		alone = 1
+	}
+	if quarantine.Condemned(deaths, alone) {
 		return o.finish(now, j, r, itemCrashed)
 	}
 	if attempts >= MaxAttempts {
@@ -122,6 +135,21 @@
 	return []fact{{Kind: factSetback, Job: j.ID, Item: r.Item, Attempts: attempts, Deaths: deaths}}
 }
 
+// alreadyCounted says whether the failure of an attempt was counted before. It
+// comes again if the answer to its report was lost, or if a heartbeat that was
+// under way took the attempt for one that runs.
+func (o *owner) alreadyCounted(ref api.WorkRef) bool {
+	return o.counted[itemKey{ref.Job, ref.Item}] == ref.Attempt
+}
+
+// releaseAttempt releases an item if it is thought to run as that attempt.
+func (o *owner) releaseAttempt(now time.Time, j *job, ref api.WorkRef) {
+	a, ok := o.running[itemKey{ref.Job, ref.Item}]
+	if ok && a.ref.Attempt == ref.Attempt {
+		o.release(j, ref.Item, now.Add(RetryDelay))
+	}
+}
+
 // retryable says whether an answer with this status may change by repeating
 // the request.
 func retryable(status int) bool {
@@ -200,6 +228,7 @@
 			out = append(out, fact{Kind: factExpire, Job: j.ID})
 		}
 	}
+	o.dropEnded()
 	for endpoint, seen := range o.endpoints {
 		if now.Sub(seen) > 2*LostAfter {
 			delete(o.endpoints, endpoint)
@@ -208,6 +237,16 @@
 	return out
 }
 
+// dropEnded forgets the failures of items that have ended.
+func (o *owner) dropEnded() {
+	over := func(key itemKey) bool {
+		j, it := o.find(api.WorkRef{Job: key.job, Item: key.item})
+		return it == nil || it.first != 0 || j.ended()
+	}
+	maps.DeleteFunc(o.counted, func(key itemKey, _ string) bool { return over(key) })
+	maps.DeleteFunc(o.confined, func(key itemKey, _ bool) bool { return over(key) })
+}
+
 // lost handles an attempt that was not named for long: its endpoint is gone,
 // or lives and never got it.
 func (o *owner) lost(now time.Time, j *job, a *attempt) []fact {
@@ -219,6 +258,9 @@
 		o.release(j, a.ref.Item, now)
 		return nil
 	}
+	if !o.alreadyCounted(a.ref) {
+		o.mourned = append(o.mourned, *a)
+	}
 	return o.setback(now, j, r, 0, 1)
 }
 
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -30,6 +30,7 @@
 	Pool        *peer.Pool
 	Config      config.Source
 	Invariants  *invariant.Set
+	Suspects    Suspects      // nil: none are known
 	Retention   time.Duration // of the log; 0: for ever
 	ResultsKept time.Duration // after the due time; 0: DefaultResultsKept
 	// OnBadRecord is told of records that are not ours; nil: ignored.
@@ -49,6 +50,7 @@
 	pace    *pacer
 	metrics *metrics
 
+	pullers    pullers
 	mu         sync.Mutex
 	ctx        context.Context // of Run; nil before
 	partitions map[int]*partition
@@ -70,6 +72,9 @@
 	if o.ResultsKept == 0 {
 		o.ResultsKept = DefaultResultsKept
 	}
+	if o.Suspects == nil {
+		o.Suspects = noSuspects{}
+	}
 	s := &Service{
 		o:          o,
 		boot:       fmt.Sprintf("%s-%s", o.Self, rand.Text()[:10]),
--- a/jobs/settle.go
+++ b/jobs/settle.go
@@ -61,6 +61,7 @@
 	if err := p.waitReplayed(ctx, results); err != nil {
 		return err
 	}
+	p.learn(endpoint, results)
 	now := time.Now()
 	p.mu.Lock()
 	if p.writer.full() {
--- /dev/null
+++ b/quarantine/isolation.go
@@ -0,0 +1,34 @@
+package quarantine
+
+import (
+	"dandelionrelay/membership"
+	"dandelionrelay/platform"
+)
+
+// isolationShare is the inverse of the share of a deployment's endpoints that
+// suspects may occupy, each of them alone.
+const isolationShare = 4
+
+// Isolation returns the endpoints of one deployment at which suspects run: the
+// same ones for all that see the same list. There is at least one if there is
+// any endpoint.
+func Isolation(endpoints []platform.Instance) []platform.Instance {
+	live := make([]platform.Instance, 0, len(endpoints))
+	for _, i := range endpoints {
+		if i.State == platform.Live {
+			live = append(live, i)
+		}
+	}
+	n := (len(live) + isolationShare - 1) / isolationShare
+	return membership.Rank("isolation", live)[:n]
+}
+
+// Isolates says whether suspects may run at the endpoint with that id.
+func Isolates(endpoints []platform.Instance, id string) bool {
+	for _, i := range Isolation(endpoints) {
+		if i.ID == id {
+			return true
+		}
+	}
+	return false
+}
--- a/quarantine/node.go
+++ b/quarantine/node.go
@@ -67,12 +67,14 @@
 // Empty says that no request is suspected.
 func (n *Node) Empty() bool { return n.table.Empty() }
 
-// Verdict returns what is thought of d.
-func (n *Node) Verdict(d Digest) Verdict { return n.table.Verdict(d, time.Now()) }
+// Verdict returns what is thought of d, a request of customer.
+func (n *Node) Verdict(d Digest, customer string) Verdict {
+	return n.table.Verdict(d, customer, time.Now())
+}
 
-// Died records that endpoint died while attempt, a run of d, was in flight.
-func (n *Node) Died(d Digest, attempt, endpoint string) {
-	if e, ok := n.table.Died(d, attempt, endpoint, time.Now()); ok {
+// Died records a death.
+func (n *Node) Died(x Death) {
+	if e, ok := n.table.Died(x, time.Now()); ok {
 		n.spread([]Event{e}, true)
 	}
 }
@@ -87,7 +89,7 @@
 // Filter refuses quarantined requests.
 func (n *Node) Filter(next pipeline.Handler) pipeline.Handler {
 	return func(ctx context.Context, c *pipeline.Call) *api.Error {
-		if !n.Empty() && n.Verdict(Of(c)) == Quarantined {
+		if !n.Empty() && n.Verdict(Of(c), c.Customer) == Quarantined {
 			return Refusal()
 		}
 		return next(ctx, c)
--- a/quarantine/service.go
+++ b/quarantine/service.go
@@ -50,6 +50,9 @@
 		h := xxhash.New()
 		_, _ = h.Write(e.Digest[:])
 		_, _ = h.WriteString(e.Attempt)
+		if e.Alone {
+			_, _ = h.WriteString("alone")
+		}
 		if e.Cleared {
 			_, _ = h.WriteString("cleared")
 		}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -6,46 +6,45 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"dandelionrelay/api"
 )
 
 // Limits of a Table.
 const (
-	// DeathsToQuarantine is how many endpoints may die of a request.
-	DeathsToQuarantine = 2
-	// SuspectFor is how long a death counts against a request.
-	SuspectFor = 10 * time.Minute
-	// QuarantineFor is how long a request stays quarantined after the last
-	// death that counts.
-	QuarantineFor = 24 * time.Hour
-
 	maxDigests = 4096 // kept at once, over all shards
 	maxDeaths  = 8    // kept of one digest
 
-	// More endpoints dying within massWindow are a failure of the network or
-	// of a site: no request is suspected of those past massEndpoints.
+	// More instances lost within massWindow are a failure of the network or of
+	// a site: past massEndpoints only requests are suspected that were in
+	// flight at massShare of them.
 	massEndpoints = 3
 	massWindow    = 2 * time.Second
+	massShare     = 0.5
 )
 
 const tableShards = 16
 
-// Verdict is what a Table thinks of a request.
-type Verdict int
-
-// The verdicts.
-const (
-	Clear       Verdict = iota // run it
-	Suspect                    // run it beside no other suspect
-	Quarantined                // never run it
-)
-
 // Event is one death held against a request, or that it has been cleared of
 // it. Events may be merged in any order, any number of times.
 type Event struct {
 	Digest  Digest    `json:"digest"`
 	Attempt string    `json:"attempt"` // id of the attempt that was in flight
 	At      time.Time `json:"at"`
-	Cleared bool      `json:"cleared,omitempty"`
+	// Customer is whose request it is.
+	Customer string `json:"customer,omitempty"`
+	// Alone says that the endpoint was seen to crash while it ran nothing else.
+	Alone   bool `json:"alone,omitempty"`
+	Cleared bool `json:"cleared,omitempty"`
+}
+
+// Death is an endpoint lost while an attempt was in flight there.
+type Death struct {
+	Digest   Digest
+	Customer string
+	Attempt  string // id of the attempt
+	Endpoint string // instance id
+	Crash    api.Crash
 }
 
 // Table holds the deaths held against requests. It is passive: the driver
@@ -54,6 +53,8 @@
 	shards [tableShards]tableShard
 	size   atomic.Int64 // digests held
 	mass   massLoss
+
+	customers offenders
 }
 
 type tableShard struct {
@@ -75,44 +76,28 @@
 // Empty says that nothing is held against any request.
 func (t *Table) Empty() bool { return t.size.Load() == 0 }
 
-// Verdict returns what is thought of d.
-func (t *Table) Verdict(d Digest, now time.Time) Verdict {
+// Verdict returns what is thought of d, a request of customer.
+func (t *Table) Verdict(d Digest, customer string, now time.Time) Verdict {
 	if t.Empty() {
 		return Clear
 	}
 	s := t.shard(d)
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return verdict(s.digests[d], now)
-}
-
-// verdict judges the deaths held against one request, the oldest first.
-func verdict(deaths []Event, now time.Time) Verdict {
-	var open []Event
-	for _, e := range deaths {
-		if !e.Cleared {
-			open = append(open, e)
-		}
-	}
-	for i := len(open) - 1; i >= DeathsToQuarantine-1; i-- {
-		first, last := open[i-DeathsToQuarantine+1], open[i]
-		if last.At.Sub(first.At) <= SuspectFor && now.Sub(last.At) < QuarantineFor {
-			return Quarantined
-		}
-	}
-	if len(open) > 0 && now.Sub(open[len(open)-1].At) < SuspectFor {
+	v := verdict(s.digests[d], now)
+	s.mu.Unlock()
+	if v == Clear && t.customers.confined(customer, now) {
 		return Suspect
 	}
-	return Clear
+	return v
 }
 
-// Died records that endpoint died while attempt, a run of d, was in flight
-// there. It returns the event to spread; none if many endpoints die at once.
-func (t *Table) Died(d Digest, attempt, endpoint string, now time.Time) (Event, bool) {
-	if t.mass.died(endpoint, now) {
+// Died records a death. It returns the event to spread; none if many endpoints
+// die at once.
+func (t *Table) Died(x Death, now time.Time) (Event, bool) {
+	if x.Crash == api.CrashLost && t.mass.lost(x.Endpoint, x.Digest, now) {
 		return Event{}, false
 	}
-	e := Event{Digest: d, Attempt: attempt, At: now}
+	e := Event{Digest: x.Digest, Attempt: x.Attempt, At: now, Customer: x.Customer, Alone: x.Crash == api.CrashAlone}
 	return e, t.Merge(e, now)
 }
 
@@ -142,20 +127,31 @@
 	if now.Sub(e.At) >= QuarantineFor {
 		return false
 	}
+	news, v := t.merge(e, now)
+	if news && v == Quarantined {
+		t.customers.note(e.Customer, e.Digest, e.At)
+	}
+	return news
+}
+
+// merge is Merge within the digest's shard. It returns the new verdict too.
+func (t *Table) merge(e Event, now time.Time) (news bool, v Verdict) {
 	s := t.shard(e.Digest)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	deaths, held := s.digests[e.Digest]
 	if i := slices.IndexFunc(deaths, func(o Event) bool { return o.Attempt == e.Attempt }); i >= 0 {
-		news := e.Cleared && !deaths[i].Cleared
+		news = e.Cleared && !deaths[i].Cleared || e.Alone && !deaths[i].Alone
 		deaths[i].Cleared = deaths[i].Cleared || e.Cleared
-		return news
+		deaths[i].Alone = deaths[i].Alone || e.Alone
+		return news, verdict(deaths, now)
 	}
 	if !held {
 		t.size.Add(int64(1 - s.makeRoom(now)))
 	}
-	s.digests[e.Digest] = keepNewest(append(deaths, e))
-	return true
+	deaths = keepNewest(append(deaths, e))
+	s.digests[e.Digest] = deaths
+	return true, verdict(deaths, now)
 }
 
 // keepNewest orders deaths by time and drops the oldest past maxDeaths, so
@@ -231,25 +227,3 @@
 	}
 	return out
 }
-
-// massLoss recognises many endpoints dying at once.
-type massLoss struct {
-	mu     sync.Mutex
-	deaths map[string]time.Time // endpoint -> last death
-}
-
-// died records a death and returns whether it is part of a mass loss.
-func (m *massLoss) died(endpoint string, now time.Time) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for id, at := range m.deaths {
-		if now.Sub(at) > massWindow {
-			delete(m.deaths, id)
-		}
-	}
-	if m.deaths == nil {
-		m.deaths = make(map[string]time.Time)
-	}
-	m.deaths[endpoint] = now
-	return len(m.deaths) > massEndpoints
-}
--- a/sidecar/batch.go
+++ b/sidecar/batch.go
@@ -81,7 +81,7 @@
 func (b *batchRunner) awaitIdle(ctx context.Context) (int, bool) {
 	for !b.drain.isLeaving() && ctx.Err() == nil {
 		n := b.schedule.idleSlots()
-		if n > 0 && !b.out.full() && b.endpointAnswers(ctx) {
+		if n > 0 && !b.out.full() && !b.gate.isolating() && b.endpointAnswers(ctx) {
 			return n, true
 		}
 		select {
@@ -138,23 +138,22 @@
 		b.out.add(api.Result{WorkRef: w.WorkRef, State: api.ResultReturned, Resume: w.Resume})
 		return false
 	}
-	free, busy := b.suspect.enter(w.Suspect)
-	if busy != nil {
+	run := newItemRun(b, w)
+	if !run.takeTurn() {
 		b.drain.exit()
 		b.out.add(api.Result{WorkRef: w.WorkRef, State: api.ResultNotRun})
 		return false
 	}
 	b.metrics.suspected(w.Suspect)
-	run := newItemRun(b, w)
 	if b.attempts.add(run.id, time.Now()) != fresh || !b.remember(run) {
-		free()
+		run.endTurn()
 		b.drain.exit() // it runs already
 		return false
 	}
 	run.queue()
 	b.group.Go(func() {
 		defer b.drain.exit()
-		defer free()
+		defer run.endTurn()
 		result := run.do(ctx)
 		b.logItem(run, result)
 		b.out.add(b.metrics.ended(result))
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -68,6 +68,7 @@
 func (s *Sidecar) checkStart(req *request) {
 	runs := s.attempts.runs(req.Attempt)
 	s.deps.Invariants.Check(req.MayRepeat || runs == 0, invariant.AtMostOnce, "attempt %s was sent before", req.Attempt)
+	s.deps.Invariants.Check(!s.gate.startsBeside(req.Attempt), invariant.SuspectRunsAlone, "attempt %s starts beside a suspect", req.Attempt)
 	s.deps.Invariants.Check(s.drain.mayStart(time.Now()), invariant.NoWorkWhenLeaving, "attempt %s starts", req.Attempt)
 }
 
@@ -98,6 +99,7 @@
 	body   io.Reader
 	first  func() // called before the first byte
 	events int    // server-sent events passed on
+	lost   bool   // the endpoint's connection was cut
 	watch  *answerWatch
 }
 
@@ -123,7 +125,8 @@
 			return false
 		}
 		if err != nil {
-			return err == io.EOF
+			a.lost = err != io.EOF
+			return !a.lost
 		}
 	}
 }
--- a/sidecar/health.go
+++ b/sidecar/health.go
@@ -20,11 +20,14 @@
 // health remembers whether the endpoint was lost.
 type health struct{ lost atomic.Bool }
 
-// endpointLost notes that a call failed: nothing is pulled until the endpoint
-// answers its health check.
-func (s *Sidecar) endpointLost() {
+// endpointLost notes that an attempt failed: nothing is pulled until the
+// endpoint answers its health check.
+func (s *Sidecar) endpointLost(attempt string, outcome api.Outcome) {
 	s.metrics.losses.Inc()
 	s.health.lost.Store(true)
+	if outcome != api.NotRun {
+		s.gate.lost(attempt)
+	}
 }
 
 // endpointAnswers reports whether the endpoint is usable, asking it if the
--- a/sidecar/item.go
+++ b/sidecar/item.go
@@ -12,6 +12,7 @@
 	"dandelionrelay/config"
 	"dandelionrelay/invariant"
 	"dandelionrelay/lane"
+	"dandelionrelay/quarantine"
 )
 
 const (
@@ -32,7 +33,8 @@
 	ticket   *ticket
 	streamed bool // the answer is put together from a stream, so that a cut has a position
 	prompt   *prompt
-	stopped  chan struct{} // closed when the owner no longer wants the item
+	stopped  chan struct{} // closed when the item is no longer wanted here
+	turn     *suspect      // its turn to run alone, if it is a suspect
 	stopOnce sync.Once
 
 	mu     sync.Mutex
@@ -177,6 +179,10 @@
 func (r *itemRun) run(parent context.Context) (api.Result, bool) {
 	ctx, cancel := r.runContext(parent)
 	defer cancel()
+	if !r.enter(ctx) {
+		return r.result(r.notStarted()), true
+	}
+	defer func() { r.runner.gate.leave(r.id, ctx.Err() != nil) }()
 	resp, e := r.runner.call(ctx, r.request())
 	if e != nil {
 		return r.lost(parent, ctx, e.Outcome)
@@ -238,14 +244,25 @@
 	case yielded && ctx.Err() != nil:
 		return api.Result{}, false
 	}
-	r.runner.endpointLost()
-	switch {
-	case outcome != api.NotRun:
-		return r.result(api.ResultUnknown), true
-	case r.runner.attempts.runs(r.id) > 0: // an earlier run of an idempotent item was cut
-		return r.result(api.ResultReturned), true
+	r.runner.endpointLost(r.id, outcome)
+	if outcome == api.NotRun {
+		return r.result(r.notStarted()), true
+	}
+	result := r.result(api.ResultUnknown)
+	if r.runner.checkHealth(parent) != nil {
+		result.Crash = r.runner.gate.crashOf(r.id)
+		result.Digest = api.Digest(quarantine.DigestOf(r.Customer, r.Path, r.Body))
+	}
+	return result, true
+}
+
+// notStarted is the end of an item whose last run did not start. An earlier
+// run of an idempotent item may have been cut.
+func (r *itemRun) notStarted() api.ResultState {
+	if r.runner.attempts.runs(r.id) > 0 {
+		return api.ResultReturned
 	}
-	return r.result(api.ResultNotRun), true
+	return api.ResultNotRun
 }
 
 func (r *itemRun) result(state api.ResultState) api.Result {
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -40,7 +40,11 @@
 
 // setState tells the entry how this endpoint stands.
 func (s *Sidecar) setState(h http.Header) {
-	h.Set(api.HeaderQueueWait, strconv.FormatInt(s.QueueWait().Milliseconds(), 10))
+	wait := s.QueueWait()
+	if s.gate.isolating() {
+		wait += suspectRetryAfter // entries that have a choice go elsewhere
+	}
+	h.Set(api.HeaderQueueWait, strconv.FormatInt(wait.Milliseconds(), 10))
 	if s.drain.isLeaving() {
 		h.Set(api.HeaderLeaving, "1")
 	}
@@ -63,13 +67,11 @@
 		return unavailable(api.CodeNoEndpoint, "the endpoint is leaving")
 	}
 	defer s.drain.exit()
-	suspect := r.Header.Get(api.HeaderSuspect) == "1"
-	exit, e := s.suspect.enter(suspect)
-	if e != nil {
-		return e
+	suspected := suspicious(r.Header)
+	if !suspected && !s.gate.admits() {
+		return isolated("a suspect request runs here")
 	}
-	s.metrics.suspected(suspect)
-	defer exit()
+	s.metrics.suspected(suspected)
 	switch s.attempts.add(req.Attempt, req.Received) {
 	case duplicate:
 		return api.NewError(http.StatusConflict, api.CodeConflict, "attempt was received before").WithOutcome(api.Unknown)
@@ -78,12 +80,41 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
 	defer cancel()
+	if suspected {
+		leave, e := s.isolate(ctx, req.Customer)
+		if e != nil {
+			return e
+		}
+		defer leave()
+	}
 	if e := s.awaitStart(ctx, req, cost); e != nil {
 		return e
 	}
+	if e := s.enter(ctx, req.Attempt, suspected); e != nil {
+		s.schedule.finish(req.Attempt, 0)
+		return e
+	}
+	defer func() { s.gate.leave(req.Attempt, ctx.Err() != nil) }()
+	if suspected {
+		w.WriteHeader(http.StatusProcessing) // the entry learns that its turn has come
+	}
 	return s.run(ctx, w, req)
 }
 
+// enter notes that a started request goes to the endpoint, a suspect once
+// nothing else runs there. What comes after a crash does not go there: it would
+// be blamed for it.
+func (s *Sidecar) enter(ctx context.Context, attempt string, suspected bool) *api.Error {
+	if suspected && !s.gate.enterAlone(ctx, attempt) || !suspected && !s.gate.enter(attempt, true) {
+		return isolated("a suspect request runs here")
+	}
+	if !s.endpointAnswers(ctx) {
+		s.gate.leave(attempt, false)
+		return api.NewError(http.StatusBadGateway, api.CodeEndpointLost, "the endpoint was lost")
+	}
+	return nil
+}
+
 func unavailable(code api.Code, message string) *api.Error {
 	return api.NewError(http.StatusServiceUnavailable, code, message)
 }
@@ -144,7 +175,7 @@
 	resp, e := s.call(ctx, req)
 	if e != nil {
 		if ctx.Err() == nil {
-			s.endpointLost()
+			s.endpointLost(req.Attempt, e.Outcome)
 		}
 		return e
 	}
@@ -159,18 +190,24 @@
 	}
 	whole := answer.copy(resp)
 	tokens = answer.events
+	if answer.lost && ctx.Err() == nil {
+		s.endpointLost(req.Attempt, api.Unknown)
+	}
 	if !whole {
 		panic(http.ErrAbortHandler)
 	}
 	return nil
 }
 
+// serveProbe tells an entry whether the endpoint is well, and what was seen of
+// its crash with the attempt that the entry names.
 func (s *Sidecar) serveProbe(w http.ResponseWriter, r *http.Request) {
 	if _, ok := s.deployment(); !ok {
 		api.WriteError(w, unavailable(api.CodeNoEndpoint, "the deployment is not configured"))
 		return
 	}
 	if e := s.checkHealth(r.Context()); e != nil {
+		w.Header().Set(api.HeaderCrash, string(s.gate.crashOf(r.Header.Get(api.HeaderAttemptID))))
 		api.WriteError(w, e)
 		return
 	}
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -65,7 +65,7 @@
 	metrics   *metrics
 	batch     *batchRunner
 	health    health
-	suspect   suspectSlot
+	gate      *gate
 }
 
 // New returns a sidecar, or an error if the endpoint's URL is malformed.
@@ -88,6 +88,7 @@
 		attempts: newAttempts(),
 		drain:    newDrainState(),
 		metrics:  newMetrics(deps.Metrics),
+		gate:     newGate(),
 		transport: &http.Transport{
 			DialContext:         deps.Dial,
 			DisableCompression:  true,
--- a/test/system/jobs_test.go
+++ b/test/system/jobs_test.go
@@ -35,6 +35,11 @@
 		w.must(err)
 		lines = append(append(lines, line...), '\n')
 	}
+	return w.submitLines(customer, name, items, lines)
+}
+
+// submitLines hands in a file until it is accepted.
+func (w *world) submitLines(customer, name string, items int, lines []byte) job {
 	for {
 		a := w.send(customer, http.MethodPost, "/v1/batches", "application/jsonl", name, lines)
 		w.finalAnswer(a)
