front: the log of a panic names what and where, and holds no caller's text

Cause: the value of a panic was logged as JSON: of an error that is {}, of a string the whole text, which may be a prompt; and no stack was logged, as none is configured.

Change: the type of the value, the message of runtime errors, and the stack, which holds addresses and no content.

--- a/front/front.go
+++ b/front/front.go
@@ -105,7 +105,7 @@
 			f.log.Debug().Str("request", c.ID).Str("customer", c.Customer).Str("route", c.RouteID).Msg("answer was cut")
 			panic(p)
 		}
-		f.log.Error().Str("request", c.ID).Interface("panic", p).Stack().Msg("request handler panicked")
+		f.logPanic(c.ID, p)
 		err = api.NewError(http.StatusInternalServerError, api.CodeInternal, "internal error").WithOutcome(api.Unknown)
 	}()
 	return f.handle(ctx, c)
