Experiment: settings file with customers, batch jobs and a schedule of faults

The tool ran one fixed load on a fleet where nothing fails: customers had no rate to be inside of, so neither refusals inside the rate nor the worst-served customer could be shown. A batch that was refused at its submission (while jobs are replayed, or with the log down) was given up and reported as 0 items.

Ruled out: pausing an entry. All roles run in one process here; test/processes pauses entries. Settings say so in their finding.

Submissions are repeated under one idempotency key. Flags come before the file.

--- a/cli/experiment.go
+++ b/cli/experiment.go
@@ -9,18 +9,21 @@
 	"strings"
 	"time"
 
+	"dandelionrelay/config"
 	"dandelionrelay/experiment"
 	"dandelionrelay/load"
+	"dandelionrelay/settings"
 )
 
 // ExperimentCmd measures this system beside its baselines.
 type ExperimentCmd struct {
-	Duration time.Duration `default:"20s" help:"Length of the load under each scheme."`
-	Engines  int           `default:"3" help:"Stand-in engines."`
-	Entries  int           `default:"2" help:"Entries."`
-	Seed     uint64        `default:"1" help:"Seed of arrivals."`
-	Scheme   []string      `placeholder:"NAME" sep:"none" help:"Run this scheme only; may be repeated. Names: ${schemes}."`
-	CSV      string        `type:"path" placeholder:"FILE" help:"Write the table as comma-separated values too."`
+	Settings string         `type:"path" placeholder:"FILE" help:"Settings file (JSON): customers, batch jobs and a schedule of faults. The flags below come before it."`
+	Duration *time.Duration `placeholder:"20s" help:"Length of the load under each scheme."`
+	Engines  *int           `placeholder:"3" help:"Stand-in engines."`
+	Entries  *int           `placeholder:"2" help:"Entries."`
+	Seed     *uint64        `placeholder:"1" help:"Seed of arrivals."`
+	Scheme   []string       `placeholder:"NAME" sep:"none" help:"Run this scheme only; may be repeated. Names: ${schemes}."`
+	CSV      string         `type:"path" placeholder:"FILE" help:"Write the table as comma-separated values too."`
 }
 
 // Help implements kong.HelpProvider.
@@ -29,17 +32,19 @@
 
 Example: dandelionrelay experiment --duration 20s --csv result.csv
 
-Example: dandelionrelay experiment --scheme "online alone" --scheme lanes`
+Example: dandelionrelay experiment --scheme "online alone" --scheme lanes
+
+Example: dandelionrelay experiment --settings examples/experiment/faults.json`
 }
 
 // Validate implements kong's check of a command line.
 func (c *ExperimentCmd) Validate() error {
 	switch {
-	case c.Duration <= 0:
+	case c.Duration != nil && *c.Duration <= 0:
 		return errors.New("--duration must be above 0")
-	case c.Engines < 1:
+	case c.Engines != nil && *c.Engines < 1:
 		return errors.New("--engines must be 1 at least")
-	case c.Entries < 1:
+	case c.Entries != nil && *c.Entries < 1:
 		return errors.New("--entries must be 1 at least")
 	}
 	for _, name := range c.Scheme {
@@ -61,9 +66,11 @@
 
 // Run implements the verb.
 func (c *ExperimentCmd) Run(env *Env) error {
-	options := experiment.Options{
-		Duration: c.Duration, Engines: c.Engines, Entries: c.Entries, Seed: c.Seed, Only: c.Scheme,
+	s, err := c.settings()
+	if err != nil {
+		return err
 	}
+	options := experiment.NewOptions(s)
 	if c.CSV == "" {
 		_, err := measure(env, options)
 		return err
@@ -77,6 +84,38 @@
 	return errors.Join(err, load.WriteCSV(file, results), file.Close())
 }
 
+// settings returns the settings of the file, if there is one, with the flags
+// put over them.
+func (c *ExperimentCmd) settings() (*settings.Experiment, error) {
+	s := new(settings.Experiment)
+	if c.Settings != "" {
+		loaded, err := settings.LoadExperiment(c.Settings)
+		if err != nil {
+			return nil, findingsExit(err)
+		}
+		s = loaded
+	}
+	if c.Duration != nil {
+		s.Duration = config.Duration(*c.Duration)
+	}
+	override(&s.Engines, c.Engines)
+	override(&s.Entries, c.Entries)
+	override(&s.Seed, c.Seed)
+	if len(c.Scheme) > 0 {
+		s.Schemes = c.Scheme
+	}
+	if err := s.Check(c.Settings, experiment.Names()); err != nil {
+		return nil, findingsExit(err)
+	}
+	return s, nil
+}
+
+func override[T any](value, flag *T) {
+	if flag != nil {
+		*value = *flag
+	}
+}
+
 // measure runs the schemes and prints the table of those that ran to the end.
 func measure(env *Env, options experiment.Options) ([]load.Named, error) {
 	results, err := experiment.Run(env.Ctx, options, env.Stderr)
--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"dandelionrelay/config"
+	"dandelionrelay/experiment"
 	"dandelionrelay/settings"
 )
 
@@ -29,6 +30,18 @@
 	check("local/platform.json", func(p string) error { _, err := settings.LoadPlatform(p); return err })
 }
 
+func TestExperimentIsValid(t *testing.T) {
+	g := NewWithT(t)
+	s, err := settings.LoadExperiment("experiment/faults.json")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.Check("experiment/faults.json", experiment.Names())).To(Succeed())
+	kinds := make(map[settings.FaultKind]bool)
+	for _, f := range s.Faults {
+		kinds[f.Kind] = true
+	}
+	g.Expect(kinds).To(HaveLen(4))
+}
+
 // TestSitesAreValid checks the examples of the two users: 8 customers each, an
 // open route, and a plain service whose calls may not be repeated.
 func TestSitesAreValid(t *testing.T) {
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -17,6 +17,8 @@
 	"dandelionrelay/config"
 	"dandelionrelay/lane"
 	"dandelionrelay/load"
+	"dandelionrelay/settings"
+	"dandelionrelay/sleep"
 	"dandelionrelay/standin/engine"
 	"dandelionrelay/standin/fleet"
 )
@@ -29,15 +31,6 @@
 	warmUp = 30 * time.Second
 )
 
-// Options sizes an experiment.
-type Options struct {
-	Duration time.Duration // of the load under each scheme
-	Engines  int
-	Entries  int
-	Seed     uint64
-	Only     []string // names of the schemes to run; empty means all
-}
-
 // Scheme is one way to serve the load.
 type Scheme struct {
 	Name   string
@@ -82,45 +75,76 @@
 // greedy has the first customer send 5 times as much.
 func greedy(p *load.Plan) { p.Customers[0].Rate *= 5 }
 
-// names of the customers.
-var names = []string{"a", "b", "c", "d"}
-
 func key(customer string) string { return "experiment-key-of-" + customer }
 
-// rate is what each customer sends and is entitled to, in requests per second.
-const rate = 6
+// The customers of an experiment without any in its settings. Their rates leave
+// room for the greedy customer, so that queues and not limits decide its fate.
+const (
+	defaultSends = 6    // requests per second of each
+	defaultRate  = 1000 // requests per second
+	defaultBurst = 1000 // requests
+)
+
+// batchItems is the number of items of each batch for a second of load and an
+// engine: more than can be done, so that idle time is never for want of work.
+const batchItems = 40
+
+// Options is what an experiment runs by.
+type Options struct {
+	settings.Experiment
+}
+
+// NewOptions returns the options by s, with customers and batches if there are
+// none.
+func NewOptions(s *settings.Experiment) Options {
+	o := Options{*s}
+	if len(o.Customers) == 0 {
+		for _, name := range []string{"a", "b", "c", "d"} {
+			c := settings.ExperimentCustomer{Name: name, Rate: defaultRate, Burst: defaultBurst, Sends: defaultSends}
+			o.Customers = append(o.Customers, c)
+		}
+	}
+	if len(o.Batches) == 0 {
+		items := max(1, int(time.Duration(o.Duration).Seconds()*batchItems)*o.Engines)
+		for n := range min(2, len(o.Customers)) {
+			o.Batches = append(o.Batches, settings.ExperimentBatch{Customer: o.Customers[n].Name, Items: items})
+		}
+	}
+	return o
+}
 
 // plan returns the common load.
 func (o Options) plan() *load.Plan {
 	p := &load.Plan{
 		Seed:         o.Seed,
-		Duration:     o.Duration,
+		Duration:     time.Duration(o.Duration),
 		Prefixes:     4,
 		PrefixTokens: 400,
 		PromptTokens: 60,
 		MaxTokens:    48,
 	}
-	for _, n := range names {
-		p.Customers = append(p.Customers, load.Customer{Name: n, Key: key(n), Model: model, Rate: rate})
+	for _, c := range o.Customers {
+		p.Customers = append(p.Customers, load.Customer{
+			Name: c.Name, Key: key(c.Name), Model: model, Rate: c.Sends, Limit: c.Rate, Burst: float64(c.Burst),
+		})
+	}
+	for _, b := range o.Batches {
+		p.Batches = append(p.Batches, load.Batch{Customer: b.Customer, At: time.Duration(b.At), Items: b.Items})
 	}
-	// More items than can be done, so that idle time is never for want of work.
-	items := int(o.Duration.Seconds()) * o.Engines * 40
-	p.Batches = []load.Batch{{Customer: names[0], Items: items}, {Customer: names[1], Items: items}}
 	return p
 }
 
-// state returns the configuration of the fleet. Rates leave room for the
-// greedy customer, so that queues and not limits decide its fate.
-func state() *config.State {
+// state returns the configuration of the fleet.
+func (o Options) state() *config.State {
 	s := &config.State{
 		Customers:   make(map[string]config.Customer),
 		Keys:        make(map[string]config.Key),
 		Routes:      map[string]config.Route{"r": {Model: model, Deployment: deployment, Idempotent: true}},
 		Deployments: map[string]config.Deployment{deployment: {Kind: config.KindModel, Model: model, Slots: slots, CanResume: true}},
 	}
-	for _, n := range names {
-		s.Customers[n] = config.Customer{Rate: 1000, Burst: 1000}
-		s.Keys[n] = config.Key{Customer: n, Digest: authn.Digest(key(n))}
+	for _, c := range o.Customers {
+		s.Customers[c.Name] = config.Customer{Rate: c.Rate, Burst: float64(c.Burst)}
+		s.Keys[c.Name] = config.Key{Customer: c.Name, Digest: authn.Digest(key(c.Name))}
 	}
 	return s
 }
@@ -129,11 +153,11 @@
 func Run(ctx context.Context, o Options, progress io.Writer) ([]load.Named, error) {
 	var results []load.Named
 	for _, s := range Schemes() {
-		if len(o.Only) > 0 && !slices.Contains(o.Only, s.Name) {
+		if len(o.Schemes) > 0 && !slices.Contains(o.Schemes, s.Name) {
 			continue
 		}
-		fmt.Fprintf(progress, "%s: %s\n", s.Name, o.Duration)
-		r, err := o.run(ctx, s)
+		fmt.Fprintf(progress, "%s: %s\n", s.Name, time.Duration(o.Duration))
+		r, err := o.run(ctx, s, progress)
 		if err != nil {
 			return results, fmt.Errorf("%s: %w", s.Name, err)
 		}
@@ -143,9 +167,11 @@
 }
 
 // run measures one scheme.
-func (o Options) run(ctx context.Context, s Scheme) (*load.Result, error) {
+func (o Options) run(ctx context.Context, s Scheme, progress io.Writer) (*load.Result, error) {
+	w := &world{network: newNetwork(), progress: progress}
 	f, err := fleet.New(ctx, fleet.Options{
-		State:      state(),
+		Network:    w.network,
+		State:      o.state(),
 		Engine:     engine.Options{Model: model, MaxRunning: 4 * slots},
 		Seed:       o.Seed,
 		Logger:     zerolog.Nop(),
@@ -156,39 +182,55 @@
 		return nil, err
 	}
 	defer f.Close()
+	w.fleet = f
+	if err := w.start(ctx, o.Engines, o.Entries); err != nil {
+		return nil, err
+	}
+	p := o.plan()
+	if s.Load != nil {
+		s.Load(p)
+	}
+	underLoad, stop := context.WithCancel(ctx)
+	failed := make(chan error, 1)
+	go func() { failed <- w.schedule(underLoad, o.Faults) }()
+	result := load.Run(ctx, p, load.Target{Client: f.Client(), Entries: w.urls}, 0)
+	stop()
+	return result, <-failed
+}
+
+// start starts the instances and waits until they are ready.
+func (w *world) start(ctx context.Context, engines, entries int) error {
 	var instances []*fleet.Instance
-	for range o.Engines {
-		i, _, err := f.AddEngine(deployment)
+	for range engines {
+		i, e, err := w.fleet.AddEngine(deployment)
 		if err != nil {
-			return nil, err
+			return err
 		}
+		w.endpoints = append(w.endpoints, endpoint{i, e})
 		instances = append(instances, i)
 	}
-	target := load.Target{Client: f.Client()}
-	for range o.Entries {
-		e, err := f.AddEntry()
+	for range entries {
+		i, err := w.fleet.AddEntry()
 		if err != nil {
-			return nil, err
+			return err
 		}
-		instances = append(instances, e)
-		target.Entries = append(target.Entries, e.URL())
+		w.entries = append(w.entries, i)
+		w.balanced = append(w.balanced, true)
+		instances = append(instances, i)
 	}
 	for _, i := range instances {
-		if err := ready(ctx, f.Client(), "http://"+i.OpsAddr+"/readyz"); err != nil {
-			return nil, err
+		if err := ready(ctx, w.fleet.Client(), i); err != nil {
+			return err
 		}
 	}
 	// Entries look at the instance list once a second.
-	time.Sleep(2 * time.Second)
-	p := o.plan()
-	if s.Load != nil {
-		s.Load(p)
-	}
-	return load.Run(ctx, p, target, 0), nil
+	sleep.For(ctx, 2*time.Second)
+	return nil
 }
 
-// ready waits until url is answered with 200.
-func ready(ctx context.Context, client *http.Client, url string) error {
+// ready waits until an instance says that it is.
+func ready(ctx context.Context, client *http.Client, i *fleet.Instance) error {
+	url := "http://" + i.OpsAddr + "/readyz"
 	ctx, cancel := context.WithTimeout(ctx, warmUp)
 	defer cancel()
 	for ctx.Err() == nil {
--- /dev/null
+++ b/experiment/experiment_test.go
@@ -0,0 +1,73 @@
+package experiment
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"dandelionrelay/config"
+	"dandelionrelay/settings"
+)
+
+// TestAScheduleOfFaultsHappens runs each kind of fault, checks that it happens
+// and that all is well after it.
+func TestAScheduleOfFaultsHappens(t *testing.T) {
+	g := NewWithT(t)
+	const kinds = 7
+	step := config.Duration(time.Second)
+	s := &settings.Experiment{
+		Duration: (kinds + 2) * step, Engines: 2, Entries: 2, Schemes: []string{"lanes"},
+		Customers: []settings.ExperimentCustomer{
+			{Name: "a", Rate: 20, Burst: 40, Sends: 2},
+			{Name: "greedy", Rate: 2, Burst: 2, Sends: 20},
+		},
+		Batches: []settings.ExperimentBatch{{Customer: "a", Items: 10}},
+	}
+	for _, x := range []settings.ExperimentFault{
+		{Kind: settings.FaultKill, Target: settings.TargetEntry, Number: 1},
+		{Kind: settings.FaultKill, Target: settings.TargetEndpoint, Number: 2},
+		{Kind: settings.FaultPause, Target: settings.TargetEndpoint, Number: 1},
+		{Kind: settings.FaultCut, Target: settings.TargetEndpoint, Number: 1},
+		{Kind: settings.FaultCut, Target: settings.TargetEntry, Number: 2},
+		{Kind: settings.FaultLogDown},
+		{Kind: settings.FaultListDown},
+	} {
+		x.At, x.For = config.Duration(len(s.Faults)+1)*step, step/2
+		s.Faults = append(s.Faults, x)
+	}
+	g.Expect(s.Check("s", Names())).To(Succeed())
+	var progress strings.Builder
+	results, err := Run(t.Context(), NewOptions(s), &progress)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(strings.Count(progress.String(), "  at ")).To(Equal(kinds))
+	g.Expect(results).To(HaveLen(1))
+	a, greedy := results[0].Customers["a"], results[0].Customers["greedy"]
+	g.Expect(a.Done).To(BeNumerically(">", 0))
+	g.Expect(a.Inside).To(Equal(a.Sent))
+	g.Expect(greedy.Inside).To(BeNumerically("<", greedy.Sent))
+}
+
+func TestACutAddressIsRefusedUntilItIsBack(t *testing.T) {
+	g := NewWithT(t)
+	n := newNetwork()
+	l, err := n.Listen("127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	server := &http.Server{Handler: http.NotFoundHandler()}
+	go func() { _ = server.Serve(l) }()
+	defer server.Close()
+	addr := l.Addr().String()
+	open, err := n.Dial(t.Context(), addr)
+	g.Expect(err).NotTo(HaveOccurred())
+	n.cut(true, addr)
+	_, err = open.Write([]byte("x"))
+	g.Expect(err).To(HaveOccurred())
+	_, err = n.Dial(t.Context(), addr)
+	g.Expect(err).To(HaveOccurred())
+	n.cut(false, addr)
+	again, err := n.Dial(t.Context(), addr)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(again.Close()).To(Succeed())
+}
--- a/load/batch.go
+++ b/load/batch.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/google/uuid"
 )
 
 // pollInterval is the time between two looks at a job.
@@ -24,7 +26,7 @@
 	if b.Online {
 		result.Completed = r.batchOnline(ctx, c, b, r.start.Add(limit))
 	} else {
-		result.ID = r.submit(ctx, c, r.plan.lines(c.Model, b))
+		result.ID = r.submit(ctx, c, r.plan.lines(c.Model, b), r.start.Add(limit))
 		result.Completed = r.watch(ctx, c, result.ID, b.Items, r.start.Add(limit))
 	}
 	result.Took = time.Since(began)
@@ -33,9 +35,27 @@
 	r.result.Jobs = append(r.result.Jobs, result)
 }
 
-// submit hands in a file and returns the job's id, empty if it was refused.
-func (r *runner) submit(ctx context.Context, c Customer, lines []byte) string {
-	resp, err := r.send(ctx, c, http.MethodPost, "/v1/batches", "application/jsonl", lines)
+// submit hands in a file, as often as it is refused until limit, and returns
+// the job's id, empty if it was refused to the end. One idempotency key makes
+// all of these one job.
+func (r *runner) submit(ctx context.Context, c Customer, lines []byte, limit time.Time) string {
+	key := uuid.NewString()
+	for {
+		id := r.submitOnce(ctx, c, lines, key)
+		if id != "" || !time.Now().Before(limit) || ctx.Err() != nil {
+			return id
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+func (r *runner) submitOnce(ctx context.Context, c Customer, lines []byte, key string) string {
+	req, err := r.request(ctx, c, http.MethodPost, "/v1/batches", "application/jsonl", lines)
+	if err != nil {
+		return ""
+	}
+	req.Header.Set("Idempotency-Key", key)
+	resp, err := r.target.Client.Do(req)
 	if err != nil {
 		return ""
 	}
--- /dev/null
+++ b/load/inside_test.go
@@ -0,0 +1,32 @@
+package load
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"dandelionrelay/api"
+)
+
+func TestRequestsInsideTheRateAreCounted(t *testing.T) {
+	g := NewWithT(t)
+	p := &Plan{Customers: []Customer{{Name: "a", Limit: 2, Burst: 3}, {Name: "free"}}}
+	var arrivals []Arrival
+	for n := range 10 { // 5 a second for 2 seconds: 3 at once and 2 a second
+		at := time.Duration(n) * 200 * time.Millisecond
+		arrivals = append(arrivals, Arrival{At: at}, Arrival{At: at, Customer: 1})
+	}
+	g.Expect(p.inside(arrivals)).To(Equal(map[string]int{"a": 6, "free": 10}))
+}
+
+func TestRefusalsBeyondTheRateAreNotCounted(t *testing.T) {
+	g := NewWithT(t)
+	greedy := &Tally{Sent: 50, Inside: 10, Done: 10, Refused: map[api.Code]int{"rate_limited": 40}}
+	g.Expect(greedy.refusedInside()).To(BeZero())
+	g.Expect(greedy.servedShare()).To(Equal(1.0))
+	wronged := &Tally{Sent: 10, Inside: 10, Done: 7, Broken: 1, Refused: map[api.Code]int{"overloaded": 2}}
+	g.Expect(wronged.refusedInside()).To(Equal(2))
+	r := &Result{Customers: map[string]*Tally{"g": greedy, "w": wronged}}
+	g.Expect(r.worstShare()).To(Equal(0.7))
+}
--- a/load/plan.go
+++ b/load/plan.go
@@ -29,6 +29,10 @@
 	Key   string  `json:"key"`
 	Model string  `json:"model"`
 	Rate  float64 `json:"rate"` // requests per second that it sends
+	// Limit and Burst are the customer's rate and burst in the configuration,
+	// from which its requests inside the rate are counted. 0: all are.
+	Limit float64 `json:"limit,omitempty"` // requests per second
+	Burst float64 `json:"burst,omitempty"` // requests
 }
 
 // Batch is a job handed in during the run.
--- a/load/report.go
+++ b/load/report.go
@@ -21,25 +21,35 @@
 // columns of the report, in order.
 var columns = []string{
 	"scheme", "customer", "sent", "done", "refused", "refused_as", "broken",
-	"ttft_p50_ms", "ttft_p99_ms", "whole_p99_ms", "tokens_per_s", "cached_share", "items_done", "items_per_s",
+	"ttft_p50_ms", "ttft_p99_ms", "whole_p99_ms", "inside", "refused_inside", "served_share", "tokens_per_s", "cached_share", "items_done", "items_per_s",
 }
 
-// rows returns a row for each customer and one for all of them.
+// rows returns a row for each customer and one for all of them, whose served
+// share is that of the worst-served customer.
 func (n Named) rows() [][]string {
 	var rows [][]string
 	for _, name := range slices.Sorted(maps.Keys(n.Customers)) {
-		rows = append(rows, n.row(name, n.Customers[name], nil))
+		t := n.Customers[name]
+		rows = append(rows, n.row(name, t, fairness{t.Inside, t.refusedInside(), t.servedShare()}, nil))
 	}
-	return append(rows, n.row("all", n.Total(), n.Jobs))
+	inside, refused := n.insideTotals()
+	return append(rows, n.row("all", n.Total(), fairness{inside, refused, n.worstShare()}, n.Jobs))
 }
 
-func (n Named) row(customer string, t *Tally, jobs []JobResult) []string {
+// fairness is how requests inside the rate fared.
+type fairness struct {
+	inside, refused int
+	share           float64 // that was answered
+}
+
+func (n Named) row(customer string, t *Tally, f fairness, jobs []JobResult) []string {
 	refused, codes := refusals(t)
 	items, perSecond := jobFigures(jobs)
 	return []string{
 		n.Scheme, customer, strconv.Itoa(t.Sent), strconv.Itoa(t.Done), strconv.Itoa(refused), codes, strconv.Itoa(t.Broken),
 		millis(t.FirstToken.ValueAtQuantile(50)), millis(t.FirstToken.ValueAtQuantile(99)),
 		millis(t.Whole.ValueAtQuantile(99)),
+		strconv.Itoa(f.inside), strconv.Itoa(f.refused), ratio(f.share, 1),
 		ratio(float64(t.Tokens), n.Elapsed.Seconds()), ratio(float64(t.Cached), float64(t.Prompt)),
 		items, perSecond,
 	}
--- a/load/result.go
+++ b/load/result.go
@@ -19,6 +19,7 @@
 // Tally is how one customer fared.
 type Tally struct {
 	Sent       int
+	Inside     int // of those sent, inside the customer's rate and burst
 	Done       int
 	Refused    map[api.Code]int
 	Broken     int                     // answers that were cut or not whole
--- a/load/run.go
+++ b/load/run.go
@@ -15,7 +15,7 @@
 // Target is where the load goes.
 type Target struct {
 	Client  *http.Client
-	Entries []string // base URLs, used in turn as a balancer would
+	Entries func() []string // base URLs of the entries now, used in turn as a balancer would
 }
 
 // Run sends the plan's load and waits for all answers and, within the grace
@@ -26,7 +26,11 @@
 	for _, b := range p.Batches {
 		wg.Go(func() { r.batch(ctx, b, p.Duration+grace) })
 	}
-	for _, a := range p.Arrivals() {
+	arrivals := p.Arrivals()
+	for customer, n := range p.inside(arrivals) {
+		r.result.Customers[customer].Inside = n
+	}
+	for _, a := range arrivals {
 		if !r.until(ctx, a.At) {
 			break
 		}
@@ -60,7 +64,11 @@
 // entry returns the base URL for the next request.
 func (r *runner) entry() string {
 	n := r.turn.Add(1)
-	return r.target.Entries[n%uint64(len(r.target.Entries))]
+	entries := r.target.Entries()
+	if len(entries) == 0 {
+		return ""
+	}
+	return entries[n%uint64(len(entries))]
 }
 
 func (r *runner) customer(name string) Customer {
@@ -74,13 +82,21 @@
 
 // send makes one request of a customer.
 func (r *runner) send(ctx context.Context, c Customer, method, path, kind string, body []byte) (*http.Response, error) {
+	req, err := r.request(ctx, c, method, path, kind, body)
+	if err != nil {
+		return nil, err
+	}
+	return r.target.Client.Do(req)
+}
+
+func (r *runner) request(ctx context.Context, c Customer, method, path, kind string, body []byte) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, method, r.entry()+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
 	req.Header.Set("Authorization", "Bearer "+c.Key)
 	req.Header.Set("Content-Type", kind)
-	return r.target.Client.Do(req)
+	return req, nil
 }
 
 // online sends one streamed request and records its answer.
