config: ids have a form

Cause: any text was taken as the id of a customer, key, deployment or route, and ids go into headers between the processes, log lines and metric labels: a customer with a line break in its id would have had all its requests refused by the HTTP library.

Ruled out: escaping at each place (four of them, and two in other systems).

Change: letters, digits, dots, dashes and underscores, 63 at most; a finding with its place otherwise.

Seen failing first: without the check the finding for route 'r 8' is missing.

--- a/config/load_test.go
+++ b/config/load_test.go
@@ -44,7 +44,8 @@
     "r4": {"path_prefix": "/a", "deployment": "p", "customers": ["north", "east"]},
     "r5": {"path_prefix": "/v1/x", "deployment": "m", "model": "y"},
     "r6": {"path_prefix": "a/../b", "deployment": "p"},
-    "r7": []
+    "r7": [],
+    "r 8": {"path_prefix": "/z", "deployment": "p"}
   }
 }`),
 		"c.json": []byte("{\n\"keys\": {]\n}"),
@@ -75,6 +76,7 @@
 		"b.json:15 /routes/r5/path_prefix /v1 is served by the system itself",
 		"b.json:16 /routes/r6/path_prefix must be a clean absolute path",
 		"b.json:17 /routes/r7 must be a JSON object",
+		"b.json:18 /routes/r 8 the id must be",
 		"c.json:2 not valid JSON",
 	}
 	g := gomega.NewWithT(t)
--- a/config/validate.go
+++ b/config/validate.go
@@ -16,6 +16,9 @@
 // MaxTimeout is the longest timeout that a route may set.
 const MaxTimeout = Duration(3600e9)
 
+// idPattern is the form of all ids: they go into headers, log lines and metrics.
+var idPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
 var digestPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
 
 // Validate checks a state that came without files, such as one posted to the
@@ -29,6 +32,7 @@
 // the order of files and lines.
 func (l *loader) validate() []api.Finding {
 	v := &validator{state: l.state, places: l.places}
+	v.ids()
 	v.customers()
 	v.keys()
 	v.deployments()
@@ -66,6 +70,22 @@
 	})
 }
 
+func (v *validator) ids() {
+	checkIDs(v, "customers", v.state.Customers)
+	checkIDs(v, "keys", v.state.Keys)
+	checkIDs(v, "deployments", v.state.Deployments)
+	checkIDs(v, "routes", v.state.Routes)
+}
+
+// checkIDs checks the form of the ids of a section.
+func checkIDs[T any](v *validator, section string, entries map[string]T) {
+	for id := range entries {
+		if !idPattern.MatchString(id) {
+			v.add(section, id, "", "the id must be 1 to 63 letters, digits, dots, dashes or underscores, the first a letter or digit, is %q", id)
+		}
+	}
+}
+
 func (v *validator) customers() {
 	for id, c := range v.state.Customers {
 		if bad(c.Rate) || c.Rate <= 0 {
