jobs: the pace of uploads is a token bucket of the fleet

Cause: the 100 chunk appends a second were shared out among all entries, used or not: at 400 entries one entry appended a chunk every 4 s, and a file of 320 MiB took about 40 minutes (worked out).

Ruled out: a pace for each partition (one upload has 1/64 then); a pace steered by the growth of streams (no entry reads them all).

Change: package limit takes buckets that are no customer's; jobs asks one before each chunk, and falls back to the equal part while it can't be asked.

Before and after (fake time, one of 400 entries, 20 chunks): 60 s, 80 ms; 10 uploads at once 200 appends in 1.78 s, inside rate and burst. go test -run UploadsShare -v ./jobs; go test -run ABucket ./limit (three entries together stay within the bucket, one alone gets all of it).

The log's budget is the same as before.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -32,6 +32,10 @@
 	"dandelionrelay/settings"
 )
 
+// acceptBucket names the fleet's budget of chunk appends; no id of a customer
+// has a slash.
+const acceptBucket = "jobs/accept"
+
 // Deps is what an Entry works with.
 type Deps struct {
 	Log        platform.Log
@@ -97,6 +101,7 @@
 		Instances:  d.Instances,
 		Config:     &e.holder,
 		Pool:       e.pool,
+		Buckets:    map[string]limit.Limits{acceptBucket: {Rate: jobs.AcceptAppends, Burst: jobs.AcceptBurst}},
 		Invariants: d.Invariants,
 		Metrics:    d.Registry,
 		Logger:     d.Logger,
@@ -121,6 +126,8 @@
 		OnBadRecord: e.badRecord,
 		Metrics:     d.Registry,
 		Logger:      d.Logger,
+
+		AcceptBudget: e.limits.Bucket(acceptBucket),
 	})
 	e.peers.Register(quarantine.ServiceName, e.suspects.Service())
 	e.calls = idempotency.NewService(idempotency.Deps{
--- a/jobs/accept.go
+++ b/jobs/accept.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"dandelionrelay/api"
-	"dandelionrelay/sleep"
 )
 
 // logRetryAfter is when a caller should come back that met a log that is
@@ -221,12 +220,10 @@
 	return c
 }
 
-// flush stores the chunk being gathered, no faster than this entry's share of
-// the fleet's appends.
+// flush stores the chunk being gathered, no faster than the fleet's budget of
+// appends allows.
 func (i *intake) flush(ctx context.Context) *api.Error {
-	entries := max(len(i.s.o.Members.Entries()), 1)
-	wait := i.s.pace.reserve(time.Now(), AcceptAppends/float64(entries))
-	if wait > 0 && !sleep.For(ctx, wait) {
+	if !i.s.awaitAppend(ctx) {
 		return readError(ctx.Err())
 	}
 	c := i.seal()
--- a/jobs/doc.go
+++ b/jobs/doc.go
@@ -48,9 +48,11 @@
 	// stream: Partitions/CommitInterval bounds the fleet, however many
 	// instances there are.
 	CommitInterval = 500 * time.Millisecond
-	// AcceptAppends is the number of chunk appends a second for the fleet,
-	// shared evenly among its entries.
+	// AcceptAppends is the number of chunk appends a second for the fleet.
 	AcceptAppends = 100
+	// AcceptBurst is the number of chunk appends that the fleet may make at
+	// once.
+	AcceptBurst = 12
 	// HeartbeatInterval is how often a sidecar names its running items to
 	// their owner.
 	HeartbeatInterval = 5 * time.Second
--- a/jobs/pacer.go
+++ b/jobs/pacer.go
@@ -1,11 +1,47 @@
 package jobs
 
 import (
+	"context"
 	"sync"
 	"time"
+
+	"dandelionrelay/sleep"
 )
 
-// paceBurst is the number of chunk appends that an entry may make at once.
+// Budget counts the chunk appends of the whole fleet.
+type Budget interface {
+	// Take takes one append out of the budget. If there is none, wait is the
+	// time until there will be one; reached is false if the budget can't be
+	// asked now.
+	Take(ctx context.Context) (ok bool, wait time.Duration, reached bool)
+}
+
+// budgetPoll is the shortest time between two questions to a budget.
+const budgetPoll = 20 * time.Millisecond
+
+// awaitAppend waits until a chunk may be appended: the fleet's budget says so,
+// or, while it can't be asked, this entry's equal part of it. It returns false
+// if ctx ends before.
+func (s *Service) awaitAppend(ctx context.Context) bool {
+	for s.o.AcceptBudget != nil {
+		ok, wait, reached := s.o.AcceptBudget.Take(ctx)
+		if ok {
+			return true
+		}
+		if !reached {
+			break
+		}
+		if !sleep.For(ctx, max(wait, budgetPoll)) {
+			return false
+		}
+	}
+	entries := max(len(s.o.Members.Entries()), 1)
+	wait := s.pace.reserve(time.Now(), AcceptAppends/float64(entries))
+	return sleep.For(ctx, wait)
+}
+
+// paceBurst is the number of chunk appends that an entry may make at once
+// without the budget.
 const paceBurst = 4
 
 // pacer spaces appends. It is passive.
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -33,6 +33,8 @@
 	Suspects    Suspects      // nil: none are known
 	Retention   time.Duration // of the log; 0: for ever
 	ResultsKept time.Duration // after the due time; 0: DefaultResultsKept
+	// AcceptBudget admits chunk appends; nil: an equal part for each entry.
+	AcceptBudget Budget
 	// OnBadRecord is told of records that are not ours; nil: ignored.
 	OnBadRecord func(stream string, offset platform.Offset, err error)
 	Metrics     prometheus.Registerer // may be nil
--- a/limit/fleet_test.go
+++ b/limit/fleet_test.go
@@ -58,6 +58,7 @@
 	n := &node{id: id, server: peer.NewServer(), stop: stop, done: make(chan struct{})}
 	n.Service = NewService(Options{
 		Self: f.instance(id, platform.Live), Log: f.log, Instances: f.instances, Config: &f.config,
+		Buckets:    map[string]Limits{"jobs/accept": {Rate: 20, Burst: 6}},
 		Pool:       peer.NewPool(func(_ context.Context, addr string) (net.Conn, error) { return f.dial(id, addr) }),
 		Invariants: invariant.New(func(v invariant.Violation) { f.t.Error(v) }),
 	})
--- a/limit/service.go
+++ b/limit/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,6 +35,7 @@
 	Config     config.Source
 	Pool       *peer.Pool
 	Invariants *invariant.Set
+	Buckets    map[string]Limits // shared by the fleet beside those of customers, by an id that no customer has
 	Scheme     Scheme
 	Metrics    prometheus.Registerer // may be nil
 	Logger     zerolog.Logger
@@ -211,7 +213,10 @@
 	if s.seen.Load() == snapshot {
 		return
 	}
-	limits := make(map[string]Limits, len(snapshot.State.Customers))
+	limits := maps.Clone(s.Buckets)
+	if limits == nil {
+		limits = make(map[string]Limits, len(snapshot.State.Customers))
+	}
 	for id, c := range snapshot.State.Customers {
 		limits[id] = Limits{Rate: c.Rate, Burst: c.Burst}
 	}
