Trial: batch that yields by the first token foreseen, beside four other rules

Late cuts keep slots busy but no more tokens: a cut loses the step's token whenever it comes before its end.

--- a/lane/items.go
+++ b/lane/items.go
@@ -12,6 +12,7 @@
 	started  time.Time
 	tokens   float64 // generated since started
 	arrival  uint64
+	fresh    bool // it has never run here
 }
 
 // batchCount counts running items.
@@ -42,7 +43,7 @@
 // Offer takes an item: it starts in an idle slot or waits for one.
 func (q *Queue) Offer(now time.Time, i Item) Decision {
 	q.begin()
-	it := &item{Item: i, arrival: q.fair.seq}
+	it := &item{Item: i, arrival: q.fair.seq, fresh: true}
 	q.items[i.ID] = it
 	q.parked = append(q.parked, it)
 	return q.decide(now)
@@ -59,7 +60,7 @@
 // or is complete, and forgets it.
 func (q *Queue) Ended(now time.Time, id string) Decision {
 	q.begin()
-	q.forget(id)
+	q.forget(now, id)
 	return q.decide(now)
 }
 
@@ -71,7 +72,7 @@
 	if !ok || !it.running {
 		return q.out
 	}
-	q.stop(it)
+	q.stop(now, it)
 	it.Prompt = prompt
 	it.tokens = 0
 	q.parked = append([]*item{it}, q.parked...)
@@ -85,18 +86,18 @@
 	if !ok || it.running {
 		return false
 	}
-	q.forget(id)
+	q.forget(time.Time{}, id)
 	return true
 }
 
-func (q *Queue) forget(id string) {
+func (q *Queue) forget(now time.Time, id string) {
 	it, ok := q.items[id]
 	if !ok {
 		return
 	}
 	delete(q.items, id)
 	if it.running {
-		q.stop(it)
+		q.stop(now, it)
 		return
 	}
 	for i, p := range q.parked {
@@ -107,7 +108,9 @@
 	}
 }
 
-func (q *Queue) stop(it *item) {
+func (q *Queue) stop(now time.Time, it *item) {
+	q.protect0.steps.ended(now, it.yielding)
+	it.fresh = false
 	q.batch.running--
 	if it.yielding {
 		q.batch.yielding--
@@ -122,7 +125,14 @@
 // room returns how many more items may run.
 func (q *Queue) room() int {
 	idle := q.opts.Slots - len(q.running) - q.batch.running
-	return min(idle, q.limit.current(len(q.running))-q.batch.running)
+	n := q.limit.current(len(q.running))
+	if l := q.opts.Limit; l.StepTime > 0 && q.protect0.steps.known() {
+		base, perRun := q.protect0.steps.line.solve()
+		if perRun > 0 {
+			n = min(n, int((l.StepTime.Seconds()-base)/perRun)-len(q.running))
+		}
+	}
+	return min(idle, n-q.batch.running)
 }
 
 // fill starts parked items in idle slots.
@@ -150,6 +160,11 @@
 		q.batch.fixed++
 	}
 	q.out.Start = append(q.out.Start, it.ID)
+	prompt := 0.0
+	if it.fresh {
+		prompt = it.Prompt
+	}
+	q.protect0.steps.started(now, prompt, prompt)
 }
 
 // yield cuts items, those with the least work lost first, until the rest fits
@@ -162,9 +177,25 @@
 		if it == nil {
 			return
 		}
-		it.yielding = true
-		q.batch.yielding++
-		q.out.Preempt = append(q.out.Preempt, it.ID)
+		q.cut(it)
+	}
+}
+
+func (q *Queue) cut(it *item) {
+	it.yielding = true
+	q.batch.yielding++
+	q.out.Preempt = append(q.out.Preempt, it.ID)
+}
+
+// fillOrHold starts parked items unless the first token of an online request
+// goes before them.
+func (q *Queue) fillOrHold(now time.Time) {
+	if !q.held(now) {
+		q.fill(now)
+		return
+	}
+	if len(q.parked) > 0 && q.out.Wake.IsZero() {
+		q.out.Wake = q.protect0.holdUntil
 	}
 }
 
--- a/lane/lane.go
+++ b/lane/lane.go
@@ -17,6 +17,7 @@
 	Customer string
 	Weight   float64 // fair share weight of the customer; 0 means 1
 	Cost     float64 // estimated tokens, prompt and answer
+	Prompt   float64 // of them, of the prompt
 	Deadline time.Time
 }
 
@@ -52,6 +53,8 @@
 	Start   []string  // requests and items to hand to the endpoint
 	Preempt []string  // items to cut; each is followed by a call of Ended
 	Refuse  []Refusal // requests to answer
+	// Wake, if set, is when Tick is to be called.
+	Wake time.Time
 }
 
 // Options configure a Queue.
--- a/lane/queue.go
+++ b/lane/queue.go
@@ -11,22 +11,24 @@
 // Queue holds what runs at one endpoint and what waits for it. It is not safe
 // for concurrent use.
 type Queue struct {
-	opts    Options
-	fair    fairQueue
-	waiting map[string]*waiting
-	running map[string]*run // online requests at the endpoint
-	items   map[string]*item
-	parked  []*item // items that wait for an idle slot, the first to start first
-	batch   batchCount
-	limit   limiter
-	rate    rateEstimate
-	out     Decision
+	opts     Options
+	fair     fairQueue
+	waiting  map[string]*waiting
+	running  map[string]*run // online requests at the endpoint
+	items    map[string]*item
+	parked   []*item // items that wait for an idle slot, the first to start first
+	batch    batchCount
+	limit    limiter
+	rate     rateEstimate
+	protect0 protector
+	out      Decision
 }
 
 // run is an online request at the endpoint.
 type run struct {
 	Request
 	started time.Time
+	first   bool // its first token has come
 }
 
 // New returns an empty queue.
@@ -82,8 +84,11 @@
 
 // FirstToken tells the queue the time from a request's arrival to the first
 // byte of its answer. It steers how many slots batch may fill.
-func (q *Queue) FirstToken(now time.Time, d time.Duration) Decision {
+func (q *Queue) FirstToken(now time.Time, id string, d time.Duration) Decision {
 	q.begin()
+	if r, ok := q.running[id]; ok {
+		q.prefilled(r)
+	}
 	q.limit.observe(now, d)
 	return q.decide(now)
 }
@@ -96,6 +101,8 @@
 	if !ok {
 		return q.out
 	}
+	q.prefilled(r)
+	q.protect0.steps.ended(now, false)
 	delete(q.running, id)
 	if cost > 0 {
 		q.fair.charge(r.Customer, cost-r.Cost)
@@ -116,6 +123,7 @@
 	q.out.Start = q.out.Start[:0]
 	q.out.Preempt = q.out.Preempt[:0]
 	q.out.Refuse = q.out.Refuse[:0]
+	q.out.Wake = time.Time{}
 }
 
 // refuse ends a waiting request.
@@ -136,10 +144,11 @@
 		q.startOnline(now, q.fair.pop())
 	}
 	if q.opts.Policy == Lanes {
+		q.cutInTime(now)
 		q.yield()
 	}
 	if q.fair.size == 0 {
-		q.fill(now)
+		q.fillOrHold(now)
 	}
 	q.check()
 	return q.out
@@ -157,8 +166,12 @@
 
 func (q *Queue) startOnline(now time.Time, w *waiting) {
 	delete(q.waiting, w.ID)
-	q.running[w.ID] = &run{Request: w.Request, started: now}
+	r := &run{Request: w.Request, started: now}
+	q.running[w.ID] = r
 	q.out.Start = append(q.out.Start, w.ID)
+	if q.opts.Policy == Lanes {
+		q.protect(now, r)
+	}
 }
 
 // check asserts that no online request waits while an item holds a slot that
@@ -200,3 +213,11 @@
 	})
 	return c.queue[0]
 }
+
+// prefilled notes that the first token of r has come, or never will.
+func (q *Queue) prefilled(r *run) {
+	if !r.first {
+		r.first = true
+		q.protect0.prefills--
+	}
+}
--- a/lane/queue_test.go
+++ b/lane/queue_test.go
@@ -84,8 +84,8 @@
 	for i := range 8 {
 		q.Offer(at(0), lane.Item{ID: fmt.Sprint(i), Preemptible: true, Resumable: true})
 	}
-	g.Expect(q.FirstToken(at(1000), 200*time.Millisecond).Preempt).To(gomega.HaveLen(4))
-	g.Expect(q.FirstToken(at(1500), 200*time.Millisecond).Preempt).To(gomega.BeEmpty(), "within the interval")
+	g.Expect(q.FirstToken(at(1000), "", 200*time.Millisecond).Preempt).To(gomega.HaveLen(4))
+	g.Expect(q.FirstToken(at(1500), "", 200*time.Millisecond).Preempt).To(gomega.BeEmpty(), "within the interval")
 }
 
 // world drives a queue at random and checks each decision against a model.
--- /dev/null
+++ b/sidecar/breakdown_test.go
@@ -0,0 +1,113 @@
+package sidecar_test
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"dandelionrelay/standin/engine"
+)
+
+// Times of the stand-in engine's steps by default.
+const (
+	stepSlope       = 250 * time.Microsecond
+	prefillPerToken = 20 * time.Microsecond
+)
+
+// firstToken is the time to the first token of one online request.
+type firstToken struct {
+	id   string
+	sent time.Time
+	time time.Duration
+}
+
+// parts break the time to the first token down by what it was spent on.
+type parts struct {
+	whole         time.Duration
+	queue         time.Duration // until the engine had it: the sidecar, the cut of an item
+	underWay      time.Duration // rest of the step under way, without its batch
+	underWayBatch time.Duration // ... more for the streams of batch in it
+	underWayStart time.Duration // ... more for the prompts of batch in it
+	own           time.Duration // steps of its own, without their batch
+	ownBatch      time.Duration // ... more for the streams of batch in them
+	ownStart      time.Duration // ... more for the prompts of batch in them
+}
+
+// breakDown returns the parts of each request by the engine's steps.
+func breakDown(requests []firstToken, steps []engine.Step) []parts {
+	out := make([]parts, 0, len(requests))
+	for _, r := range requests {
+		if p, ok := breakDownOne(r, steps); ok {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+func breakDownOne(r firstToken, steps []engine.Step) (parts, bool) {
+	end := r.sent.Add(r.time)
+	p := parts{whole: r.time}
+	i, _ := slices.BinarySearchFunc(steps, r.sent, func(s engine.Step, t time.Time) int { return s.Began.Compare(t) })
+	var admitted time.Time
+	for j := max(0, i-1); j < len(steps) && steps[j].Began.Before(end); j++ {
+		s := steps[j]
+		streams, prompts, mine := batchTime(s, r.id)
+		left := min(s.Time, s.Began.Add(s.Time).Sub(r.sent))
+		switch {
+		case left <= 0:
+			continue
+		case mine:
+			if admitted.IsZero() {
+				admitted = s.Began
+			}
+			p.own += s.Time - streams - prompts
+			p.ownBatch += streams
+			p.ownStart += prompts
+		case s.Began.After(r.sent):
+			p.queue += s.Time // it could have been in this step
+		default:
+			part := float64(left) / float64(s.Time)
+			p.underWay += time.Duration(part * float64(s.Time-streams-prompts))
+			p.underWayBatch += time.Duration(part * float64(streams))
+			p.underWayStart += time.Duration(part * float64(prompts))
+		}
+	}
+	return p, !admitted.IsZero()
+}
+
+// batchTime returns the time that a step takes more for batch, and whether the
+// request is in it.
+func batchTime(s engine.Step, id string) (streams, prompts time.Duration, mine bool) {
+	for _, run := range s.Runs {
+		mine = mine || run.ID == id
+		if strings.HasPrefix(run.ID, "batch/") {
+			streams += stepSlope
+			prompts += time.Duration(run.Prefill) * prefillPerToken
+		}
+	}
+	return streams, prompts, mine
+}
+
+// tailParts returns the mean parts of the requests around the 99th percentile,
+// from the 98.5th to the 99.5th.
+func tailParts(all []parts) string {
+	slices.SortFunc(all, func(a, b parts) int { return cmp.Compare(a.whole, b.whole) })
+	tail := all[len(all)*985/1000 : len(all)*995/1000]
+	var sum parts
+	for _, p := range tail {
+		sum.whole += p.whole
+		sum.queue += p.queue
+		sum.underWay += p.underWay
+		sum.underWayBatch += p.underWayBatch
+		sum.underWayStart += p.underWayStart
+		sum.own += p.own
+		sum.ownBatch += p.ownBatch
+		sum.ownStart += p.ownStart
+	}
+	mean := func(d time.Duration) float64 { return ms(d) / float64(len(tail)) }
+	return fmt.Sprintf("tail %.1f ms: queue and cut %.1f | step under way %.1f, batch streams %.1f, batch prompts %.1f | own steps %.1f, batch streams %.1f, batch prompts %.1f",
+		mean(sum.whole), mean(sum.queue), mean(sum.underWay), mean(sum.underWayBatch), mean(sum.underWayStart),
+		mean(sum.own), mean(sum.ownBatch), mean(sum.ownStart))
+}
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -98,6 +98,7 @@
 	w      http.ResponseWriter
 	body   io.Reader
 	first  func() // called before the first byte
+	token  func() // called for each part with events
 	events int    // server-sent events passed on
 	lost   bool   // the endpoint's connection was cut
 	watch  *answerWatch
@@ -139,6 +140,7 @@
 	if n := bytes.Count(b, eventStart); n > 0 {
 		a.events += n
 		a.watch.read(time.Now())
+		a.token()
 	}
 	if _, err := a.w.Write(b); err != nil {
 		return false
--- a/sidecar/measure_test.go
+++ b/sidecar/measure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -52,7 +53,10 @@
 	used       int    // of them, used by batch
 	tokens     uint64 // generated, online and batch
 	refused    int
-	perRequest []time.Duration // online time to the first token
+	perRequest []firstToken    // of online requests
+	gaps       []time.Duration // between tokens of online requests
+	online     int             // tokens of online answers
+	parts      []parts         // of perRequest
 }
 
 func (f *figures) add(other figures) {
@@ -61,13 +65,22 @@
 	f.tokens += other.tokens
 	f.refused += other.refused
 	f.perRequest = append(f.perRequest, other.perRequest...)
+	f.gaps = append(f.gaps, other.gaps...)
+	f.online += other.online
+	f.parts = append(f.parts, other.parts...)
+}
+
+// gap returns the time between tokens within which a part of them lies.
+func (f *figures) gap(q float64) time.Duration {
+	slices.Sort(f.gaps)
+	return f.gaps[int(q*float64(len(f.gaps)-1))]
 }
 
 // quantile returns the time to the first token within which a part of the
 // requests lies.
 func (f *figures) quantile(q float64) time.Duration {
-	slices.Sort(f.perRequest)
-	return f.perRequest[int(q*float64(len(f.perRequest)-1))]
+	slices.SortFunc(f.perRequest, func(a, b firstToken) int { return cmp.Compare(a.time, b.time) })
+	return f.perRequest[int(q*float64(len(f.perRequest)-1))].time
 }
 
 // load is an open-loop run of the workload.
@@ -107,15 +120,33 @@
 		return false
 	}
 	first := time.Since(start)
-	if _, err := io.Copy(io.Discard, r); err != nil {
-		return false
-	}
-	if customer != "ledger" {
+	gaps, ok := tokenGaps(r)
+	if ok && customer != "ledger" {
 		l.mu.Lock()
-		l.perRequest = append(l.perRequest, first)
+		l.perRequest = append(l.perRequest, firstToken{id: id, sent: start, time: first})
+		l.gaps = append(l.gaps, gaps...)
+		l.online += tokens
 		l.mu.Unlock()
 	}
-	return true
+	return ok
+}
+
+// tokenGaps reads the rest of an answer and returns the times between its
+// tokens.
+func tokenGaps(r *bufio.Reader) (gaps []time.Duration, ok bool) {
+	last := time.Now()
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return gaps, err == io.EOF
+		}
+		if !strings.HasPrefix(line, "data: {") {
+			continue
+		}
+		now := time.Now()
+		gaps = append(gaps, now.Sub(last))
+		last = now
+	}
 }
 
 // onlineLoad sends online requests for the time of the measurement.
@@ -161,7 +192,8 @@
 	var out figures
 	synctest.Test(t, func(t *testing.T) {
 		src := newSource()
-		e := newEngine(t, engine.Options{CacheBlocks: 1 << 14})
+		var steps []engine.Step
+		e := newEngine(t, engine.Options{CacheBlocks: 1 << 14, OnStep: func(s engine.Step) { steps = append(steps, s) }})
 		l := &load{engine: e, rnd: rand.New(rand.NewPCG(seed, 1)), burst: burstRate}
 		if s.mild {
 			l.burst = mildBurstRate
@@ -186,6 +218,7 @@
 		l.tokens = e.Stats().Tokens - before
 		cancel()
 		l.group.Wait()
+		l.parts = breakDown(l.perRequest, steps)
 		out = l.figures
 	})
 	return out
@@ -195,47 +228,64 @@
 	if !*measure {
 		t.Skip("prints a table; run with -measure")
 	}
-	steered := lane.BatchLimit{Target: 60 * time.Millisecond, Interval: 500 * time.Millisecond}
+	_ = lane.BatchLimit{Target: 60 * time.Millisecond, Interval: 500 * time.Millisecond}
+	_ = lane.BatchLimit{Target: 24 * time.Millisecond, Interval: 500 * time.Millisecond}
 	schemes := []scheme{
 		{name: "without batch"},
 		{name: "lanes", batch: true},
-		{name: "lanes, reserve 1", batch: true, limit: lane.BatchLimit{Reserve: 1}},
-		{name: "lanes, reserve 2", batch: true, limit: lane.BatchLimit{Reserve: 2}},
 		{name: "lanes, reserve 4", batch: true, limit: lane.BatchLimit{Reserve: 4}},
-		{name: "lanes, steered to 60 ms", batch: true, limit: steered},
-		{name: "no preemption", batch: true, policy: lane.NoPreemption},
-		{name: "FIFO, batch queued with online", batch: true, policy: lane.FIFO, through: true},
+		{name: "cut all", batch: true, limit: lane.BatchLimit{CutAll: true}},
+		{name: "cut all late", batch: true, limit: lane.BatchLimit{CutAll: true, Late: true}},
+		{name: "ratio 0.85", batch: true, limit: lane.BatchLimit{Ratio: 0.85}},
+		{name: "ratio 0.85 late", batch: true, limit: lane.BatchLimit{Ratio: 0.85, Late: true}},
+		{name: "ratio 0.95 late", batch: true, limit: lane.BatchLimit{Ratio: 0.95, Late: true}},
+		{name: "ratio 1.05", batch: true, limit: lane.BatchLimit{Ratio: 1.05}},
+		{name: "ratio 1.05 late", batch: true, limit: lane.BatchLimit{Ratio: 1.05, Late: true}},
 	}
-	printTable(t, "bursts above what the engine serves", schemes)
-	mild := []scheme{schemes[0], schemes[1], schemes[4], schemes[5], schemes[6]}
+	mild := slices.Clone(schemes)
 	for i := range mild {
 		mild[i].mild = true
 	}
 	printTable(t, "bursts within what the engine serves", mild)
+	printTable(t, "bursts above what the engine serves", schemes)
 }
 
 // printTable runs the schemes; the first is the base of the ratios.
 func printTable(t *testing.T, title string, schemes []scheme) {
-	var base time.Duration
-	var table strings.Builder
-	fmt.Fprintf(&table, "\n%s\n| scheme | p50 ms | p99 ms | p99 ratio | idle slot time used | tokens | online not served |\n", title)
-	for _, s := range schemes {
-		var f figures
-		for seed := range uint64(measureSeeds) {
-			f.add(runScheme(t, s, seed))
+	results := make([]figures, len(schemes))
+	t.Run(title, func(t *testing.T) {
+		for i, s := range schemes {
+			t.Run(s.name, func(t *testing.T) {
+				t.Parallel()
+				for seed := range uint64(measureSeeds) {
+					results[i].add(runScheme(t, s, seed))
+				}
+			})
 		}
-		p99 := f.quantile(0.99)
+	})
+	var base, gapBase time.Duration
+	var table strings.Builder
+	fmt.Fprintf(&table, "\n%s\n| scheme | p50 ms | p99 ms | p99 ratio | p95 between tokens ms | ratio | idle slot time used | batch tokens/s | online not served |\n", title)
+	for i, s := range schemes {
+		f := &results[i]
+		p99, gap := f.quantile(0.99), f.gap(0.95)
 		if base == 0 {
-			base = p99
+			base, gapBase = p99, gap
 		}
 		idle := "-"
 		if !s.through {
 			idle = fmt.Sprintf("%.3f", float64(f.used)/float64(f.idle))
 		}
-		fmt.Fprintf(&table, "| %s | %.1f | %.1f | %.3f | %s | %d | %d |\n", s.name,
-			ms(f.quantile(0.5)), ms(p99), float64(p99)/float64(base), idle, f.tokens, f.refused)
+		fmt.Fprintf(&table, "| %s | %.1f | %.1f | %.3f | %.1f | %.3f | %s | %.0f | %d |\n", s.name,
+			ms(f.quantile(0.5)), ms(p99), float64(p99)/float64(base),
+			ms(gap), float64(gap)/float64(gapBase), idle, (float64(f.tokens)-float64(f.online))/measureSeeds/measureTime.Seconds(), f.refused)
 	}
 	t.Log(table.String())
+	for i, s := range schemes {
+		if !s.through {
+			t.Log(s.name, tailParts(results[i].parts))
+		}
+	}
 }
 
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/sidecar/scheduler.go
+++ b/sidecar/scheduler.go
@@ -16,6 +16,7 @@
 	idle    chan struct{} // signalled when items could start
 	usage   usage
 	metrics *metrics
+	wake    *time.Timer
 }
 
 // ticket is the place of a request or an item in the queue.
@@ -88,10 +89,25 @@
 	s.apply(s.queue.Finish(time.Now(), id, cost))
 }
 
-func (s *scheduler) firstToken(d time.Duration) {
+// firstToken takes an online request's time to the first byte of its answer.
+func (s *scheduler) firstToken(id string, d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.apply(s.queue.FirstToken(time.Now(), d))
+	s.apply(s.queue.FirstToken(time.Now(), id, d))
+}
+
+// token takes a token of an online request.
+func (s *scheduler) token() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(s.queue.Token(time.Now()))
+}
+
+// tick lets items start that were held.
+func (s *scheduler) tick() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(s.queue.Tick(time.Now()))
 }
 
 // offer queues an item, whose run cut cancels.
@@ -108,6 +124,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.queue.Progress(id, float64(tokens))
+	s.apply(s.queue.Token(time.Now()))
 }
 
 // park returns a cut item to the queue.
@@ -168,9 +185,23 @@
 		s.tickets[r.ID].refused <- r
 		delete(s.tickets, r.ID)
 	}
+	s.setWake(d.Wake)
 	s.signalIdle()
 }
 
+// setWake calls tick at that time, if it is set. The caller holds the lock.
+func (s *scheduler) setWake(at time.Time) {
+	if at.IsZero() {
+		return
+	}
+	d := time.Until(at)
+	if s.wake == nil {
+		s.wake = time.AfterFunc(d, s.tick)
+		return
+	}
+	s.wake.Reset(d)
+}
+
 // signalIdle wakes the pull loop if items could start. The caller holds the
 // lock.
 func (s *scheduler) signalIdle() {
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -127,6 +127,7 @@
 		Customer: req.Customer,
 		Weight:   customer.Weight,
 		Cost:     cost,
+		Prompt:   float64(len(req.Body) / tokenBytes),
 		Deadline: req.Deadline,
 	})
 	req.admission = t.admission
@@ -181,7 +182,12 @@
 	}
 	defer resp.Body.Close()
 	s.setState(w.Header())
-	answer := &answerCopy{w: w, body: resp.Body, first: func() { s.schedule.firstToken(time.Since(req.Received)) }}
+	answer := &answerCopy{
+		w:     w,
+		body:  resp.Body,
+		first: func() { s.schedule.firstToken(req.Attempt, time.Since(req.Received)) },
+		token: s.schedule.token,
+	}
 	if streamed(resp) {
 		answer.watch = s.metrics.watchAnswer(req)
 	}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -25,6 +25,7 @@
 	OnCrash         func()        // called after a crash, without locks held
 	ObeysFencing    bool          // refuses orders with an old fencing number
 	LoadTime        time.Duration // time that loading a model takes
+	OnStep          func(Step)    // called as each step begins, without locks held; may be nil
 }
 
 func (o Options) withDefaults() Options {
--- a/standin/engine/serve.go
+++ b/standin/engine/serve.go
@@ -42,6 +42,7 @@
 		return
 	}
 	s := e.newSequence(&req)
+	s.id = r.Header.Get("X-Request-Id")
 	if !e.add(s) {
 		panic(http.ErrAbortHandler)
 	}
--- a/standin/engine/step.go
+++ b/standin/engine/step.go
@@ -10,6 +10,7 @@
 
 // sequence is one request in the engine.
 type sequence struct {
+	id      string // X-Request-Id
 	salt    string
 	text    []byte // prompt, and the answer so far if the run was resumed
 	seed    uint64
@@ -101,6 +102,7 @@
 		if batch == nil {
 			return
 		}
+		e.tellStep(batch, d)
 		if !e.sleep(d) {
 			return
 		}
@@ -171,6 +173,30 @@
 	return batch, time.Duration(float64(d) * e.slow)
 }
 
+// Step is one step of an engine, for measurements.
+type Step struct {
+	Began time.Time
+	Time  time.Duration
+	Runs  []StepRun
+}
+
+// StepRun is the part of one sequence in a step.
+type StepRun struct {
+	ID      string // X-Request-Id
+	Prefill int    // prompt tokens computed
+}
+
+func (e *Engine) tellStep(batch []work, d time.Duration) {
+	if e.opts.OnStep == nil {
+		return
+	}
+	step := Step{Began: time.Now(), Time: d}
+	for _, w := range batch {
+		step.Runs = append(step.Runs, StepRun{ID: w.s.id, Prefill: w.prefill})
+	}
+	e.opts.OnStep(step)
+}
+
 // admit starts the run of s. The caller holds the lock.
 func (e *Engine) admit(s *sequence) {
 	s.cached = min(e.cache.lookup(s.salt, s.text), s.prompt-1)
