--- a/sidecar/batch.go
+++ b/sidecar/batch.go
@@ -40,7 +40,8 @@
 }
 
 // Run pulls and reports batch work, gives orders to the engine and follows the
-// instance list, until ctx ends. Items under way are cut then; call Drain before for a graceful end.
+// instance list, until ctx ends. Items under way are cut then; call Drain
+// before for a graceful end.
 func (s *Sidecar) Run(ctx context.Context) {
 	var group sync.WaitGroup
 	if s.deps.Members != nil {
--- a/sidecar/batch_test.go
+++ b/sidecar/batch_test.go
@@ -1,7 +1,10 @@
 package sidecar_test
 
 import (
+	"context"
 	"fmt"
+	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -203,3 +206,32 @@
 		g.Expect(most).To(gomega.Equal(1))
 	})
 }
+
+// emptySource answers every pull at once, with no work. It holds the call
+// after the first limit ones, so that a busy loop ends.
+type emptySource struct {
+	pulls atomic.Int64
+	limit int64
+}
+
+func (s *emptySource) Pull(ctx context.Context, _ api.PullArgs) (api.PullReply, error) {
+	if s.pulls.Add(1) > s.limit {
+		<-ctx.Done()
+	}
+	return api.PullReply{}, nil
+}
+
+func (s *emptySource) Report(context.Context, api.ReportArgs) (api.ReportReply, error) {
+	return api.ReportReply{}, nil
+}
+
+func TestEmptyAnswersAreNotAskedForInALoop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		source := &emptySource{limit: 1000}
+		r := newRig(t, http.NotFoundHandler(), config.Deployment{Kind: config.KindModel, Slots: 4}, withBatch(source))
+		r.runBatch()
+		time.Sleep(10 * time.Second)
+		g.Expect(source.pulls.Load()).To(gomega.BeNumerically("<=", 40), "pulls in 10 s")
+	})
+}
--- a/sidecar/item.go
+++ b/sidecar/item.go
@@ -2,17 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
-	"net/http"
 	"sync"
 	"time"
 
 	"dandelionrelay/api"
 	"dandelionrelay/config"
-	"dandelionrelay/invariant"
 	"dandelionrelay/lane"
-	"dandelionrelay/quarantine"
 )
 
 const (
@@ -21,8 +16,6 @@
 	holdTime = 5 * time.Second
 	// itemTimeout bounds one run of an item.
 	itemTimeout = 10 * time.Minute
-	// maxResultBytes bounds the answer to an item.
-	maxResultBytes = 1 << 20
 )
 
 // itemRun is one batch item at this sidecar.
@@ -173,122 +166,3 @@
 	}()
 	return ctx, cancel
 }
-
-// run runs the item once. It returns false if the item was cut to run on
-// later.
-func (r *itemRun) run(parent context.Context) (api.Result, bool) {
-	ctx, cancel := r.runContext(parent)
-	defer cancel()
-	if !r.enter(ctx) {
-		return r.result(r.notStarted()), true
-	}
-	defer func() { r.runner.gate.leave(r.id, ctx.Err() != nil) }()
-	resp, e := r.runner.call(ctx, r.request())
-	if e != nil {
-		return r.lost(parent, ctx, e.Outcome)
-	}
-	defer resp.Body.Close()
-	if !r.streamed || resp.StatusCode != http.StatusOK {
-		return r.whole(parent, ctx, resp)
-	}
-	c := newCollector(r.Resume)
-	c.seen = func(tokens int) {
-		r.runner.metrics.itemTokens.Inc()
-		r.runner.schedule.progress(r.id, tokens-r.resumedTokens())
-	}
-	if err := c.read(resp.Body); err != nil {
-		result, ended := r.lost(parent, ctx, api.Unknown)
-		r.Resume = c.position()
-		result.Resume = r.Resume
-		return result, ended
-	}
-	result := r.result(api.ResultDone)
-	result.Status, result.Body, result.Resume = resp.StatusCode, c.whole(), nil
-	return result, true
-}
-
-func (r *itemRun) resumedTokens() int {
-	if r.Resume == nil {
-		return 0
-	}
-	return r.Resume.Tokens
-}
-
-// whole reads an answer that isn't a stream.
-func (r *itemRun) whole(parent, ctx context.Context, resp *http.Response) (api.Result, bool) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResultBytes+1))
-	if err != nil {
-		return r.lost(parent, ctx, api.Unknown)
-	}
-	result := r.result(api.ResultDone)
-	result.Status, result.Body, result.Resume = resp.StatusCode, body, nil
-	r.runner.metrics.answered(body)
-	if len(body) > maxResultBytes {
-		result.Status = http.StatusBadGateway
-		result.Body, _ = json.Marshal(api.NewError(0, api.CodeTooLarge, "the answer is too large").WithOutcome(api.Done))
-	}
-	return result, true
-}
-
-// lost ends a run without an answer: the sidecar cut it, or the endpoint was
-// lost.
-func (r *itemRun) lost(parent, ctx context.Context, outcome api.Outcome) (api.Result, bool) {
-	r.mu.Lock()
-	yielded := r.yield
-	r.mu.Unlock()
-	switch {
-	case !r.Idempotent:
-		// It isn't cut for others, and goes no further.
-	case r.over(parent):
-		return r.result(api.ResultReturned), true
-	case yielded && ctx.Err() != nil:
-		return api.Result{}, false
-	}
-	r.runner.endpointLost(r.id, outcome)
-	if outcome == api.NotRun {
-		return r.result(r.notStarted()), true
-	}
-	result := r.result(api.ResultUnknown)
-	if r.runner.checkHealth(parent) != nil {
-		result.Crash = r.runner.gate.crashOf(r.id)
-		result.Digest = api.Digest(quarantine.DigestOf(r.Customer, r.Path, r.Body))
-	}
-	return result, true
-}
-
-// notStarted is the end of an item whose last run did not start. An earlier
-// run of an idempotent item may have been cut.
-func (r *itemRun) notStarted() api.ResultState {
-	if r.runner.attempts.runs(r.id) > 0 {
-		return api.ResultReturned
-	}
-	return api.ResultNotRun
-}
-
-func (r *itemRun) result(state api.ResultState) api.Result {
-	runs := r.runner.attempts.runs(r.id)
-	r.runner.deps.Invariants.Check(state != api.ResultNotRun || runs == 0, invariant.NotRunIsTrue, "item %s was sent", r.id)
-	return api.Result{WorkRef: r.WorkRef, State: state, Resume: r.Resume}
-}
-
-// request is the call of the item at the endpoint.
-func (r *itemRun) request() *request {
-	body := r.Body
-	if r.prompt != nil {
-		if r.streamed {
-			r.prompt.resume(r.Resume)
-		}
-		body = r.prompt.bytes()
-	}
-	return &request{
-		ID:         r.id,
-		Attempt:    r.id,
-		Customer:   r.Customer,
-		Idempotent: r.Idempotent,
-		MayRepeat:  r.Idempotent,
-		Method:     http.MethodPost,
-		Path:       r.Path,
-		Header:     http.Header{"Content-Type": {"application/json"}},
-		Body:       body,
-	}
-}
--- a/sidecar/measure_test.go
+++ b/sidecar/measure_test.go
@@ -1,12 +1,10 @@
 package sidecar_test
 
 import (
-	"bufio"
 	"cmp"
 	"context"
 	"flag"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -40,14 +38,15 @@
 
 // scheme is one way to run the workload.
 type scheme struct {
-	name    string
-	policy  lane.Policy
-	limit   lane.BatchLimit
-	ratio   float64 // first_token_ratio of the deployment
-	burst   float64 // online requests per second in a burst
-	cached  bool    // the prompts of batch are in the engine's cache
-	batch   bool
-	through bool // batch goes through the online queue
+	name     string
+	policy   lane.Policy
+	limit    lane.BatchLimit
+	ratio    float64 // first_token_ratio of the deployment
+	burst    float64 // online requests per second in a burst
+	cached   bool    // the prompts of batch are in the engine's cache
+	batch    bool
+	through  bool // batch goes through the online queue
+	sidecars int  // with the same load each; 0 means 1
 }
 
 // figures of one scheme.
@@ -86,110 +85,6 @@
 	return f.perRequest[int(q*float64(len(f.perRequest)-1))].time
 }
 
-// load is an open-loop run of the workload.
-type load struct {
-	*rig
-	engine *engine.Engine
-	rnd    *rand.Rand
-	burst  float64 // online requests per second in a burst
-	mu     sync.Mutex
-	figures
-	group sync.WaitGroup
-}
-
-// next returns the time to the next online arrival, at elapsed.
-func (l *load) next(elapsed time.Duration) time.Duration {
-	rate := quietRate
-	if elapsed%burstEvery < burstLength {
-		rate = l.burst
-	}
-	return time.Duration(l.rnd.ExpFloat64() / rate * float64(time.Second))
-}
-
-// send makes one streamed request and notes the time to its first byte.
-func (l *load) send(ctx context.Context, id, customer string, tokens int) (ok bool) {
-	body := streamed(chat("question "+id+strings.Repeat(" seed", 60), tokens))
-	start := time.Now()
-	resp, err := l.do(ctx, call{id: id, customer: customer, body: body})
-	if err != nil {
-		return false
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != 200 {
-		return false
-	}
-	r := bufio.NewReader(resp.Body)
-	if _, err := r.ReadString('\n'); err != nil {
-		return false
-	}
-	first := time.Since(start)
-	gaps, ok := tokenGaps(r)
-	if ok && customer != "ledger" {
-		l.mu.Lock()
-		l.perRequest = append(l.perRequest, firstToken{id: id, sent: start, time: first})
-		l.gaps = append(l.gaps, gaps...)
-		l.online += tokens
-		l.mu.Unlock()
-	}
-	return ok
-}
-
-// tokenGaps reads the rest of an answer and returns the times between its
-// tokens.
-func tokenGaps(r *bufio.Reader) (gaps []time.Duration, ok bool) {
-	last := time.Now()
-	for {
-		line, err := r.ReadString('\n')
-		if err != nil {
-			return gaps, err == io.EOF
-		}
-		if !strings.HasPrefix(line, "data: {") {
-			continue
-		}
-		now := time.Now()
-		gaps = append(gaps, now.Sub(last))
-		last = now
-	}
-}
-
-// onlineLoad sends online requests for the time of the measurement.
-func (l *load) onlineLoad() {
-	start := time.Now()
-	for i := 0; time.Since(start) < measureTime; i++ {
-		l.group.Go(func() {
-			if !l.send(l.t.Context(), fmt.Sprint("r", i), fmt.Sprint("c", i%8), onlineTokens) {
-				l.mu.Lock()
-				l.refused++
-				l.mu.Unlock()
-			}
-		})
-		time.Sleep(l.next(time.Since(start)))
-	}
-}
-
-// batchThrough keeps twice the slots of items in the online queue.
-func (l *load) batchThrough(ctx context.Context) {
-	for w := range 2 * measureSlots {
-		l.group.Go(func() {
-			for i := 0; ctx.Err() == nil; i++ {
-				l.send(ctx, fmt.Sprintf("b%d-%d", w, i), "ledger", batchTokens)
-			}
-		})
-	}
-}
-
-// sample adds up the slots that online requests leave and that batch uses.
-func (l *load) sample(ctx context.Context) {
-	idle, used := 0, 0
-	for ctx.Err() == nil {
-		online, batch := l.sidecar.Load()
-		idle += measureSlots - online
-		used += min(batch, measureSlots-online)
-		time.Sleep(sampleInterval)
-	}
-	l.idle, l.used = idle, used
-}
-
 // ledgerPrompt returns the prompt of an item. What differs between items stands
 // at its end if the rest is to be cached.
 func ledgerPrompt(item int, cached bool) string {
@@ -200,38 +95,59 @@
 	return fmt.Sprint("item ", item, ledgers)
 }
 
-// runScheme runs the workload of one seed.
+// newLoad returns a load on a sidecar and an engine of its own.
+func newLoad(t *testing.T, s scheme, src *source, rnd *rand.Rand) *load {
+	d := modelDeployment(measureSlots)
+	d.FirstTokenRatio = s.ratio
+	l := &load{rnd: rnd, burst: s.burst}
+	l.engine = newEngine(t, engine.Options{CacheBlocks: 1 << 14, OnStep: l.log.add})
+	l.rig = newRig(t, l.engine, d, withBatch(src), func(st *sidecar.Settings, _ *sidecar.Deps) {
+		st.Policy, st.BatchLimit = s.policy, s.limit
+	})
+	if s.batch && !s.through {
+		l.runBatch()
+	}
+	return l
+}
+
+// run runs the load for the time of the measurement.
+func (l *load) run(ctx context.Context, s scheme) {
+	ctx, cancel := context.WithCancel(ctx)
+	if s.through {
+		l.batchThrough(ctx)
+	}
+	time.Sleep(2 * time.Second) // batch fills up
+	l.group.Go(func() { l.sample(ctx) })
+	before := l.engine.Stats().Tokens
+	l.onlineLoad()
+	l.tokens = l.engine.Stats().Tokens - before
+	cancel()
+	l.group.Wait()
+	l.parts = breakDown(l.perRequest, l.log.all())
+}
+
+// runScheme runs the workload of one seed at each sidecar, with one owner of
+// the batch items.
 func runScheme(t *testing.T, s scheme, seed uint64) figures {
 	var out figures
 	synctest.Test(t, func(t *testing.T) {
 		src := newSource()
-		d := modelDeployment(measureSlots)
-		d.FirstTokenRatio = s.ratio
-		var log stepLog
-		e := newEngine(t, engine.Options{CacheBlocks: 1 << 14, OnStep: log.add})
-		l := &load{engine: e, rnd: rand.New(rand.NewPCG(seed, 1)), burst: s.burst}
-		l.rig = newRig(t, e, d, withBatch(src), func(st *sidecar.Settings, _ *sidecar.Deps) {
-			st.Policy, st.BatchLimit = s.policy, s.limit
-		})
-		ctx, cancel := context.WithCancel(t.Context())
 		if s.batch && !s.through {
-			for i := range 5000 {
+			for i := range 5000 * max(1, s.sidecars) {
 				src.add(work(i, chat(ledgerPrompt(i, s.cached), batchTokens)))
 			}
-			l.runBatch()
 		}
-		if s.through {
-			l.batchThrough(ctx)
+		var loads []*load
+		var group sync.WaitGroup
+		for n := range max(1, s.sidecars) {
+			l := newLoad(t, s, src, rand.New(rand.NewPCG(seed, uint64(1+n))))
+			loads = append(loads, l)
+			group.Go(func() { l.run(t.Context(), s) })
+		}
+		group.Wait()
+		for _, l := range loads {
+			out.add(l.figures)
 		}
-		time.Sleep(2 * time.Second) // batch fills up
-		l.group.Go(func() { l.sample(ctx) })
-		before := e.Stats().Tokens
-		l.onlineLoad()
-		l.tokens = e.Stats().Tokens - before
-		cancel()
-		l.group.Wait()
-		l.parts = breakDown(l.perRequest, log.all())
-		out = l.figures
 	})
 	return out
 }
@@ -266,6 +182,19 @@
 	printTable(t, "bursts above what the engine serves", burstRate, above)
 }
 
+func TestMeasureBatchAtSeveralSidecars(t *testing.T) {
+	if !*measure {
+		t.Skip("prints a table; run with -measure")
+	}
+	for _, n := range []int{1, 2, 3} {
+		printTable(t, fmt.Sprint(n, " sidecars, one owner"), mildBurstRate, []scheme{
+			{name: "without batch", sidecars: n},
+			{name: "lanes, batch in every idle slot", batch: true, ratio: config.MaxFirstTokenRatio, sidecars: n},
+			{name: "lanes, first token 0.9", batch: true, sidecars: n},
+		})
+	}
+}
+
 // printTable runs the schemes; the first is the base of the ratios.
 func printTable(t *testing.T, title string, burst float64, schemes []scheme) {
 	results := make([]figures, len(schemes))
@@ -309,53 +238,3 @@
 }
 
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
-
-// fairness runs eight customers of equal weight, one of which sends five times
-// its share, and returns the served part of the worst-served other one.
-func fairness(t *testing.T, policy lane.Policy) (worst float64) {
-	const customers, capacity = 8, 16.0 // requests per second that the engine serves, about
-	synctest.Test(t, func(t *testing.T) {
-		e := newEngine(t, engine.Options{})
-		l := &load{engine: e, rnd: rand.New(rand.NewPCG(1, 1))}
-		l.rig = newRig(t, e, modelDeployment(measureSlots), func(st *sidecar.Settings, _ *sidecar.Deps) { st.Policy = policy })
-		var sent, served [customers]int
-		for c := range customers {
-			rate := capacity / customers
-			if c == 0 {
-				rate *= 5
-			}
-			rnd := rand.New(rand.NewPCG(uint64(c), 3))
-			l.group.Go(func() {
-				start := time.Now()
-				for i := 0; time.Since(start) < measureTime; i++ {
-					sent[c]++
-					l.group.Go(func() {
-						ctx, cancel := context.WithTimeout(l.t.Context(), 5*time.Second)
-						defer cancel()
-						if l.send(ctx, fmt.Sprintf("%d-%d", c, i), fmt.Sprint("c", c), onlineTokens) {
-							l.mu.Lock()
-							served[c]++
-							l.mu.Unlock()
-						}
-					})
-					time.Sleep(time.Duration(rnd.ExpFloat64() / rate * float64(time.Second)))
-				}
-			})
-		}
-		l.group.Wait()
-		worst = 1
-		for c := 1; c < customers; c++ {
-			worst = min(worst, float64(served[c])/float64(sent[c]))
-		}
-		t.Logf("policy %d: sent %v, served %v", policy, sent, served)
-	})
-	return worst
-}
-
-func TestMeasureWorstServedCustomer(t *testing.T) {
-	if !*measure {
-		t.Skip("prints a table; run with -measure")
-	}
-	lanes, fifo := fairness(t, lane.Lanes), fairness(t, lane.FIFO)
-	t.Logf("\n| scheme | worst-served customer, served over sent |\n| start-time fair queueing | %.3f |\n| FIFO | %.3f |", lanes, fifo)
-}
--- a/sidecar/source_test.go
+++ b/sidecar/source_test.go
@@ -5,17 +5,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net/http"
 	"sync"
-	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
-	"github.com/onsi/gomega"
-
 	"dandelionrelay/api"
-	"dandelionrelay/config"
 	"dandelionrelay/sidecar"
 	"dandelionrelay/standin/engine"
 )
@@ -210,7 +204,7 @@
 	})
 }
 
-// batchRig is a rig with an engine and a source of batch items.
+// batchText returns the text of an item's answer.
 func batchText(t *testing.T, r api.Result) string {
 	t.Helper()
 	var out api.ChatResponse
@@ -220,35 +214,6 @@
 	return out.Choices[0].Message.Content
 }
 
-// emptySource answers every pull at once, with no work. It holds the call
-// after the first limit ones, so that a busy loop ends.
-type emptySource struct {
-	pulls atomic.Int64
-	limit int64
-}
-
-func (s *emptySource) Pull(ctx context.Context, _ api.PullArgs) (api.PullReply, error) {
-	if s.pulls.Add(1) > s.limit {
-		<-ctx.Done()
-	}
-	return api.PullReply{}, nil
-}
-
-func (s *emptySource) Report(context.Context, api.ReportArgs) (api.ReportReply, error) {
-	return api.ReportReply{}, nil
-}
-
-func TestEmptyAnswersAreNotAskedForInALoop(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := gomega.NewWithT(t)
-		source := &emptySource{limit: 1000}
-		r := newRig(t, http.NotFoundHandler(), config.Deployment{Kind: config.KindModel, Slots: 4}, withBatch(source))
-		r.runBatch()
-		time.Sleep(10 * time.Second)
-		g.Expect(source.pulls.Load()).To(gomega.BeNumerically("<=", 40), "pulls in 10 s")
-	})
-}
-
 // request returns the chat request of an item.
 func request(w api.Work) api.ChatRequest {
 	var r api.ChatRequest
