--- a/test/system/world_test.go
+++ b/test/system/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -170,27 +171,22 @@
 	return w.entries[n%len(w.entries)]
 }
 
-// takeEntry takes an entry out of the balancer.
-func (w *world) takeEntry() *fleet.Instance {
+// take takes one of a list of the world's instances out of it.
+func take[T any](w *world, list *[]T) T {
 	n := w.intn(1 << 30)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	n %= len(w.entries)
-	taken := w.entries[n]
-	w.entries = append(w.entries[:n:n], w.entries[n+1:]...)
+	n %= len(*list)
+	taken := (*list)[n]
+	*list = slices.Delete(slices.Clone(*list), n, n+1)
 	return taken
 }
 
-// takeEndpoint takes an endpoint out of the world's list.
-func (w *world) takeEndpoint() endpoint {
-	n := w.intn(1 << 30)
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	n %= len(w.endpoints)
-	taken := w.endpoints[n]
-	w.endpoints = append(w.endpoints[:n:n], w.endpoints[n+1:]...)
-	return taken
-}
+// takeEntry takes an entry out of the balancer.
+func (w *world) takeEntry() *fleet.Instance { return take(w, &w.entries) }
+
+// takeEndpoint takes an endpoint out of the world.
+func (w *world) takeEndpoint() endpoint { return take(w, &w.endpoints) }
 
 // anyEndpoint returns an endpoint.
 func (w *world) anyEndpoint() endpoint {
