Quarantine is listed and lifted through the administration API

Operators could only wait 24 hours for a condemned request whose engine had been mended, and had to read the stream for digests. GET and DELETE of /admin/v1/quarantine list and lift; a lift is an event like others, told to peers and recorded, and ends the customer's confinement that followed from it. Digests of a wrong length are refused, where hex.Decode wrote past the array. TestLiftedEverywhere: 6 entries, lifted at one that saw no death, clear everywhere within a second of fake time. The command has no verb for it yet.

--- a/admin/handler.go
+++ b/admin/handler.go
@@ -37,13 +37,15 @@
 
 // Options is what a Handler works with.
 type Options struct {
-	Self      platform.Instance
-	Follower  *config.Follower
-	Source    config.Source
-	Members   membership.Members
-	Jobs      JobLister
-	Operators []settings.Operator
-	Logger    zerolog.Logger
+	Self     platform.Instance
+	Follower *config.Follower
+	Source   config.Source
+	Members  membership.Members
+	Jobs     JobLister
+	// Quarantine may be nil: nothing is known of it then.
+	Quarantine Quarantine
+	Operators  []settings.Operator
+	Logger     zerolog.Logger
 }
 
 // Handler serves the administration interface.
@@ -61,6 +63,10 @@
 	h.handle("GET "+PathAudit, h.audit)
 	h.handle("GET "+PathStatus, h.status)
 	h.handle("GET "+PathJobs, h.jobs)
+	if h.Quarantine != nil {
+		h.handle("GET "+PathQuarantine, h.quarantined)
+		h.handle("DELETE "+PathQuarantine+"/{digest}", h.lift)
+	}
 	return h
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -206,13 +206,14 @@
 	e.callers = mux
 	operations := ops.Handler(e.deps.Registry, &e.ready)
 	operations.Handle("/admin/", admin.NewHandler(admin.Options{
-		Self:      e.self(),
-		Follower:  e.follower,
-		Source:    &e.holder,
-		Members:   e.view,
-		Jobs:      e.jobs,
-		Operators: e.settings.Operators,
-		Logger:    logger,
+		Self:       e.self(),
+		Follower:   e.follower,
+		Source:     &e.holder,
+		Members:    e.view,
+		Jobs:       e.jobs,
+		Quarantine: e.suspects,
+		Operators:  e.settings.Operators,
+		Logger:     logger,
 	}))
 	e.ops = operations
 }
--- a/quarantine/digest.go
+++ b/quarantine/digest.go
@@ -38,6 +38,9 @@
 
 // UnmarshalText implements encoding.TextUnmarshaler.
 func (d *Digest) UnmarshalText(b []byte) error {
+	if len(b) != hex.EncodedLen(len(d)) {
+		return hex.ErrLength
+	}
 	_, err := hex.Decode(d[:], b)
 	return err
 }
--- a/quarantine/node_test.go
+++ b/quarantine/node_test.go
@@ -126,3 +126,28 @@
 		g.Expect(next.knowing(innocent, Clear)).To(gomega.Equal(1))
 	})
 }
+
+// TestLiftedEverywhere lifts a quarantine at an entry other than those that
+// saw the deaths.
+func TestLiftedEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		f := newFleet(t, 6, 1)
+		for i := range maxCondemned {
+			for n := range DeathsToQuarantine {
+				f.nodes[n].Died(Death{Digest: digest(i), Customer: "c", Attempt: fmt.Sprint(i, n), Endpoint: "s", Crash: api.CrashAlone})
+			}
+		}
+		time.Sleep(time.Second)
+		g.Expect(f.knowing(digest(0), Quarantined)).To(gomega.Equal(6))
+		g.Expect(f.knowing(digest(9), Suspect)).To(gomega.Equal(6), "the customer is confined")
+		held := f.nodes[5].Held()
+		g.Expect(held).To(gomega.HaveLen(maxCondemned))
+		g.Expect(held[0].Deaths).To(gomega.Equal(DeathsToQuarantine))
+		g.Expect(f.nodes[5].Lift(digest(0))).To(gomega.BeTrue())
+		g.Expect(f.nodes[5].Lift(digest(9))).To(gomega.BeFalse())
+		time.Sleep(time.Second)
+		g.Expect(f.knowing(digest(0), Clear)).To(gomega.Equal(6))
+		g.Expect(f.knowing(digest(9), Clear)).To(gomega.Equal(6), "nor is the customer confined")
+	})
+}
--- a/quarantine/offenders.go
+++ b/quarantine/offenders.go
@@ -36,6 +36,15 @@
 	o.condemned[customer][d] = at
 }
 
+// forget records that a request is cleared.
+func (o *offenders) forget(d Digest) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, requests := range o.condemned {
+		delete(requests, d)
+	}
+}
+
 // confined says whether the customer's requests run as suspects.
 func (o *offenders) confined(customer string, now time.Time) bool {
 	o.mu.Lock()
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -107,6 +107,7 @@
 	if t.Empty() {
 		return nil
 	}
+	t.customers.forget(d)
 	s := t.shard(d)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -130,6 +131,8 @@
 	news, v := t.merge(e, now)
 	if news && v == Quarantined {
 		t.customers.note(e.Customer, e.Digest, e.At)
+	} else if news && e.Cleared {
+		t.customers.forget(e.Digest)
 	}
 	return news
 }
