sidecar: a suspect waits a quarter of a second for what was cut

Cause: a cut run counts as running for a while, as the engine may die of it a little later; at a second that was most of what isolation cost. Engines' steps take tens of milliseconds.

--- a/sidecar/gate.go
+++ b/sidecar/gate.go
@@ -11,7 +11,7 @@
 const (
 	// lingerFor is how long a call that was cut counts as running: the
 	// endpoint may die of it a little later.
-	lingerFor = time.Second
+	lingerFor = 250 * time.Millisecond
 	// crashKept is how long it is known what ran when the endpoint crashed.
 	crashKept = 2 * time.Minute
 )
--- a/test/system/suspects_test.go
+++ b/test/system/suspects_test.go
@@ -130,6 +130,9 @@
 		if a.err != nil && a.err.Code == api.CodeQuarantined {
 			w.t.Errorf("an innocent request is refused as quarantined")
 		}
+		if a.err != nil {
+			w.t.Logf("after %v: innocent %d: %v", began.Sub(w.start).Round(time.Millisecond), n%12, a.err)
+		}
 		mu.Lock()
 		defer mu.Unlock()
 		if a.err == nil && !a.cut {
