A stream that is cut because its key was withdrawn says so

Tried as an operator: a stream whose key is withdrawn ended with the event `internal`, "the call was cancelled". The filter of keys words the error, but only after dispatch has written the stream's last event. The cause of the cancellation is now the error that callers are told, and dispatch ends the stream with it.

Ruled out: leaving the event to the front; it does not know the format of the stream.

Failed first: standin/fleet TestWithdrawnKeyCutsCallsUnderWay with the new check of the stream's last event. After: it passes.

--- a/authn/authorize.go
+++ b/authn/authorize.go
@@ -94,7 +94,8 @@
 // front aborts the connection.
 func withdrawnError(c *pipeline.Call, outcome api.Outcome) *api.Error {
 	closeConnection(c)
-	return api.NewError(http.StatusUnauthorized, api.CodeBadKey, "the key was withdrawn").WithOutcome(outcome)
+	err := *errWithdrawn
+	return err.WithOutcome(outcome)
 }
 
 // keyError says what is wrong with a call that has no valid key.
--- a/authn/sessions.go
+++ b/authn/sessions.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/joomcode/errorx"
 
+	"dandelionrelay/api"
 	"dandelionrelay/config"
 	"dandelionrelay/invariant"
 )
@@ -20,8 +22,8 @@
 var Errors = errorx.NewNamespace("authn")
 
 // errWithdrawn is the cause with which the calls of a withdrawn key are
-// cancelled.
-var errWithdrawn = Errors.NewType("key_withdrawn").New("the key was withdrawn")
+// cancelled; streams end with it.
+var errWithdrawn = api.NewError(http.StatusUnauthorized, api.CodeBadKey, "the key was withdrawn")
 
 const sessionShards = 32
 
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -119,7 +120,18 @@
 	case context.DeadlineExceeded:
 		return &end{err: deadlineError(outcome)}
 	}
-	return &end{err: goneError(outcome)}
+	return &end{err: cancelledError(context.Cause(ctx), outcome)}
+}
+
+// cancelledError ends a call that was cancelled for a cause, which the caller
+// is told if it is meant for callers.
+func cancelledError(cause error, o api.Outcome) *api.Error {
+	var reason *api.Error
+	if !errors.As(cause, &reason) {
+		return goneError(o)
+	}
+	told := *reason
+	return told.WithOutcome(o)
 }
 
 func deadlineError(o api.Outcome) *api.Error {
@@ -132,7 +144,7 @@
 	return e.WithOutcome(o)
 }
 
-// goneError ends a call whose caller has gone or whose key was withdrawn.
+// goneError ends a call whose caller has gone.
 func goneError(o api.Outcome) *api.Error {
 	e := api.NewError(http.StatusServiceUnavailable, api.CodeInternal, "the call was cancelled")
 	return e.WithOutcome(o)
--- a/standin/fleet/withdraw_test.go
+++ b/standin/fleet/withdraw_test.go
@@ -96,6 +96,7 @@
 		cut, refused := <-stream, <-whole
 		g.Expect(cut.status).To(Equal(http.StatusOK))
 		g.Expect(cut.err).To(HaveOccurred(), "the stream must not look whole")
+		g.Expect(string(cut.body)).To(ContainSubstring(`"code":"key_invalid"`), "the last event gives the reason")
 		g.Expect(cut.after).To(BeNumerically("<=", 2*time.Second+withdrawnWithin))
 		g.Expect(refused.status).To(Equal(http.StatusUnauthorized))
 		g.Expect(refused.after).To(BeNumerically("<=", 2*time.Second+withdrawnWithin))
