--- a/limit/bench_test.go
+++ b/limit/bench_test.go
@@ -60,7 +60,7 @@
 // BenchmarkGather measures what an entry does for one request, without the
 // messages.
 func BenchmarkGather(b *testing.B) {
-	for _, p := range []policy{{name: "replicated"}, {name: "proportional", scheme: Proportional}, {name: "single", scheme: Single}} {
+	for _, p := range []policy{{name: "proportional"}, {name: "single", scheme: Single}} {
 		b.Run(p.name, func(b *testing.B) {
 			table, _ := holder("a")
 			for i := range Partitions {
@@ -85,7 +85,7 @@
 // BenchmarkFleet runs 400 entries and 370 customers that send 22,000 requests
 // a second, within their rates, for a second of virtual time.
 func BenchmarkFleet(b *testing.B) {
-	for _, p := range []policy{{name: "replicated"}, {name: "proportional", scheme: Proportional}, {name: "single", scheme: Single}} {
+	for _, p := range []policy{{name: "proportional"}, {name: "single", scheme: Single}} {
 		b.Run(p.name, func(b *testing.B) {
 			for b.Loop() {
 				s := newSim(1, 400, p, many(370, Limits{Rate: 75, Burst: 150}))
--- a/limit/claim.go
+++ b/limit/claim.go
@@ -103,9 +103,6 @@
 	switch {
 	case s.holder == t.self:
 		t.planOwn(now, i, live, leaving, p)
-	case s.unfenced != nil && s.unfenced.Holder == t.self:
-		// This entry was replaced, and has stopped since it read so.
-		p.Claims = append(p.Claims, Claim{Partition: i, Epoch: s.epoch + 1, Holder: s.holder, Addr: s.addr})
 	case leaving || !t.mayClaim(now, s):
 	case t.turn(now, i, live):
 		claim := Claim{Partition: i, Epoch: s.epoch + 1, Holder: t.self, Addr: t.addr}
@@ -113,7 +110,6 @@
 			p.Claims = append(p.Claims, claim)
 			return
 		}
-		claim.Unfenced = s.unfenced
 		p.Takeovers = append(p.Takeovers, Takeover{Claim: claim, Previous: s.holder, Addr: s.addr})
 	}
 }
@@ -121,14 +117,8 @@
 // planOwn renews what this entry holds, or hands it over.
 func (t *Table) planOwn(now time.Time, i int, live []platform.Instance, leaving bool, p *Plan) {
 	s := &t.slots[i]
-	claim := Claim{Partition: i, Epoch: s.epoch + 1, Holder: t.self, Addr: t.addr}
-	if s.unfenced != nil && t.gone(now, s.unfenced.Holder, s.updated) {
-		p.Takeovers = append(p.Takeovers, Takeover{Claim: claim, Previous: s.unfenced.Holder, Addr: s.unfenced.Addr})
-		return
-	}
 	if s.closing || s.stale || now.Sub(s.updated) > RenewEvery {
-		claim.Unfenced = s.unfenced
-		p.Claims = append(p.Claims, claim)
+		p.Claims = append(p.Claims, Claim{Partition: i, Epoch: s.epoch + 1, Holder: t.self, Addr: t.addr})
 		return
 	}
 	to, ok := t.successor(i, live)
@@ -184,16 +174,10 @@
 	if s.holder == "" {
 		return t.whole || now.Sub(t.started) > RenewEvery+TakeoverWait
 	}
-	return t.gone(now, s.holder, s.updated)
-}
-
-// gone reports whether the platform's list shows an entry no longer that was
-// there at the time when.
-func (t *Table) gone(now time.Time, id string, when time.Time) bool {
-	seen, known := t.seen[id]
+	seen, known := t.seen[s.holder]
 	last := seen.last
-	if last.Before(when) {
-		last = when
+	if last.Before(s.updated) {
+		last = s.updated
 	}
 	wait := GoneAfter
 	if _, listed := t.dataCentres[seen.dataCentre]; known && !listed {
--- a/limit/gather.go
+++ b/limit/gather.go
@@ -10,7 +10,6 @@
 	single   bool
 	sources  []source
 	held     []heldGrant
-	began    time.Time
 	asked    time.Time // when the asks under way were made
 	ready    time.Time // no grant held may be used before
 	rounds   int
@@ -86,9 +85,6 @@
 	if now.Before(g.barred) {
 		return Step{Action: Refuse, Wait: g.barred.Sub(now)}
 	}
-	if g.taker.scheme == Replicated {
-		return g.nextReplicated(now)
-	}
 	have := g.have(now)
 	if have >= 1-epsilon {
 		if now.Before(g.ready) {
@@ -174,7 +170,7 @@
 	s.asked = true
 	return Ask{
 		Holder: s.holder, Addr: s.addr, source: i,
-		Args: TakeArgs{Customer: g.customer, Share: s.share, Amount: amount, Learner: g.taker.scheme == Replicated},
+		Args: TakeArgs{Customer: g.customer, Share: s.share, Amount: amount},
 	}
 }
 
@@ -213,13 +209,11 @@
 func (g *Gather) Finish(admitted bool) []Return {
 	var out []Return
 	for _, h := range g.held {
-		tokens, _ := g.grantedBy(h.source)
-		replaced := h.reply.Learner && tokens > 0
 		if admitted && !h.reply.Settle {
 			continue
 		}
 		settlement := Settlement{Customer: g.customer, Share: h.ask.Args.Share, Tenure: h.reply.Tenure, Grant: h.reply.Grant}
-		if !admitted || replaced {
+		if !admitted {
 			settlement.Unused = h.reply.Amount
 		}
 		out = append(out, Return{Holder: h.ask.Holder, Addr: h.ask.Addr, Args: SettleArgs{Grants: []Settlement{settlement}}})
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -15,6 +15,7 @@
 package limit
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -53,12 +54,13 @@
 	fixed int     // if not 0, the number of shares; set only where schemes are compared
 }
 
-// Shares returns the number of shares that the bucket is split into.
+// Shares returns the number of shares that the bucket is split into: none
+// holds less than one token, unless the whole bucket does.
 func (l Limits) Shares() int {
 	if l.fixed != 0 {
 		return l.fixed
 	}
-	return MaxShares
+	return max(1, min(MaxShares, int(math.Floor(l.Burst))))
 }
 
 // part returns the limits of one share.
--- a/limit/messages.go
+++ b/limit/messages.go
@@ -16,8 +16,6 @@
 	Amount   float64 // tokens
 	Partial  bool    // less than Amount is welcome
 	Request  string  // id of the request, for the log; empty unless the asker logs requests
-	Learner  bool    // a grant of a learner is welcome
-	Second   bool    // in place of a share that failed and counts nothing of the request
 }
 
 // TakeReply grants tokens. A grant may be used once, not before Wait after
@@ -26,7 +24,6 @@
 	Held    bool    // the answerer holds the share and may mint; else the rest is unset
 	Grant   uint64  // 0: nothing was granted
 	Tenure  uint64  // of the holder, to be given back in Settle
-	Learner bool    // granted without tokens: the share has not caught up yet
 	Amount  float64 // tokens granted
 	Wait    time.Duration
 	Left    float64 // tokens that could still be granted now
--- a/limit/minter.go
+++ b/limit/minter.go
@@ -33,8 +33,7 @@
 	Customer string  `json:"customer"`
 	Share    int     `json:"share"`
 	Level    float64 `json:"level"`
-	Held     float64 `json:"held"`             // in grants; they end within GrantLife
-	Behind   bool    `json:"behind,omitempty"` // it has counted from empty
+	Held     float64 `json:"held"` // in grants; they end within GrantLife
 }
 
 // Minter holds the shares of the partitions that this entry holds. It is
@@ -150,20 +149,13 @@
 	}
 	s := shard.share(now, t, key, part, since)
 	pending := s.recent(now)
-	if a.Learner && s.learns(a.Amount) {
-		return s.learn(now, t, a.Amount)
-	}
 	g, wait := s.take(now, a.Amount, a.Partial)
-	if a.Second && g.id != 0 {
-		// Another share missed what this one has counted.
-		s.behind = false
-	}
 	m.invariants.Check(s.withinBound(now), invariant.RateBound,
 		"customer %s share %d: level %g, held %g, minted %g, limits %+v",
 		a.Customer, a.Share, s.level, s.held, s.minted, s.limits)
 	return TakeReply{
 		Held: true, Grant: g.id, Tenure: t.Acquired, Amount: g.amount, Wait: wait,
-		Left: s.ready(), Pending: pending, Settle: s.behind || s.stalls(),
+		Left: s.ready(), Pending: pending, Settle: s.stalls(),
 	}
 }
 
@@ -200,9 +192,7 @@
 	if since.After(from) {
 		from = since
 	}
-	s := newShare(t.Acquired, part, from, now)
-	s.behind = !from.IsZero() && s.level < part.Burst
-	return s
+	return newShare(t.Acquired, part, from, now)
 }
 
 func (c *Carry) find(key shareKey) (CarriedShare, bool) {
@@ -219,7 +209,6 @@
 func resumeShare(t Tenure, c CarriedShare, part Limits) *share {
 	s := newShare(t.Acquired, part, t.Learnt, t.Learnt)
 	s.level = min(c.Level, part.Burst-c.Held)
-	s.behind = c.Behind
 	if c.Held > 0 {
 		s.nextID++
 		s.held = c.Held
@@ -282,7 +271,7 @@
 			continue
 		}
 		s.advance(now)
-		carry.Shares = append(carry.Shares, CarriedShare{key.customer, key.share, s.level, s.held, s.behind})
+		carry.Shares = append(carry.Shares, CarriedShare{key.customer, key.share, s.level, s.held})
 	}
 }
 
--- a/limit/record.go
+++ b/limit/record.go
@@ -15,20 +15,11 @@
 	Epoch     uint64 `json:"epoch"`
 	Holder    string `json:"holder"` // instance id
 	Addr      string `json:"addr"`   // ip:port of the holder for peers
-	// Unfenced is an earlier holder that may still mint. The new one only
-	// learns until a later record no longer names it.
-	Unfenced *Unfenced `json:"unfenced,omitempty"`
 	// Carry is set by the previous holder when it hands the partition over.
 	// It has stopped minting for good.
 	Carry *Carry `json:"carry,omitempty"`
 }
 
-// Unfenced is a holder that was replaced because it did not answer.
-type Unfenced struct {
-	Holder string `json:"holder"` // instance id
-	Addr   string `json:"addr"`   // ip:port for peers
-}
-
 // Encode returns r as JSON.
 func (r *Record) Encode() ([]byte, error) { return json.Marshal(r) }
 
--- a/limit/retry.go
+++ b/limit/retry.go
@@ -50,11 +50,6 @@
 func (g *Gather) locate(now time.Time) {
 	for i := range g.limits.Shares() {
 		id, addr := g.taker.table.Holder(Partition(g.customer, i))
-		if g.taker.scheme == Replicated {
-			failed := id == "" || g.taker.suspect(now, id)
-			g.sources = append(g.sources, source{share: i, holder: id, addr: addr, failed: failed})
-			continue
-		}
 		if id != "" && !g.taker.suspect(now, id) {
 			g.sources = append(g.sources, source{share: i, holder: id, addr: addr})
 		}
--- a/limit/schemes_test.go
+++ b/limit/schemes_test.go
@@ -18,9 +18,8 @@
 // policies are the ways that are compared.
 var policies = []policy{
 	{name: "static 1/N", static: true},
-	{name: "one home", scheme: Proportional, shares: 1},
-	{name: "3 shares, proportional", scheme: Proportional, strict: true},
-	{name: "3 shares, replicated", strict: true},
+	{name: "one home", shares: 1},
+	{name: "3 shares, proportional", strict: true},
 	{name: "3 shares, single ask", scheme: Single},
 }
 
--- a/limit/service.go
+++ b/limit/service.go
@@ -195,21 +195,11 @@
 	if a.Share < 0 || a.Share >= MaxShares {
 		return TakeReply{}
 	}
-	return answerTake(now, s.table, s.minter, a)
-}
-
-// answerTake answers an ask if the share is held here, as a learner if it may
-// not be minted yet.
-func answerTake(now time.Time, table *Table, minter *Minter, a TakeArgs) TakeReply {
-	partition := Partition(a.Customer, a.Share)
-	tenure, ok := table.Tenure(now, partition)
-	if !ok && a.Learner {
-		tenure, ok = table.Learning(now, partition)
-	}
+	tenure, ok := s.table.Tenure(now, Partition(a.Customer, a.Share))
 	if !ok {
 		return TakeReply{}
 	}
-	return minter.Take(now, tenure, a)
+	return s.minter.Take(now, tenure, a)
 }
 
 // refreshLimits gives the minter the limits of the snapshot in force.
--- a/limit/share.go
+++ b/limit/share.go
@@ -10,32 +10,26 @@
 	id      uint64
 	amount  float64 // tokens; 0 once settled
 	expires time.Time
-	learner bool // given out without tokens
 }
 
 // share is one part of a customer's bucket. Minting is the only source of
 // tokens, and level+held never exceeds limits.Burst: a token that was granted
 // takes up room until it is known to be spent or can no longer be.
 type share struct {
-	tenure    uint64 // Tenure.Acquired under which it was set up
-	limits    Limits // of this share
-	level     float64
-	held      float64 // tokens in grants
-	last      time.Time
-	grants    []grant // oldest first
-	nextID    uint64
-	minted    float64   // tokens since start
-	start     time.Time // of the count of minted tokens
-	overdrawn float64   // part of the level below zero that ends with the grants from before a cut
-	behind    bool      // it began empty and has not been full since
+	tenure uint64 // Tenure.Acquired under which it was set up
+	limits Limits // of this share
+	level  float64
+	held   float64 // tokens in grants
+	last   time.Time
+	grants []grant // oldest first
+	nextID uint64
+	minted float64   // tokens since start
+	start  time.Time // of the count of minted tokens
 }
 
 // newShare returns a share that was empty at from and has minted since.
 func newShare(tenure uint64, l Limits, from, now time.Time) *share {
 	s := &share{tenure: tenure, limits: l, last: now, start: now}
-	if from.After(now) {
-		s.last = from
-	}
 	if d := now.Sub(from); d > 0 {
 		s.level = min(l.Burst, l.Rate*d.Seconds())
 	}
@@ -47,7 +41,7 @@
 	for len(s.grants) > 0 && !s.grants[0].expires.After(now) {
 		g := s.grants[0]
 		s.mint(g.expires)
-		s.release(g.amount)
+		s.held -= g.amount
 		s.grants = s.grants[1:]
 	}
 	if len(s.grants) == 0 {
@@ -69,9 +63,6 @@
 		s.level += n
 		s.minted += n
 	}
-	if s.level >= s.limits.Burst-epsilon {
-		s.behind = false
-	}
 }
 
 // setLimits changes the limits from now on. It never adds tokens.
@@ -80,21 +71,11 @@
 		return
 	}
 	s.limits = l
-	cut := min(s.level, l.Burst-s.held)
-	s.overdrawn = max(0, min(s.level, 0)-cut)
-	s.level = cut
+	s.level = min(s.level, l.Burst-s.held)
 	s.minted = 0
 	s.start = now
 }
 
-// release ends the room that amount tokens of a grant took up.
-func (s *share) release(amount float64) {
-	s.held -= amount
-	back := min(s.overdrawn, amount)
-	s.overdrawn -= back
-	s.level += back
-}
-
 // ready returns what could be granted now: the level, and what will be minted
 // within MaxPromise unless the minting could stall before.
 func (s *share) ready() float64 {
@@ -117,17 +98,12 @@
 	if short := amount - s.level; short > epsilon {
 		wait = time.Duration(short / s.limits.Rate * float64(time.Second))
 	}
-	return s.grant(now, amount), wait
-}
-
-// grant hands out amount tokens.
-func (s *share) grant(now time.Time, amount float64) grant {
 	s.nextID++
-	g := grant{id: s.nextID, amount: amount, expires: now.Add(GrantLife + MinterMargin)}
+	g = grant{id: s.nextID, amount: amount, expires: now.Add(GrantLife + MinterMargin)}
 	s.level -= amount
 	s.held += amount
 	s.grants = append(s.grants, g)
-	return g
+	return g, wait
 }
 
 // recent returns the tokens in grants of the last pendingFor, which their
@@ -148,7 +124,7 @@
 		if g.id != id || g.amount == 0 {
 			continue
 		}
-		s.release(g.amount)
+		s.held -= g.amount
 		s.level += max(0, min(unused, g.amount))
 		g.amount = 0
 		return
--- a/limit/sim_test.go
+++ b/limit/sim_test.go
@@ -353,7 +353,6 @@
 		n.exec(func() {
 			if !over {
 				over = true
-				n.answered(a.Holder, r != nil)
 				done(r)
 			}
 		})
@@ -372,22 +371,11 @@
 }
 
 func (n *simNode) take(now time.Time, a TakeArgs) TakeReply {
-	return answerTake(now, n.table, n.minter, a)
-}
-
-// answered notes whether a holder answered, and replaces it soon if not.
-func (n *simNode) answered(holder string, ok bool) {
-	wait, due := n.table.Answered(n.now, holder, ok)
-	if !due || n.policy.scheme != Replicated {
-		return
+	t, ok := n.table.Tenure(now, Partition(a.Customer, a.Share))
+	if !ok {
+		return TakeReply{}
 	}
-	n.after(wait, func() {
-		n.exec(func() {
-			if claims := n.table.PlanLearners(n.now); len(claims) > 0 {
-				n.append(&Record{Claims: claims})
-			}
-		})
-	})
+	return n.minter.Take(now, t, a)
 }
 
 // send delivers a message after some time, unless one side is cut off.
--- a/limit/table.go
+++ b/limit/table.go
@@ -9,14 +9,13 @@
 
 // slot is what is known of one partition.
 type slot struct {
-	epoch    uint64
-	holder   string    // empty: nobody is known to hold it
-	addr     string    // of the holder
-	updated  time.Time // when the record in force was read
-	tenure   Tenure    // if this process is the holder
-	closing  bool      // this process has closed its shares to hand them over
-	unfenced *Unfenced // an earlier holder that may still mint; never changed in place
-	stale    bool      // another claimed an epoch that this holder had already passed
+	epoch   uint64
+	holder  string    // empty: nobody is known to hold it
+	addr    string    // of the holder
+	updated time.Time // when the record in force was read
+	tenure  Tenure    // if this process is the holder
+	closing bool      // this process has closed its shares to hand them over
+	stale   bool      // another claimed an epoch that this holder had already passed
 }
 
 // Table is one process's view of the holders of all partitions, rebuilt by
@@ -35,17 +34,15 @@
 	confirmed time.Time // start of the last read that reached the end of the log
 	down      bool      // the log did not answer since then
 
-	seen        map[string]sighting  // entries by id
-	live        []platform.Instance  // entries as last listed
-	dataCentres map[string]struct{}  // as last listed
-	dropped     bool                 // this entry was listed and is no longer
-	suspects    map[string]suspicion // holders that did not answer an ask, by id
-	heard       time.Time            // when another entry last answered an ask
+	seen        map[string]sighting // entries by id
+	live        []platform.Instance // entries as last listed
+	dataCentres map[string]struct{} // as last listed
+	dropped     bool                // this entry was listed and is no longer
 }
 
 // NewTable returns the table of the entry self, whose peers reach it at addr.
 func NewTable(self, addr string, now time.Time) *Table {
-	return &Table{self: self, addr: addr, started: now, observed: now, seen: make(map[string]sighting), suspects: make(map[string]suspicion)}
+	return &Table{self: self, addr: addr, started: now, observed: now, seen: make(map[string]sighting)}
 }
 
 // Restart says that replay begins, or begins anew, at the oldest record kept,
@@ -78,18 +75,16 @@
 		s.stale = s.stale || s.holder == t.self && c.Epoch < s.epoch && c.Holder != t.self
 		return
 	}
-	renewed := s.holder == c.Holder && c.Carry == nil && !s.closing && (s.unfenced == nil) == (c.Unfenced == nil)
+	renewed := s.holder == c.Holder && c.Carry == nil && !s.closing
 	first := s.epoch == 0 && c.Epoch == 1 && t.whole
 	previous := *s
-	*s = slot{epoch: c.Epoch, holder: c.Holder, addr: c.Addr, updated: now, unfenced: c.Unfenced}
+	*s = slot{epoch: c.Epoch, holder: c.Holder, addr: c.Addr, updated: now}
 	if c.Holder != t.self {
 		return
 	}
 	switch {
 	case renewed:
 		s.tenure = previous.tenure
-	case c.Unfenced != nil:
-		s.tenure = Tenure{Acquired: c.Epoch, Learnt: now, From: now.Add(never)}
 	case first:
 		// Nobody has ever minted here: the shares are full.
 		s.tenure = Tenure{Acquired: c.Epoch, Learnt: now, From: time.Time{}}
@@ -190,18 +185,6 @@
 	return s.tenure, true
 }
 
-// Learning returns this entry's tenure of a partition that it holds but may
-// not mint for yet.
-func (t *Table) Learning(now time.Time, partition int) (Tenure, bool) {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	s := &t.slots[partition]
-	if s.holder != t.self || s.closing || s.tenure.Carry != nil || !now.Before(s.tenure.From) || !t.certain(now) {
-		return Tenure{}, false
-	}
-	return s.tenure, true
-}
-
 // certain reports whether the table may still be acted on as holder: it was
 // confirmed lately, or the log is down, this process has not been paused since
 // it was confirmed, and the list still shows it. The caller holds the lock.
--- a/limit/taker.go
+++ b/limit/taker.go
@@ -25,13 +25,9 @@
 
 // The schemes.
 const (
-	// Replicated asks each of the k shares for 1/k of a token and admits only
-	// with all of them, or with 2/k from each of two. So each two shares know
-	// of all that was spent, and one more may be lost without any wait.
-	Replicated Scheme = iota
 	// Proportional asks each of the k shares for 1/k of a token, so that the
 	// shares stay scaled copies of the whole bucket and none overflows alone.
-	Proportional
+	Proportional Scheme = iota
 	// Single asks one share for a whole token, in turn, and the others only
 	// if that fails. It saves asks, and refuses some requests inside the rate.
 	Single
@@ -134,7 +130,6 @@
 	if now.Before(g.barred) {
 		return g
 	}
-	g.began = now
 	g.locate(now)
 	if t.scheme == Single {
 		g.rotate(t.turn.Add(1))
