--- a/limit/faults_test.go
+++ b/limit/faults_test.go
@@ -123,6 +123,14 @@
 	"dropped off log": func(s *sim) { s.cutLog(s.drop(s.random())) },
 }
 
+// unseen is the failure of the list that only the ping makes up for. It is run
+// alone: with the peers cut as well, nothing tells the two holders apart.
+func unseen(s *sim) {
+	n := s.drop(s.random())
+	n.lag = time.Hour
+	s.cutLog(n)
+}
+
 // TestRateBoundUnderFaults runs every fault alone and every pair. No customer
 // may get more than its bucket, whatever happens.
 func TestRateBoundUnderFaults(t *testing.T) {
@@ -130,13 +138,22 @@
 	for i, a := range names {
 		for _, b := range names[i:] {
 			for seed := range *seeds {
-				t.Run(fmt.Sprintf("%s, %s/%d", a, b, seed), func(t *testing.T) { runFaults(t, uint64(seed), a, b) })
+				t.Run(fmt.Sprintf("%s, %s/%d", a, b, seed), func(t *testing.T) { runFaults(t, uint64(seed), faults[a], faults[b]) })
 			}
 		}
 	}
 }
 
-func runFaults(t *testing.T, seed uint64, names ...string) {
+// TestAnsweringHolderIsNotReplaced takes an entry off the list and the log at
+// once, and has it go on seeing itself on the list, so that it goes on minting.
+// Only the ping before a takeover keeps the others from minting beside it.
+func TestAnsweringHolderIsNotReplaced(t *testing.T) {
+	for seed := range 8 + *seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runFaults(t, uint64(seed), unseen) })
+	}
+}
+
+func runFaults(t *testing.T, seed uint64, injected ...func(*sim)) {
 	t.Parallel()
 	s := newSim(seed, 6, policy{}, mixed)
 	for _, customer := range slices.Sorted(maps.Keys(loads)) {
@@ -144,8 +161,8 @@
 	}
 	s.runFor(10 * time.Second)
 	for range 2 {
-		for _, name := range names {
-			faults[name](s)
+		for _, inject := range injected {
+			inject(s)
 			s.runFor(time.Duration(s.rnd.IntN(4000)) * time.Millisecond)
 		}
 		s.runFor(15 * time.Second)
--- a/limit/service_test.go
+++ b/limit/service_test.go
@@ -11,6 +11,7 @@
 	"dandelionrelay/api"
 	"dandelionrelay/config"
 	"dandelionrelay/pipeline"
+	"dandelionrelay/platform"
 	standin "dandelionrelay/standin/platform"
 )
 
@@ -137,3 +138,14 @@
 		g.Expect(f.burst("a", 100)).To(gomega.BeZero(), "a share more starts empty")
 	})
 }
+
+func TestUnlistedEntryThatAnswersKeepsItsShares(t *testing.T) {
+	bubble(t, one, func(f *fleet) {
+		g := gomega.NewWithT(f.t)
+		held := f.entries["c"].table.Held()
+		g.Expect(held).NotTo(gomega.BeZero())
+		f.instances.Set([]platform.Instance{f.instance("a", platform.Live), f.instance("b", platform.Live)})
+		time.Sleep(settleTime / 2) // before it hands them over itself
+		g.Expect(f.entries["c"].table.Held()).To(gomega.Equal(held))
+	})
+}
