jobs: a test that a new owner counts crashes under its predecessor

A result carries the crash and the digest of the item, so an owner that did not hand the item out tells the quarantine and counts the death. TestNewOwnerCountsCrashesOfItsPredecessor fails with the digest left aside. What stays lost: the loss of a whole instance that coincides with its owner's.

--- a/jobs/suspects_test.go
+++ b/jobs/suspects_test.go
@@ -78,3 +78,35 @@
 	g.Expect(ok).To(gomega.BeTrue())
 	g.Expect(suspect.work.Suspect).To(gomega.BeTrue())
 }
+
+// noted is a Suspects that keeps the deaths it is told of.
+type noted struct {
+	noSuspects
+	deaths []quarantine.Death
+}
+
+func (n *noted) Died(x quarantine.Death) { n.deaths = append(n.deaths, x) }
+
+// TestNewOwnerCountsCrashesOfItsPredecessor reports a crash to an owner that
+// did not hand out the item.
+func TestNewOwnerCountsCrashesOfItsPredecessor(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRig(t)
+	r.submit("j", "a", 1, time.Hour, true)
+	known := new(noted)
+	p := newPartition(NewService(Options{Self: "e", Suspects: known}), 0)
+	p.owner = r.owner
+	d := quarantine.DigestOf("a", "/p", nil)
+	result := api.Result{
+		WorkRef: api.WorkRef{Job: "j", Attempt: "of the former owner"},
+		State:   api.ResultUnknown,
+		Crash:   api.CrashAlone,
+		Digest:  api.Digest(d),
+	}
+	p.learn("s1", []api.Result{result})
+	g.Expect(known.deaths).To(gomega.Equal([]quarantine.Death{{
+		Digest: d, Customer: "a", Attempt: result.Attempt, Endpoint: "s1", Crash: api.CrashAlone,
+	}}))
+	r.replay(r.owner.report(r.now, "s1", &result))
+	g.Expect(r.owner.table.Job("j").items[0].deaths).To(gomega.BeEquivalentTo(1))
+}
