sleep: no timer if there is nothing to wait for

Cause: each append of the stand-in log without a delay made a timer of 0, which was due when it was selected on. Under the race detector with fake time the runtime then crashed now and then: SIGSEGV in runtime.(*timer).maybeRunChan, or ThreadSanitizer CHECK failed tsan_rtl.cpp:346 (kEpochLast). The stack of a crash shows sleep.For(ctx, 0) from Log.Append.

--- a/sleep/sleep.go
+++ b/sleep/sleep.go
@@ -6,11 +6,15 @@
 	"time"
 )
 
-// For waits for d and returns true, or returns false as soon as ctx ends.
+// For waits for d and returns true, or returns false as soon as ctx ends. It
+// makes no timer if there is nothing to wait for.
 func For(ctx context.Context, d time.Duration) bool {
 	if ctx.Err() != nil {
 		return false
 	}
+	if d <= 0 {
+		return true
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
