dispatch: a session hash in the comparison of schemes

Cause: at 400 entries the memory of prefixes gives few hits beyond system prompts, since a session's turns come through different entries.

Conclusion: for many entries only; the rule that tells when is not built.

--- a/dispatch/compare_test.go
+++ b/dispatch/compare_test.go
@@ -15,7 +15,7 @@
 //	go test ./dispatch -run '^$' -bench Schemes -benchtime 1x
 func BenchmarkSchemes(b *testing.B) {
 	for b.Loop() {
-		fmt.Println("\nentries endpoints cache  load scheme              hits  p50 ms  p99 ms  remote  busiest/mean")
+		fmt.Println("\nentries endpoints cache  load scheme                   hits  p50 ms  p99 ms  remote  busiest/mean")
 		for _, size := range []struct{ entries, endpoints int }{{4, 12}, {40, 240}, {400, 2400 / 7}} {
 			for _, cache := range caches {
 				for _, load := range []float64{8, 14} {
@@ -28,12 +28,12 @@
 
 // compare prints one line for each scheme.
 func compare(entries, endpoints, cache int, load float64) {
-	for _, sch := range []scheme{schemeRandom, schemeLeast, schemeSampled, schemeAffinity} {
+	for _, sch := range []scheme{schemeRandom, schemeLeast, schemeSampled, schemeAffinity, schemeSession} {
 		r := simulate(simConfig{
 			scheme: sch, entries: entries, endpoints: endpoints, load: load, cache: cache,
 			requests: max(20_000, 80*endpoints), seed: 1,
 		})
-		fmt.Printf("%7d %9d %5d %5.0f %-18s %5.2f %7.1f %7.1f %7.2f %7.2f\n", entries, endpoints,
+		fmt.Printf("%7d %9d %5d %5.0f %-23s %5.2f %7.1f %7.1f %7.2f %7.2f\n", entries, endpoints,
 			cache, load, sch, r.hits, ms(r.p50), ms(r.p99), r.remote, r.imbalance)
 	}
 }
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"dandelionrelay/membership"
 	"dandelionrelay/platform"
 )
@@ -15,6 +17,7 @@
 // generated for all running requests at once, and prompt prefixes are cached.
 const (
 	simSlots       = 32
+	systemBlocks   = 24 // of each system prompt
 	simBlockTokens = 64
 	simPrefill     = 24 * time.Microsecond // for each token
 	simOutTokens   = 60                    // on average
@@ -31,6 +34,7 @@
 	schemeLeast    scheme = "least in flight"
 	schemeSampled  scheme = "sampled queue wait"
 	schemeAffinity scheme = "sampled + affinity"
+	schemeSession  scheme = "affinity + session hash"
 )
 
 // simConfig describes one run.
@@ -160,7 +164,7 @@
 // arrivals schedules an open-loop stream of chat turns: sessions of customers
 // that share system prompts, whose history grows with each turn.
 func (s *sim) arrivals() {
-	const customers, prompts, systemBlocks, turnBlocks = 8, 3, 24, 3
+	const customers, prompts, turnBlocks = 8, 3, 3
 	type session struct{ blocks []uint64 }
 	var open []*session
 	at := time.Duration(0)
@@ -260,10 +264,38 @@
 		endpoint, depth := r.entry.affinity.Lookup(r.blocks)
 		q.Affine, q.Saving = endpoint, time.Duration(depth)*blockSaving
 	}
+	if s.scheme == schemeSession {
+		s.session(q, r)
+	}
 	i, ok := r.entry.picker.Pick(q, s.rnd)
 	return i.ID, ok
 }
 
+// session prefers the endpoint that holds more than the system prompt, or else
+// the one in the data centre that ranks first for the session, whether it is in
+// the entry's subset or not.
+func (s *sim) session(q *Query, r *simRequest) {
+	endpoint, depth := r.entry.affinity.Lookup(r.blocks)
+	if depth <= systemBlocks {
+		endpoint, depth = s.home(r), len(r.blocks)
+	}
+	q.Affine, q.Saving = endpoint, time.Duration(depth)*blockSaving
+	q.Subset.Local = append(slices.Clone(q.Subset.Local), platform.Instance{ID: endpoint, State: platform.Live})
+}
+
+// home returns the endpoint in the data centre that ranks first for a session.
+func (s *sim) home(r *simRequest) (id string) {
+	session := r.blocks[min(systemBlocks, len(r.blocks)-1)]
+	top := uint64(0)
+	for _, i := range s.list {
+		rank := xxhash.Sum64String(fmt.Sprint(i.ID, session))
+		if i.DataCentre == r.entry.dc && rank > top {
+			top, id = rank, i.ID
+		}
+	}
+	return id
+}
+
 // arrive queues a request at an engine, or starts it.
 func (s *sim) arrive(e *simEngine, r *simRequest, way, began time.Duration) {
 	e.requests++
