key new: an id that is no id is refused before it is written

Cause: 'key new example --id "x y"' wrote the key to keys.json, where validate then refuses it. Seen failing first: TestBadInput got exit code 0. Change: config.ValidID is asked before; exit code 2 names --id.

--- a/cli/newcomer_test.go
+++ b/cli/newcomer_test.go
@@ -98,6 +98,8 @@
 		args []string
 	}{
 		{cli.ExitUsage, "name", []string{"token", ""}},
+		{cli.ExitUsage, "--id", []string{"key", "new", "example", "--dir", d.dir, "--id", "x y"}},
+		{cli.ExitOK, "", []string{"validate", d.dir}},
 		{cli.ExitUsage, "--limit", []string{"audit", "--limit", "0"}},
 		{cli.ExitUsage, "nonsense", []string{"status", "--server", "nonsense"}},
 		{cli.ExitUsage, "http://", []string{"status", "--server", "ftp://127.0.0.1:1"}},
--- a/cli/operator_keys.go
+++ b/cli/operator_keys.go
@@ -52,6 +52,9 @@
 	if id == "" {
 		id = freeKeyID(state, c.Customer)
 	}
+	if !config.ValidID(id) {
+		return &exitError{ExitUsage, fmt.Errorf("the id of the key must be %s, is %q: give another with --id", config.IDForm, id)}
+	}
 	if _, taken := state.Keys[id]; taken {
 		return fmt.Errorf("key %q exists already", id)
 	}
--- a/config/validate.go
+++ b/config/validate.go
@@ -16,7 +16,9 @@
 // MaxTimeout is the longest timeout that a route may set.
 const MaxTimeout = Duration(3600e9)
 
-// idPattern is the form of all ids: they go into headers, log lines and metrics.
+// IDForm says what ids look like: they go into headers, log lines and metrics.
+const IDForm = "1 to 63 letters, digits, dots, dashes or underscores, the first a letter or digit"
+
 var idPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
 
 var digestPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
@@ -70,6 +72,10 @@
 	})
 }
 
+// ValidID reports whether id has the form of the ids of customers, keys,
+// deployments and routes.
+func ValidID(id string) bool { return idPattern.MatchString(id) }
+
 func (v *validator) ids() {
 	checkIDs(v, "customers", v.state.Customers)
 	checkIDs(v, "keys", v.state.Keys)
@@ -80,8 +86,8 @@
 // checkIDs checks the form of the ids of a section.
 func checkIDs[T any](v *validator, section string, entries map[string]T) {
 	for id := range entries {
-		if !idPattern.MatchString(id) {
-			v.add(section, id, "", "the id must be 1 to 63 letters, digits, dots, dashes or underscores, the first a letter or digit, is %q", id)
+		if !ValidID(id) {
+			v.add(section, id, "", "the id must be %s, is %q", IDForm, id)
 		}
 	}
 }
