quarantine list and lift: verbs for what the administration API gives

Cause: a condemned request could be seen and lifted by HTTP only, while the command is meant to cover the administration API; the admin path had no test.

Seen failing first: TestHelpOfEveryVerb, TestBadInput and TestQuarantineIsShownAndLifted without the verbs.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -39,17 +39,18 @@
 	Demo       DemoCmd       `cmd:"" help:"Run the whole system in one process on loopback and show what it does." group:"Stand-ins"`
 	Experiment ExperimentCmd `cmd:"" help:"Measure this system beside its baselines, on stand-ins." group:"Stand-ins"`
 
-	Init     InitCmd     `cmd:"" help:"Write configuration files to start from." group:"Operator"`
-	Validate ValidateCmd `cmd:"" help:"Check configuration files." group:"Operator"`
-	Plan     PlanCmd     `cmd:"" help:"Show what applying configuration files would change." group:"Operator"`
-	Apply    ApplyCmd    `cmd:"" help:"Make configuration files the desired state." group:"Operator"`
-	Key      KeyCmd      `cmd:"" help:"Issue and withdraw callers' keys." group:"Operator"`
-	Audit    AuditCmd    `cmd:"" help:"Show accepted and rejected changes." group:"Operator"`
-	Status   StatusCmd   `cmd:"" help:"Show what an entry knows of the configuration." group:"Operator"`
-	Jobs     JobsCmd     `cmd:"" help:"List batch jobs and their progress." group:"Operator"`
-	State    StateCmd    `cmd:"" help:"Print the state in force." group:"Operator"`
-	Token    TokenCmd    `cmd:"" help:"Make an operator's token." group:"Operator"`
-	Version  VersionCmd  `cmd:"" help:"Print the version." group:"Operator"`
+	Init       InitCmd       `cmd:"" help:"Write configuration files to start from." group:"Operator"`
+	Validate   ValidateCmd   `cmd:"" help:"Check configuration files." group:"Operator"`
+	Plan       PlanCmd       `cmd:"" help:"Show what applying configuration files would change." group:"Operator"`
+	Apply      ApplyCmd      `cmd:"" help:"Make configuration files the desired state." group:"Operator"`
+	Key        KeyCmd        `cmd:"" help:"Issue and withdraw callers' keys." group:"Operator"`
+	Audit      AuditCmd      `cmd:"" help:"Show accepted and rejected changes." group:"Operator"`
+	Status     StatusCmd     `cmd:"" help:"Show what an entry knows of the configuration." group:"Operator"`
+	Jobs       JobsCmd       `cmd:"" help:"List batch jobs and their progress." group:"Operator"`
+	Quarantine QuarantineCmd `cmd:"" help:"Show and lift what is held against requests that endpoints died of." group:"Operator"`
+	State      StateCmd      `cmd:"" help:"Print the state in force." group:"Operator"`
+	Token      TokenCmd      `cmd:"" help:"Make an operator's token." group:"Operator"`
+	Version    VersionCmd    `cmd:"" help:"Print the version." group:"Operator"`
 }
 
 // Env is what verbs need of their surroundings.
--- a/cli/newcomer_test.go
+++ b/cli/newcomer_test.go
@@ -19,7 +19,7 @@
 var allVerbs = []string{
 	"entry", "sidecar", "standin platform", "standin engine", "standin plain", "demo", "experiment",
 	"init", "validate", "plan", "apply", "key new", "key withdraw",
-	"audit", "status", "jobs", "state", "token", "version",
+	"audit", "status", "jobs", "quarantine list", "quarantine lift", "state", "token", "version",
 }
 
 // TestHelpOfEveryVerb wants an example on a line of its own for each verb.
@@ -100,6 +100,8 @@
 		{cli.ExitUsage, "name", []string{"token", ""}},
 		{cli.ExitUsage, "--id", []string{"key", "new", "example", "--dir", d.dir, "--id", "x y"}},
 		{cli.ExitOK, "", []string{"validate", d.dir}},
+		{cli.ExitUsage, "digest", []string{"quarantine", "lift", "x"}},
+		{cli.ExitFailure, "nothing is held", []string{"quarantine", "lift", strings.Repeat("0", 32)}},
 		{cli.ExitUsage, "--limit", []string{"audit", "--limit", "0"}},
 		{cli.ExitUsage, "nonsense", []string{"status", "--server", "nonsense"}},
 		{cli.ExitUsage, "http://", []string{"status", "--server", "ftp://127.0.0.1:1"}},
--- /dev/null
+++ b/cli/operator_quarantine.go
@@ -0,0 +1,88 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"text/tabwriter"
+	"time"
+
+	"dandelionrelay/admin"
+	"dandelionrelay/quarantine"
+)
+
+// QuarantineCmd shows and lifts what is held against requests that endpoints
+// died of.
+type QuarantineCmd struct {
+	List QuarantineListCmd `cmd:"" help:"List the requests that endpoints died of."`
+	Lift QuarantineLiftCmd `cmd:"" help:"Let a request run again."`
+}
+
+// QuarantineListCmd lists the requests that endpoints died of.
+type QuarantineListCmd struct {
+	Server
+	JSON bool `name:"json" help:"Print the requests as JSON."`
+}
+
+// Help implements kong.HelpProvider.
+func (QuarantineListCmd) Help() string {
+	return `Lists requests by digest, the latest death first: suspects, which run alone, and quarantined ones, which are refused with 422.
+
+Example: dandelionrelay quarantine list --server http://10.0.0.5:7203`
+}
+
+// Run implements the verb.
+func (c *QuarantineListCmd) Run(env *Env) error {
+	var reply *admin.QuarantineReply
+	err := c.call(env, func(ctx context.Context, client *admin.Client) (err error) {
+		reply, err = client.Quarantine(ctx)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	return showQuarantine(env, reply, c.JSON)
+}
+
+// QuarantineLiftCmd lifts what is held against a request.
+type QuarantineLiftCmd struct {
+	Server
+	Digest quarantine.Digest `arg:"" help:"Digest of the request, as quarantine list shows it."`
+	JSON   bool              `name:"json" help:"Print what is still held as JSON."`
+}
+
+// Help implements kong.HelpProvider.
+func (QuarantineLiftCmd) Help() string {
+	return `Lifts what is held against a request, in the whole fleet, and lists what is still held. If it kills endpoints again it is quarantined again.
+
+Example: dandelionrelay quarantine lift 0123456789abcdef0123456789abcdef --server http://10.0.0.5:7203`
+}
+
+// Run implements the verb.
+func (c *QuarantineLiftCmd) Run(env *Env) error {
+	var reply *admin.QuarantineReply
+	err := c.call(env, func(ctx context.Context, client *admin.Client) (err error) {
+		reply, err = client.Lift(ctx, c.Digest)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	return showQuarantine(env, reply, c.JSON)
+}
+
+func showQuarantine(env *Env, reply *admin.QuarantineReply, asJSON bool) error {
+	if asJSON {
+		return printJSON(env, reply)
+	}
+	t := tabwriter.NewWriter(env.Stdout, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(t, "digest\tcustomer\tstate\tdeaths\talone\tlast")
+	for _, h := range reply.Requests {
+		state := "suspect"
+		if h.Quarantined {
+			state = "quarantined"
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%s\n",
+			h.Digest, h.Customer, state, h.Deaths, h.Alone, h.Last.UTC().Format(time.RFC3339))
+	}
+	return t.Flush()
+}
--- a/cli/operator_test.go
+++ b/cli/operator_test.go
@@ -8,15 +8,18 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
 	"dandelionrelay/admin"
+	"dandelionrelay/api"
 	"dandelionrelay/authn"
 	"dandelionrelay/cli"
 	"dandelionrelay/config"
 	"dandelionrelay/membership"
+	"dandelionrelay/quarantine"
 	"dandelionrelay/settings"
 	standin "dandelionrelay/standin/platform"
 )
@@ -26,13 +29,21 @@
 	t      *testing.T
 	log    *standin.Log
 	holder config.Holder
+	held   *quarantine.Table
 	dir    string
 	out    string // of the last command
 	errOut string
 }
 
+// tableOnly is the quarantine of a fleet of one entry.
+type tableOnly struct{ *quarantine.Table }
+
+func (t tableOnly) Held() []quarantine.Held { return t.Table.Held(time.Now()) }
+
+func (t tableOnly) Lift(d quarantine.Digest) bool { return len(t.Finished(d, time.Now())) > 0 }
+
 func newDesk(t *testing.T) *desk {
-	d := &desk{t: t, log: standin.NewLog(0, 1), dir: filepath.Join(t.TempDir(), "config")}
+	d := &desk{t: t, log: standin.NewLog(0, 1), held: quarantine.NewTable(), dir: filepath.Join(t.TempDir(), "config")}
 	follower := config.NewFollower(d.log, &d.holder, nil, nil)
 	go follower.Run(t.Context())
 	var operators []settings.Operator
@@ -41,6 +52,7 @@
 	}
 	server := httptest.NewServer(admin.NewHandler(admin.Options{
 		Follower: follower, Source: &d.holder, Members: membership.Static{}, Operators: operators, Logger: zerolog.Nop(),
+		Quarantine: tableOnly{d.held},
 	}))
 	t.Cleanup(server.Close)
 	// The first server never answers; the second one does.
@@ -133,3 +145,20 @@
 		g.Expect(d.out).To(gomega.ContainSubstring("Example: dandelionrelay "+verb), verb)
 	}
 }
+
+// TestQuarantineIsShownAndLifted has two endpoints die of a request.
+func TestQuarantineIsShownAndLifted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := newDesk(t)
+	digest := quarantine.DigestOf("garden", "/v1/chat/completions", []byte("{}"))
+	for _, attempt := range []string{"a", "b"} {
+		_, _ = d.held.Died(quarantine.Death{
+			Digest: digest, Customer: "garden", Attempt: attempt, Endpoint: "s" + attempt, Crash: api.CrashAlone,
+		}, time.Now())
+	}
+	g.Expect(d.run("quarantine", "list")).To(gomega.Equal(cli.ExitOK))
+	g.Expect(d.out).To(gomega.MatchRegexp(digest.String() + ` +garden +quarantined +2 +2 `))
+	g.Expect(d.run("quarantine", "lift", digest.String(), "--json")).To(gomega.Equal(cli.ExitOK))
+	g.Expect(d.out).To(gomega.ContainSubstring(`"requests": []`))
+	g.Expect(d.run("quarantine", "lift", digest.String())).To(gomega.Equal(cli.ExitFailure))
+}
