--- a/cli/newcomer_test.go
+++ b/cli/newcomer_test.go
@@ -100,7 +100,7 @@
 		{cli.ExitUsage, "name", []string{"token", ""}},
 		{cli.ExitUsage, "--id", []string{"key", "new", "example", "--dir", d.dir, "--id", "x y"}},
 		{cli.ExitOK, "", []string{"validate", d.dir}},
-		{cli.ExitUsage, "digest", []string{"quarantine", "lift", "x"}},
+		{cli.ExitUsage, "32 hexadecimal digits", []string{"quarantine", "lift", "x"}},
 		{cli.ExitFailure, "nothing is held", []string{"quarantine", "lift", strings.Repeat("0", 32)}},
 		{cli.ExitUsage, "--limit", []string{"audit", "--limit", "0"}},
 		{cli.ExitUsage, "nonsense", []string{"status", "--server", "nonsense"}},
--- a/quarantine/digest.go
+++ b/quarantine/digest.go
@@ -10,6 +10,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
 
 	"dandelionrelay/pipeline"
 )
@@ -38,8 +39,9 @@
 
 // UnmarshalText implements encoding.TextUnmarshaler.
 func (d *Digest) UnmarshalText(b []byte) error {
-	if len(b) != hex.EncodedLen(len(d)) {
-		return hex.ErrLength
+	want := hex.EncodedLen(len(d))
+	if len(b) != want {
+		return fmt.Errorf("a digest has %d hexadecimal digits, not %d", want, len(b))
 	}
 	_, err := hex.Decode(d[:], b)
 	return err
