idempotency: a begin ends with the entry

Cause: a begin that a peer asked for waited for its record up to 3 s, also once the entry had ended and no record could come. Change: a begin's context ends with the entry too. Seen failing first: TestABeginEndsWithTheEntry blocked for ever.

--- a/idempotency/home.go
+++ b/idempotency/home.go
@@ -44,9 +44,12 @@
 }
 
 // begin settles which token runs the call of e, which is a Begin. It returns
-// Refused or Down if that can't be known before ctx ends. It never makes the
+// Refused or Down if that can't be known before ctx or the entry ends. It never makes the
 // token void: its holder may have asked another home as well, and run.
 func (h *home) begin(ctx context.Context, e Event) (Verdict, *Answer) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(h.life, cancel)()
 	if v := h.known(ctx, e); v != Free {
 		return h.reply(ctx, v, e)
 	}
--- a/idempotency/parts_test.go
+++ b/idempotency/parts_test.go
@@ -122,6 +122,26 @@
 	})
 }
 
+// TestABeginEndsWithTheEntry ends an entry while a begin waits for its record.
+func TestABeginEndsWithTheEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		log := standin.NewLog(0, 1)
+		life, end := context.WithCancel(t.Context())
+		h := newHome(life, "calls/00", log, Window, nil)
+		g.Expect(h.open(t.Context())).To(gomega.Succeed())
+		log.SetFaults(standin.Faults{Delay: time.Minute})
+		go func() {
+			time.Sleep(time.Second)
+			end()
+		}()
+		began := time.Now()
+		v, _ := h.begin(t.Context(), Event{Kind: Begin, Key: Key{1}, Token: uuid.NewString()})
+		g.Expect(v).To(gomega.BeElementOf(Refused, Down))
+		g.Expect(time.Since(began)).To(gomega.Equal(time.Second))
+	})
+}
+
 func TestKeysWithATimeAreRefusedOnceForgotten(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := NewService(Deps{Retention: 10 * time.Minute})
