jobs: results are not read from a replay that lags behind the log

Cause: an entry that had just been cut off, and believed itself the owner, answered for the results of a job with those it knew, 49 or 196 of 200, after another entry had said that the job was complete; the next read gave all.

Ruled out: lost results (the second read had all of them); the invariants of the table (none was broken); the status, which may lag, as it says 'in progress' then.

Change: unless the job has ended as far as the entry knows, it asks the log for its end and answers once it has replayed up to there, or with 503.

Reading results of a job that has not ended costs one more call to the log.

--- a/jobs/results.go
+++ b/jobs/results.go
@@ -18,7 +18,10 @@
 	state item
 }
 
-// localPage returns results in the order of the items.
+// localPage returns results in the order of the items. Those of a job that has
+// not ended as far as is known here are shown only once all that was stored
+// before the call is known: another entry may have told the caller that the job
+// is complete.
 func (s *Service) localPage(ctx context.Context, args PageArgs) (Page, error) {
 	var page Page
 	n, ok := partitionOf(jobPrefix, args.Job)
@@ -29,6 +32,11 @@
 	if err != nil {
 		return page, err
 	}
+	if !p.has(func(t *Table) bool { j := t.Job(args.Job); return j != nil && j.ended() }) {
+		if err := p.catchUp(ctx); err != nil {
+			return page, err
+		}
+	}
 	refs, more := p.results(args)
 	bytes := 0
 	for i, ref := range refs {
--- /dev/null
+++ b/jobs/results_test.go
@@ -0,0 +1,71 @@
+package jobs
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"dandelionrelay/config"
+	"dandelionrelay/membership"
+	"dandelionrelay/platform"
+	standin "dandelionrelay/standin/platform"
+)
+
+// laggingLog shows its reader nothing new while held.
+type laggingLog struct {
+	*standin.Log
+	held atomic.Bool
+}
+
+func (l *laggingLog) Read(ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration) ([]platform.Record, error) {
+	if l.held.Load() {
+		time.Sleep(100 * time.Millisecond)
+		return nil, nil
+	}
+	return l.Log.Read(ctx, stream, from, limit, wait)
+}
+
+// TestResultsAreNotShownBehindTheLog asks an entry whose replay lags for the
+// results of a job that others may know to be complete.
+func TestResultsAreNotShownBehindTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		log := &laggingLog{Log: standin.NewLog(0, 1)}
+		holder := new(config.Holder)
+		holder.Set(config.NewSnapshot(1, &config.State{
+			Routes: map[string]config.Route{"chat": {Model: "m", Deployment: "d", Idempotent: true}},
+		}))
+		self := platform.Instance{ID: "e", Role: platform.RoleEntry, State: platform.Live}
+		s := NewService(Options{Self: "e", Log: log, Members: membership.Static{self}, Config: holder})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go s.Run(ctx)
+		time.Sleep(time.Second)
+		line := `{"custom_id":"1","method":"POST","url":"/v1/chat/completions","body":{"model":"m"}}` + "\n"
+		_, job, fail := s.Accept(ctx, &Submission{Customer: "a", Key: "k", Body: strings.NewReader(line), Job: new(JobParams)})
+		g.Expect(fail).To(gomega.BeNil())
+		page := func() error {
+			ctx, cancel := context.WithTimeout(ctx, time.Second)
+			defer cancel()
+			_, err := s.Page(ctx, PageArgs{Customer: "a", Job: job.ID})
+			return err
+		}
+		g.Expect(page()).To(gomega.Succeed())
+
+		log.held.Store(true)
+		time.Sleep(time.Minute)
+		n, _ := partitionOf(jobPrefix, job.ID)
+		_, err := log.Append(ctx, streamName(n), "other", []byte("another entry's word"))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(page()).NotTo(gomega.Succeed(), "the job may be complete")
+
+		log.held.Store(false)
+		time.Sleep(time.Second)
+		g.Expect(page()).To(gomega.Succeed())
+	})
+}
