standin/engine: a stream resumed at its end is answered under the lock

Cause: a sequence that has all its tokens when it is resumed is answered at once, and its usage was read while the step loop admitted it. Seen failing first: TestAStreamResumedAtItsEndIsAnswered under -race.

--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -161,3 +162,18 @@
 		})
 	}
 }
+
+// TestAStreamResumedAtItsEndIsAnswered resumes streams that have all their
+// tokens; the race detector watches the step loop admit them meanwhile.
+func TestAStreamResumedAtItsEndIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := serve(t, engine.New(engine.Options{Model: "m"}))
+		for n := range 50 {
+			r := chat(fmt.Sprint("beans ", n), 5)
+			r.Resume = &api.Resume{Text: engine.Answer(&r, 5), Tokens: 5}
+			if got := whole(t, c, r); got.Usage == nil || got.Usage.CompletionTokens != 5 {
+				t.Errorf("resume %d is answered with %+v", n, got)
+			}
+		}
+	})
+}
--- a/standin/engine/serve.go
+++ b/standin/engine/serve.go
@@ -96,11 +96,15 @@
 			Message:      &api.Message{Role: "assistant", Content: text.String()},
 			FinishReason: &stop,
 		}},
-		Usage: s.usage(),
+		Usage: e.usage(s),
 	})
 }
 
-func (s *sequence) usage() *api.Usage {
+// usage returns the tokens of s. One that was resumed at its end is answered
+// while the step loop may still admit it.
+func (e *Engine) usage(s *sequence) *api.Usage {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	return &api.Usage{PromptTokens: s.prompt, CompletionTokens: s.limit, CachedTokens: s.cached}
 }
 
@@ -118,7 +122,7 @@
 		n += len(tokens)
 	}
 	stop := "stop"
-	sendEvent(w, chunk(req, &api.Message{}, &stop, s.usage()))
+	sendEvent(w, chunk(req, &api.Message{}, &stop, e.usage(s)))
 	_, _ = io.WriteString(w, "data: [DONE]\n\n")
 }
 
