One piece of code where two stood

quarantine.Suspects and NoSuspects for dispatch and jobs, which each declared them; partition.learnOf for 'known, or else catch up', written four times in jobs; runRole for the entry and sidecar verbs; one question and print for the two quarantine verbs; order's messages for the stand-in engine; the tests' counted connection and the lines of a submitted job once each. No behaviour changes; the tests keep their assertions.

--- a/cli/operator_quarantine.go
+++ b/cli/operator_quarantine.go
@@ -32,15 +32,9 @@
 
 // Run implements the verb.
 func (c *QuarantineListCmd) Run(env *Env) error {
-	var reply *admin.QuarantineReply
-	err := c.call(env, func(ctx context.Context, client *admin.Client) (err error) {
-		reply, err = client.Quarantine(ctx)
-		return err
+	return c.showQuarantine(env, c.JSON, func(ctx context.Context, client *admin.Client) (*admin.QuarantineReply, error) {
+		return client.Quarantine(ctx)
 	})
-	if err != nil {
-		return err
-	}
-	return showQuarantine(env, reply, c.JSON)
 }
 
 // QuarantineLiftCmd lifts what is held against a request.
@@ -59,18 +53,21 @@
 
 // Run implements the verb.
 func (c *QuarantineLiftCmd) Run(env *Env) error {
+	return c.showQuarantine(env, c.JSON, func(ctx context.Context, client *admin.Client) (*admin.QuarantineReply, error) {
+		return client.Lift(ctx, c.Digest)
+	})
+}
+
+// showQuarantine asks an entry and prints what is held.
+func (s *Server) showQuarantine(env *Env, asJSON bool, ask func(context.Context, *admin.Client) (*admin.QuarantineReply, error)) error {
 	var reply *admin.QuarantineReply
-	err := c.call(env, func(ctx context.Context, client *admin.Client) (err error) {
-		reply, err = client.Lift(ctx, c.Digest)
+	err := s.call(env, func(ctx context.Context, client *admin.Client) (err error) {
+		reply, err = ask(ctx, client)
 		return err
 	})
 	if err != nil {
 		return err
 	}
-	return showQuarantine(env, reply, c.JSON)
-}
-
-func showQuarantine(env *Env, reply *admin.QuarantineReply, asJSON bool) error {
 	if asJSON {
 		return printJSON(env, reply)
 	}
--- a/cli/roles.go
+++ b/cli/roles.go
@@ -1,8 +1,11 @@
 package cli
 
 import (
+	"context"
 	"net/http"
 
+	"github.com/rs/zerolog"
+
 	"dandelionrelay/daemon"
 	"dandelionrelay/entry"
 	"dandelionrelay/settings"
@@ -27,12 +30,9 @@
 	if err != nil {
 		return findingsExit(err)
 	}
-	if err := checkTLS(c.Settings, s.TLS); err != nil {
-		return err
-	}
-	ctx, stop := daemon.UntilSignal(env.Ctx)
-	defer stop()
-	return entry.Main(ctx, s, daemon.Logger(s.LogLevel, "entry", s.ID))
+	return runRole(env, c.Settings, "entry", &s.Process, func(ctx context.Context, log zerolog.Logger) error {
+		return entry.Main(ctx, s, log)
+	})
 }
 
 // SidecarCmd runs a sidecar.
@@ -53,12 +53,20 @@
 	if err != nil {
 		return findingsExit(err)
 	}
-	if err := checkTLS(c.Settings, s.TLS); err != nil {
+	return runRole(env, c.Settings, "sidecar", &s.Process, func(ctx context.Context, log zerolog.Logger) error {
+		return sidecar.Main(ctx, s, log)
+	})
+}
+
+// runRole runs a role with the settings of the file at path until the process
+// is told to end.
+func runRole(env *Env, path, role string, s *settings.Process, run func(context.Context, zerolog.Logger) error) error {
+	if err := checkTLS(path, s.TLS); err != nil {
 		return err
 	}
 	ctx, stop := daemon.UntilSignal(env.Ctx)
 	defer stop()
-	return sidecar.Main(ctx, s, daemon.Logger(s.LogLevel, "sidecar", s.ID))
+	return run(ctx, daemon.Logger(s.LogLevel, role, s.ID))
 }
 
 // checkTLS reports certificates that can't be used as a finding of the settings
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -27,21 +27,11 @@
 // was given up on.
 const RetryAfter = time.Second
 
-// Suspects knows the requests that endpoints died of; quarantine.Node
-// implements it.
-type Suspects interface {
-	Verdict(d quarantine.Digest, customer string) quarantine.Verdict
-	// Empty says that no request is suspected.
-	Empty() bool
-	Died(quarantine.Death)
-	Finished(quarantine.Digest)
-}
-
 // Deps is what a Dispatcher works with. All but Members may be left out.
 type Deps struct {
 	Members    membership.Members
 	Detector   *membership.Detector
-	Suspects   Suspects
+	Suspects   quarantine.Suspects
 	Transport  http.RoundTripper // to sidecars; nil means NewTransport()
 	Invariants *invariant.Set
 	Metrics    prometheus.Registerer
@@ -57,7 +47,7 @@
 type Dispatcher struct {
 	members     membership.Members
 	detector    *membership.Detector
-	suspects    Suspects
+	suspects    quarantine.Suspects
 	transport   http.RoundTripper
 	checks      *invariant.Set
 	metrics     *metrics
@@ -82,7 +72,7 @@
 		d.Detector = membership.NewDetector()
 	}
 	if d.Suspects == nil {
-		d.Suspects = noSuspects{}
+		d.Suspects = quarantine.NoSuspects{}
 	}
 	if d.Rand == nil {
 		d.Rand = runtimeRand{}
@@ -135,11 +125,3 @@
 
 // IntN implements Rand.
 func (runtimeRand) IntN(n int) int { return rand.IntN(n) }
-
-// noSuspects suspects nothing.
-type noSuspects struct{}
-
-func (noSuspects) Verdict(quarantine.Digest, string) quarantine.Verdict { return quarantine.Clear }
-func (noSuspects) Empty() bool                                          { return true }
-func (noSuspects) Died(quarantine.Death)                                {}
-func (noSuspects) Finished(quarantine.Digest)                           {}
--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -101,7 +101,7 @@
 }
 
 // entry returns a running dispatcher with its own detector.
-func (r *rig) entry(id string, suspects Suspects) *Dispatcher {
+func (r *rig) entry(id string, suspects quarantine.Suspects) *Dispatcher {
 	transport := NewTransportWith(r.net.DialContext)
 	d := New(Deps{
 		Members: r.members, Transport: transport, Invariants: r.checks, Suspects: suspects,
--- a/jobs/partition.go
+++ b/jobs/partition.go
@@ -266,11 +266,16 @@
 	return p.await(ctx, func() bool { return p.ready })
 }
 
-// has reads the table.
-func (p *partition) has(ok func(*Table) bool) bool {
+// learnOf returns at once if ok holds of the table, or else once everything
+// stored before the call is replayed. ok is called with the lock held.
+func (p *partition) learnOf(ctx context.Context, ok func(*Table) bool) error {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	return ok(p.owner.table)
+	known := ok(p.owner.table)
+	p.mu.Unlock()
+	if known {
+		return nil
+	}
+	return p.catchUp(ctx)
 }
 
 // catchUp waits until everything stored before the call is replayed.
--- a/jobs/results.go
+++ b/jobs/results.go
@@ -32,10 +32,12 @@
 	if err != nil {
 		return page, err
 	}
-	if !p.has(func(t *Table) bool { j := t.Job(args.Job); return j != nil && j.ended() }) {
-		if err := p.catchUp(ctx); err != nil {
-			return page, err
-		}
+	ended := func(t *Table) bool {
+		j := t.Job(args.Job)
+		return j != nil && j.ended()
+	}
+	if err := p.learnOf(ctx, ended); err != nil {
+		return page, err
 	}
 	refs, more := p.results(args)
 	bytes := 0
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -19,6 +19,7 @@
 	"dandelionrelay/membership"
 	"dandelionrelay/peer"
 	"dandelionrelay/platform"
+	"dandelionrelay/quarantine"
 	"dandelionrelay/sleep"
 )
 
@@ -30,9 +31,9 @@
 	Pool        *peer.Pool
 	Config      config.Source
 	Invariants  *invariant.Set
-	Suspects    Suspects      // nil: none are known
-	Retention   time.Duration // of the log; 0: for ever
-	ResultsKept time.Duration // after the due time; 0: DefaultResultsKept
+	Suspects    quarantine.Suspects // nil: none are known
+	Retention   time.Duration       // of the log; 0: for ever
+	ResultsKept time.Duration       // after the due time; 0: DefaultResultsKept
 	// AcceptBudget admits chunk appends; nil: an equal part for each entry.
 	AcceptBudget Budget
 	// OnBadRecord is told of records that are not ours; nil: ignored.
@@ -75,7 +76,7 @@
 		o.ResultsKept = DefaultResultsKept
 	}
 	if o.Suspects == nil {
-		o.Suspects = noSuspects{}
+		o.Suspects = quarantine.NoSuspects{}
 	}
 	s := &Service{
 		o:          o,
--- a/jobs/settle.go
+++ b/jobs/settle.go
@@ -81,16 +81,9 @@
 // waitReplayed waits until the table knows the attempts that results are of.
 // One that it never learns of belongs to a job that is forgotten.
 func (p *partition) waitReplayed(ctx context.Context, results []api.Result) error {
-	known := func() bool {
+	return p.learnOf(ctx, func(*Table) bool {
 		return p.ready && !slices.ContainsFunc(results, func(r api.Result) bool { return p.owner.behind(r.WorkRef) })
-	}
-	p.mu.Lock()
-	ok := known()
-	p.mu.Unlock()
-	if ok {
-		return nil
-	}
-	return p.catchUp(ctx)
+	})
 }
 
 // waitSettled waits until no result waits for the log.
--- a/jobs/suspects.go
+++ b/jobs/suspects.go
@@ -9,24 +9,6 @@
 	"dandelionrelay/quarantine"
 )
 
-// Suspects knows the requests that endpoints died of, online requests and
-// batch items alike; quarantine.Node implements it.
-type Suspects interface {
-	Verdict(d quarantine.Digest, customer string) quarantine.Verdict
-	// Empty says that no request is suspected.
-	Empty() bool
-	Died(quarantine.Death)
-	Finished(quarantine.Digest)
-}
-
-// noSuspects suspects nothing.
-type noSuspects struct{}
-
-func (noSuspects) Verdict(quarantine.Digest, string) quarantine.Verdict { return quarantine.Clear }
-func (noSuspects) Empty() bool                                          { return true }
-func (noSuspects) Died(quarantine.Death)                                {}
-func (noSuspects) Finished(quarantine.Digest)                           {}
-
 // pullerKept is how long an endpoint that pulled is thought to go on.
 const pullerKept = 30 * time.Second
 
@@ -77,12 +59,12 @@
 // screen is partition.screen on the owner's state.
 func (o *owner) screen(now time.Time, t *taken, d quarantine.Digest, v quarantine.Verdict, isolates bool) (facts []fact, ok bool) {
 	j, it := o.find(t.work.WorkRef)
-	a := o.running[itemKey{t.work.Job, t.work.Item}]
+	key := itemKey{t.work.Job, t.work.Item}
+	a := o.running[key]
 	if it == nil || it.first != 0 || j.ended() || a == nil || a.ref.Attempt != t.work.Attempt {
 		return nil, false
 	}
 	a.digest = d
-	key := itemKey{t.work.Job, t.work.Item}
 	delete(o.confined, key)
 	if v == quarantine.Suspect {
 		o.confined[key] = true
--- a/jobs/suspects_test.go
+++ b/jobs/suspects_test.go
@@ -81,7 +81,7 @@
 
 // noted is a Suspects that keeps the deaths it is told of.
 type noted struct {
-	noSuspects
+	quarantine.NoSuspects
 	deaths []quarantine.Death
 }
 
--- a/jobs/view.go
+++ b/jobs/view.go
@@ -117,10 +117,8 @@
 	if err := p.await(ctx, func() bool { return p.owner.table.next > args.After }); err != nil {
 		return View{}, err
 	}
-	if !p.has(func(t *Table) bool { return t.Job(id) != nil || t.Deleted(id) }) {
-		if err := p.catchUp(ctx); err != nil {
-			return View{}, err
-		}
+	if err := p.learnOf(ctx, func(t *Table) bool { return t.Job(id) != nil || t.Deleted(id) }); err != nil {
+		return View{}, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -143,10 +141,8 @@
 	if err != nil {
 		return FileView{}, err
 	}
-	if !p.has(func(t *Table) bool { return t.files[id] != nil }) {
-		if err := p.catchUp(ctx); err != nil {
-			return FileView{}, err
-		}
+	if err := p.learnOf(ctx, func(t *Table) bool { return t.files[id] != nil }); err != nil {
+		return FileView{}, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/peer/metrics_test.go
+++ b/peer/metrics_test.go
@@ -11,26 +11,9 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"dandelionrelay/peer"
+	"dandelionrelay/standin/network"
 )
 
-// wire counts what passes through a connection.
-type wire struct {
-	net.Conn
-	read, written *atomic.Int64
-}
-
-func (w wire) Read(b []byte) (int, error) {
-	n, err := w.Conn.Read(b)
-	w.read.Add(int64(n))
-	return n, err
-}
-
-func (w wire) Write(b []byte) (int, error) {
-	n, err := w.Conn.Write(b)
-	w.written.Add(int64(n))
-	return n, err
-}
-
 // series returns the value of each series of reg by metric and method.
 func series(g *gomega.WithT, reg *prometheus.Registry) map[string]float64 {
 	families, err := reg.Gather()
@@ -58,7 +41,7 @@
 		pool := peer.NewPool(func(context.Context, string) (net.Conn, error) {
 			near, far := net.Pipe()
 			go server.ServeConn(far)
-			return wire{near, &read, &written}, nil
+			return network.Counted(near, &read, &written), nil
 		})
 		pool.Count(peer.NewMetrics(atCaller))
 		defer pool.Close()
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -6,23 +6,14 @@
 	"time"
 
 	"dandelionrelay/api"
+	"dandelionrelay/order"
 )
 
 // Order is the body of POST /orders.
-type Order struct {
-	Fence   uint64 `json:"fence"`
-	Kind    string `json:"kind"` // "load"
-	Model   string `json:"model"`
-	Version string `json:"version"`
-}
+type Order = order.Order
 
 // State is the answer of GET /state.
-type State struct {
-	Fence   uint64 `json:"fence"` // of the last order taken
-	Model   string `json:"model"`
-	Version string `json:"version"`
-	Loading *Order `json:"loading,omitempty"` // under way
-}
+type State = order.State
 
 type orders struct {
 	state State
--- a/test/system/jobs_test.go
+++ b/test/system/jobs_test.go
@@ -27,19 +27,19 @@
 
 // submit hands in a job and sends it again until it is accepted.
 func (w *world) submit(customer, name string, items int) job {
+	return w.submitRequests(customer, name, items, func(i int) api.ChatRequest { return itemRequest(name, i) })
+}
+
+// submitRequests hands in a job of any requests until it is accepted.
+func (w *world) submitRequests(customer, name string, items int, request func(int) api.ChatRequest) job {
 	var lines []byte
 	for i := range items {
-		body, err := json.Marshal(itemRequest(name, i))
+		body, err := json.Marshal(request(i))
 		w.must(err)
 		line, err := json.Marshal(api.BatchLine{CustomID: fmt.Sprint(i), Method: "POST", URL: "/v1/chat/completions", Body: body})
 		w.must(err)
 		lines = append(append(lines, line...), '\n')
 	}
-	return w.submitLines(customer, name, items, lines)
-}
-
-// submitLines hands in a file until it is accepted.
-func (w *world) submitLines(customer, name string, items int, lines []byte) job {
 	for {
 		a := w.send(customer, http.MethodPost, "/v1/batches", "application/jsonl", name, lines)
 		w.finalAnswer(a)
--- a/test/system/suspects_test.go
+++ b/test/system/suspects_test.go
@@ -149,19 +149,6 @@
 	w.t.Logf("innocent requests: p50 %v, p99 %v, most %v", took[len(took)/2], took[len(took)*99/100], took[len(took)-1])
 }
 
-// submitRequests hands in a job of any requests.
-func (w *world) submitRequests(customer, name string, items int, request func(int) api.ChatRequest) job {
-	var lines strings.Builder
-	for i := range items {
-		body, err := json.Marshal(request(i))
-		w.must(err)
-		line, err := json.Marshal(api.BatchLine{CustomID: fmt.Sprint(i), Method: "POST", URL: "/v1/chat/completions", Body: body})
-		w.must(err)
-		lines.Write(append(line, '\n'))
-	}
-	return w.submitLines(customer, name, items, []byte(lines.String()))
-}
-
 // checkMixed checks that of the mixed job the crashers alone failed.
 func (w *world) checkMixed(j job) {
 	n := 0
