standin/fleet: one wait for readiness, and the demonstration uses it

The experiment and a fleet test each had a wait for /readyz of their own.

Change: Instance.Ready and AwaitReady; experiment, demo and the test call them.

--- a/demo/steps.go
+++ b/demo/steps.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strings"
 	"sync"
+
+	"dandelionrelay/standin/fleet"
 )
 
 const (
@@ -16,18 +18,21 @@
 )
 
 func (t *tour) start(ctx context.Context) error {
+	var started []*fleet.Instance
 	for range 2 {
 		i, _, err := t.fleet.AddEngine("assistant")
 		if err != nil {
 			return err
 		}
 		t.engines = append(t.engines, i)
+		started = append(started, i)
 		t.say("engine with sidecar %s in %s at %s", i.ID, i.DataCentre, i.HTTPAddr)
 	}
 	i, _, err := t.fleet.AddPlain("pickups")
 	if err != nil {
 		return err
 	}
+	started = append(started, i)
 	t.say("plain service with sidecar %s in %s at %s", i.ID, i.DataCentre, i.HTTPAddr)
 	for range 2 {
 		e, err := t.fleet.AddEntry()
@@ -35,8 +40,16 @@
 			return err
 		}
 		t.entries = append(t.entries, e)
+		started = append(started, e)
 		t.say("entry %s in %s at %s", e.ID, e.DataCentre, e.URL())
 	}
+	ready, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	for _, i := range started {
+		if err := i.AwaitReady(ready); err != nil {
+			return err
+		}
+	}
 	for n := range t.entries {
 		err := until(ctx, func() (bool, error) {
 			a, err := t.send(ctx, n, http.MethodPost, pathChat, gardenKey, chat("ready?", 1, false))
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -7,7 +7,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"slices"
 	"time"
 
@@ -222,7 +221,7 @@
 		instances = append(instances, i)
 	}
 	for _, i := range instances {
-		if err := ready(ctx, w.fleet.Client(), i); err != nil {
+		if err := ready(ctx, i); err != nil {
 			return err
 		}
 	}
@@ -232,23 +231,8 @@
 }
 
 // ready waits until an instance says that it is.
-func ready(ctx context.Context, client *http.Client, i *fleet.Instance) error {
-	url := "http://" + i.OpsAddr + "/readyz"
+func ready(ctx context.Context, i *fleet.Instance) error {
 	ctx, cancel := context.WithTimeout(ctx, warmUp)
 	defer cancel()
-	for ctx.Err() == nil {
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-		if err != nil {
-			return err
-		}
-		resp, err := client.Do(req)
-		if err == nil {
-			resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				return nil
-			}
-		}
-		time.Sleep(100 * time.Millisecond)
-	}
-	return fmt.Errorf("%s does not answer: %w", url, ctx.Err())
+	return i.AwaitReady(ctx)
 }
--- a/experiment/faults.go
+++ b/experiment/faults.go
@@ -168,7 +168,7 @@
 	if err != nil {
 		return err
 	}
-	if err := ready(ctx, w.fleet.Client(), i); err != nil {
+	if err := ready(ctx, i); err != nil {
 		if ctx.Err() != nil {
 			return nil // the load ended first
 		}
--- a/standin/fleet/ready_test.go
+++ b/standin/fleet/ready_test.go
@@ -33,21 +33,10 @@
 		for range 3 {
 			e, err := f.AddEntry()
 			g.Expect(err).NotTo(HaveOccurred())
-			for !ready(f, e) {
-				time.Sleep(10 * time.Millisecond)
-			}
+			g.Expect(e.AwaitReady(t.Context())).To(Succeed())
 			resp := chat(g, f, e.URL(), key, "beans?")
 			resp.Body.Close()
 			g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
 		}
 	})
 }
-
-func ready(f *fleet.Fleet, i *fleet.Instance) bool {
-	resp, err := f.Client().Get("http://" + i.OpsAddr + "/readyz")
-	if err != nil {
-		return false
-	}
-	defer resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
-}
