--- a/admin/api.go
+++ b/admin/api.go
@@ -6,7 +6,7 @@
 import (
 	"dandelionrelay/api"
 	"dandelionrelay/config"
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 )
 
 // Paths of the interface.
@@ -49,7 +49,7 @@
 type ApplyReply struct {
 	ID      string               `json:"id"`
 	Version uint64               `json:"version"` // in force
-	Offset  platform.Offset      `json:"offset,omitempty"`
+	Offset  infra.Offset         `json:"offset,omitempty"`
 	Changes []config.EntryChange `json:"changes"`
 }
 
--- a/admin/handler.go
+++ b/admin/handler.go
@@ -19,9 +19,9 @@
 	"dandelionrelay/api"
 	"dandelionrelay/authn"
 	"dandelionrelay/config"
+	"dandelionrelay/infra"
 	"dandelionrelay/membership"
 	"dandelionrelay/pipeline"
-	"dandelionrelay/platform"
 	"dandelionrelay/settings"
 )
 
@@ -37,7 +37,7 @@
 
 // Options is what a Handler works with.
 type Options struct {
-	Self     platform.Instance
+	Self     infra.Instance
 	Follower *config.Follower
 	Source   config.Source
 	Members  membership.Members
--- a/config/audit.go
+++ b/config/audit.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 )
 
 // Verdict is what every reader of the log decides alike on a record.
@@ -20,17 +20,17 @@
 
 // AuditEntry is one accepted or rejected change.
 type AuditEntry struct {
-	Offset   platform.Offset `json:"offset"`
-	Time     time.Time       `json:"time"` // by the log
-	ID       string          `json:"id"`
-	Operator string          `json:"operator"`
-	Base     uint64          `json:"base"`
-	Version  uint64          `json:"version"` // asked for
-	Verdict  Verdict         `json:"verdict"`
-	InForce  uint64          `json:"in_force"`         // version in force after the record
-	Winner   string          `json:"winner,omitempty"` // operator whose change was first, on a conflict
-	Delta    *Delta          `json:"delta,omitempty"`
-	Bytes    int             `json:"bytes"` // size of the record
+	Offset   infra.Offset `json:"offset"`
+	Time     time.Time    `json:"time"` // by the log
+	ID       string       `json:"id"`
+	Operator string       `json:"operator"`
+	Base     uint64       `json:"base"`
+	Version  uint64       `json:"version"` // asked for
+	Verdict  Verdict      `json:"verdict"`
+	InForce  uint64       `json:"in_force"`         // version in force after the record
+	Winner   string       `json:"winner,omitempty"` // operator whose change was first, on a conflict
+	Delta    *Delta       `json:"delta,omitempty"`
+	Bytes    int          `json:"bytes"` // size of the record
 }
 
 // Bounds of the audit trail that each replica keeps and snapshots carry on.
--- a/config/bench_test.go
+++ b/config/bench_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"dandelionrelay/config"
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 )
 
 // sizes are numbers of customers: the two-year size, and ten times that.
@@ -57,7 +57,7 @@
 				r := config.NewReplica(nil)
 				r.Restore(full)
 				b.StartTimer()
-				if v := r.Apply(platform.Record{Offset: 2, ID: "id", Data: data}); v != config.Accepted {
+				if v := r.Apply(infra.Record{Offset: 2, ID: "id", Data: data}); v != config.Accepted {
 					b.Fatal(v)
 				}
 				config.NewSnapshot(r.Version(), r.State())
--- a/config/feed.go
+++ b/config/feed.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
+	"dandelionrelay/infra"
 	"dandelionrelay/membership"
-	"dandelionrelay/platform"
 )
 
 // Limits on where configuration comes from.
@@ -25,13 +25,13 @@
 // FeedSource is where a process gets the next records from.
 type FeedSource struct {
 	Log  bool
-	Peer platform.Instance // if Log is false; the zero value: nowhere
+	Peer infra.Instance // if Log is false; the zero value: nowhere
 }
 
 // Feed decides whether a process reads the log or follows a peer, and which
 // one. It is passive.
 type Feed struct {
-	self   platform.Instance
+	self   infra.Instance
 	failed map[string]time.Time // id, or logID -> when it failed last
 }
 
@@ -39,14 +39,14 @@
 const logID = "\x00log"
 
 // NewFeed returns the Feed of the instance self.
-func NewFeed(self platform.Instance) *Feed {
+func NewFeed(self infra.Instance) *Feed {
 	return &Feed{self: self, failed: make(map[string]time.Time)}
 }
 
 // Next returns the source to use now, given the entries that are not gone.
-func (f *Feed) Next(now time.Time, entries []platform.Instance) FeedSource {
+func (f *Feed) Next(now time.Time, entries []infra.Instance) FeedSource {
 	f.forget(entries)
-	others := slices.DeleteFunc(slices.Clone(entries), func(i platform.Instance) bool { return i.ID == f.self.ID })
+	others := slices.DeleteFunc(slices.Clone(entries), func(i infra.Instance) bool { return i.ID == f.self.ID })
 	if len(others) == 0 {
 		return FeedSource{Log: true}
 	}
@@ -69,14 +69,14 @@
 
 // NextPeer returns the peer to follow now for a process that never reads the
 // log. It is spread over all entries of the data centre, not only readers.
-func (f *Feed) NextPeer(now time.Time, entries []platform.Instance) FeedSource {
+func (f *Feed) NextPeer(now time.Time, entries []infra.Instance) FeedSource {
 	f.forget(entries)
 	if len(entries) == 0 {
 		return FeedSource{}
 	}
 	ranked := membership.Rank("config-view/"+f.self.ID, entries)
-	isNear := func(p platform.Instance) bool { return p.DataCentre == f.self.DataCentre }
-	slices.SortStableFunc(ranked, func(a, b platform.Instance) int {
+	isNear := func(p infra.Instance) bool { return p.DataCentre == f.self.DataCentre }
+	slices.SortStableFunc(ranked, func(a, b infra.Instance) int {
 		return boolRank(isNear(b)) - boolRank(isNear(a))
 	})
 	for _, p := range ranked {
@@ -109,15 +109,15 @@
 }
 
 // reads reports whether this process is one of the readers of its data centre.
-func (f *Feed) reads(entries []platform.Instance) bool {
-	return slices.ContainsFunc(readers(f.self.DataCentre, entries), func(i platform.Instance) bool { return i.ID == f.self.ID })
+func (f *Feed) reads(entries []infra.Instance) bool {
+	return slices.ContainsFunc(readers(f.self.DataCentre, entries), func(i infra.Instance) bool { return i.ID == f.self.ID })
 }
 
 // readers returns the entries of a data centre that read the log.
-func readers(dataCentre string, entries []platform.Instance) []platform.Instance {
-	var local []platform.Instance
+func readers(dataCentre string, entries []infra.Instance) []infra.Instance {
+	var local []infra.Instance
 	for _, i := range entries {
-		if i.DataCentre == dataCentre && i.State == platform.Live {
+		if i.DataCentre == dataCentre && i.State == infra.Live {
 			local = append(local, i)
 		}
 	}
@@ -129,10 +129,10 @@
 // asks a reader of its own data centre first. A reader that cannot reach the
 // log asks readers of other data centres first, as its own fellow reader is
 // likely to be cut off too.
-func (f *Feed) order(others []platform.Instance, reads bool) []platform.Instance {
-	var near, far, rest []platform.Instance
+func (f *Feed) order(others []infra.Instance, reads bool) []infra.Instance {
+	var near, far, rest []infra.Instance
 	for _, p := range membership.Rank("config-feed/"+f.self.ID, others) {
-		isReader := slices.ContainsFunc(readers(p.DataCentre, others), func(i platform.Instance) bool { return i.ID == p.ID })
+		isReader := slices.ContainsFunc(readers(p.DataCentre, others), func(i infra.Instance) bool { return i.ID == p.ID })
 		switch {
 		case !isReader:
 			rest = append(rest, p)
@@ -148,16 +148,16 @@
 	return slices.Concat(near, far, rest)
 }
 
-func (f *Feed) longestAgo(peers []platform.Instance) platform.Instance {
-	return slices.MinFunc(peers, func(a, b platform.Instance) int {
+func (f *Feed) longestAgo(peers []infra.Instance) infra.Instance {
+	return slices.MinFunc(peers, func(a, b infra.Instance) int {
 		return f.failed[a.ID].Compare(f.failed[b.ID])
 	})
 }
 
 // forget drops what is known of entries that are gone.
-func (f *Feed) forget(entries []platform.Instance) {
+func (f *Feed) forget(entries []infra.Instance) {
 	for id := range f.failed {
-		gone := !slices.ContainsFunc(entries, func(i platform.Instance) bool { return i.ID == id })
+		gone := !slices.ContainsFunc(entries, func(i infra.Instance) bool { return i.ID == id })
 		if gone && id != logID {
 			delete(f.failed, id)
 		}
--- a/config/fleet_test.go
+++ b/config/fleet_test.go
@@ -12,10 +12,10 @@
 	"github.com/onsi/gomega"
 
 	"dandelionrelay/config"
+	"dandelionrelay/infra"
 	"dandelionrelay/invariant"
 	"dandelionrelay/membership"
 	"dandelionrelay/peer"
-	"dandelionrelay/platform"
 	"dandelionrelay/standin/network"
 	standin "dandelionrelay/standin/platform"
 )
@@ -32,37 +32,37 @@
 
 // cutLog is the log as one process reaches it.
 type cutLog struct {
-	platform.Log
+	infra.Log
 	down atomic.Bool
 	hang atomic.Bool // reads are not answered at all
 	uses atomic.Uint64
 }
 
-func (c *cutLog) Read(ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration) ([]platform.Record, error) {
+func (c *cutLog) Read(ctx context.Context, stream string, from infra.Offset, limit int, wait time.Duration) ([]infra.Record, error) {
 	c.uses.Add(1)
 	if c.hang.Load() {
 		<-ctx.Done()
 	}
 	if c.down.Load() {
-		return nil, platform.Unavailable.New("cut off")
+		return nil, infra.Unavailable.New("cut off")
 	}
 	records, err := c.Log.Read(ctx, stream, from, limit, wait)
 	if c.down.Load() {
-		return nil, platform.Unavailable.New("cut off")
+		return nil, infra.Unavailable.New("cut off")
 	}
 	return records, err
 }
 
-func (c *cutLog) Bounds(ctx context.Context, stream string) (platform.Offset, platform.Offset, error) {
+func (c *cutLog) Bounds(ctx context.Context, stream string) (infra.Offset, infra.Offset, error) {
 	if c.down.Load() {
-		return 0, 0, platform.Unavailable.New("cut off")
+		return 0, 0, infra.Unavailable.New("cut off")
 	}
 	return c.Log.Bounds(ctx, stream)
 }
 
-func (c *cutLog) Append(ctx context.Context, stream, id string, data []byte) (platform.Offset, error) {
+func (c *cutLog) Append(ctx context.Context, stream, id string, data []byte) (infra.Offset, error) {
 	if c.down.Load() {
-		return 0, platform.Unavailable.New("cut off")
+		return 0, infra.Unavailable.New("cut off")
 	}
 	return c.Log.Append(ctx, stream, id, data)
 }
@@ -101,7 +101,7 @@
 
 // node is one entry of a fleet in memory.
 type node struct {
-	self     platform.Instance
+	self     infra.Instance
 	log      *cutLog
 	holder   config.Holder
 	follower *config.Follower
@@ -129,8 +129,8 @@
 		for i := range perDataCentre {
 			id := fmt.Sprintf("entry-%d-%d", dc, i)
 			f.paused[id] = new(atomic.Bool)
-			f.members = append(f.members, platform.Instance{
-				ID: id, Role: platform.RoleEntry, State: platform.Live, DataCentre: fmt.Sprint("dc", dc), RPCAddr: id,
+			f.members = append(f.members, infra.Instance{
+				ID: id, Role: infra.RoleEntry, State: infra.Live, DataCentre: fmt.Sprint("dc", dc), RPCAddr: id,
 			})
 		}
 	}
@@ -159,7 +159,7 @@
 
 // start runs the entry self. A process that ran under that name before must
 // have been stopped.
-func (f *fleet) start(self platform.Instance, retention time.Duration) *node {
+func (f *fleet) start(self infra.Instance, retention time.Duration) *node {
 	ctx, cancel := context.WithCancel(f.t.Context())
 	n := &node{self: self, log: &cutLog{Log: f.log}}
 	n.follower = config.NewFollower(n.log, &n.holder, f.checks, nil)
@@ -181,7 +181,7 @@
 func (f *fleet) startSidecar(id, dataCentre string) {
 	holder := new(config.Holder)
 	f.sidecars = append(f.sidecars, holder)
-	self := platform.Instance{ID: id, Role: platform.RoleSidecar, DataCentre: dataCentre, Deployment: "m"}
+	self := infra.Instance{ID: id, Role: infra.RoleSidecar, DataCentre: dataCentre, Deployment: "m"}
 	viewer := config.NewViewer(config.Fleet{Self: self, Members: f.members, Peers: f.pool()}, holder, nil)
 	go viewer.Run(f.t.Context())
 }
--- a/config/follower.go
+++ b/config/follower.go
@@ -7,9 +7,9 @@
 	"sync"
 	"time"
 
+	"dandelionrelay/infra"
 	"dandelionrelay/invariant"
 	"dandelionrelay/membership"
-	"dandelionrelay/platform"
 	"dandelionrelay/sleep"
 )
 
@@ -34,7 +34,7 @@
 
 // Fleet is what a Follower needs to know of the other entries.
 type Fleet struct {
-	Self      platform.Instance
+	Self      infra.Instance
 	Members   membership.Members
 	Peers     Caller
 	Retention time.Duration // of the log; 0 means DefaultRetention
@@ -43,7 +43,7 @@
 // Follower keeps a Holder up to date from the log or from a peer, and carries
 // the state forward in the log. Entries run one each.
 type Follower struct {
-	log      platform.Log
+	log      infra.Log
 	holder   *Holder
 	onChange func(*Snapshot)
 	fleet    *Fleet // nil: alone, always reads the log
@@ -61,7 +61,7 @@
 
 // NewFollower returns a Follower of log that puts new versions into holder
 // and then hands them to onChange, which may be nil and must not block.
-func NewFollower(log platform.Log, holder *Holder, checks *invariant.Set, onChange func(*Snapshot)) *Follower {
+func NewFollower(log infra.Log, holder *Holder, checks *invariant.Set, onChange func(*Snapshot)) *Follower {
 	return &Follower{
 		log:      log,
 		holder:   holder,
@@ -138,7 +138,7 @@
 		return err
 	}
 	records, err := f.log.Read(ctx, Stream, next, readBatch, wait)
-	var expired *platform.ExpiredError
+	var expired *infra.ExpiredError
 	if errors.As(err, &expired) {
 		f.start(expired.Oldest)
 		return nil
@@ -155,7 +155,7 @@
 
 // nextOffset returns where to read on. A follower that does not know the
 // state first learns what the log still keeps.
-func (f *Follower) nextOffset(ctx context.Context) (platform.Offset, error) {
+func (f *Follower) nextOffset(ctx context.Context) (infra.Offset, error) {
 	f.mu.Lock()
 	next, known := f.replica.Next(), f.replica.Known()
 	f.mu.Unlock()
@@ -169,7 +169,7 @@
 	return f.start(oldest), nil
 }
 
-func (f *Follower) start(oldest platform.Offset) platform.Offset {
+func (f *Follower) start(oldest infra.Offset) infra.Offset {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	next := f.replica.Start(oldest)
@@ -187,7 +187,7 @@
 var errStalePeer = Errors.NewType("stale_peer").New("the peer has not heard from the log for long")
 
 // followPeer asks a peer for what is new and applies it.
-func (f *Follower) followPeer(ctx context.Context, p platform.Instance, wait time.Duration) error {
+func (f *Follower) followPeer(ctx context.Context, p infra.Instance, wait time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+callMargin)
 	defer cancel()
 	f.mu.Lock()
@@ -243,7 +243,7 @@
 
 var errUseless = Errors.NewType("useless_answer").New("the peer's answer does not lead on from the state here")
 
-func (f *Follower) apply(records []platform.Record) {
+func (f *Follower) apply(records []infra.Record) {
 	if len(records) == 0 {
 		return
 	}
--- a/config/follower_start.go
+++ b/config/follower_start.go
@@ -7,8 +7,8 @@
 
 	"github.com/google/uuid"
 
+	"dandelionrelay/infra"
 	"dandelionrelay/membership"
-	"dandelionrelay/platform"
 )
 
 // Limits on a start from peers.
@@ -33,9 +33,9 @@
 	}
 }
 
-func (f *Follower) startCandidates() []platform.Instance {
+func (f *Follower) startCandidates() []infra.Instance {
 	self := f.fleet.Self
-	others := slices.DeleteFunc(slices.Clone(f.fleet.Members.Entries()), func(i platform.Instance) bool { return i.ID == self.ID })
+	others := slices.DeleteFunc(slices.Clone(f.fleet.Members.Entries()), func(i infra.Instance) bool { return i.ID == self.ID })
 	ranked := f.feed.order(membership.Rank(self.ID, others), false)
 	return ranked[:min(len(ranked), startPeers)]
 }
@@ -102,12 +102,12 @@
 
 // Status is what a Follower knows of its own state.
 type Status struct {
-	Known   bool            `json:"known"` // has a state to judge by
-	Version uint64          `json:"version"`
-	Hash    Hash            `json:"hash"`
-	Through platform.Offset `json:"through"`          // last offset applied
-	Age     Duration        `json:"age"`              // since the state was known to be the log's; -1ns: never
-	Carried time.Time       `json:"carried,omitzero"` // last snapshot in the log
+	Known   bool         `json:"known"` // has a state to judge by
+	Version uint64       `json:"version"`
+	Hash    Hash         `json:"hash"`
+	Through infra.Offset `json:"through"`          // last offset applied
+	Age     Duration     `json:"age"`              // since the state was known to be the log's; -1ns: never
+	Carried time.Time    `json:"carried,omitzero"` // last snapshot in the log
 }
 
 // Status returns what the follower knows of its state at now.
--- a/config/history.go
+++ b/config/history.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 )
 
 // Bounds of the records that a replica keeps for peers that follow it.
@@ -14,11 +14,11 @@
 
 // history keeps the last records that a replica decided on.
 type history struct {
-	records []platform.Record // offsets without gaps
+	records []infra.Record // offsets without gaps
 	bytes   int
 }
 
-func (h *history) add(raw platform.Record) {
+func (h *history) add(raw infra.Record) {
 	h.records = append(h.records, raw)
 	h.bytes += len(raw.Data)
 	for len(h.records) > maxHistoryRecords || h.bytes > maxHistoryBytes && len(h.records) > 1 {
@@ -33,7 +33,7 @@
 }
 
 // after returns the records after offset up to through, if all are kept.
-func (h *history) after(offset, through platform.Offset) ([]platform.Record, bool) {
+func (h *history) after(offset, through infra.Offset) ([]infra.Record, bool) {
 	missing := int(through - offset)
 	if missing > len(h.records) {
 		return nil, false
@@ -45,7 +45,7 @@
 // follows needs only to know that there was one.
 var snapshotMarker = []byte(`{"kind":"snapshot"}`)
 
-func withoutData(raw platform.Record) platform.Record {
+func withoutData(raw infra.Record) infra.Record {
 	raw.Data = snapshotMarker
 	return raw
 }
--- a/config/propose.go
+++ b/config/propose.go
@@ -8,7 +8,7 @@
 	"github.com/google/uuid"
 	"github.com/joomcode/errorx"
 
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 )
 
 // Errors is the namespace of the errors of this package.
@@ -48,7 +48,7 @@
 
 // Append appends rec to the log. After an Unavailable error it may be stored
 // or not; appending the same record again is harmless.
-func Append(ctx context.Context, log platform.Log, rec Record) (platform.Offset, error) {
+func Append(ctx context.Context, log infra.Log, rec Record) (infra.Offset, error) {
 	b, err := json.Marshal(rec)
 	if err != nil {
 		return 0, unencodable.Wrap(err, "record %s", rec.ID)
--- a/config/record.go
+++ b/config/record.go
@@ -6,7 +6,7 @@
 	"encoding/json"
 	"time"
 
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 )
 
 // Stream is the stream of the platform's log that carries configuration.
@@ -37,12 +37,12 @@
 // Full is a whole replica: what a snapshot record carries and what a peer
 // hands to one that starts.
 type Full struct {
-	Version uint64          `json:"version"`
-	Hash    Hash            `json:"hash"`
-	State   *State          `json:"state"`
-	Through platform.Offset `json:"through"`          // last offset that went into State
-	Carried time.Time       `json:"carried,omitzero"` // of the last snapshot in the log
-	Audit   []AuditEntry    `json:"audit,omitempty"`
+	Version uint64       `json:"version"`
+	Hash    Hash         `json:"hash"`
+	State   *State       `json:"state"`
+	Through infra.Offset `json:"through"`          // last offset that went into State
+	Carried time.Time    `json:"carried,omitzero"` // of the last snapshot in the log
+	Audit   []AuditEntry `json:"audit,omitempty"`
 }
 
 // Hash is the content hash of a State: the exclusive or of the SHA-256
--- a/config/replica.go
+++ b/config/replica.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
+	"dandelionrelay/infra"
 	"dandelionrelay/invariant"
-	"dandelionrelay/platform"
 )
 
 // Replica decides on the records of the configuration stream in the order of
@@ -22,13 +22,13 @@
 	version uint64
 	hash    Hash
 	state   *State
-	through platform.Offset // last offset decided on, or held back
+	through infra.Offset // last offset decided on, or held back
 	trail   *trail
 	recent  history
 	carried time.Time // of the last snapshot in the log, by the log's clock
 
-	first platform.Offset   // first offset held back, while not known
-	held  []platform.Record // changes from first on, while not known
+	first infra.Offset   // first offset held back, while not known
+	held  []infra.Record // changes from first on, while not known
 }
 
 // NewReplica returns a replica at version 0 that knows nothing yet.
@@ -49,10 +49,10 @@
 func (r *Replica) Known() bool { return r.known }
 
 // Through returns the last offset that was applied.
-func (r *Replica) Through() platform.Offset { return r.through }
+func (r *Replica) Through() infra.Offset { return r.through }
 
 // Next returns the offset that is to be applied next.
-func (r *Replica) Next() platform.Offset { return r.through + 1 }
+func (r *Replica) Next() infra.Offset { return r.through + 1 }
 
 // Carried returns when the last snapshot was appended, by the log's clock;
 // zero if none was seen.
@@ -78,7 +78,7 @@
 // Start tells the replica the oldest offset that the log keeps. It returns
 // the offset to read from. If records were missed, what is in force stays so,
 // but nothing is judged until a snapshot or a peer tells what they did.
-func (r *Replica) Start(oldest platform.Offset) platform.Offset {
+func (r *Replica) Start(oldest infra.Offset) infra.Offset {
 	if oldest == 1 && r.through == 0 {
 		r.known = true
 	}
@@ -94,7 +94,7 @@
 
 // Apply decides on the record at offset Next. It ignores those before, which
 // were applied already, and those after, as it must not skip any.
-func (r *Replica) Apply(raw platform.Record) Verdict {
+func (r *Replica) Apply(raw infra.Record) Verdict {
 	if raw.Offset != r.Next() {
 		return Ignored
 	}
@@ -112,7 +112,7 @@
 }
 
 // decode reads a record; an unreadable one has only its id.
-func decode(raw platform.Record) Record {
+func decode(raw infra.Record) Record {
 	var rec Record
 	if err := json.Unmarshal(raw.Data, &rec); err != nil {
 		rec = Record{}
@@ -125,7 +125,7 @@
 
 // applySnapshot takes the state of a snapshot if there is none yet to judge
 // by; else the snapshot changes nothing.
-func (r *Replica) applySnapshot(raw platform.Record, rec Record) Verdict {
+func (r *Replica) applySnapshot(raw infra.Record, rec Record) Verdict {
 	r.carried = raw.Time
 	if r.known {
 		r.recent.add(withoutData(raw))
@@ -183,7 +183,7 @@
 	return true
 }
 
-func (r *Replica) applyChange(raw platform.Record, rec Record) Verdict {
+func (r *Replica) applyChange(raw infra.Record, rec Record) Verdict {
 	if _, seen := r.trail.byID[rec.ID]; seen {
 		return Ignored
 	}
@@ -255,7 +255,7 @@
 // After returns the records after an offset, for a peer that follows this
 // replica. It reports false if they are not all kept any more, or never were:
 // the peer then needs the whole state.
-func (r *Replica) After(offset platform.Offset) ([]platform.Record, bool) {
+func (r *Replica) After(offset infra.Offset) ([]infra.Record, bool) {
 	if !r.known || offset > r.through {
 		return nil, offset >= r.through
 	}
--- a/config/replica_test.go
+++ b/config/replica_test.go
@@ -11,8 +11,8 @@
 	"github.com/onsi/gomega"
 
 	"dandelionrelay/config"
+	"dandelionrelay/infra"
 	"dandelionrelay/invariant"
-	"dandelionrelay/platform"
 )
 
 var seeds = flag.Uint64("seeds", 25, "number of seeds of the randomised runs")
@@ -24,12 +24,12 @@
 	rnd       *rand.Rand
 	now       time.Time
 	checks    *invariant.Set
-	oldest    platform.Offset
-	records   []platform.Record // all ever appended
-	old       []config.Record   // for appending once more
+	oldest    infra.Offset
+	records   []infra.Record  // all ever appended
+	old       []config.Record // for appending once more
 	reference *config.Replica
 	contents  map[uint64]config.Hash // version -> content, by the reference
-	verdicts  map[platform.Offset]config.Verdict
+	verdicts  map[infra.Offset]config.Verdict
 	replicas  []*config.Replica
 	versions  []uint64 // highest seen, by replica
 }
@@ -42,7 +42,7 @@
 		checks:   invariant.New(func(v invariant.Violation) { t.Errorf("seed %d: %v", seed, v) }),
 		oldest:   1,
 		contents: map[uint64]config.Hash{0: {}},
-		verdicts: make(map[platform.Offset]config.Verdict),
+		verdicts: make(map[infra.Offset]config.Verdict),
 	}
 	w.reference = config.NewReplica(w.checks)
 	w.reference.Start(1)
@@ -61,7 +61,7 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	raw := platform.Record{Offset: platform.Offset(len(w.records) + 1), ID: rec.ID, Time: w.now, Data: data}
+	raw := infra.Record{Offset: infra.Offset(len(w.records) + 1), ID: rec.ID, Time: w.now, Data: data}
 	w.records = append(w.records, raw)
 	w.verdicts[raw.Offset] = w.reference.Apply(raw)
 	w.contents[w.reference.Version()] = w.reference.Hash()
@@ -121,8 +121,8 @@
 // carrying rule sees to that in time.
 func (w *world) expire() {
 	w.carry(w.reference)
-	last := platform.Offset(len(w.records))
-	w.oldest += platform.Offset(w.rnd.Uint64N(uint64(last - w.oldest + 1)))
+	last := infra.Offset(len(w.records))
+	w.oldest += infra.Offset(w.rnd.Uint64N(uint64(last - w.oldest + 1)))
 }
 
 // replace starts a new process, with or without a peer's help.
--- a/config/spread.go
+++ b/config/spread.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"time"
 
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 )
 
 // Names of the RPC methods of the configuration service.
@@ -19,17 +19,17 @@
 
 // FollowArgs asks an entry for what came after an offset.
 type FollowArgs struct {
-	Through platform.Offset // last offset applied by the caller
-	Known   bool            // whether the caller has a state to apply records to
-	Wait    time.Duration   // how long to wait for something new
+	Through infra.Offset  // last offset applied by the caller
+	Known   bool          // whether the caller has a state to apply records to
+	Wait    time.Duration // how long to wait for something new
 }
 
 // FollowReply is what came after an offset: either records, or the whole
 // state if the records are not kept any more.
 type FollowReply struct {
-	Records []platform.Record // in order, without gaps
-	Full    []byte            // JSON of a Full, or nil
-	Age     time.Duration     // since the answering entry knew that its state was the log's
+	Records []infra.Record // in order, without gaps
+	Full    []byte         // JSON of a Full, or nil
+	Age     time.Duration  // since the answering entry knew that its state was the log's
 }
 
 // ViewArgs asks an entry for the part of the state that concerns a sidecar.
--- a/config/viewer_test.go
+++ b/config/viewer_test.go
@@ -11,8 +11,8 @@
 	"github.com/onsi/gomega"
 
 	"dandelionrelay/config"
+	"dandelionrelay/infra"
 	"dandelionrelay/membership"
-	"dandelionrelay/platform"
 )
 
 // scripted answers every call with the same view at once, or with no news
@@ -58,8 +58,8 @@
 		peers := &scripted{reply: view(5, 1)}
 		var holder config.Holder
 		viewer := config.NewViewer(config.Fleet{
-			Self:    platform.Instance{ID: "s", Deployment: "m"},
-			Members: membership.Static{{ID: "e", Role: platform.RoleEntry}},
+			Self:    infra.Instance{ID: "s", Deployment: "m"},
+			Members: membership.Static{{ID: "e", Role: infra.RoleEntry}},
 			Peers:   peers,
 		}, &holder, nil)
 		go viewer.Run(t.Context())
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -12,9 +12,9 @@
 
 	"dandelionrelay/api"
 	"dandelionrelay/config"
+	"dandelionrelay/infra"
 	"dandelionrelay/membership"
 	"dandelionrelay/pipeline"
-	"dandelionrelay/platform"
 )
 
 // BenchmarkPick shows that a pick costs the same at any number of endpoints.
@@ -121,8 +121,8 @@
 }
 
 // instances returns n endpoints over six data centres.
-func instances(n int) []platform.Instance {
-	var out []platform.Instance
+func instances(n int) []infra.Instance {
+	var out []infra.Instance
 	for i := range n {
 		out = append(out, instance(fmt.Sprintf("s%04d", i), fmt.Sprint("dc", i%6)))
 	}
--- a/dispatch/delivery.go
+++ b/dispatch/delivery.go
@@ -9,10 +9,10 @@
 	"github.com/google/uuid"
 
 	"dandelionrelay/api"
+	"dandelionrelay/infra"
 	"dandelionrelay/invariant"
 	"dandelionrelay/membership"
 	"dandelionrelay/pipeline"
-	"dandelionrelay/platform"
 	"dandelionrelay/quarantine"
 )
 
@@ -103,7 +103,7 @@
 func (y *delivery) digest() quarantine.Digest { return quarantine.Of(y.c) }
 
 // pick chooses the endpoint of the next attempt.
-func (y *delivery) pick() (platform.Instance, bool) {
+func (y *delivery) pick() (infra.Instance, bool) {
 	d := y.d
 	affine, depth := y.prefix()
 	q := Query{
@@ -118,7 +118,7 @@
 	}
 	i, ok := d.picker.Pick(&q, d.rand)
 	if ok {
-		d.checks.Check(i.State != platform.Leaving && !d.detector.Leaving(i.ID),
+		d.checks.Check(i.State != infra.Leaving && !d.detector.Leaving(i.ID),
 			invariant.NoWorkWhenLeaving, "call %s picks leaving endpoint %s", y.c.ID, i.ID)
 	}
 	return i, ok
@@ -131,7 +131,7 @@
 	if !y.suspect {
 		return d.subsets.of(y.c.Route.Deployment, d.members)
 	}
-	usable := slices.DeleteFunc(slices.Clone(d.members.Endpoints(y.c.Route.Deployment)), func(i platform.Instance) bool {
+	usable := slices.DeleteFunc(slices.Clone(d.members.Endpoints(y.c.Route.Deployment)), func(i infra.Instance) bool {
 		return !d.detector.Usable(i.ID)
 	})
 	return membership.Subset{Local: quarantine.Isolation(usable)}
@@ -150,7 +150,7 @@
 }
 
 // try makes one attempt. It returns nil once the caller has the whole answer.
-func (y *delivery) try(ctx context.Context, endpoint platform.Instance) *end {
+func (y *delivery) try(ctx context.Context, endpoint infra.Instance) *end {
 	d := y.d
 	d.checks.Check(y.c.Route.Idempotent || !y.mayHaveRun, invariant.AtMostOnce,
 		"call %s, not idempotent, is sent again", y.c.ID)
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -12,9 +12,9 @@
 
 	"dandelionrelay/api"
 	"dandelionrelay/config"
+	"dandelionrelay/infra"
 	"dandelionrelay/membership"
 	"dandelionrelay/pipeline"
-	"dandelionrelay/platform"
 )
 
 // call returns a call with body on a route to deployment "d" and its recorder.
@@ -30,9 +30,9 @@
 	}, w
 }
 
-func sidecarAt(url, id string) platform.Instance {
-	return platform.Instance{
-		ID: id, Role: platform.RoleSidecar, State: platform.Live, Deployment: "d",
+func sidecarAt(url, id string) infra.Instance {
+	return infra.Instance{
+		ID: id, Role: infra.RoleSidecar, State: infra.Live, Deployment: "d",
 		HTTPAddr: strings.TrimPrefix(url, "http://"),
 	}
 }
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -16,8 +16,8 @@
 
 	"dandelionrelay/api"
 	"dandelionrelay/authn"
+	"dandelionrelay/infra"
 	"dandelionrelay/pipeline"
-	"dandelionrelay/platform"
 )
 
 // Limits of the connections to sidecars.
@@ -47,7 +47,7 @@
 // attempt is one try of a call at one endpoint.
 type attempt struct {
 	id       string
-	endpoint platform.Instance
+	endpoint infra.Instance
 	began    time.Time
 	sent     atomic.Bool // a connection was handed to the request
 	turn     atomic.Bool // a suspect's turn to run alone has come
--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 )
 
 const (
@@ -29,7 +29,7 @@
 }
 
 type load struct {
-	instance platform.Instance
+	instance infra.Instance
 	wait     time.Duration // as reported
 	at       time.Time     // of the report
 	last     time.Time     // of the last event
@@ -52,7 +52,7 @@
 }
 
 // Begin records that an attempt is sent to i.
-func (l *Loads) Begin(i platform.Instance, suspect bool, now time.Time) {
+func (l *Loads) Begin(i infra.Instance, suspect bool, now time.Time) {
 	s := l.shard(i.ID)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -102,13 +102,13 @@
 }
 
 // Instance returns the description of an endpoint that was sent to.
-func (l *Loads) Instance(id string) (platform.Instance, bool) {
+func (l *Loads) Instance(id string) (infra.Instance, bool) {
 	s := l.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e, ok := s.loads[id]
 	if !ok {
-		return platform.Instance{}, false
+		return infra.Instance{}, false
 	}
 	return e.instance, true
 }
--- a/dispatch/parts_test.go
+++ b/dispatch/parts_test.go
@@ -11,8 +11,8 @@
 	"github.com/onsi/gomega"
 
 	"dandelionrelay/api"
+	"dandelionrelay/infra"
 	"dandelionrelay/membership"
-	"dandelionrelay/platform"
 )
 
 func TestReadEvent(t *testing.T) {
@@ -54,8 +54,8 @@
 	g.Expect(repeats).To(gomega.BeNumerically("<=", RetryBurst+RetryFraction*calls))
 }
 
-func instance(id, dc string) platform.Instance {
-	return platform.Instance{ID: id, DataCentre: dc, State: platform.Live}
+func instance(id, dc string) infra.Instance {
+	return infra.Instance{ID: id, DataCentre: dc, State: infra.Live}
 }
 
 func TestPickPrefersNearThenShortWait(t *testing.T) {
@@ -67,7 +67,7 @@
 	near, far := instance("near", "a"), instance("far", "b")
 	q := &Query{
 		Now: now, Slots: 8, Usable: func(string) bool { return true },
-		Subset: membership.Subset{Local: []platform.Instance{near}, Remote: []platform.Instance{far}},
+		Subset: membership.Subset{Local: []infra.Instance{near}, Remote: []infra.Instance{far}},
 	}
 	pick := func() string {
 		i, _ := p.Pick(q, rnd)
--- a/dispatch/picker.go
+++ b/dispatch/picker.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
+	"dandelionrelay/infra"
 	"dandelionrelay/membership"
-	"dandelionrelay/platform"
 )
 
 // Weights of a pick.
@@ -53,14 +53,14 @@
 
 // choice is the best endpoint so far.
 type choice struct {
-	instance platform.Instance
+	instance infra.Instance
 	cost     time.Duration
 	inFlight int
 	found    bool
 }
 
 // Pick returns an endpoint, or false if none may get the request.
-func (p *Picker) Pick(q *Query, rnd Rand) (platform.Instance, bool) {
+func (p *Picker) Pick(q *Query, rnd Rand) (infra.Instance, bool) {
 	var best choice
 	p.sample(q, rnd, q.Subset.Local, sampleLocal, 0, &best)
 	p.sample(q, rnd, q.Subset.Remote, sampleRemote, Distance, &best)
@@ -75,7 +75,7 @@
 }
 
 // sample compares up to n random endpoints of list.
-func (p *Picker) sample(q *Query, rnd Rand, list []platform.Instance, n int, distance time.Duration, best *choice) {
+func (p *Picker) sample(q *Query, rnd Rand, list []infra.Instance, n int, distance time.Duration, best *choice) {
 	if len(list) == 0 {
 		return
 	}
@@ -93,7 +93,7 @@
 }
 
 // any takes the first endpoint that may be used.
-func (p *Picker) any(q *Query, rnd Rand, list []platform.Instance, distance time.Duration, best *choice) {
+func (p *Picker) any(q *Query, rnd Rand, list []infra.Instance, distance time.Duration, best *choice) {
 	if len(list) == 0 {
 		return
 	}
@@ -126,7 +126,7 @@
 }
 
 // find looks the affine endpoint up in list.
-func (p *Picker) find(q *Query, list []platform.Instance, distance time.Duration, held *choice) bool {
+func (p *Picker) find(q *Query, list []infra.Instance, distance time.Duration, held *choice) bool {
 	for i := range list {
 		if list[i].ID == q.Affine {
 			p.consider(q, &list[i], distance, held)
@@ -137,8 +137,8 @@
 }
 
 // consider makes i the best choice if it may be used and costs less.
-func (p *Picker) consider(q *Query, i *platform.Instance, extra time.Duration, best *choice) {
-	if i.State == platform.Leaving || slices.Contains(q.Skip, i.ID) || !q.Usable(i.ID) {
+func (p *Picker) consider(q *Query, i *infra.Instance, extra time.Duration, best *choice) {
+	if i.State == infra.Leaving || slices.Contains(q.Skip, i.ID) || !q.Usable(i.ID) {
 		return
 	}
 	l := p.loads.look(i.ID, q.Slots, q.Now)
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"dandelionrelay/api"
+	"dandelionrelay/infra"
 	"dandelionrelay/membership"
-	"dandelionrelay/platform"
 )
 
 const (
@@ -60,8 +60,8 @@
 	}
 }
 
-func (d *Dispatcher) member(endpoint platform.Instance) bool {
-	return slices.ContainsFunc(d.members.Endpoints(endpoint.Deployment), func(i platform.Instance) bool {
+func (d *Dispatcher) member(endpoint infra.Instance) bool {
+	return slices.ContainsFunc(d.members.Endpoints(endpoint.Deployment), func(i infra.Instance) bool {
 		return i.ID == endpoint.ID
 	})
 }
@@ -69,7 +69,7 @@
 // ask probes an endpoint's sidecar. It returns whether the endpoint is well
 // and, if not, what the sidecar saw of its crash with an attempt: CrashLost if
 // there is no sidecar to ask.
-func (d *Dispatcher) ask(ctx context.Context, endpoint platform.Instance, attempt string) (bool, api.Crash) {
+func (d *Dispatcher) ask(ctx context.Context, endpoint infra.Instance, attempt string) (bool, api.Crash) {
 	ctx, cancel := context.WithTimeout(ctx, membership.ProbeTimeout)
 	defer cancel()
 	r := &http.Request{
--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -18,10 +18,10 @@
 
 	"dandelionrelay/api"
 	"dandelionrelay/config"
+	"dandelionrelay/infra"
 	"dandelionrelay/invariant"
 	"dandelionrelay/membership"
 	"dandelionrelay/pipeline"
-	"dandelionrelay/platform"
 	"dandelionrelay/quarantine"
 	"dandelionrelay/standin/network"
 )
@@ -95,8 +95,8 @@
 	l := r.net.Listen(addr)
 	go func() { _ = server.Serve(l) }()
 	r.t.Cleanup(func() { _ = server.Close() })
-	r.members = append(r.members, platform.Instance{
-		ID: id, Role: platform.RoleSidecar, State: platform.Live, Deployment: "d", DataCentre: dc, HTTPAddr: addr,
+	r.members = append(r.members, infra.Instance{
+		ID: id, Role: infra.RoleSidecar, State: infra.Live, Deployment: "d", DataCentre: dc, HTTPAddr: addr,
 	})
 }
 
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"dandelionrelay/infra"
 	"dandelionrelay/membership"
-	"dandelionrelay/platform"
 )
 
 // The simulated engines: prompts are read one after the other, tokens are
@@ -86,7 +86,7 @@
 	now     time.Duration
 	queue   events
 	engines map[string]*simEngine
-	list    []platform.Instance
+	list    []infra.Instance
 	nodes   []*simEntry
 
 	ttft             []time.Duration
@@ -140,7 +140,7 @@
 	const dataCentres = 3
 	for i := range c.endpoints {
 		id, dc := fmt.Sprintf("s%04d", i), fmt.Sprint("dc", i%dataCentres)
-		s.list = append(s.list, platform.Instance{ID: id, DataCentre: dc, State: platform.Live})
+		s.list = append(s.list, infra.Instance{ID: id, DataCentre: dc, State: infra.Live})
 		s.engines[id] = &simEngine{id: id, dc: dc, dead: c.half && i%2 == 0, service: time.Second, capacity: c.cache, cache: make(map[uint64]int)}
 	}
 	for i := range c.entries {
@@ -218,7 +218,7 @@
 		s.far++
 	}
 	began := s.now
-	r.entry.loads.Begin(platform.Instance{ID: id}, false, s.time())
+	r.entry.loads.Begin(infra.Instance{ID: id}, false, s.time())
 	r.entry.affinity.Learn(r.blocks, id)
 	s.after(way, func() {
 		if engine.dead {
@@ -243,7 +243,7 @@
 
 func (s *sim) pick(r *simRequest) (string, bool) {
 	all := append(slices.Clone(r.entry.subset.Local), r.entry.subset.Remote...)
-	all = slices.DeleteFunc(all, func(i platform.Instance) bool { return slices.Contains(r.tried, i.ID) })
+	all = slices.DeleteFunc(all, func(i infra.Instance) bool { return slices.Contains(r.tried, i.ID) })
 	if len(all) == 0 {
 		return "", false
 	}
@@ -252,7 +252,7 @@
 		return all[s.rnd.IntN(len(all))].ID, true
 	case schemeLeast:
 		s.rnd.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-		return slices.MinFunc(all, func(a, b platform.Instance) int {
+		return slices.MinFunc(all, func(a, b infra.Instance) int {
 			return r.entry.loads.look(a.ID, 0, s.time()).inFlight - r.entry.loads.look(b.ID, 0, s.time()).inFlight
 		}).ID, true
 	}
@@ -280,7 +280,7 @@
 		endpoint, depth = s.home(r), len(r.blocks)
 	}
 	q.Affine, q.Saving = endpoint, time.Duration(depth)*blockSaving
-	q.Subset.Local = append(slices.Clone(q.Subset.Local), platform.Instance{ID: endpoint, State: platform.Live})
+	q.Subset.Local = append(slices.Clone(q.Subset.Local), infra.Instance{ID: endpoint, State: infra.Live})
 }
 
 // home returns the endpoint in the data centre that ranks first for a session.
--- a/dispatch/subsets.go
+++ b/dispatch/subsets.go
@@ -3,8 +3,8 @@
 import (
 	"sync"
 
+	"dandelionrelay/infra"
 	"dandelionrelay/membership"
-	"dandelionrelay/platform"
 )
 
 // subsets keeps this entry's subset of each deployment until the members
@@ -16,8 +16,8 @@
 }
 
 type cachedSubset struct {
-	endpoints []platform.Instance
-	entries   []platform.Instance
+	endpoints []infra.Instance
+	entries   []infra.Instance
 	subset    membership.Subset
 }
 
@@ -36,10 +36,10 @@
 }
 
 // local counts the entries in the data centre of this one.
-func (s *subsets) local(entries []platform.Instance) int {
+func (s *subsets) local(entries []infra.Instance) int {
 	n := 0
 	for _, e := range entries {
-		if e.DataCentre == s.dataCentre && e.State == platform.Live {
+		if e.DataCentre == s.dataCentre && e.State == infra.Live {
 			n++
 		}
 	}
@@ -47,6 +47,6 @@
 }
 
 // same says that a and b are one slice.
-func same(a, b []platform.Instance) bool {
+func same(a, b []infra.Instance) bool {
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 	"dandelionrelay/dispatch"
 	"dandelionrelay/front"
 	"dandelionrelay/idempotency"
+	"dandelionrelay/infra"
 	"dandelionrelay/invariant"
 	"dandelionrelay/jobs"
 	"dandelionrelay/limit"
@@ -26,7 +27,6 @@
 	"dandelionrelay/ops"
 	"dandelionrelay/peer"
 	"dandelionrelay/pipeline"
-	"dandelionrelay/platform"
 	"dandelionrelay/quarantine"
 	"dandelionrelay/route"
 	"dandelionrelay/settings"
@@ -38,8 +38,8 @@
 
 // Deps is what an Entry works with.
 type Deps struct {
-	Log        platform.Log
-	Instances  platform.Instances
+	Log        infra.Log
+	Instances  infra.Instances
 	Dial       peer.Dialer // to peers and sidecars; nil means TCP
 	Logger     zerolog.Logger
 	Registry   *prometheus.Registry
@@ -148,12 +148,12 @@
 }
 
 // self is this entry as the platform lists it.
-func (e *Entry) self() platform.Instance {
-	return platform.Instance{
+func (e *Entry) self() infra.Instance {
+	return infra.Instance{
 		ID:         e.settings.ID,
-		Role:       platform.RoleEntry,
+		Role:       infra.RoleEntry,
 		DataCentre: e.settings.DataCentre,
-		State:      platform.Live,
+		State:      infra.Live,
 		HTTPAddr:   e.settings.HTTPAddr,
 		RPCAddr:    e.settings.RPCAddr,
 	}
@@ -255,7 +255,7 @@
 }
 
 // badRecord reports a record of a job stream that can't be read.
-func (e *Entry) badRecord(stream string, offset platform.Offset, err error) {
+func (e *Entry) badRecord(stream string, offset infra.Offset, err error) {
 	e.deps.Logger.Error().Err(err).Str("stream", stream).Uint64("offset", uint64(offset)).Msg("bad record")
 }
 
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -8,9 +8,9 @@
 	"github.com/rs/zerolog"
 
 	"dandelionrelay/daemon"
+	"dandelionrelay/infra/client"
 	"dandelionrelay/ops"
 	"dandelionrelay/peer"
-	"dandelionrelay/platform/client"
 	"dandelionrelay/settings"
 )
 
--- a/idempotency/bench_test.go
+++ b/idempotency/bench_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/google/uuid"
 
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 )
 
 // BenchmarkTable replays a stream of keys, begun and ended, 50 events a record.
@@ -34,9 +34,9 @@
 }
 
 // stream returns the records of calls that began and ended.
-func stream(keys int) []platform.Record {
+func stream(keys int) []infra.Record {
 	const group = 25
-	var records []platform.Record
+	var records []infra.Record
 	for first := 0; first < keys; first += group {
 		var events []Event
 		for n := range group {
@@ -47,7 +47,7 @@
 				Event{Kind: End, Key: key, Token: token, Answer: &Answer{Status: 200}})
 		}
 		data, _ := json.Marshal(events)
-		records = append(records, platform.Record{Offset: platform.Offset(len(records) + 1), Time: start, Data: data})
+		records = append(records, infra.Record{Offset: infra.Offset(len(records) + 1), Time: start, Data: data})
 	}
 	return records
 }
--- a/idempotency/home.go
+++ b/idempotency/home.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
+	"dandelionrelay/infra"
 	"dandelionrelay/invariant"
-	"dandelionrelay/platform"
 )
 
 const (
@@ -19,7 +19,7 @@
 // home reads and appends one stream.
 type home struct {
 	stream string
-	log    platform.Log
+	log    infra.Log
 	window time.Duration
 	checks *invariant.Set
 
@@ -35,7 +35,7 @@
 	flushing bool
 }
 
-func newHome(life context.Context, stream string, log platform.Log, window time.Duration, checks *invariant.Set) *home {
+func newHome(life context.Context, stream string, log infra.Log, window time.Duration, checks *invariant.Set) *home {
 	return &home{
 		stream: stream, log: log, window: window, checks: checks, life: life,
 		reading: make(chan struct{}, 1),
--- a/idempotency/home_log.go
+++ b/idempotency/home_log.go
@@ -8,7 +8,7 @@
 
 	"github.com/google/uuid"
 
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 	"dandelionrelay/sleep"
 )
 
@@ -56,12 +56,12 @@
 		return h.readTo(ctx, offset)
 	}
 	seen := false
-	_ = h.read(ctx, func(r platform.Record) { seen = seen || r.ID == id })
+	_ = h.read(ctx, func(r infra.Record) { seen = seen || r.ID == id })
 	return seen
 }
 
 // readTo reads on until the record at offset is applied.
-func (h *home) readTo(ctx context.Context, offset platform.Offset) bool {
+func (h *home) readTo(ctx context.Context, offset infra.Offset) bool {
 	for {
 		h.mu.Lock()
 		done := h.table != nil && h.table.Next() > offset
@@ -89,12 +89,12 @@
 
 // readOn applies the records that were not read yet.
 func (h *home) readOn(ctx context.Context) error {
-	return h.read(ctx, func(platform.Record) {})
+	return h.read(ctx, func(infra.Record) {})
 }
 
 // read applies the records that were not read yet and shows each. Another read
 // under way is waited for no longer than ctx allows.
-func (h *home) read(ctx context.Context, each func(platform.Record)) error {
+func (h *home) read(ctx context.Context, each func(infra.Record)) error {
 	select {
 	case h.reading <- struct{}{}:
 	case <-ctx.Done():
@@ -111,7 +111,7 @@
 		from := h.table.Next()
 		h.mu.Unlock()
 		records, err := h.log.Read(ctx, h.stream, from, readLimit, 0)
-		var expired *platform.ExpiredError
+		var expired *infra.ExpiredError
 		if errors.As(err, &expired) {
 			h.reset()
 			return err
@@ -154,7 +154,7 @@
 }
 
 // seek returns the offset of the first record at or after t, by bisection.
-func (h *home) seek(ctx context.Context, t time.Time) (platform.Offset, error) {
+func (h *home) seek(ctx context.Context, t time.Time) (infra.Offset, error) {
 	low, high, err := h.log.Bounds(ctx, h.stream)
 	if err != nil {
 		return 0, err
--- a/idempotency/parts_test.go
+++ b/idempotency/parts_test.go
@@ -13,16 +13,16 @@
 	"github.com/onsi/gomega"
 
 	"dandelionrelay/api"
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 	standin "dandelionrelay/standin/platform"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 // record returns a record at an offset with one event.
-func record(offset platform.Offset, at time.Time, e Event) platform.Record {
+func record(offset infra.Offset, at time.Time, e Event) infra.Record {
 	data, _ := json.Marshal([]Event{e})
-	return platform.Record{Offset: offset, Time: at, Data: data}
+	return infra.Record{Offset: offset, Time: at, Data: data}
 }
 
 func TestFirstBeginInOffsetOrderRuns(t *testing.T) {
@@ -91,11 +91,11 @@
 }
 
 // silentLog never answers.
-type silentLog struct{ platform.Log }
+type silentLog struct{ infra.Log }
 
-func (silentLog) Bounds(ctx context.Context, _ string) (oldest, next platform.Offset, err error) {
+func (silentLog) Bounds(ctx context.Context, _ string) (oldest, next infra.Offset, err error) {
 	<-ctx.Done()
-	return 0, 0, platform.Unavailable.New("no answer")
+	return 0, 0, infra.Unavailable.New("no answer")
 }
 
 // TestNoBeginWaitsForAnothersReading has several begins at once while the log
@@ -187,14 +187,14 @@
 	fallen *atomic.Bool
 }
 
-// Append implements platform.Log.
-func (l storesAndFalls) Append(ctx context.Context, stream, id string, data []byte) (platform.Offset, error) {
+// Append implements infra.Log.
+func (l storesAndFalls) Append(ctx context.Context, stream, id string, data []byte) (infra.Offset, error) {
 	offset, err := l.Log.Append(ctx, stream, id, data)
 	if l.fallen.Swap(true) {
 		return offset, err
 	}
 	l.SetFaults(standin.Faults{Down: true})
-	return 0, platform.Unavailable.New("append")
+	return 0, infra.Unavailable.New("append")
 }
 
 // TestRefusedBeginIsMadeVoid stores a begin whose answer is lost, as the log
@@ -204,7 +204,7 @@
 		g := gomega.NewWithT(t)
 		fallen := new(atomic.Bool)
 		fallen.Store(true)
-		r := newRigOn(t, 1, func(log *standin.Log) platform.Log { return storesAndFalls{log, fallen} })
+		r := newRigOn(t, 1, func(log *standin.Log) infra.Log { return storesAndFalls{log, fallen} })
 		g.Expect(r.send(0, "warm", "warm", "body").err).NotTo(gomega.Equal(refusal(Down)))
 		time.Sleep(time.Second)
 		fallen.Store(false)
--- a/idempotency/random_test.go
+++ b/idempotency/random_test.go
@@ -17,11 +17,11 @@
 
 	"dandelionrelay/api"
 	"dandelionrelay/config"
+	"dandelionrelay/infra"
 	"dandelionrelay/invariant"
 	"dandelionrelay/membership"
 	"dandelionrelay/peer"
 	"dandelionrelay/pipeline"
-	"dandelionrelay/platform"
 	"dandelionrelay/standin/network"
 	standin "dandelionrelay/standin/platform"
 )
@@ -50,7 +50,7 @@
 	rnd      *rand.Rand
 	net      *network.Network
 	log      *standin.Log
-	wrapped  platform.Log // what entries use
+	wrapped  infra.Log // what entries use
 	members  membership.Static
 	services []*Service
 	checks   *invariant.Set
@@ -62,11 +62,11 @@
 }
 
 func newRig(t *testing.T, seed uint64) *rig {
-	return newRigOn(t, seed, func(log *standin.Log) platform.Log { return log })
+	return newRigOn(t, seed, func(log *standin.Log) infra.Log { return log })
 }
 
 // newRigOn is newRig on a log with a wrapper.
-func newRigOn(t *testing.T, seed uint64, wrap func(*standin.Log) platform.Log) *rig {
+func newRigOn(t *testing.T, seed uint64, wrap func(*standin.Log) infra.Log) *rig {
 	r := &rig{
 		t: t, rnd: rand.New(rand.NewPCG(seed, 11)), net: network.New(), log: standin.NewLog(0, seed),
 		checks: invariant.New(func(v invariant.Violation) { t.Error(v) }),
@@ -74,8 +74,8 @@
 	}
 	r.wrapped = wrap(r.log)
 	for i := range entries {
-		r.members = append(r.members, platform.Instance{
-			ID: fmt.Sprint("e", i), Role: platform.RoleEntry, State: platform.Live, RPCAddr: fmt.Sprintf("10.0.0.%d:90", i+1),
+		r.members = append(r.members, infra.Instance{
+			ID: fmt.Sprint("e", i), Role: infra.RoleEntry, State: infra.Live, RPCAddr: fmt.Sprintf("10.0.0.%d:90", i+1),
 		})
 	}
 	for i := range entries {
--- a/idempotency/service.go
+++ b/idempotency/service.go
@@ -7,10 +7,10 @@
 
 	"github.com/rs/zerolog"
 
+	"dandelionrelay/infra"
 	"dandelionrelay/invariant"
 	"dandelionrelay/membership"
 	"dandelionrelay/pipeline"
-	"dandelionrelay/platform"
 )
 
 const (
@@ -42,7 +42,7 @@
 // Deps is what a Service works with.
 type Deps struct {
 	ID         string // instance id of this entry
-	Log        platform.Log
+	Log        infra.Log
 	Retention  time.Duration // of the log; 0: for ever
 	Members    membership.Members
 	Peers      Caller
@@ -156,15 +156,15 @@
 func (s *Service) home(k Key) *home { return s.homes[int(k[0])%streams] }
 
 // homeOf returns the entry that is home to the stream of k.
-func (s *Service) homeOf(k Key) (platform.Instance, bool) {
-	var live []platform.Instance
+func (s *Service) homeOf(k Key) (infra.Instance, bool) {
+	var live []infra.Instance
 	for _, e := range s.deps.Members.Entries() {
-		if e.State == platform.Live {
+		if e.State == infra.Live {
 			live = append(live, e)
 		}
 	}
 	if len(live) == 0 {
-		return platform.Instance{}, false
+		return infra.Instance{}, false
 	}
 	i := membership.Rank(s.home(k).stream, live)[0]
 	return i, i.ID != s.deps.ID
--- a/idempotency/table.go
+++ b/idempotency/table.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"time"
 
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 )
 
 // Window is how long a key is known after its begin, unless the log's
@@ -20,7 +20,7 @@
 	window time.Duration
 	calls  map[Key]*call
 	order  []begun // in order of records
-	next   platform.Offset
+	next   infra.Offset
 }
 
 // call is a key that was begun.
@@ -30,7 +30,7 @@
 	until  time.Time
 	at     time.Time // of the begin's record
 	ended  bool
-	stored platform.Offset // of the record with the answer; 0: outcome unknown
+	stored infra.Offset // of the record with the answer; 0: outcome unknown
 }
 
 type begun struct {
@@ -41,18 +41,18 @@
 
 // NewTable returns an empty table that reads from offset next on and knows
 // keys for window.
-func NewTable(window time.Duration, next platform.Offset) *Table {
+func NewTable(window time.Duration, next infra.Offset) *Table {
 	return &Table{window: window, calls: make(map[Key]*call), next: next}
 }
 
 // Next returns the offset of the record to apply next.
-func (t *Table) Next() platform.Offset { return t.next }
+func (t *Table) Next() infra.Offset { return t.next }
 
 // Full says that no further key can be known.
 func (t *Table) Full() bool { return len(t.calls) >= maxCalls }
 
 // Apply replays the next record. Records before Next are ignored.
-func (t *Table) Apply(r platform.Record) {
+func (t *Table) Apply(r infra.Record) {
 	if r.Offset < t.next {
 		return
 	}
@@ -67,7 +67,7 @@
 	}
 }
 
-func (t *Table) apply(e Event, r platform.Record) {
+func (t *Table) apply(e Event, r infra.Record) {
 	c, held := t.calls[e.Key]
 	switch {
 	case e.Kind == Begin && !held:
@@ -100,7 +100,7 @@
 
 // Look returns the verdict on a request with that token, and where the answer
 // is stored if there is one.
-func (t *Table) Look(key Key, body Body, token string, now time.Time) (Verdict, platform.Offset) {
+func (t *Table) Look(key Key, body Body, token string, now time.Time) (Verdict, infra.Offset) {
 	c, held := t.calls[key]
 	switch {
 	case !held:
@@ -126,7 +126,7 @@
 }
 
 // answerOf finds the answer to key in a record.
-func answerOf(r platform.Record, key Key) *Answer {
+func answerOf(r infra.Record, key Key) *Answer {
 	var events []Event
 	if json.Unmarshal(r.Data, &events) != nil {
 		return nil
--- a/platform/client/client.go
+++ b/infra/client/client.go
@@ -13,7 +13,7 @@
 	"sync/atomic"
 	"time"
 
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 )
 
 // Paths of the platform's HTTP interface.
@@ -32,24 +32,24 @@
 
 // Appended is the answer to an append.
 type Appended struct {
-	Offset platform.Offset `json:"offset"`
+	Offset infra.Offset `json:"offset"`
 }
 
 // Records is the answer to a read.
 type Records struct {
-	Records []platform.Record `json:"records"`
+	Records []infra.Record `json:"records"`
 }
 
 // Bounds is the answer to a question for the bounds of a stream, and the body
 // of a 410 answer to a read from an expired offset.
 type Bounds struct {
-	Oldest platform.Offset `json:"oldest"`
-	Next   platform.Offset `json:"next"`
+	Oldest infra.Offset `json:"oldest"`
+	Next   infra.Offset `json:"next"`
 }
 
 // InstanceList is the platform's instance list.
 type InstanceList struct {
-	Instances []platform.Instance `json:"instances"`
+	Instances []infra.Instance `json:"instances"`
 }
 
 // Weights is the answer of the weight store.
@@ -57,7 +57,7 @@
 	LoadsPerMinute int `json:"loads_per_minute"`
 }
 
-// Client implements platform.Log, platform.Instances and platform.Weights.
+// Client implements infra.Log, infra.Instances and infra.Weights.
 type Client struct {
 	base string // such as http://127.0.0.1:7000
 	http *http.Client
@@ -67,7 +67,7 @@
 // cachedList is the instance list last read with its entity tag.
 type cachedList struct {
 	tag       string
-	instances []platform.Instance
+	instances []infra.Instance
 }
 
 // New returns a Client of the platform at base, an http URL without a path.
@@ -81,16 +81,16 @@
 
 func newTransport() *http.Transport { return &http.Transport{MaxIdleConnsPerHost: 16} }
 
-// Append implements platform.Log.
-func (c *Client) Append(ctx context.Context, stream, id string, data []byte) (platform.Offset, error) {
+// Append implements infra.Log.
+func (c *Client) Append(ctx context.Context, stream, id string, data []byte) (infra.Offset, error) {
 	query := url.Values{"stream": {stream}, "id": {id}}
 	var out Appended
 	err := c.call(ctx, http.MethodPost, PathRecords, query, data, 0, &out)
 	return out.Offset, err
 }
 
-// Read implements platform.Log.
-func (c *Client) Read(ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration) ([]platform.Record, error) {
+// Read implements infra.Log.
+func (c *Client) Read(ctx context.Context, stream string, from infra.Offset, limit int, wait time.Duration) ([]infra.Record, error) {
 	query := url.Values{
 		"stream":  {stream},
 		"from":    {strconv.FormatUint(uint64(from), 10)},
@@ -99,28 +99,28 @@
 	}
 	var out Records
 	err := c.call(ctx, http.MethodGet, PathRecords, query, nil, wait, &out)
-	if expired, ok := err.(*platform.ExpiredError); ok {
+	if expired, ok := err.(*infra.ExpiredError); ok {
 		expired.Stream = stream
 		expired.From = from
 	}
 	return out.Records, err
 }
 
-// Bounds implements platform.Log.
-func (c *Client) Bounds(ctx context.Context, stream string) (oldest, next platform.Offset, err error) {
+// Bounds implements infra.Log.
+func (c *Client) Bounds(ctx context.Context, stream string) (oldest, next infra.Offset, err error) {
 	var out Bounds
 	err = c.call(ctx, http.MethodGet, PathBounds, url.Values{"stream": {stream}}, nil, 0, &out)
 	return out.Oldest, out.Next, err
 }
 
-// List implements platform.Instances. The list is large and changes rarely: it
+// List implements infra.Instances. The list is large and changes rarely: it
 // is asked for by its entity tag, so that an unchanged one is not sent again.
-func (c *Client) List(ctx context.Context) ([]platform.Instance, error) {
+func (c *Client) List(ctx context.Context) ([]infra.Instance, error) {
 	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+PathInstances, nil)
 	if err != nil {
-		return nil, platform.Unavailable.Wrap(err, "list instances")
+		return nil, infra.Unavailable.Wrap(err, "list instances")
 	}
 	known := c.list.Load()
 	if known != nil {
@@ -128,7 +128,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, platform.Unavailable.Wrap(err, "list instances")
+		return nil, infra.Unavailable.Wrap(err, "list instances")
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode == http.StatusNotModified && known != nil {
@@ -136,7 +136,7 @@
 	}
 	var out InstanceList
 	if err := decode(resp, &out); err != nil {
-		return nil, platform.Unavailable.Wrap(err, "list instances")
+		return nil, infra.Unavailable.Wrap(err, "list instances")
 	}
 	if tag := resp.Header.Get("ETag"); tag != "" {
 		c.list.Store(&cachedList{tag: tag, instances: out.Instances})
@@ -144,7 +144,7 @@
 	return out.Instances, nil
 }
 
-// LoadsPerMinute implements platform.Weights.
+// LoadsPerMinute implements infra.Weights.
 func (c *Client) LoadsPerMinute(ctx context.Context) (int, error) {
 	var out Weights
 	err := c.call(ctx, http.MethodGet, PathWeights, nil, nil, 0, &out)
@@ -152,29 +152,29 @@
 }
 
 // call makes one request and decodes its answer into out. Whatever goes wrong
-// but an expired offset is platform.Unavailable.
+// but an expired offset is infra.Unavailable.
 func (c *Client) call(ctx context.Context, method, path string, query url.Values, body []byte, wait time.Duration, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, CallTimeout+wait)
 	defer cancel()
 	target := c.base + path + "?" + query.Encode()
 	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
 	if err != nil {
-		return platform.Unavailable.Wrap(err, "%s %s", method, path)
+		return infra.Unavailable.Wrap(err, "%s %s", method, path)
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return platform.Unavailable.Wrap(err, "%s %s", method, path)
+		return infra.Unavailable.Wrap(err, "%s %s", method, path)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode == http.StatusGone {
 		var bounds Bounds
 		if err := json.NewDecoder(resp.Body).Decode(&bounds); err != nil {
-			return platform.Unavailable.Wrap(err, "%s %s", method, path)
+			return infra.Unavailable.Wrap(err, "%s %s", method, path)
 		}
-		return &platform.ExpiredError{Oldest: bounds.Oldest}
+		return &infra.ExpiredError{Oldest: bounds.Oldest}
 	}
 	if err := decode(resp, out); err != nil {
-		return platform.Unavailable.Wrap(err, "%s %s", method, path)
+		return infra.Unavailable.Wrap(err, "%s %s", method, path)
 	}
 	return nil
 }
@@ -182,7 +182,7 @@
 // decode reads the document of an answer that must have status 200.
 func decode(resp *http.Response, out any) error {
 	if resp.StatusCode != http.StatusOK {
-		return platform.Unavailable.New("status %d", resp.StatusCode)
+		return infra.Unavailable.New("status %d", resp.StatusCode)
 	}
 	return json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(out)
 }
--- a/platform/client/metrics_test.go
+++ b/infra/client/metrics_test.go
@@ -12,7 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/testutil/promlint"
 
-	"dandelionrelay/platform/client"
+	"dandelionrelay/infra/client"
 	"dandelionrelay/standin/network"
 	standin "dandelionrelay/standin/platform"
 )
--- a/platform/platform.go
+++ b/infra/infra.go
@@ -1,7 +1,7 @@
-// Package platform declares what the system uses of the platform it runs on:
+// Package infra declares what the system uses of the platform it runs on:
 // an append-only log with offsets, a list of instances and a weight store.
 // Implementations live elsewhere; see standin/platform for the test one.
-package platform
+package infra
 
 import (
 	"context"
@@ -40,7 +40,7 @@
 }
 
 // Errors is the namespace of the errors of this package.
-var Errors = errorx.NewNamespace("platform")
+var Errors = errorx.NewNamespace("infra")
 
 // Unavailable says that the service could not be reached or did not answer.
 var Unavailable = Errors.NewType("unavailable", errorx.Temporary())
--- a/jobs/accept_test.go
+++ b/jobs/accept_test.go
@@ -16,9 +16,9 @@
 	"github.com/onsi/gomega"
 
 	"dandelionrelay/config"
+	"dandelionrelay/infra"
 	"dandelionrelay/jobs"
 	"dandelionrelay/membership"
-	"dandelionrelay/platform"
 	standin "dandelionrelay/standin/platform"
 )
 
@@ -58,19 +58,19 @@
 	largest int
 }
 
-func (l *countingLog) Append(_ context.Context, _, _ string, data []byte) (platform.Offset, error) {
+func (l *countingLog) Append(_ context.Context, _, _ string, data []byte) (infra.Offset, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.appends++
 	l.largest = max(l.largest, len(data))
-	return platform.Offset(l.appends), nil
+	return infra.Offset(l.appends), nil
 }
 
-func (l *countingLog) Read(context.Context, string, platform.Offset, int, time.Duration) ([]platform.Record, error) {
-	return nil, platform.Unavailable.New("counting only")
+func (l *countingLog) Read(context.Context, string, infra.Offset, int, time.Duration) ([]infra.Record, error) {
+	return nil, infra.Unavailable.New("counting only")
 }
 
-func (l *countingLog) Bounds(context.Context, string) (platform.Offset, platform.Offset, error) {
+func (l *countingLog) Bounds(context.Context, string) (infra.Offset, infra.Offset, error) {
 	return 1, 1, nil
 }
 
@@ -128,7 +128,7 @@
 	}
 }
 
-func counting(log platform.Log) *jobs.Service {
+func counting(log infra.Log) *jobs.Service {
 	holder := new(config.Holder)
 	holder.Set(config.NewSnapshot(1, &config.State{
 		Routes: map[string]config.Route{"chat": {Model: "m", Deployment: "d", Idempotent: true}},
--- a/jobs/appender.go
+++ b/jobs/appender.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"dandelionrelay/api"
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 	"dandelionrelay/sleep"
 )
 
@@ -17,12 +17,12 @@
 
 // appender appends to one stream and settles lost answers.
 type appender struct {
-	log    platform.Log
+	log    infra.Log
 	stream string
-	from   platform.Offset // the records of this appender lie at or after it
+	from   infra.Offset // the records of this appender lie at or after it
 }
 
-func newAppender(ctx context.Context, log platform.Log, stream string) (*appender, error) {
+func newAppender(ctx context.Context, log infra.Log, stream string) (*appender, error) {
 	_, next, err := log.Bounds(ctx, stream)
 	if err != nil {
 		return nil, err
@@ -34,7 +34,7 @@
 // for id, and appends again if it is not there: all records of this package
 // may be repeated. With outcome NotRun the record is certainly not stored;
 // with Unknown it may be, now or later.
-func (a *appender) append(ctx context.Context, id string, data []byte) (platform.Offset, api.Outcome) {
+func (a *appender) append(ctx context.Context, id string, data []byte) (infra.Offset, api.Outcome) {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	outcome := api.Outcome(api.NotRun)
@@ -56,7 +56,7 @@
 }
 
 // find reads on for a record.
-func (a *appender) find(ctx context.Context, id string) (platform.Offset, bool) {
+func (a *appender) find(ctx context.Context, id string) (infra.Offset, bool) {
 	for from := a.from; ; {
 		records, err := a.log.Read(ctx, a.stream, from, readBatch, 0)
 		if err != nil || len(records) == 0 {
--- a/jobs/bench_test.go
+++ b/jobs/bench_test.go
@@ -10,15 +10,15 @@
 	"time"
 
 	"dandelionrelay/api"
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 )
 
 // history returns the records of one job, half of whose items are done.
-func history(items int) []platform.Record {
-	var out []platform.Record
+func history(items int) []infra.Record {
+	var out []infra.Record
 	add := func(h *header, bodies ...[]byte) {
-		o := platform.Offset(len(out) + 1)
-		out = append(out, platform.Record{Offset: o, ID: fmt.Sprint(o), Time: time.Unix(int64(o), 0), Data: encodeRecord(h, bodies...)})
+		o := infra.Offset(len(out) + 1)
+		out = append(out, infra.Record{Offset: o, ID: fmt.Sprint(o), Time: time.Unix(int64(o), 0), Data: encodeRecord(h, bodies...)})
 	}
 	body := []byte(strings.Repeat("x", 500))
 	f := &fileRecord{ID: "f", Customer: "a", Upload: "u", Items: items, Targets: []target{{Deployment: "d", Idempotent: true}}}
@@ -38,8 +38,8 @@
 		for i := first; i < first+100; i++ {
 			facts = append(facts, fact{Kind: factDone, Job: "j", Item: i, CustomID: fmt.Sprintf("item-%d", i), Attempt: "entry-0-1", Status: 200, body: body})
 		}
-		o := platform.Offset(len(out) + 1)
-		out = append(out, platform.Record{Offset: o, ID: fmt.Sprint(o), Data: encodeFacts(facts)})
+		o := infra.Offset(len(out) + 1)
+		out = append(out, infra.Record{Offset: o, ID: fmt.Sprint(o), Data: encodeFacts(facts)})
 	}
 	return out
 }
@@ -130,13 +130,13 @@
 		b.Run(fmt.Sprint(customers, "customers"), func(b *testing.B) {
 			t := NewTable(nil)
 			o := newOwner(nil, t, "o")
-			offset := platform.Offset(1)
+			offset := infra.Offset(1)
 			for c := range customers {
 				id := fmt.Sprint(c)
 				ch := &chunkHeader{Upload: id, Items: make([]chunkItem, 2000)}
 				f := &fileRecord{ID: id, Customer: id, Upload: id, Items: 2000, Firsts: []int{0}, Targets: []target{{Deployment: "d", Idempotent: true}}}
 				j := &jobRecord{ID: id, Customer: id, File: id, Expires: time.Unix(1<<32, 0)}
-				_ = t.Apply(platform.Record{Offset: offset, ID: id, Data: encodeRecord(&header{Chunk: ch, File: f, Job: j})})
+				_ = t.Apply(infra.Record{Offset: offset, ID: id, Data: encodeRecord(&header{Chunk: ch, File: f, Job: j})})
 				offset++
 			}
 			fair := newFairQueue()
@@ -171,7 +171,7 @@
 			n := 0
 			for b.Loop() {
 				job, item := n%jobs, n/jobs%len(ch.Items)
-				if _, err := c.item(context.Background(), "s", platform.Offset(1+job), item); err != nil {
+				if _, err := c.item(context.Background(), "s", infra.Offset(1+job), item); err != nil {
 					b.Fatal(err)
 				}
 				n++
@@ -183,12 +183,12 @@
 
 // readCounter is a log that holds the same record at each offset.
 type readCounter struct {
-	platform.Log
+	infra.Log
 	data  []byte
 	reads int
 }
 
-func (r *readCounter) Read(_ context.Context, _ string, from platform.Offset, _ int, _ time.Duration) ([]platform.Record, error) {
+func (r *readCounter) Read(_ context.Context, _ string, from infra.Offset, _ int, _ time.Duration) ([]infra.Record, error) {
 	r.reads++
-	return []platform.Record{{Offset: from, Data: r.data}}, nil
+	return []infra.Record{{Offset: from, Data: r.data}}, nil
 }
--- a/jobs/cache.go
+++ b/jobs/cache.go
@@ -4,7 +4,7 @@
 	"context"
 	"slices"
 
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 )
 
 // stored is a record as it lies in the log, split once.
@@ -47,7 +47,7 @@
 // recordKey is the place of a record.
 type recordKey struct {
 	stream string
-	offset platform.Offset
+	offset infra.Offset
 }
 
 // itemPlace is the place of an item in a chunk record.
@@ -66,12 +66,12 @@
 // results, and single items, for handing out. An item is read together with
 // those after it, as they are handed out next.
 type cache struct {
-	log     platform.Log
+	log     infra.Log
 	records *lru[recordKey, *stored]
 	items   *lru[itemPlace, inputItem]
 }
 
-func newCache(log platform.Log) *cache {
+func newCache(log infra.Log) *cache {
 	return &cache{
 		log:     log,
 		records: newLRU[recordKey, *stored](CacheBytes),
@@ -80,7 +80,7 @@
 }
 
 // get returns the record at an offset.
-func (c *cache) get(ctx context.Context, stream string, offset platform.Offset) (*stored, error) {
+func (c *cache) get(ctx context.Context, stream string, offset infra.Offset) (*stored, error) {
 	key := recordKey{stream, offset}
 	if s, ok := c.records.get(key); ok {
 		return s, nil
@@ -105,7 +105,7 @@
 }
 
 // item returns an item of the chunk at an offset.
-func (c *cache) item(ctx context.Context, stream string, offset platform.Offset, index int) (inputItem, error) {
+func (c *cache) item(ctx context.Context, stream string, offset infra.Offset, index int) (inputItem, error) {
 	key := recordKey{stream, offset}
 	if it, ok := c.items.get(itemPlace{key, index}); ok {
 		return it, nil
--- a/jobs/carry.go
+++ b/jobs/carry.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 	"dandelionrelay/sleep"
 )
 
@@ -17,20 +17,20 @@
 // carryPlan lists what must be appended again before it expires.
 type carryPlan struct {
 	metas   []header // jobs, files and small facts
-	chunks  []platform.Offset
-	results map[platform.Offset][]carriedResult // by the record that holds them
+	chunks  []infra.Offset
+	results map[infra.Offset][]carriedResult // by the record that holds them
 }
 
 // carriedResult is a result to be carried.
 type carriedResult struct {
 	index uint32 // of its fact in the record
-	first platform.Offset
+	first infra.Offset
 }
 
 // carryPlan returns what is still needed and lies below cutoff.
-func (t *Table) carryPlan(cutoff platform.Offset, now time.Time) carryPlan {
-	plan := carryPlan{results: make(map[platform.Offset][]carriedResult)}
-	chunks := make(map[platform.Offset]bool)
+func (t *Table) carryPlan(cutoff infra.Offset, now time.Time) carryPlan {
+	plan := carryPlan{results: make(map[infra.Offset][]carriedResult)}
+	chunks := make(map[infra.Offset]bool)
 	files := make(map[string]bool)
 	for _, j := range t.jobs {
 		if !j.committed() || now.After(j.Kept) {
@@ -70,7 +70,7 @@
 }
 
 // carryChunks notes the chunks that hold open items.
-func (j *job) carryChunks(cutoff platform.Offset, chunks map[platform.Offset]bool) {
+func (j *job) carryChunks(cutoff infra.Offset, chunks map[infra.Offset]bool) {
 	if j.ended() {
 		return
 	}
@@ -87,7 +87,7 @@
 	}
 }
 
-func (j *job) carryResults(cutoff platform.Offset, plan *carryPlan) {
+func (j *job) carryResults(cutoff infra.Offset, plan *carryPlan) {
 	for i := range j.items {
 		it := &j.items[i]
 		if it.first == 0 || it.at >= cutoff {
@@ -98,9 +98,9 @@
 }
 
 // oldestFact returns the lowest offset of the job's small records.
-func (j *job) oldestFact() platform.Offset {
+func (j *job) oldestFact() infra.Offset {
 	oldest := j.at
-	lower := func(o platform.Offset) {
+	lower := func(o infra.Offset) {
 		if o != 0 && o < oldest {
 			oldest = o
 		}
@@ -207,7 +207,7 @@
 
 // read returns the record at an offset, waiting while the log is down. It
 // returns nil if the record is gone.
-func (c *carrier) read(ctx context.Context, at platform.Offset) (*stored, time.Time) {
+func (c *carrier) read(ctx context.Context, at infra.Offset) (*stored, time.Time) {
 	for ctx.Err() == nil {
 		records, err := c.p.s.o.Log.Read(ctx, c.p.stream, at, 1, 0)
 		if isUnavailable(err) {
@@ -226,7 +226,7 @@
 	return nil, time.Time{}
 }
 
-func (c *carrier) chunk(ctx context.Context, at platform.Offset) {
+func (c *carrier) chunk(ctx context.Context, at infra.Offset) {
 	s, _ := c.read(ctx, at)
 	if s == nil || s.header.Chunk == nil {
 		return
@@ -235,7 +235,7 @@
 }
 
 // results gathers results of one record and appends them when they fill one.
-func (c *carrier) results(ctx context.Context, at platform.Offset, results []carriedResult) {
+func (c *carrier) results(ctx context.Context, at infra.Offset, results []carriedResult) {
 	s, stored := c.read(ctx, at)
 	if s == nil {
 		return
--- a/jobs/client.go
+++ b/jobs/client.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"dandelionrelay/api"
+	"dandelionrelay/infra"
 	"dandelionrelay/membership"
 	"dandelionrelay/peer"
-	"dandelionrelay/platform"
 	"dandelionrelay/sleep"
 )
 
@@ -30,9 +30,9 @@
 	pool    *peer.Pool
 
 	mu     sync.Mutex
-	seen   []string            // ids of the entries at the last look
-	owners []platform.Instance // those that own partitions
-	ranked [Partitions]platform.Instance
+	seen   []string         // ids of the entries at the last look
+	owners []infra.Instance // those that own partitions
+	ranked [Partitions]infra.Instance
 	turn   int // rotates over owners
 }
 
@@ -56,25 +56,25 @@
 	c.seen = ids
 	c.owners = nil
 	for n := range Partitions {
-		c.ranked[n] = platform.Instance{}
+		c.ranked[n] = infra.Instance{}
 		if len(entries) == 0 {
 			continue
 		}
 		first := membership.Rank(streamName(n), entries)[0]
 		c.ranked[n] = first
-		if !slices.ContainsFunc(c.owners, func(o platform.Instance) bool { return o.ID == first.ID }) {
+		if !slices.ContainsFunc(c.owners, func(o infra.Instance) bool { return o.ID == first.ID }) {
 			c.owners = append(c.owners, first)
 		}
 	}
 }
 
 // next returns the owners to ask now.
-func (c *Client) next() []platform.Instance {
+func (c *Client) next() []infra.Instance {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.refresh()
 	n := min(len(c.owners), sweepOwners)
-	out := make([]platform.Instance, 0, n)
+	out := make([]infra.Instance, 0, n)
 	for i := range n {
 		out = append(out, c.owners[(c.turn+i)%len(c.owners)])
 	}
@@ -83,10 +83,10 @@
 }
 
 // ownerOf returns the owner of a job's partition.
-func (c *Client) ownerOf(job string) (platform.Instance, bool) {
+func (c *Client) ownerOf(job string) (infra.Instance, bool) {
 	n, ok := partitionOf(jobPrefix, job)
 	if !ok {
-		return platform.Instance{}, false
+		return infra.Instance{}, false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -132,7 +132,7 @@
 	return out, nil
 }
 
-func (c *Client) call(ctx context.Context, to platform.Instance, method string, args, reply any, wait time.Duration) error {
+func (c *Client) call(ctx context.Context, to infra.Instance, method string, args, reply any, wait time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+rpcMargin)
 	defer cancel()
 	return c.pool.Call(ctx, to.RPCAddr, method, args, reply)
@@ -166,9 +166,9 @@
 
 // split sorts a report by owner and cuts it into calls of bounded size. The
 // first call to an owner carries the heartbeat.
-func (c *Client) split(args api.ReportArgs) map[platform.Instance][]api.ReportArgs {
-	out := make(map[platform.Instance][]api.ReportArgs)
-	last := func(o platform.Instance) *api.ReportArgs {
+func (c *Client) split(args api.ReportArgs) map[infra.Instance][]api.ReportArgs {
+	out := make(map[infra.Instance][]api.ReportArgs)
+	last := func(o infra.Instance) *api.ReportArgs {
 		if len(out[o]) == 0 {
 			out[o] = []api.ReportArgs{{Endpoint: args.Endpoint}}
 		}
@@ -180,7 +180,7 @@
 			part.Running = append(part.Running, ref)
 		}
 	}
-	bytes := make(map[platform.Instance]int)
+	bytes := make(map[infra.Instance]int)
 	for _, r := range args.Results {
 		o, ok := c.ownerOf(r.Job)
 		if !ok {
--- a/jobs/facts.go
+++ b/jobs/facts.go
@@ -3,15 +3,15 @@
 import (
 	"slices"
 
+	"dandelionrelay/infra"
 	"dandelionrelay/invariant"
-	"dandelionrelay/platform"
 )
 
 // maxGenerations bounds how often a non-idempotent item is handed out.
 const maxGenerations = 1000
 
 // applyFact merges the fact at index of record r.
-func (t *Table) applyFact(r platform.Record, index int, f *fact) {
+func (t *Table) applyFact(r infra.Record, index int, f *fact) {
 	if f.Item < 0 || f.Item >= MaxItems || f.Gen < 0 || f.Gen > maxGenerations {
 		return
 	}
@@ -44,7 +44,7 @@
 
 // applyDone merges a completion: the one with the lowest offset is the
 // item's result, unless the job ended before it.
-func (t *Table) applyDone(r platform.Record, index int, j *job, f *fact) {
+func (t *Table) applyDone(r infra.Record, index int, j *job, f *fact) {
 	if j.end != 0 && f.Orig >= j.end {
 		return
 	}
@@ -87,7 +87,7 @@
 }
 
 // applyEnd merges a cancel or an expiry; completions after it do not count.
-func (t *Table) applyEnd(r platform.Record, j *job, f *fact) {
+func (t *Table) applyEnd(r infra.Record, j *job, f *fact) {
 	if j.end == f.Orig {
 		j.endAt = r.Offset
 	}
@@ -107,7 +107,7 @@
 	}
 }
 
-func applyBegin(r platform.Record, j *job, f *fact) {
+func applyBegin(r infra.Record, j *job, f *fact) {
 	b := j.generation(f.Item, f.Gen)
 	if b.first == f.Orig {
 		b.at = r.Offset
@@ -118,7 +118,7 @@
 	b.first, b.at, b.attempt = f.Orig, r.Offset, f.Attempt
 }
 
-func applyRelease(r platform.Record, j *job, f *fact) {
+func applyRelease(r infra.Record, j *job, f *fact) {
 	b := j.generation(f.Item, f.Gen)
 	b.relAt = r.Offset
 	if !slices.Contains(b.releases, f.Attempt) {
@@ -126,13 +126,13 @@
 	}
 }
 
-func applySetback(r platform.Record, j *job, f *fact) {
+func applySetback(r infra.Record, j *job, f *fact) {
 	j.grow(f.Item)
 	it := &j.items[f.Item]
 	it.attempts = max(it.attempts, uint8(min(f.Attempts, 255)))
 	it.deaths = max(it.deaths, uint8(min(f.Deaths, 255)))
 	if j.noted == nil {
-		j.noted = make(map[int]platform.Offset)
+		j.noted = make(map[int]infra.Offset)
 	}
 	j.noted[f.Item] = r.Offset
 }
--- a/jobs/fleet_test.go
+++ b/jobs/fleet_test.go
@@ -16,10 +16,10 @@
 
 	"dandelionrelay/api"
 	"dandelionrelay/config"
+	"dandelionrelay/infra"
 	"dandelionrelay/invariant"
 	"dandelionrelay/jobs"
 	"dandelionrelay/peer"
-	"dandelionrelay/platform"
 	standin "dandelionrelay/standin/platform"
 )
 
@@ -35,7 +35,7 @@
 	mu       sync.Mutex
 	entries  map[string]*entry
 	sidecars map[string]*sidecar
-	members  []platform.Instance
+	members  []infra.Instance
 	split    bool          // entries see only themselves, sidecars one entry each
 	slow     time.Duration // added to the run of each item
 	wg       sync.WaitGroup
@@ -49,7 +49,7 @@
 }
 
 // Entries implements membership.Members.
-func (v view) Entries() []platform.Instance {
+func (v view) Entries() []infra.Instance {
 	all := v.fleet.Entries()
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -58,7 +58,7 @@
 	}
 	for _, m := range all {
 		if m.ID == v.of {
-			return []platform.Instance{m}
+			return []infra.Instance{m}
 		}
 	}
 	i := v.number % len(all)
@@ -105,14 +105,14 @@
 }
 
 // Entries implements membership.Members.
-func (f *fleet) Entries() []platform.Instance {
+func (f *fleet) Entries() []infra.Instance {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return append([]platform.Instance(nil), f.members...)
+	return append([]infra.Instance(nil), f.members...)
 }
 
 // Endpoints implements membership.Members.
-func (f *fleet) Endpoints(string) []platform.Instance { return nil }
+func (f *fleet) Endpoints(string) []infra.Instance { return nil }
 
 func (f *fleet) dial(_ context.Context, addr string) (net.Conn, error) {
 	f.mu.Lock()
@@ -139,7 +139,7 @@
 	e.service.Register(e.server)
 	f.mu.Lock()
 	f.entries[id] = e
-	f.members = append(f.members, platform.Instance{ID: id, Role: platform.RoleEntry, RPCAddr: id})
+	f.members = append(f.members, infra.Instance{ID: id, Role: infra.RoleEntry, RPCAddr: id})
 	f.mu.Unlock()
 	f.wg.Go(func() {
 		e.service.Run(ctx)
--- a/jobs/handout.go
+++ b/jobs/handout.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"dandelionrelay/api"
+	"dandelionrelay/infra"
 	"dandelionrelay/invariant"
-	"dandelionrelay/platform"
 )
 
 // beginWait bounds the time that a begin record may take.
@@ -137,7 +137,7 @@
 // checkReadable asserts that a record of a job that is kept has not expired.
 // The caller holds the lock.
 func (p *partition) checkReadable(err error, jobID string) {
-	var expired *platform.ExpiredError
+	var expired *infra.ExpiredError
 	if !errors.As(err, &expired) {
 		return
 	}
--- a/jobs/http.go
+++ b/jobs/http.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"dandelionrelay/api"
+	"dandelionrelay/infra"
 	"dandelionrelay/pipeline"
-	"dandelionrelay/platform"
 )
 
 // HeaderIdempotencyKey is the caller's key for a submission.
@@ -250,7 +250,7 @@
 }
 
 // end appends the end of a job and returns its offset.
-func (s *Service) end(ctx context.Context, id string, kind factKind) (platform.Offset, *api.Error) {
+func (s *Service) end(ctx context.Context, id string, kind factKind) (infra.Offset, *api.Error) {
 	n, _ := partitionOf(jobPrefix, id)
 	a, err := newAppender(ctx, s.o.Log, streamName(n))
 	if err != nil {
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -4,50 +4,50 @@
 	"slices"
 	"time"
 
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 )
 
 // item is the state of one item; 24 bytes, as there are many.
 type item struct {
-	first    platform.Offset // of its first completion; 0: open
-	at       platform.Offset // record that holds the latest copy of its result
-	index    uint32          // of the fact in that record
-	attempts uint8           // answers with a server error
-	deaths   uint8           // endpoints lost with it
-	failed   bool            // its result is not an answer with a status below 400
-	running  bool            // handed out by this owner
+	first    infra.Offset // of its first completion; 0: open
+	at       infra.Offset // record that holds the latest copy of its result
+	index    uint32       // of the fact in that record
+	attempts uint8        // answers with a server error
+	deaths   uint8        // endpoints lost with it
+	failed   bool         // its result is not an answer with a status below 400
+	running  bool         // handed out by this owner
 }
 
 // job is one batch job.
 type job struct {
 	jobRecord
-	born    time.Time       // of the first record seen about it
-	at      platform.Offset // its latest job record
-	file    *file           // nil until known
-	items   []item          // grows with facts until the file is known
-	done    int             // items with a result
-	failed  int             // those of them that failed
-	last    time.Time       // of the last completion
-	end     platform.Offset // of the first cancel or expiry; 0: none
+	born    time.Time    // of the first record seen about it
+	at      infra.Offset // its latest job record
+	file    *file        // nil until known
+	items   []item       // grows with facts until the file is known
+	done    int          // items with a result
+	failed  int          // those of them that failed
+	last    time.Time    // of the last completion
+	end     infra.Offset // of the first cancel or expiry; 0: none
 	endKind factKind
 	endTime time.Time
-	endAt   platform.Offset // latest copy of that fact
-	deleted platform.Offset
-	delAt   platform.Offset
-	begins  map[int][]begin         // of non-idempotent items, by generation
-	noted   map[int]platform.Offset // items with setbacks: latest copy
-	work    map[string]*backlog     // by deployment
-	expired bool                    // an expiry is on its way to the log
+	endAt   infra.Offset // latest copy of that fact
+	deleted infra.Offset
+	delAt   infra.Offset
+	begins  map[int][]begin      // of non-idempotent items, by generation
+	noted   map[int]infra.Offset // items with setbacks: latest copy
+	work    map[string]*backlog  // by deployment
+	expired bool                 // an expiry is on its way to the log
 }
 
 // begin is the first attempt of one generation of a non-idempotent item. The
 // next generation may begin only once this one was released.
 type begin struct {
-	first    platform.Offset
-	at       platform.Offset // latest copy
+	first    infra.Offset
+	at       infra.Offset // latest copy
 	attempt  string
-	releases []string        // attempts that certainly never started
-	relAt    platform.Offset // latest copy of a release
+	releases []string     // attempts that certainly never started
+	relAt    infra.Offset // latest copy of a release
 }
 
 // open says whether the begun attempt may be running.
--- a/jobs/owner_test.go
+++ b/jobs/owner_test.go
@@ -9,15 +9,15 @@
 	"github.com/onsi/gomega"
 
 	"dandelionrelay/api"
+	"dandelionrelay/infra"
 	"dandelionrelay/invariant"
-	"dandelionrelay/platform"
 )
 
 // rig is an owner whose facts are replayed at once.
 type rig struct {
 	t     *testing.T
 	now   time.Time
-	next  platform.Offset
+	next  infra.Offset
 	owner *owner
 	crash api.Crash // of endpoints that are lost
 }
@@ -31,7 +31,7 @@
 }
 
 func (r *rig) apply(h *header) {
-	record := platform.Record{Offset: r.next, ID: fmt.Sprint(r.next), Time: r.now, Data: encodeRecord(h)}
+	record := infra.Record{Offset: r.next, ID: fmt.Sprint(r.next), Time: r.now, Data: encodeRecord(h)}
 	if err := r.owner.table.Apply(record); err != nil {
 		r.t.Fatal(err)
 	}
@@ -230,10 +230,10 @@
 		rnd := rand.New(rand.NewPCG(seed, 3))
 		inv := invariant.New(func(v invariant.Violation) { t.Error(v) })
 		whole := NewTable(inv)
-		var records []platform.Record
+		var records []infra.Record
 		add := func(h *header) {
-			o := platform.Offset(len(records) + 1)
-			rec := platform.Record{Offset: o, ID: fmt.Sprint(o), Time: time.Unix(int64(o), 0), Data: encodeRecord(h)}
+			o := infra.Offset(len(records) + 1)
+			rec := infra.Record{Offset: o, ID: fmt.Sprint(o), Time: time.Unix(int64(o), 0), Data: encodeRecord(h)}
 			records = append(records, rec)
 			_ = whole.Apply(rec)
 		}
@@ -249,12 +249,12 @@
 				continue
 			}
 			now := time.Unix(int64(len(records)), 0)
-			carryAll(whole, platform.Offset(len(records)+1), now, add, records)
+			carryAll(whole, infra.Offset(len(records)+1), now, add, records)
 		}
-		carryAll(whole, platform.Offset(len(records)+1), time.Unix(1000, 0), add, records)
+		carryAll(whole, infra.Offset(len(records)+1), time.Unix(1000, 0), add, records)
 		cut := len(records) - 20
 		part := NewTable(inv)
-		part.Start(platform.Offset(cut + 1))
+		part.Start(infra.Offset(cut + 1))
 		for _, rec := range records[cut:] {
 			_ = part.Apply(rec)
 		}
@@ -278,7 +278,7 @@
 }
 
 // carryAll carries everything below a cutoff, in one record each.
-func carryAll(t *Table, cutoff platform.Offset, now time.Time, add func(*header), records []platform.Record) {
+func carryAll(t *Table, cutoff infra.Offset, now time.Time, add func(*header), records []infra.Record) {
 	plan := t.carryPlan(cutoff, now)
 	for i := range plan.metas {
 		add(&plan.metas[i])
--- a/jobs/pacer_test.go
+++ b/jobs/pacer_test.go
@@ -12,9 +12,9 @@
 	"github.com/onsi/gomega"
 
 	"dandelionrelay/config"
+	"dandelionrelay/infra"
 	"dandelionrelay/jobs"
 	"dandelionrelay/membership"
-	"dandelionrelay/platform"
 )
 
 // bucket is a Budget of one fleet.
@@ -46,7 +46,7 @@
 func upload(t *testing.T, files int, budget jobs.Budget) (took time.Duration, appends int) {
 	entries := make(membership.Static, 400)
 	for n := range entries {
-		entries[n] = platform.Instance{ID: fmt.Sprint(n), Role: platform.RoleEntry}
+		entries[n] = infra.Instance{ID: fmt.Sprint(n), Role: infra.RoleEntry}
 	}
 	holder := new(config.Holder)
 	holder.Set(config.NewSnapshot(1, &config.State{
--- a/jobs/partition.go
+++ b/jobs/partition.go
@@ -8,7 +8,7 @@
 
 	"github.com/joomcode/errorx"
 
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 	"dandelionrelay/sleep"
 )
 
@@ -112,7 +112,7 @@
 }
 
 // begin finds where the stream starts and ends.
-func (p *partition) begin(ctx context.Context) (end platform.Offset, ok bool) {
+func (p *partition) begin(ctx context.Context) (end infra.Offset, ok bool) {
 	for ctx.Err() == nil {
 		oldest, next, err := p.s.o.Log.Bounds(ctx, p.stream)
 		if err == nil {
@@ -128,8 +128,8 @@
 
 // readFailed waits, or starts again from an empty table if records expired
 // before they were read: what they said was carried, or is over.
-func (p *partition) readFailed(ctx context.Context, err error, end platform.Offset) platform.Offset {
-	var expired *platform.ExpiredError
+func (p *partition) readFailed(ctx context.Context, err error, end infra.Offset) infra.Offset {
+	var expired *infra.ExpiredError
 	if !errors.As(err, &expired) {
 		sleep.For(ctx, retryPause)
 		return end
@@ -153,7 +153,7 @@
 	p.wake()
 }
 
-func (p *partition) apply(records []platform.Record) {
+func (p *partition) apply(records []infra.Record) {
 	p.mu.Lock()
 	p.noteRead(time.Now())
 	if len(records) == 0 {
@@ -307,5 +307,5 @@
 
 // isUnavailable says whether err means that the log is down.
 func isUnavailable(err error) bool {
-	return errorx.IsOfType(err, platform.Unavailable)
+	return errorx.IsOfType(err, infra.Unavailable)
 }
--- a/jobs/random_test.go
+++ b/jobs/random_test.go
@@ -13,8 +13,8 @@
 	"testing/synctest"
 	"time"
 
+	"dandelionrelay/infra"
 	"dandelionrelay/membership"
-	"dandelionrelay/platform"
 	standin "dandelionrelay/standin/platform"
 )
 
@@ -207,7 +207,7 @@
 	s.kill(victim.ID, time.Duration(s.rnd.IntN(5))*time.Second)
 }
 
-func (s *scenario) ownerOf(j *submitted) platform.Instance {
+func (s *scenario) ownerOf(j *submitted) infra.Instance {
 	var partition int
 	if _, err := fmt.Sscanf(j.id, "batch-%02x-", &partition); err != nil {
 		s.t.Fatal(err)
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"time"
 
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 )
 
 // A record is a header in JSON, preceded by its length in four bytes, and the
@@ -42,18 +42,18 @@
 
 // fileRecord seals an upload: all its chunks lie before this record.
 type fileRecord struct {
-	ID       string          `json:"id"`
-	Customer string          `json:"customer"`
-	Upload   string          `json:"upload"`
-	Digest   string          `json:"digest"`
-	Name     string          `json:"name,omitempty"`
-	Bytes    int64           `json:"bytes"`
-	Items    int             `json:"items"`
-	Firsts   []int           `json:"firsts"` // index of the first item of each chunk
-	Targets  []target        `json:"targets"`
-	Created  time.Time       `json:"created"`
-	Kept     time.Time       `json:"kept"` // forgotten after this if no job uses it
-	Orig     platform.Offset `json:"orig,omitempty"`
+	ID       string       `json:"id"`
+	Customer string       `json:"customer"`
+	Upload   string       `json:"upload"`
+	Digest   string       `json:"digest"`
+	Name     string       `json:"name,omitempty"`
+	Bytes    int64        `json:"bytes"`
+	Items    int          `json:"items"`
+	Firsts   []int        `json:"firsts"` // index of the first item of each chunk
+	Targets  []target     `json:"targets"`
+	Created  time.Time    `json:"created"`
+	Kept     time.Time    `json:"kept"` // forgotten after this if no job uses it
+	Orig     infra.Offset `json:"orig,omitempty"`
 }
 
 // jobRecord commits a job.
@@ -68,7 +68,7 @@
 	Due      time.Time         `json:"due"`
 	Expires  time.Time         `json:"expires"` // no item starts or ends after this
 	Kept     time.Time         `json:"kept"`    // results are readable until then
-	Orig     platform.Offset   `json:"orig,omitempty"`
+	Orig     infra.Offset      `json:"orig,omitempty"`
 }
 
 // factKind says what a fact tells.
@@ -100,20 +100,20 @@
 
 // fact is one statement about a job or an item.
 type fact struct {
-	Kind     factKind        `json:"k"`
-	Job      string          `json:"j"`
-	Item     int             `json:"i,omitempty"`
-	Orig     platform.Offset `json:"o,omitempty"` // first record that said so; 0: this one
-	Time     time.Time       `json:"at,omitzero"` // of that record, if carried
-	CustomID string          `json:"id,omitempty"`
-	Attempt  string          `json:"a,omitempty"`
-	Code     resultCode      `json:"c,omitempty"`
-	Status   int             `json:"s,omitempty"`
-	Size     int             `json:"n,omitempty"` // bytes of the result's body
-	Gen      int             `json:"g,omitempty"` // of a begin: how many were released before
-	Attempts int             `json:"as,omitempty"`
-	Deaths   int             `json:"d,omitempty"`
-	body     []byte          // of the result, on the way to the log
+	Kind     factKind     `json:"k"`
+	Job      string       `json:"j"`
+	Item     int          `json:"i,omitempty"`
+	Orig     infra.Offset `json:"o,omitempty"` // first record that said so; 0: this one
+	Time     time.Time    `json:"at,omitzero"` // of that record, if carried
+	CustomID string       `json:"id,omitempty"`
+	Attempt  string       `json:"a,omitempty"`
+	Code     resultCode   `json:"c,omitempty"`
+	Status   int          `json:"s,omitempty"`
+	Size     int          `json:"n,omitempty"` // bytes of the result's body
+	Gen      int          `json:"g,omitempty"` // of a begin: how many were released before
+	Attempts int          `json:"as,omitempty"`
+	Deaths   int          `json:"d,omitempty"`
+	body     []byte       // of the result, on the way to the log
 }
 
 // encodeRecord returns the bytes of a record.
--- a/jobs/results_test.go
+++ b/jobs/results_test.go
@@ -11,8 +11,8 @@
 	"github.com/onsi/gomega"
 
 	"dandelionrelay/config"
+	"dandelionrelay/infra"
 	"dandelionrelay/membership"
-	"dandelionrelay/platform"
 	standin "dandelionrelay/standin/platform"
 )
 
@@ -22,7 +22,7 @@
 	held atomic.Bool
 }
 
-func (l *laggingLog) Read(ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration) ([]platform.Record, error) {
+func (l *laggingLog) Read(ctx context.Context, stream string, from infra.Offset, limit int, wait time.Duration) ([]infra.Record, error) {
 	if l.held.Load() {
 		time.Sleep(100 * time.Millisecond)
 		return nil, nil
@@ -40,7 +40,7 @@
 		holder.Set(config.NewSnapshot(1, &config.State{
 			Routes: map[string]config.Route{"chat": {Model: "m", Deployment: "d", Idempotent: true}},
 		}))
-		self := platform.Instance{ID: "e", Role: platform.RoleEntry, State: platform.Live}
+		self := infra.Instance{ID: "e", Role: infra.RoleEntry, State: infra.Live}
 		s := NewService(Options{Self: "e", Log: log, Members: membership.Static{self}, Config: holder})
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
--- a/jobs/rpc.go
+++ b/jobs/rpc.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"dandelionrelay/api"
+	"dandelionrelay/infra"
 	"dandelionrelay/peer"
-	"dandelionrelay/platform"
 )
 
 // Names of the RPC methods between entries.
@@ -70,8 +70,8 @@
 	Customer   string // empty: any
 	ID         string
 	Partitions []int
-	After      platform.Offset // of a job: the answer reflects the stream up to there
-	Request    string          // id of the request, for the log; may be empty
+	After      infra.Offset // of a job: the answer reflects the stream up to there
+	Request    string       // id of the request, for the log; may be empty
 }
 
 // Get returns one job; its id is empty if there is none.
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -15,10 +15,10 @@
 	"github.com/rs/zerolog"
 
 	"dandelionrelay/config"
+	"dandelionrelay/infra"
 	"dandelionrelay/invariant"
 	"dandelionrelay/membership"
 	"dandelionrelay/peer"
-	"dandelionrelay/platform"
 	"dandelionrelay/quarantine"
 	"dandelionrelay/sleep"
 )
@@ -26,7 +26,7 @@
 // Options is what a Service needs.
 type Options struct {
 	Self        string // instance id of this entry
-	Log         platform.Log
+	Log         infra.Log
 	Members     membership.Members
 	Pool        *peer.Pool
 	Config      config.Source
@@ -37,7 +37,7 @@
 	// AcceptBudget admits chunk appends; nil: an equal part for each entry.
 	AcceptBudget Budget
 	// OnBadRecord is told of records that are not ours; nil: ignored.
-	OnBadRecord func(stream string, offset platform.Offset, err error)
+	OnBadRecord func(stream string, offset infra.Offset, err error)
 	Metrics     prometheus.Registerer // may be nil
 	Logger      zerolog.Logger
 }
@@ -223,7 +223,7 @@
 	return fmt.Sprintf("%s-%d", s.boot, s.count.Add(1))
 }
 
-func (s *Service) badRecord(stream string, offset platform.Offset, err error) {
+func (s *Service) badRecord(stream string, offset infra.Offset, err error) {
 	if s.o.OnBadRecord != nil {
 		s.o.OnBadRecord(stream, offset, err)
 	}
--- a/jobs/submit.go
+++ b/jobs/submit.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"dandelionrelay/api"
+	"dandelionrelay/infra"
 	"dandelionrelay/invariant"
-	"dandelionrelay/platform"
 )
 
 // Submit commits a job for a stored file. It returns once that is durable.
@@ -84,7 +84,7 @@
 	}
 }
 
-func (s *Service) noteAcknowledged(offset platform.Offset, id string) {
+func (s *Service) noteAcknowledged(offset infra.Offset, id string) {
 	s.o.Invariants.Check(offset > 0, invariant.AcknowledgedIsDurable, "submission %s acknowledged without an offset", id)
 }
 
--- a/jobs/suspects.go
+++ b/jobs/suspects.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"dandelionrelay/api"
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 	"dandelionrelay/quarantine"
 )
 
@@ -31,13 +31,13 @@
 	}
 	known := p.seen[deployment]
 	known[endpoint] = now
-	var all []platform.Instance
+	var all []infra.Instance
 	for id, at := range known {
 		if now.Sub(at) > pullerKept {
 			delete(known, id)
 			continue
 		}
-		all = append(all, platform.Instance{ID: id, State: platform.Live})
+		all = append(all, infra.Instance{ID: id, State: infra.Live})
 	}
 	return quarantine.Isolates(all, endpoint)
 }
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -5,8 +5,8 @@
 	"strings"
 	"time"
 
+	"dandelionrelay/infra"
 	"dandelionrelay/invariant"
-	"dandelionrelay/platform"
 )
 
 // Table is the state of one partition, made by replaying its stream. It is
@@ -17,14 +17,14 @@
 // table that starts in the middle of the stream ends in the same state.
 type Table struct {
 	inv     *invariant.Set
-	next    platform.Offset // the first offset not applied
-	visible bool            // replayed far enough to be read from
+	next    infra.Offset // the first offset not applied
+	visible bool         // replayed far enough to be read from
 	uploads map[string]*upload
 	files   map[string]*file
 	jobs    map[string]*job
 	commits int // changes whenever another job may have become known
 	marks   []mark
-	seen    map[string]platform.Offset // ids of recent records
+	seen    map[string]infra.Offset // ids of recent records
 	// completed is told of each completion of an item that had none.
 	completed func(j *job, failed bool)
 	recent    []string
@@ -32,7 +32,7 @@
 
 // mark remembers when a record was stored.
 type mark struct {
-	offset platform.Offset
+	offset infra.Offset
 	time   time.Time
 }
 
@@ -45,7 +45,7 @@
 
 // chunk is where some items of an upload lie.
 type chunk struct {
-	at      platform.Offset // its latest copy
+	at      infra.Offset // its latest copy
 	first   int
 	count   int
 	targets []uint8 // of each item; nil: all 0
@@ -54,7 +54,7 @@
 // file is a sealed upload.
 type file struct {
 	fileRecord
-	at     platform.Offset // latest copy of the record
+	at     infra.Offset // latest copy of the record
 	upload *upload
 }
 
@@ -73,22 +73,22 @@
 		uploads:   make(map[string]*upload),
 		files:     make(map[string]*file),
 		jobs:      make(map[string]*job),
-		seen:      make(map[string]platform.Offset),
+		seen:      make(map[string]infra.Offset),
 	}
 }
 
 // Next returns the first offset that was not applied.
-func (t *Table) Next() platform.Offset { return t.next }
+func (t *Table) Next() infra.Offset { return t.next }
 
 // Start sets the offset of the first record to be applied.
-func (t *Table) Start(from platform.Offset) { t.next = from }
+func (t *Table) Start(from infra.Offset) { t.next = from }
 
 // Show lets the table be read from: it has been replayed to the end.
 func (t *Table) Show() { t.visible = true }
 
 // Apply replays one record. Records come in offset order; one that was
 // applied before is passed over. It fails on a record that is not ours.
-func (t *Table) Apply(r platform.Record) error {
+func (t *Table) Apply(r infra.Record) error {
 	if r.Offset < t.next {
 		return nil
 	}
@@ -114,12 +114,12 @@
 }
 
 // Stored returns the offset of a recent record.
-func (t *Table) Stored(id string) (platform.Offset, bool) {
+func (t *Table) Stored(id string) (infra.Offset, bool) {
 	o, ok := t.seen[id]
 	return o, ok
 }
 
-func (t *Table) remember(r platform.Record) {
+func (t *Table) remember(r infra.Record) {
 	if n := len(t.marks); n == 0 || r.Time.Sub(t.marks[n-1].time) >= markInterval {
 		t.marks = append(t.marks, mark{r.Offset, r.Time})
 	}
@@ -136,8 +136,8 @@
 
 // storedBefore returns an offset such that every record below it was stored
 // before limit.
-func (t *Table) storedBefore(limit time.Time) platform.Offset {
-	var o platform.Offset
+func (t *Table) storedBefore(limit time.Time) infra.Offset {
+	var o infra.Offset
 	drop := 0
 	for i, m := range t.marks {
 		if !m.time.Before(limit) {
@@ -150,7 +150,7 @@
 	return o
 }
 
-func (t *Table) applyChunk(r platform.Record, c *chunkHeader) {
+func (t *Table) applyChunk(r infra.Record, c *chunkHeader) {
 	u := t.upload(c.Upload, r)
 	if known, ok := u.chunks[c.Seq]; ok {
 		known.at = r.Offset
@@ -169,7 +169,7 @@
 	u.chunks[c.Seq] = fresh
 }
 
-func (t *Table) upload(id string, r platform.Record) *upload {
+func (t *Table) upload(id string, r infra.Record) *upload {
 	u, ok := t.uploads[id]
 	if !ok {
 		u = &upload{time: r.Time, chunks: make(map[int]*chunk)}
@@ -178,7 +178,7 @@
 	return u
 }
 
-func (t *Table) applyFile(r platform.Record, f *fileRecord) {
+func (t *Table) applyFile(r infra.Record, f *fileRecord) {
 	f.Orig = cmpOr(f.Orig, r.Offset)
 	known, ok := t.files[f.ID]
 	if ok && known.Orig <= f.Orig {
@@ -193,7 +193,7 @@
 	t.commits++
 }
 
-func (t *Table) applyJob(r platform.Record, j *jobRecord) {
+func (t *Table) applyJob(r infra.Record, j *jobRecord) {
 	j.Orig = cmpOr(j.Orig, r.Offset)
 	known := t.job(j.ID, r)
 	if known.committed() && known.Orig <= j.Orig {
@@ -211,7 +211,7 @@
 
 // job returns the job with that id; it is not committed if only facts about
 // it were seen so far.
-func (t *Table) job(id string, r platform.Record) *job {
+func (t *Table) job(id string, r infra.Record) *job {
 	j, ok := t.jobs[id]
 	if !ok {
 		j = newJob(id, r.Time)
@@ -293,7 +293,7 @@
 }
 
 // cmpOr returns o, or other if o is 0.
-func cmpOr(o, other platform.Offset) platform.Offset {
+func cmpOr(o, other infra.Offset) infra.Offset {
 	if o == 0 {
 		return other
 	}
--- a/limit/claim.go
+++ b/limit/claim.go
@@ -5,7 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 )
 
 // Times of claiming and handing over.
@@ -47,7 +47,7 @@
 }
 
 // List takes in the platform's list.
-func (t *Table) List(now time.Time, listed []platform.Instance) {
+func (t *Table) List(now time.Time, listed []infra.Instance) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.observe(now)
@@ -55,11 +55,11 @@
 	t.dataCentres = make(map[string]struct{}, len(t.dataCentres))
 	for _, in := range listed {
 		t.dataCentres[in.DataCentre] = struct{}{}
-		if in.Role != platform.RoleEntry {
+		if in.Role != infra.RoleEntry {
 			continue
 		}
 		t.sight(now, in)
-		if in.State == platform.Live {
+		if in.State == infra.Live {
 			t.live = append(t.live, in)
 		}
 	}
@@ -72,7 +72,7 @@
 	}
 }
 
-func (t *Table) sight(now time.Time, in platform.Instance) {
+func (t *Table) sight(now time.Time, in infra.Instance) {
 	seen, ok := t.seen[in.ID]
 	if !ok {
 		seen.first = now
@@ -98,7 +98,7 @@
 	return p
 }
 
-func (t *Table) plan(now time.Time, i int, live []platform.Instance, leaving bool, p *Plan) {
+func (t *Table) plan(now time.Time, i int, live []infra.Instance, leaving bool, p *Plan) {
 	s := &t.slots[i]
 	switch {
 	case s.holder == t.self:
@@ -115,7 +115,7 @@
 }
 
 // planOwn renews what this entry holds, or hands it over.
-func (t *Table) planOwn(now time.Time, i int, live []platform.Instance, leaving bool, p *Plan) {
+func (t *Table) planOwn(now time.Time, i int, live []infra.Instance, leaving bool, p *Plan) {
 	s := &t.slots[i]
 	if s.closing || s.stale || now.Sub(s.updated) > RenewEvery {
 		p.Claims = append(p.Claims, Claim{Partition: i, Epoch: s.epoch + 1, Holder: t.self, Addr: t.addr})
@@ -134,14 +134,14 @@
 
 // successor returns the first in rank for partition i, unless it is this
 // entry or there is none.
-func (t *Table) successor(i int, live []platform.Instance) (platform.Instance, bool) {
+func (t *Table) successor(i int, live []infra.Instance) (infra.Instance, bool) {
 	first, _ := t.rank(i, live)
 	return first, first.ID != "" && first.ID != t.self
 }
 
 // rank returns the first of live by rendezvous hashing for partition i, and
 // how many come before this entry; len(live) if it is not among them.
-func (t *Table) rank(i int, live []platform.Instance) (first platform.Instance, before int) {
+func (t *Table) rank(i int, live []infra.Instance) (first infra.Instance, before int) {
 	own, best, among := score(i, t.self), uint64(0), false
 	for _, in := range live {
 		points := score(i, in.ID)
@@ -188,7 +188,7 @@
 
 // turn reports whether this entry is to claim partition i: the first in rank
 // at once, the others later in case the first does not.
-func (t *Table) turn(now time.Time, i int, live []platform.Instance) bool {
+func (t *Table) turn(now time.Time, i int, live []infra.Instance) bool {
 	_, before := t.rank(i, live)
 	if before == len(live) {
 		return false
--- a/limit/fleet_test.go
+++ b/limit/fleet_test.go
@@ -12,9 +12,9 @@
 	"github.com/joomcode/errorx"
 
 	"dandelionrelay/config"
+	"dandelionrelay/infra"
 	"dandelionrelay/invariant"
 	"dandelionrelay/peer"
-	"dandelionrelay/platform"
 	standin "dandelionrelay/standin/platform"
 )
 
@@ -57,7 +57,7 @@
 	ctx, stop := context.WithCancel(f.t.Context())
 	n := &node{id: id, server: peer.NewServer(), stop: stop, done: make(chan struct{})}
 	n.Service = NewService(Options{
-		Self: f.instance(id, platform.Live), Log: f.log, Instances: f.instances, Config: &f.config,
+		Self: f.instance(id, infra.Live), Log: f.log, Instances: f.instances, Config: &f.config,
 		Buckets:    map[string]Limits{"jobs/accept": {Rate: 20, Burst: 6}},
 		Pool:       peer.NewPool(func(_ context.Context, addr string) (net.Conn, error) { return f.dial(id, addr) }),
 		Invariants: invariant.New(func(v invariant.Violation) { f.t.Error(v) }),
@@ -73,19 +73,19 @@
 	return n
 }
 
-func (f *fleet) instance(id string, state platform.InstanceState) platform.Instance {
-	return platform.Instance{ID: id, Role: platform.RoleEntry, State: state, RPCAddr: id}
+func (f *fleet) instance(id string, state infra.InstanceState) infra.Instance {
+	return infra.Instance{ID: id, Role: infra.RoleEntry, State: state, RPCAddr: id}
 }
 
 // list tells the platform's list which entries run.
 func (f *fleet) list() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var list []platform.Instance
+	var list []infra.Instance
 	for id, n := range f.entries {
-		state := platform.Live
+		state := infra.Live
 		if n.leaving.Load() {
-			state = platform.Leaving
+			state = infra.Leaving
 		}
 		list = append(list, f.instance(id, state))
 	}
--- a/limit/follow.go
+++ b/limit/follow.go
@@ -7,7 +7,7 @@
 
 	"github.com/google/uuid"
 
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 	"dandelionrelay/sleep"
 )
 
@@ -24,9 +24,9 @@
 // plans. It belongs to one goroutine.
 type follower struct {
 	s      *Service
-	next   platform.Offset // 0: to be looked up
-	listed time.Time       // when the list was last read
-	due    bool            // the list was read, and nothing planned since
+	next   infra.Offset // 0: to be looked up
+	listed time.Time    // when the list was last read
+	due    bool         // the list was read, and nothing planned since
 }
 
 func newFollower(s *Service) *follower { return &follower{s: s} }
@@ -112,18 +112,18 @@
 	}
 }
 
-func (f *follower) readOnce(ctx context.Context, wait time.Duration) ([]platform.Record, error) {
+func (f *follower) readOnce(ctx context.Context, wait time.Duration) ([]infra.Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	records, err := f.s.Log.Read(ctx, Stream, f.next, readLimit, wait)
-	var expired *platform.ExpiredError
+	var expired *infra.ExpiredError
 	if errors.As(err, &expired) {
 		f.next = 0
 	}
 	return records, err
 }
 
-func (f *follower) apply(r platform.Record) {
+func (f *follower) apply(r infra.Record) {
 	f.next = r.Offset + 1
 	record, err := DecodeRecord(r.Data)
 	if err != nil {
--- a/limit/service.go
+++ b/limit/service.go
@@ -11,10 +11,10 @@
 	"github.com/rs/zerolog"
 
 	"dandelionrelay/config"
+	"dandelionrelay/infra"
 	"dandelionrelay/invariant"
 	"dandelionrelay/peer"
 	"dandelionrelay/pipeline"
-	"dandelionrelay/platform"
 	"dandelionrelay/sleep"
 )
 
@@ -29,9 +29,9 @@
 
 // Options are what a Service needs.
 type Options struct {
-	Self       platform.Instance // ID and RPCAddr of this entry
-	Log        platform.Log
-	Instances  platform.Instances
+	Self       infra.Instance // ID and RPCAddr of this entry
+	Log        infra.Log
+	Instances  infra.Instances
 	Config     config.Source
 	Pool       *peer.Pool
 	Invariants *invariant.Set
--- a/limit/service_test.go
+++ b/limit/service_test.go
@@ -10,8 +10,8 @@
 
 	"dandelionrelay/api"
 	"dandelionrelay/config"
+	"dandelionrelay/infra"
 	"dandelionrelay/pipeline"
-	"dandelionrelay/platform"
 	standin "dandelionrelay/standin/platform"
 )
 
@@ -144,7 +144,7 @@
 		g := gomega.NewWithT(f.t)
 		held := f.entries["c"].table.Held()
 		g.Expect(held).NotTo(gomega.BeZero())
-		f.instances.Set([]platform.Instance{f.instance("a", platform.Live), f.instance("b", platform.Live)})
+		f.instances.Set([]infra.Instance{f.instance("a", infra.Live), f.instance("b", infra.Live)})
 		time.Sleep(settleTime / 2) // before it hands them over itself
 		g.Expect(f.entries["c"].table.Held()).To(gomega.Equal(held))
 	})
--- a/limit/sim_test.go
+++ b/limit/sim_test.go
@@ -7,8 +7,8 @@
 	"slices"
 	"time"
 
+	"dandelionrelay/infra"
 	"dandelionrelay/invariant"
-	"dandelionrelay/platform"
 )
 
 // sim runs the passive parts of many entries in virtual time, with a fake
@@ -52,7 +52,7 @@
 
 type listVersion struct {
 	at   time.Time
-	list []platform.Instance
+	list []infra.Instance
 }
 
 type simNode struct {
@@ -147,18 +147,18 @@
 
 // publish puts the entries that run on the platform's list.
 func (s *sim) publish() {
-	var list []platform.Instance
+	var list []infra.Instance
 	for _, n := range s.nodes {
 		if !n.dead && !n.dropped {
-			list = append(list, platform.Instance{ID: n.id, RPCAddr: n.id, Role: platform.RoleEntry, State: platform.Live})
+			list = append(list, infra.Instance{ID: n.id, RPCAddr: n.id, Role: infra.RoleEntry, State: infra.Live})
 		}
 	}
 	s.lists = append(s.lists, listVersion{s.now, list})
 }
 
 // list is the platform's list as the node sees it now.
-func (s *simNode) list() []platform.Instance {
-	var seen []platform.Instance
+func (s *simNode) list() []infra.Instance {
+	var seen []infra.Instance
 	for _, v := range s.lists {
 		if !v.at.Add(s.listLag+s.lag).After(s.now) || seen == nil {
 			seen = v.list
--- a/limit/table.go
+++ b/limit/table.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 )
 
 // slot is what is known of one partition.
@@ -35,7 +35,7 @@
 	down      bool      // the log did not answer since then
 
 	seen        map[string]sighting // entries by id
-	live        []platform.Instance // entries as last listed
+	live        []infra.Instance    // entries as last listed
 	dataCentres map[string]struct{} // as last listed
 	dropped     bool                // this entry was listed and is no longer
 }
--- a/limit/table_test.go
+++ b/limit/table_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/onsi/gomega"
 
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 )
 
 var start = time.Unix(1e9, 0)
@@ -100,14 +100,14 @@
 
 func TestOnlyHoldersThatAreGoneAreReplaced(t *testing.T) {
 	g := gomega.NewWithT(t)
-	entry := func(id, dc string) platform.Instance {
-		return platform.Instance{ID: id, Role: platform.RoleEntry, DataCentre: dc, State: platform.Live}
+	entry := func(id, dc string) infra.Instance {
+		return infra.Instance{ID: id, Role: infra.RoleEntry, DataCentre: dc, State: infra.Live}
 	}
-	sidecar := platform.Instance{ID: "s", Role: platform.RoleSidecar, DataCentre: "dc-1"}
-	takeovers := func(later ...platform.Instance) int {
+	sidecar := infra.Instance{ID: "s", Role: infra.RoleSidecar, DataCentre: "dc-1"}
+	takeovers := func(later ...infra.Instance) int {
 		_, first := holder("a")
 		b := follow("b", start, first)
-		b.List(start, []platform.Instance{entry("a", "dc-1"), entry("b", "dc-2"), sidecar})
+		b.List(start, []infra.Instance{entry("a", "dc-1"), entry("b", "dc-2"), sidecar})
 		for d := time.Second; d <= time.Minute; d += time.Second {
 			b.Confirm(at(d), at(d))
 			b.List(at(d), later)
--- a/membership/detector_test.go
+++ b/membership/detector_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/onsi/gomega"
 
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -58,26 +58,26 @@
 func TestViewJoinsListWithNotices(t *testing.T) {
 	g := gomega.NewWithT(t)
 	v := NewView(nil)
-	a := platform.Instance{ID: "a", Role: platform.RoleSidecar, Deployment: "d", State: platform.Live}
-	b := platform.Instance{ID: "b", Role: platform.RoleSidecar, Deployment: "d", State: platform.Live}
+	a := infra.Instance{ID: "a", Role: infra.RoleSidecar, Deployment: "d", State: infra.Live}
+	b := infra.Instance{ID: "b", Role: infra.RoleSidecar, Deployment: "d", State: infra.Live}
 	v.Announced(b, start)
-	g.Expect(v.Endpoints("d")).To(gomega.Equal([]platform.Instance{b}), "serves before it is listed")
-	v.Listed([]platform.Instance{a}, start)
+	g.Expect(v.Endpoints("d")).To(gomega.Equal([]infra.Instance{b}), "serves before it is listed")
+	v.Listed([]infra.Instance{a}, start)
 	g.Expect(v.Endpoints("d")).To(gomega.HaveLen(2))
 	v.NoteLeaving("a")
-	v.Listed([]platform.Instance{a}, start.Add(time.Second))
-	g.Expect(v.Endpoints("d")[0].State).To(gomega.Equal(platform.Leaving), "the list lags")
+	v.Listed([]infra.Instance{a}, start.Add(time.Second))
+	g.Expect(v.Endpoints("d")[0].State).To(gomega.Equal(infra.Leaving), "the list lags")
 	v.Listed(nil, start.Add(2*AnnounceTTL))
 	g.Expect(v.Endpoints("d")).To(gomega.BeEmpty())
 	g.Expect(v.leaving).To(gomega.BeEmpty())
 }
 
 // fleet returns n endpoints spread over dataCentres.
-func fleet(n, dataCentres int) []platform.Instance {
-	var out []platform.Instance
+func fleet(n, dataCentres int) []infra.Instance {
+	var out []infra.Instance
 	for i := range n {
-		out = append(out, platform.Instance{
-			ID: fmt.Sprintf("s%04d", i), Role: platform.RoleSidecar, State: platform.Live,
+		out = append(out, infra.Instance{
+			ID: fmt.Sprintf("s%04d", i), Role: infra.RoleSidecar, State: infra.Live,
 			Deployment: "d", DataCentre: fmt.Sprintf("dc%d", i%dataCentres),
 		})
 	}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -8,41 +8,41 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 )
 
 // Members is a view of the instances. Slices are sorted by id and read-only.
 type Members interface {
 	// Entries returns the entries that are not known to be gone.
-	Entries() []platform.Instance
+	Entries() []infra.Instance
 	// Endpoints returns the sidecars of a deployment that are not known to be
 	// gone; leaving ones are included.
-	Endpoints(deployment string) []platform.Instance
+	Endpoints(deployment string) []infra.Instance
 }
 
 // Static is a Members that never changes unless it is assigned to.
-type Static []platform.Instance
+type Static []infra.Instance
 
 // Entries implements Members.
-func (s Static) Entries() []platform.Instance {
-	return s.sorted(func(i platform.Instance) bool { return i.Role == platform.RoleEntry })
+func (s Static) Entries() []infra.Instance {
+	return s.sorted(func(i infra.Instance) bool { return i.Role == infra.RoleEntry })
 }
 
 // Endpoints implements Members.
-func (s Static) Endpoints(deployment string) []platform.Instance {
-	return s.sorted(func(i platform.Instance) bool {
-		return i.Role == platform.RoleSidecar && i.Deployment == deployment
+func (s Static) Endpoints(deployment string) []infra.Instance {
+	return s.sorted(func(i infra.Instance) bool {
+		return i.Role == infra.RoleSidecar && i.Deployment == deployment
 	})
 }
 
-func (s Static) sorted(keep func(platform.Instance) bool) []platform.Instance {
-	var out []platform.Instance
+func (s Static) sorted(keep func(infra.Instance) bool) []infra.Instance {
+	var out []infra.Instance
 	for _, i := range s {
 		if keep(i) {
 			out = append(out, i)
 		}
 	}
-	slices.SortFunc(out, func(a, b platform.Instance) int {
+	slices.SortFunc(out, func(a, b infra.Instance) int {
 		if a.ID < b.ID {
 			return -1
 		}
@@ -53,7 +53,7 @@
 
 // Rank orders members for key by rendezvous hashing, the preferred one first.
 // The order of the others does not change when one goes.
-func Rank(key string, members []platform.Instance) []platform.Instance {
+func Rank(key string, members []infra.Instance) []infra.Instance {
 	ranked := make([]rankedInstance, len(members))
 	for i := range members {
 		ranked[i].score = score(key, members[i].ID)
@@ -65,7 +65,7 @@
 		}
 		return strings.Compare(a.instance.ID, b.instance.ID)
 	})
-	out := make([]platform.Instance, len(members))
+	out := make([]infra.Instance, len(members))
 	for i := range ranked {
 		out[i] = *ranked[i].instance
 	}
@@ -75,7 +75,7 @@
 // rankedInstance is an instance with its score for a key.
 type rankedInstance struct {
 	score    uint64
-	instance *platform.Instance
+	instance *infra.Instance
 }
 
 func score(key, id string) uint64 {
--- a/membership/service.go
+++ b/membership/service.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 )
 
 // ServiceName is the name of the RPC service.
@@ -14,7 +14,7 @@
 const MethodAnnounce = "Members.Announce"
 
 // AnnounceArgs carries the instance's own description.
-type AnnounceArgs struct{ Instance platform.Instance }
+type AnnounceArgs struct{ Instance infra.Instance }
 
 // AnnounceReply is empty.
 type AnnounceReply struct{}
--- a/membership/subset.go
+++ b/membership/subset.go
@@ -1,6 +1,6 @@
 package membership
 
-import "dandelionrelay/platform"
+import "dandelionrelay/infra"
 
 // Sizes of an entry's subset of the endpoints of a deployment.
 const (
@@ -16,8 +16,8 @@
 
 // Subset is the part of a deployment's endpoints that one entry works with.
 type Subset struct {
-	Local  []platform.Instance // in the entry's own data centre
-	Remote []platform.Instance
+	Local  []infra.Instance // in the entry's own data centre
+	Remote []infra.Instance
 }
 
 // Len returns the number of endpoints.
@@ -27,12 +27,12 @@
 // data centre, for a deployment, by rendezvous hashing: entries choose evenly, and the choice changes by one
 // endpoint when one comes or goes. Every data centre is represented, so that
 // the loss of one leaves the others.
-func NewSubset(self, dataCentre string, entries int, endpoints []platform.Instance) Subset {
+func NewSubset(self, dataCentre string, entries int, endpoints []infra.Instance) Subset {
 	var s Subset
 	size := localSize(dataCentre, entries, endpoints)
 	remote := make(map[string]int)
 	for _, e := range Rank(self, endpoints) {
-		if e.State == platform.Leaving {
+		if e.State == infra.Leaving {
 			continue
 		}
 		if e.DataCentre == dataCentre {
@@ -50,7 +50,7 @@
 }
 
 // localSize is how many endpoints of its own data centre an entry takes.
-func localSize(dataCentre string, entries int, endpoints []platform.Instance) int {
+func localSize(dataCentre string, entries int, endpoints []infra.Instance) int {
 	local := 0
 	for _, e := range endpoints {
 		if e.DataCentre == dataCentre {
--- a/membership/view.go
+++ b/membership/view.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 )
 
 const (
@@ -24,28 +24,28 @@
 // listed, one that gave notice counts as leaving while it is listed as live.
 // While the list can't be read the last one stays in force.
 type View struct {
-	source  platform.Instances
+	source  infra.Instances
 	current atomic.Pointer[index]
 
 	mu        sync.Mutex
-	listed    []platform.Instance
+	listed    []infra.Instance
 	announced map[string]announcement
 	leaving   map[string]struct{} // until no longer listed or announced
 }
 
 type announcement struct {
-	instance platform.Instance
+	instance infra.Instance
 	until    time.Time
 }
 
 // index is one immutable state of the view.
 type index struct {
-	entries   []platform.Instance
-	endpoints map[string][]platform.Instance // by deployment
+	entries   []infra.Instance
+	endpoints map[string][]infra.Instance // by deployment
 }
 
 // NewView returns a View of source. It is empty until the first Poll.
-func NewView(source platform.Instances) *View {
+func NewView(source infra.Instances) *View {
 	v := &View{
 		source:    source,
 		announced: make(map[string]announcement),
@@ -56,10 +56,10 @@
 }
 
 // Entries implements Members.
-func (v *View) Entries() []platform.Instance { return v.current.Load().entries }
+func (v *View) Entries() []infra.Instance { return v.current.Load().entries }
 
 // Endpoints implements Members.
-func (v *View) Endpoints(deployment string) []platform.Instance {
+func (v *View) Endpoints(deployment string) []infra.Instance {
 	return v.current.Load().endpoints[deployment]
 }
 
@@ -88,7 +88,7 @@
 }
 
 // Listed takes in one reading of the platform's list.
-func (v *View) Listed(list []platform.Instance, now time.Time) {
+func (v *View) Listed(list []infra.Instance, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.listed = list
@@ -101,15 +101,15 @@
 }
 
 // Announced takes in an instance's word that it serves.
-func (v *View) Announced(i platform.Instance, now time.Time) {
+func (v *View) Announced(i infra.Instance, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if i.State == platform.Leaving {
+	if i.State == infra.Leaving {
 		v.leaving[i.ID] = struct{}{}
 	}
 	_, known := v.announced[i.ID]
 	v.announced[i.ID] = announcement{instance: i, until: now.Add(AnnounceTTL)}
-	if !known || i.State == platform.Leaving {
+	if !known || i.State == infra.Leaving {
 		v.rebuild()
 	}
 }
@@ -129,7 +129,7 @@
 // one, so that readers can cache what they derive from it. The caller holds
 // the lock.
 func (v *View) rebuild() {
-	joined := make(map[string]platform.Instance, len(v.listed))
+	joined := make(map[string]infra.Instance, len(v.listed))
 	for id, a := range v.announced {
 		joined[id] = a.instance
 	}
@@ -142,16 +142,16 @@
 			delete(v.leaving, id)
 			continue
 		}
-		i.State = platform.Leaving
+		i.State = infra.Leaving
 		joined[id] = i
 	}
 	v.current.Store(newIndex(joined, v.current.Load()))
 }
 
-func newIndex(joined map[string]platform.Instance, old *index) *index {
-	x := &index{endpoints: make(map[string][]platform.Instance)}
+func newIndex(joined map[string]infra.Instance, old *index) *index {
+	x := &index{endpoints: make(map[string][]infra.Instance)}
 	for _, i := range joined {
-		if i.Role == platform.RoleEntry {
+		if i.Role == infra.RoleEntry {
 			x.entries = append(x.entries, i)
 			continue
 		}
@@ -164,8 +164,8 @@
 	return x
 }
 
-func sortedOrOld(list, old []platform.Instance) []platform.Instance {
-	slices.SortFunc(list, func(a, b platform.Instance) int { return strings.Compare(a.ID, b.ID) })
+func sortedOrOld(list, old []infra.Instance) []infra.Instance {
+	slices.SortFunc(list, func(a, b infra.Instance) int { return strings.Compare(a.ID, b.ID) })
 	if slices.Equal(list, old) {
 		return old
 	}
--- a/membership/view_test.go
+++ b/membership/view_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/onsi/gomega"
 
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 	standin "dandelionrelay/standin/platform"
 )
 
@@ -16,10 +16,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
 		list := standin.NewInstances(3 * time.Second)
-		list.Set([]platform.Instance{
-			{ID: "s2", Role: platform.RoleSidecar, Deployment: "d"},
-			{ID: "s1", Role: platform.RoleSidecar, Deployment: "d"},
-			{ID: "e1", Role: platform.RoleEntry},
+		list.Set([]infra.Instance{
+			{ID: "s2", Role: infra.RoleSidecar, Deployment: "d"},
+			{ID: "s1", Role: infra.RoleSidecar, Deployment: "d"},
+			{ID: "e1", Role: infra.RoleEntry},
 		})
 		v := NewView(list)
 		ctx, cancel := context.WithCancel(t.Context())
--- a/order/order_test.go
+++ b/order/order_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/onsi/gomega"
 
+	"dandelionrelay/infra"
 	"dandelionrelay/order"
-	"dandelionrelay/platform"
 	"dandelionrelay/standin/engine"
 	"dandelionrelay/standin/network"
 	standin "dandelionrelay/standin/platform"
@@ -212,10 +212,10 @@
 func TestWaitIsTheSameForEveryReader(t *testing.T) {
 	g := gomega.NewWithT(t)
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	at := func(seconds int) platform.Record {
-		return platform.Record{Time: start.Add(time.Duration(seconds) * time.Second)}
+	at := func(seconds int) infra.Record {
+		return infra.Record{Time: start.Add(time.Duration(seconds) * time.Second)}
 	}
-	records := []platform.Record{at(0), at(1), at(2), at(60)}
+	records := []infra.Record{at(0), at(1), at(2), at(60)}
 	wants := []time.Duration{0, 9 * time.Second, 18 * time.Second, 0}
 	for i, want := range wants {
 		g.Expect(order.Wait(records[:i+1], 10*time.Second)).To(gomega.Equal(want))
--- a/order/runner.go
+++ b/order/runner.go
@@ -8,7 +8,7 @@
 	"github.com/google/uuid"
 	"github.com/joomcode/errorx"
 
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 )
 
 const (
@@ -22,8 +22,8 @@
 type Runner struct {
 	Endpoint string // instance id of the sidecar
 	Engine   Engine
-	Log      platform.Log
-	Weights  platform.Weights
+	Log      infra.Log
+	Weights  infra.Weights
 	// Target returns what the engine should serve now.
 	Target func() Target
 	// Leaving is closed once the sidecar may give no more orders.
@@ -135,7 +135,7 @@
 }
 
 // before reads the announcements up to own.
-func (r *Runner) before(ctx context.Context, own platform.Offset) ([]platform.Record, error) {
+func (r *Runner) before(ctx context.Context, own infra.Offset) ([]infra.Record, error) {
 	oldest, _, err := r.Log.Bounds(ctx, Stream)
 	if err != nil {
 		return nil, err
@@ -144,7 +144,7 @@
 	if own > MaxBacklog && own-MaxBacklog > from {
 		from = own - MaxBacklog
 	}
-	var records []platform.Record
+	var records []infra.Record
 	for from <= own {
 		limit := min(readLimit, int(own-from)+1)
 		part, err := r.Log.Read(ctx, Stream, from, limit, 0)
@@ -152,10 +152,10 @@
 			return nil, err
 		}
 		if len(part) == 0 {
-			return nil, platform.Unavailable.New("own announcement is not readable")
+			return nil, infra.Unavailable.New("own announcement is not readable")
 		}
 		records = append(records, part...)
-		from += platform.Offset(len(part))
+		from += infra.Offset(len(part))
 	}
 	return records, nil
 }
--- a/order/slot.go
+++ b/order/slot.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 )
 
 const (
@@ -27,7 +27,7 @@
 // Wait returns how long after the last of the announcements, which is the own
 // one, its order is to be sent. Every reader finds the same time: an order is
 // sent when it is announced, but one gap after the one before it at least.
-func Wait(announcements []platform.Record, gap time.Duration) time.Duration {
+func Wait(announcements []infra.Record, gap time.Duration) time.Duration {
 	if len(announcements) == 0 {
 		return 0
 	}
--- a/quarantine/isolation.go
+++ b/quarantine/isolation.go
@@ -1,8 +1,8 @@
 package quarantine
 
 import (
+	"dandelionrelay/infra"
 	"dandelionrelay/membership"
-	"dandelionrelay/platform"
 )
 
 // isolationShare is the inverse of the share of a deployment's endpoints that
@@ -12,10 +12,10 @@
 // Isolation returns the endpoints of one deployment at which suspects run: the
 // same ones for all that see the same list. There is at least one if there is
 // any endpoint.
-func Isolation(endpoints []platform.Instance) []platform.Instance {
-	live := make([]platform.Instance, 0, len(endpoints))
+func Isolation(endpoints []infra.Instance) []infra.Instance {
+	live := make([]infra.Instance, 0, len(endpoints))
 	for _, i := range endpoints {
-		if i.State == platform.Live {
+		if i.State == infra.Live {
 			live = append(live, i)
 		}
 	}
@@ -24,7 +24,7 @@
 }
 
 // Isolates says whether suspects may run at the endpoint with that id.
-func Isolates(endpoints []platform.Instance, id string) bool {
+func Isolates(endpoints []infra.Instance, id string) bool {
 	for _, i := range Isolation(endpoints) {
 		if i.ID == id {
 			return true
--- a/quarantine/node.go
+++ b/quarantine/node.go
@@ -13,9 +13,9 @@
 	"github.com/rs/zerolog"
 
 	"dandelionrelay/api"
+	"dandelionrelay/infra"
 	"dandelionrelay/membership"
 	"dandelionrelay/pipeline"
-	"dandelionrelay/platform"
 )
 
 // Stream is the log stream of the events.
@@ -40,7 +40,7 @@
 type Deps struct {
 	ID         string // instance id of this entry
 	DataCentre string
-	Log        platform.Log
+	Log        infra.Log
 	Members    membership.Members
 	Peers      Caller
 	Logger     zerolog.Logger
@@ -56,7 +56,7 @@
 	wake   chan struct{}
 
 	mu   sync.Mutex
-	next platform.Offset // of the log to read
+	next infra.Offset // of the log to read
 }
 
 // NewNode returns a Node with an empty table.
@@ -194,7 +194,7 @@
 func (n *Node) readOn(ctx context.Context) error {
 	for {
 		records, err := n.deps.Log.Read(ctx, Stream, n.position(), readLimit, 0)
-		var expired *platform.ExpiredError
+		var expired *infra.ExpiredError
 		if errors.As(err, &expired) {
 			n.advance(expired.Oldest)
 			continue
@@ -212,13 +212,13 @@
 	}
 }
 
-func (n *Node) position() platform.Offset {
+func (n *Node) position() infra.Offset {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.next
 }
 
-func (n *Node) advance(to platform.Offset) {
+func (n *Node) advance(to infra.Offset) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.next = max(n.next, to)
@@ -238,9 +238,9 @@
 
 // reader says that this entry follows the log for its data centre.
 func (n *Node) reader() bool {
-	var local []platform.Instance
+	var local []infra.Instance
 	for _, e := range n.deps.Members.Entries() {
-		if e.DataCentre == n.deps.DataCentre && e.State == platform.Live {
+		if e.DataCentre == n.deps.DataCentre && e.State == infra.Live {
 			local = append(local, e)
 		}
 	}
@@ -253,9 +253,9 @@
 }
 
 // somePeers returns up to max random entries other than this one.
-func (n *Node) somePeers(max int) []platform.Instance {
+func (n *Node) somePeers(max int) []infra.Instance {
 	entries := n.deps.Members.Entries()
-	var out []platform.Instance
+	var out []infra.Instance
 	for _, i := range rand.Perm(len(entries)) {
 		if entries[i].ID != n.deps.ID && len(out) < max {
 			out = append(out, entries[i])
--- a/quarantine/node_test.go
+++ b/quarantine/node_test.go
@@ -12,9 +12,9 @@
 	"github.com/onsi/gomega"
 
 	"dandelionrelay/api"
+	"dandelionrelay/infra"
 	"dandelionrelay/membership"
 	"dandelionrelay/peer"
-	"dandelionrelay/platform"
 	"dandelionrelay/standin/network"
 	standin "dandelionrelay/standin/platform"
 )
@@ -31,8 +31,8 @@
 func newFleet(t *testing.T, n int, seed uint64) *fleet {
 	f := &fleet{t: t, net: network.New(), log: standin.NewLog(0, seed)}
 	for i := range n {
-		f.members = append(f.members, platform.Instance{
-			ID: fmt.Sprintf("e%02d", i), Role: platform.RoleEntry, State: platform.Live,
+		f.members = append(f.members, infra.Instance{
+			ID: fmt.Sprintf("e%02d", i), Role: infra.RoleEntry, State: infra.Live,
 			DataCentre: fmt.Sprint("dc", i%3), RPCAddr: fmt.Sprintf("10.0.0.%d:90", i),
 		})
 	}
@@ -119,7 +119,7 @@
 		f.log.SetFaults(standin.Faults{})
 		next := newFleet(t, 0, 1)
 		next.log = f.log
-		next.members = membership.Static{{ID: "new", Role: platform.RoleEntry, RPCAddr: "10.0.1.1:90"}}
+		next.members = membership.Static{{ID: "new", Role: infra.RoleEntry, RPCAddr: "10.0.1.1:90"}}
 		next.nodes = []*Node{next.start(0)}
 		time.Sleep(time.Second)
 		g.Expect(next.knowing(d, Quarantined)).To(gomega.Equal(1))
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -10,7 +10,7 @@
 
 	"dandelionrelay/api"
 	"dandelionrelay/config"
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 )
 
 // Process is what every process of the system needs to know of itself.
@@ -59,12 +59,12 @@
 
 // Platform is the settings of the stand-in platform.
 type Platform struct {
-	HTTPAddr       string              `json:"http_addr"`                  // ip:port
-	Retention      config.Duration     `json:"retention,omitempty"`        // of log records; 0: for ever
-	ListLag        config.Duration     `json:"list_lag,omitempty"`         // of the instance list
-	LoadsPerMinute int                 `json:"loads_per_minute,omitempty"` // of the weight store; default 6
-	Seed           uint64              `json:"seed,omitempty"`             // of injected faults
-	Instances      []platform.Instance `json:"instances,omitempty"`        // at start
+	HTTPAddr       string           `json:"http_addr"`                  // ip:port
+	Retention      config.Duration  `json:"retention,omitempty"`        // of log records; 0: for ever
+	ListLag        config.Duration  `json:"list_lag,omitempty"`         // of the instance list
+	LoadsPerMinute int              `json:"loads_per_minute,omitempty"` // of the weight store; default 6
+	Seed           uint64           `json:"seed,omitempty"`             // of injected faults
+	Instances      []infra.Instance `json:"instances,omitempty"`        // at start
 }
 
 // Engine is the settings of a stand-in engine.
--- a/sidecar/health.go
+++ b/sidecar/health.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"dandelionrelay/api"
+	"dandelionrelay/infra"
 	"dandelionrelay/membership"
-	"dandelionrelay/platform"
 )
 
 // healthTimeout bounds a health check of the endpoint.
@@ -82,7 +82,7 @@
 func listedLeaving(m membership.Members, own Settings) bool {
 	for _, i := range m.Endpoints(own.Deployment) {
 		if i.ID == own.ID {
-			return i.State == platform.Leaving
+			return i.State == infra.Leaving
 		}
 	}
 	return false
--- a/sidecar/process.go
+++ b/sidecar/process.go
@@ -12,24 +12,24 @@
 
 	"dandelionrelay/config"
 	"dandelionrelay/daemon"
+	"dandelionrelay/infra"
+	"dandelionrelay/infra/client"
 	"dandelionrelay/invariant"
 	"dandelionrelay/jobs"
 	"dandelionrelay/lane"
 	"dandelionrelay/membership"
 	"dandelionrelay/ops"
 	"dandelionrelay/peer"
-	"dandelionrelay/platform"
-	"dandelionrelay/platform/client"
 	"dandelionrelay/settings"
 )
 
 // ProcessDeps is what a Process works with.
 type ProcessDeps struct {
-	Log        platform.Log
-	Instances  platform.Instances
-	Weights    platform.Weights // nil: engines get no orders
-	Dial       peer.Dialer      // to peers; nil means TCP
-	Endpoint   peer.Dialer      // to the endpoint; nil means TCP
+	Log        infra.Log
+	Instances  infra.Instances
+	Weights    infra.Weights // nil: engines get no orders
+	Dial       peer.Dialer   // to peers; nil means TCP
+	Endpoint   peer.Dialer   // to the endpoint; nil means TCP
 	Logger     zerolog.Logger
 	Registry   *prometheus.Registry
 	Invariants *invariant.Set
@@ -77,7 +77,7 @@
 	}
 	p.pool.Count(peer.NewMetrics(d.Registry))
 	p.viewer = config.NewViewer(config.Fleet{
-		Self:    platform.Instance{ID: s.ID, Role: platform.RoleSidecar, DataCentre: s.DataCentre, Deployment: s.Deployment},
+		Self:    infra.Instance{ID: s.ID, Role: infra.RoleSidecar, DataCentre: s.DataCentre, Deployment: s.Deployment},
 		Members: p.view,
 		Peers:   p.pool,
 	}, &p.holder, p.configChanged)
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -14,10 +14,10 @@
 	"github.com/rs/zerolog"
 
 	"dandelionrelay/config"
+	"dandelionrelay/infra"
 	"dandelionrelay/invariant"
 	"dandelionrelay/lane"
 	"dandelionrelay/membership"
-	"dandelionrelay/platform"
 )
 
 // Defaults of Settings.
@@ -47,8 +47,8 @@
 	Members    membership.Members    // says whether this instance is leaving; may be nil
 	// Log and Weights serve to give orders to a model engine; without both of
 	// them none are given.
-	Log     platform.Log
-	Weights platform.Weights
+	Log     infra.Log
+	Weights infra.Weights
 	// Dial opens connections to the endpoint; nil means TCP.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 }
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -16,9 +16,9 @@
 	"github.com/rs/zerolog"
 
 	"dandelionrelay/config"
+	"dandelionrelay/infra"
 	"dandelionrelay/invariant"
 	"dandelionrelay/lane"
-	"dandelionrelay/platform"
 	"dandelionrelay/settings"
 	"dandelionrelay/standin/engine"
 	standin "dandelionrelay/standin/platform"
@@ -62,7 +62,7 @@
 	client *http.Client
 
 	mu     sync.Mutex
-	listed []platform.Instance
+	listed []infra.Instance
 	cutOff map[string]bool // data centres that don't reach the platform
 	hidden map[string]bool // data centres that the list leaves out
 	ids    int
@@ -134,10 +134,10 @@
 
 // SetState changes the platform's word on an instance; gone drops it from the
 // list.
-func (f *Fleet) SetState(id string, state platform.InstanceState, gone bool) {
+func (f *Fleet) SetState(id string, state infra.InstanceState, gone bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.listed = slices.DeleteFunc(f.listed, func(i platform.Instance) bool { return gone && i.ID == id })
+	f.listed = slices.DeleteFunc(f.listed, func(i infra.Instance) bool { return gone && i.ID == id })
 	for n := range f.listed {
 		if f.listed[n].ID == id {
 			f.listed[n].State = state
@@ -147,7 +147,7 @@
 }
 
 // list adds an instance to the platform's list.
-func (f *Fleet) list(i platform.Instance) {
+func (f *Fleet) list(i infra.Instance) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.listed = append(f.listed, i)
@@ -164,13 +164,13 @@
 
 // publish hands the list to the platform. The caller holds the lock.
 func (f *Fleet) publish() {
-	shown := slices.DeleteFunc(slices.Clone(f.listed), func(i platform.Instance) bool { return f.hidden[i.DataCentre] })
+	shown := slices.DeleteFunc(slices.Clone(f.listed), func(i infra.Instance) bool { return f.hidden[i.DataCentre] })
 	f.Instances.Set(shown)
 }
 
 // newInstance returns an instance with an unused id, its data centre and its
 // listeners' addresses.
-func (f *Fleet) newInstance(role platform.Role, deployment string, http, rpc net.Listener) platform.Instance {
+func (f *Fleet) newInstance(role infra.Role, deployment string, http, rpc net.Listener) infra.Instance {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.ids++
@@ -179,11 +179,11 @@
 		z.Place(http.Addr().String(), dataCentre)
 		z.Place(rpc.Addr().String(), dataCentre)
 	}
-	return platform.Instance{
+	return infra.Instance{
 		ID:         fmt.Sprintf("%s-%d", role, f.ids),
 		Role:       role,
 		DataCentre: dataCentre,
-		State:      platform.Live,
+		State:      infra.Live,
 		HTTPAddr:   http.Addr().String(),
 		RPCAddr:    rpc.Addr().String(),
 		Deployment: deployment,
--- a/standin/fleet/instance.go
+++ b/standin/fleet/instance.go
@@ -7,9 +7,9 @@
 	"dandelionrelay/config"
 	"dandelionrelay/daemon"
 	"dandelionrelay/entry"
+	"dandelionrelay/infra"
 	"dandelionrelay/invariant"
 	"dandelionrelay/ops"
-	"dandelionrelay/platform"
 	"dandelionrelay/settings"
 	"dandelionrelay/sidecar"
 	"dandelionrelay/standin/engine"
@@ -18,7 +18,7 @@
 
 // Instance is one running entry or sidecar.
 type Instance struct {
-	platform.Instance
+	infra.Instance
 	OpsAddr    string
 	Invariants *invariant.Set
 
@@ -34,10 +34,10 @@
 // Stop has the instance leave gracefully and waits until it has ended. The
 // platform lists it as leaving meanwhile, and then no more.
 func (i *Instance) Stop() {
-	i.fleet.SetState(i.ID, platform.Leaving, false)
+	i.fleet.SetState(i.ID, infra.Leaving, false)
 	i.leave()
 	<-i.done
-	i.fleet.SetState(i.ID, platform.Leaving, true)
+	i.fleet.SetState(i.ID, infra.Leaving, true)
 }
 
 // Kill ends the instance abruptly. The platform lists it until Unlist.
@@ -47,7 +47,7 @@
 }
 
 // Unlist drops the instance from the platform's list.
-func (i *Instance) Unlist() { i.fleet.SetState(i.ID, platform.Leaving, true) }
+func (i *Instance) Unlist() { i.fleet.SetState(i.ID, infra.Leaving, true) }
 
 // process is what the roles have in common here.
 type process struct {
@@ -56,7 +56,7 @@
 }
 
 // start runs p as an instance.
-func (f *Fleet) start(i platform.Instance, opsAddr string, checks *invariant.Set, p process) *Instance {
+func (f *Fleet) start(i infra.Instance, opsAddr string, checks *invariant.Set, p process) *Instance {
 	ctx, cancel := context.WithCancel(context.Background())
 	instance := &Instance{
 		Instance:   i,
@@ -88,7 +88,7 @@
 	if err != nil {
 		return nil, err
 	}
-	i := f.newInstance(platform.RoleEntry, "", listeners[0], listeners[1])
+	i := f.newInstance(infra.RoleEntry, "", listeners[0], listeners[1])
 	reg := ops.NewRegistry()
 	logger := f.opts.Logger.With().Str("id", i.ID).Logger()
 	checks := ops.Invariants(reg, logger, f.opts.OnViolation)
@@ -112,7 +112,7 @@
 }
 
 // process returns the settings that both roles share.
-func (f *Fleet) process(i platform.Instance) settings.Process {
+func (f *Fleet) process(i infra.Instance) settings.Process {
 	return settings.Process{ID: i.ID, DataCentre: i.DataCentre, HTTPAddr: i.HTTPAddr, RPCAddr: i.RPCAddr}
 }
 
@@ -122,7 +122,7 @@
 	if err != nil {
 		return nil, err
 	}
-	i := f.newInstance(platform.RoleSidecar, deployment, listeners[0], listeners[1])
+	i := f.newInstance(infra.RoleSidecar, deployment, listeners[0], listeners[1])
 	reg := ops.NewRegistry()
 	logger := f.opts.Logger.With().Str("id", i.ID).Logger()
 	checks := ops.Invariants(reg, logger, f.opts.OnViolation)
--- a/standin/fleet/partition.go
+++ b/standin/fleet/partition.go
@@ -5,7 +5,7 @@
 	"net"
 	"time"
 
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 	"dandelionrelay/sleep"
 	standin "dandelionrelay/standin/platform"
 )
@@ -27,7 +27,7 @@
 }
 
 // dialerOf returns how an instance connects to others.
-func (f *Fleet) dialerOf(i platform.Instance) func(ctx context.Context, addr string) (net.Conn, error) {
+func (f *Fleet) dialerOf(i infra.Instance) func(ctx context.Context, addr string) (net.Conn, error) {
 	z, ok := f.opts.Network.(zoned)
 	if !ok {
 		return f.opts.Network.Dial
@@ -36,12 +36,12 @@
 }
 
 // logOf returns the log as an instance reaches it.
-func (f *Fleet) logOf(i platform.Instance) platform.Log {
+func (f *Fleet) logOf(i infra.Instance) infra.Log {
 	return &remoteLog{log: f.Log, way: way{f, i.DataCentre}}
 }
 
 // listOf returns the instance list as an instance reaches it.
-func (f *Fleet) listOf(i platform.Instance) platform.Instances {
+func (f *Fleet) listOf(i infra.Instance) infra.Instances {
 	return &remoteList{list: f.Instances, way: way{f, i.DataCentre}}
 }
 
@@ -57,7 +57,7 @@
 		return nil
 	}
 	sleep.For(ctx, platformTimeout)
-	return platform.Unavailable.New("%s is cut off", w.dataCentre)
+	return infra.Unavailable.New("%s is cut off", w.dataCentre)
 }
 
 func (w way) cut() bool {
@@ -72,33 +72,33 @@
 	way way
 }
 
-// Append implements platform.Log. An append whose answer the cut overtakes is
+// Append implements infra.Log. An append whose answer the cut overtakes is
 // stored.
-func (l *remoteLog) Append(ctx context.Context, stream, id string, data []byte) (platform.Offset, error) {
+func (l *remoteLog) Append(ctx context.Context, stream, id string, data []byte) (infra.Offset, error) {
 	if err := l.way.pass(ctx); err != nil {
 		return 0, err
 	}
 	offset, err := l.log.Append(ctx, stream, id, data)
 	if l.way.cut() {
-		return 0, platform.Unavailable.New("%s was cut off", l.way.dataCentre)
+		return 0, infra.Unavailable.New("%s was cut off", l.way.dataCentre)
 	}
 	return offset, err
 }
 
-// Read implements platform.Log.
-func (l *remoteLog) Read(ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration) ([]platform.Record, error) {
+// Read implements infra.Log.
+func (l *remoteLog) Read(ctx context.Context, stream string, from infra.Offset, limit int, wait time.Duration) ([]infra.Record, error) {
 	if err := l.way.pass(ctx); err != nil {
 		return nil, err
 	}
 	records, err := l.log.Read(ctx, stream, from, limit, wait)
 	if l.way.cut() {
-		return nil, platform.Unavailable.New("%s was cut off", l.way.dataCentre)
+		return nil, infra.Unavailable.New("%s was cut off", l.way.dataCentre)
 	}
 	return records, err
 }
 
-// Bounds implements platform.Log.
-func (l *remoteLog) Bounds(ctx context.Context, stream string) (oldest, next platform.Offset, err error) {
+// Bounds implements infra.Log.
+func (l *remoteLog) Bounds(ctx context.Context, stream string) (oldest, next infra.Offset, err error) {
 	if err := l.way.pass(ctx); err != nil {
 		return 0, 0, err
 	}
@@ -111,8 +111,8 @@
 	way  way
 }
 
-// List implements platform.Instances.
-func (l *remoteList) List(ctx context.Context) ([]platform.Instance, error) {
+// List implements infra.Instances.
+func (l *remoteList) List(ctx context.Context) ([]infra.Instance, error) {
 	if err := l.way.pass(ctx); err != nil {
 		return nil, err
 	}
--- a/standin/platform/instances.go
+++ b/standin/platform/instances.go
@@ -6,10 +6,10 @@
 	"sync"
 	"time"
 
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 )
 
-// Instances is a platform.Instances in memory whose readers see each change
+// Instances is a infra.Instances in memory whose readers see each change
 // only after a lag.
 type Instances struct {
 	lag time.Duration
@@ -17,12 +17,12 @@
 	mu      sync.Mutex
 	down    bool
 	changes []change
-	current []platform.Instance // as readers see it
+	current []infra.Instance // as readers see it
 }
 
 type change struct {
 	visible time.Time
-	list    []platform.Instance
+	list    []infra.Instance
 }
 
 // NewInstances returns an empty list with a lag.
@@ -38,18 +38,18 @@
 }
 
 // Set replaces the list; readers see it after the lag.
-func (i *Instances) Set(list []platform.Instance) {
+func (i *Instances) Set(list []infra.Instance) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.changes = append(i.changes, change{visible: time.Now().Add(i.lag), list: slices.Clone(list)})
 }
 
-// List implements platform.Instances.
-func (i *Instances) List(context.Context) ([]platform.Instance, error) {
+// List implements infra.Instances.
+func (i *Instances) List(context.Context) ([]infra.Instance, error) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if i.down {
-		return nil, platform.Unavailable.New("list instances")
+		return nil, infra.Unavailable.New("list instances")
 	}
 	now := time.Now()
 	for len(i.changes) > 0 && !i.changes[0].visible.After(now) {
--- a/standin/platform/log.go
+++ b/standin/platform/log.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 	"dandelionrelay/sleep"
 )
 
@@ -21,7 +21,7 @@
 	Delay      time.Duration // added to each append
 }
 
-// Log is a platform.Log in memory.
+// Log is a infra.Log in memory.
 type Log struct {
 	retention time.Duration // 0: for ever
 
@@ -33,8 +33,8 @@
 }
 
 type stream struct {
-	oldest  platform.Offset
-	records []platform.Record
+	oldest  infra.Offset
+	records []infra.Record
 	grown   chan struct{} // closed at the next append
 }
 
@@ -62,8 +62,8 @@
 	return l.appends
 }
 
-// Append implements platform.Log.
-func (l *Log) Append(ctx context.Context, name, id string, data []byte) (platform.Offset, error) {
+// Append implements infra.Log.
+func (l *Log) Append(ctx context.Context, name, id string, data []byte) (infra.Offset, error) {
 	l.mu.Lock()
 	delay := l.faults.Delay
 	l.mu.Unlock()
@@ -76,8 +76,8 @@
 		return 0, unavailable("append", name)
 	}
 	s := l.stream(name)
-	offset := s.oldest + platform.Offset(len(s.records))
-	record := platform.Record{Offset: offset, ID: id, Time: time.Now(), Data: append([]byte(nil), data...)}
+	offset := s.oldest + infra.Offset(len(s.records))
+	record := infra.Record{Offset: offset, ID: id, Time: time.Now(), Data: append([]byte(nil), data...)}
 	s.records = append(s.records, record)
 	l.appends++
 	close(s.grown)
@@ -88,8 +88,8 @@
 	return offset, nil
 }
 
-// Read implements platform.Log.
-func (l *Log) Read(ctx context.Context, name string, from platform.Offset, limit int, wait time.Duration) ([]platform.Record, error) {
+// Read implements infra.Log.
+func (l *Log) Read(ctx context.Context, name string, from infra.Offset, limit int, wait time.Duration) ([]infra.Record, error) {
 	var timeout <-chan time.Time
 	for {
 		records, grown, err := l.read(name, from, limit)
@@ -109,7 +109,7 @@
 	}
 }
 
-func (l *Log) read(name string, from platform.Offset, limit int) ([]platform.Record, chan struct{}, error) {
+func (l *Log) read(name string, from infra.Offset, limit int) ([]infra.Record, chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.faults.Down {
@@ -118,18 +118,18 @@
 	s := l.stream(name)
 	l.expire(s)
 	if from < s.oldest {
-		return nil, nil, &platform.ExpiredError{Stream: name, From: from, Oldest: s.oldest}
+		return nil, nil, &infra.ExpiredError{Stream: name, From: from, Oldest: s.oldest}
 	}
 	start := int(from - s.oldest)
 	if start >= len(s.records) {
 		return nil, s.grown, nil
 	}
 	end := min(len(s.records), start+limit)
-	return append([]platform.Record(nil), s.records[start:end]...), nil, nil
+	return append([]infra.Record(nil), s.records[start:end]...), nil, nil
 }
 
-// Bounds implements platform.Log.
-func (l *Log) Bounds(_ context.Context, name string) (oldest, next platform.Offset, err error) {
+// Bounds implements infra.Log.
+func (l *Log) Bounds(_ context.Context, name string) (oldest, next infra.Offset, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.faults.Down {
@@ -137,7 +137,7 @@
 	}
 	s := l.stream(name)
 	l.expire(s)
-	return s.oldest, s.oldest + platform.Offset(len(s.records)), nil
+	return s.oldest, s.oldest + infra.Offset(len(s.records)), nil
 }
 
 // stream returns the stream with that name. The caller holds the lock.
@@ -161,7 +161,7 @@
 		n++
 	}
 	s.records = s.records[n:]
-	s.oldest += platform.Offset(n)
+	s.oldest += infra.Offset(n)
 }
 
 // happens draws an event of probability p. The caller holds the lock.
@@ -170,5 +170,5 @@
 }
 
 func unavailable(op, stream string) error {
-	return platform.Unavailable.New("%s %s", op, stream)
+	return infra.Unavailable.New("%s %s", op, stream)
 }
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -13,8 +13,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"dandelionrelay/api"
-	"dandelionrelay/platform"
-	"dandelionrelay/platform/client"
+	"dandelionrelay/infra"
+	"dandelionrelay/infra/client"
 )
 
 // PathFaults sets the faults of the log (PUT, a FaultSettings document).
@@ -76,7 +76,7 @@
 		return
 	}
 	waitFor := time.Duration(wait) * time.Millisecond
-	records, err := s.log.Read(r.Context(), r.FormValue("stream"), platform.Offset(from), limit, waitFor)
+	records, err := s.log.Read(r.Context(), r.FormValue("stream"), infra.Offset(from), limit, waitFor)
 	answer(w, client.Records{Records: records}, err)
 }
 
@@ -135,7 +135,7 @@
 
 // answer writes v, or the status that err stands for.
 func answer(w http.ResponseWriter, v any, err error) {
-	var expired *platform.ExpiredError
+	var expired *infra.ExpiredError
 	switch {
 	case errors.As(err, &expired):
 		api.WriteJSON(w, http.StatusGone, client.Bounds{Oldest: expired.Oldest})
@@ -146,8 +146,8 @@
 	}
 }
 
-// LoadsPerMinute is a platform.Weights with a fixed rate.
+// LoadsPerMinute is a infra.Weights with a fixed rate.
 type LoadsPerMinute int
 
-// LoadsPerMinute implements platform.Weights.
+// LoadsPerMinute implements infra.Weights.
 func (n LoadsPerMinute) LoadsPerMinute(context.Context) (int, error) { return int(n), nil }
--- a/standin/platform/server_test.go
+++ b/standin/platform/server_test.go
@@ -10,8 +10,8 @@
 	"github.com/joomcode/errorx"
 	. "github.com/onsi/gomega"
 
-	"dandelionrelay/platform"
-	"dandelionrelay/platform/client"
+	"dandelionrelay/infra"
+	"dandelionrelay/infra/client"
 	standin "dandelionrelay/standin/platform"
 )
 
@@ -26,7 +26,7 @@
 
 	offset, err := c.Append(ctx, "jobs/01", "a", []byte("one"))
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(offset).To(Equal(platform.Offset(1)))
+	g.Expect(offset).To(Equal(infra.Offset(1)))
 	records, err := c.Read(ctx, "jobs/01", 1, 10, 0)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(records).To(HaveLen(1))
@@ -36,9 +36,9 @@
 	g.Expect(records).To(BeEmpty())
 	oldest, next, err := c.Bounds(ctx, "jobs/01")
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect([]platform.Offset{oldest, next}).To(Equal([]platform.Offset{1, 2}))
+	g.Expect([]infra.Offset{oldest, next}).To(Equal([]infra.Offset{1, 2}))
 
-	instances.Set([]platform.Instance{{ID: "e1", Role: platform.RoleEntry, State: platform.Live}})
+	instances.Set([]infra.Instance{{ID: "e1", Role: infra.RoleEntry, State: infra.Live}})
 	list, err := c.List(ctx)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(list).To(HaveLen(1))
@@ -48,7 +48,7 @@
 
 	log.SetFaults(standin.Faults{LoseAnswer: 1})
 	_, err = c.Append(ctx, "jobs/01", "b", nil)
-	g.Expect(errorx.IsOfType(err, platform.Unavailable)).To(BeTrue())
+	g.Expect(errorx.IsOfType(err, infra.Unavailable)).To(BeTrue())
 	log.SetFaults(standin.Faults{})
 	records, err = c.Read(ctx, "jobs/01", 2, 10, 0)
 	g.Expect(err).NotTo(HaveOccurred())
@@ -64,7 +64,7 @@
 	c := client.New(server.URL, nil)
 	_, err := c.Append(ctx, "config", "a", nil)
 	g.Expect(err).NotTo(HaveOccurred())
-	var expired *platform.ExpiredError
+	var expired *infra.ExpiredError
 	g.Eventually(func() error {
 		_, err := c.Read(ctx, "config", 1, 1, 0)
 		return err
@@ -89,7 +89,7 @@
 	defer server.Close()
 	transport := new(countingTransport)
 	c := client.New(server.URL, transport)
-	list := []platform.Instance{{ID: "e1", Role: platform.RoleEntry, State: platform.Live}}
+	list := []infra.Instance{{ID: "e1", Role: infra.RoleEntry, State: infra.Live}}
 	instances.Set(list)
 	for range 10 {
 		got, err := c.List(t.Context())
@@ -98,7 +98,7 @@
 	}
 	once := transport.bytes
 	g.Expect(once).To(BeNumerically("<", 200), "the list goes over the wire once")
-	list[0].State = platform.Leaving
+	list[0].State = infra.Leaving
 	instances.Set(list)
 	got, err := c.List(t.Context())
 	g.Expect(err).NotTo(HaveOccurred())
--- a/test/processes/faults_test.go
+++ b/test/processes/faults_test.go
@@ -9,7 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 	standin "dandelionrelay/standin/platform"
 )
 
@@ -30,10 +30,10 @@
 		})
 	}
 	time.Sleep(time.Second) // the streams are under way
-	s.list(func(all []platform.Instance) []platform.Instance {
+	s.list(func(all []infra.Instance) []infra.Instance {
 		for n := range all {
 			if all[n].ID == "entry-1" || all[n].ID == "sidecar-1" {
-				all[n].State = platform.Leaving
+				all[n].State = infra.Leaving
 			}
 		}
 		return all
@@ -68,8 +68,8 @@
 	}
 	ask(7201, 30)
 	resume := s.pause("entry-1")
-	s.list(func(all []platform.Instance) []platform.Instance {
-		var rest []platform.Instance
+	s.list(func(all []infra.Instance) []infra.Instance {
+		var rest []infra.Instance
 		for _, i := range all {
 			if i.ID != "entry-1" {
 				rest = append(rest, i)
--- a/test/processes/harness_test.go
+++ b/test/processes/harness_test.go
@@ -17,8 +17,8 @@
 
 	. "github.com/onsi/gomega"
 
-	"dandelionrelay/platform"
-	"dandelionrelay/platform/client"
+	"dandelionrelay/infra"
+	"dandelionrelay/infra/client"
 	"dandelionrelay/settings"
 	standin "dandelionrelay/standin/platform"
 )
@@ -175,7 +175,7 @@
 }
 
 // list replaces the platform's instance list.
-func (s *system) list(change func([]platform.Instance) []platform.Instance) {
+func (s *system) list(change func([]infra.Instance) []infra.Instance) {
 	p, err := settings.LoadPlatform(filepath.Join(s.dir, "platform.json"))
 	s.Expect(err).NotTo(HaveOccurred())
 	s.put(client.PathInstances, client.InstanceList{Instances: change(p.Instances)})
--- a/test/processes/processes_test.go
+++ b/test/processes/processes_test.go
@@ -12,7 +12,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"dandelionrelay/platform"
+	"dandelionrelay/infra"
 )
 
 const gardenKey = "garden-demo-key"
@@ -50,8 +50,8 @@
 	s.kill("entry-2")
 	s.start("entry-1", "entry", "--settings", "entry-1.json")
 	s.answers(s.url(7203, "/readyz"))
-	s.list(func(all []platform.Instance) []platform.Instance {
-		var rest []platform.Instance
+	s.list(func(all []infra.Instance) []infra.Instance {
+		var rest []infra.Instance
 		for _, i := range all {
 			if i.ID != "entry-2" {
 				rest = append(rest, i)
