--- /dev/null
+++ b/batch/content.go
@@ -0,0 +1,194 @@
+package batch
+
+import (
+	"bytes"
+	"container/list"
+	"context"
+	"encoding/json"
+	"hash/fnv"
+	"sync"
+
+	"github.com/joomcode/errorx"
+
+	"dandelionrelay/keyedlog"
+)
+
+// Store is a partition of contents.
+type Store interface {
+	keyedlog.Partition
+	// At returns the record at offset, of at most size bytes with its key. It
+	// fails with keyedlog.TrimmedError if it is no longer kept there.
+	At(ctx context.Context, offset int64, size int) (keyedlog.Record, error)
+}
+
+// Kinds of contents, the first letter of their keys.
+const (
+	kindRequest = "b"
+	kindOutput  = "t"
+)
+
+// cacheBytes bounds the contents kept in memory: some seconds of a busy
+// entry's bodies and outputs.
+const cacheBytes = 16 << 20
+
+// recordOverhead is what a record takes beside key and value, in bytes.
+const recordOverhead = 64
+
+// Request is the request of an item.
+type Request struct {
+	Path   string            `json:"path"` // with its query
+	Header map[string]string `json:"header"`
+	Body   []byte            `json:"-"`
+}
+
+// encode returns the request as it is stored: a line of JSON, then the body as
+// it is.
+func (r *Request) encode() ([]byte, error) {
+	head, err := json.Marshal(r)
+	if err != nil {
+		return nil, err
+	}
+	return append(append(head, '\n'), r.Body...), nil
+}
+
+// decodeRequest reads what encode returned.
+func decodeRequest(b []byte) (*Request, error) {
+	head, body, ok := bytes.Cut(b, []byte("\n"))
+	if !ok {
+		return nil, BadRecord.New("a request without a head")
+	}
+	r := new(Request)
+	if err := json.Unmarshal(head, r); err != nil {
+		return nil, BadRecord.Wrap(err, "the head of a request")
+	}
+	r.Body = body
+	return r, nil
+}
+
+// contents reads and writes bodies and outputs.
+type contents struct {
+	stores []Store
+
+	mu    sync.Mutex
+	cache map[string]*list.Element
+	order *list.List // the most recently used first
+	bytes int
+}
+
+type cached struct {
+	key   string
+	value []byte
+}
+
+func newContents(stores []Store) *contents {
+	return &contents{stores: stores, cache: make(map[string]*list.Element), order: list.New()}
+}
+
+// part returns the partition of a job's contents.
+func (c *contents) part(job string) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(job))
+	return int(h.Sum32() % uint32(len(c.stores)))
+}
+
+// put stores records of one job, some in a call, and returns where they lie.
+// After a failure some may be stored; nothing refers to them.
+func (c *contents) put(ctx context.Context, part int, records []keyedlog.Record, callBytes int) ([]Ref, error) {
+	refs := make([]Ref, 0, len(records))
+	for len(records) > 0 {
+		n, size := 0, 0
+		for n < len(records) && (n == 0 || size+weight(records[n]) <= callBytes) {
+			size += weight(records[n])
+			n++
+		}
+		first, err := c.stores[part].Append(ctx, keyedlog.Anywhere, records[:n])
+		if err != nil {
+			return nil, err
+		}
+		for i, r := range records[:n] {
+			refs = append(refs, Ref{Part: part, Offset: first + int64(i), Size: weight(r)})
+			c.keep(r.Key, r.Value)
+		}
+		records = records[n:]
+	}
+	return refs, nil
+}
+
+// weight is the size of a record as the store counts it.
+func weight(r keyedlog.Record) int { return len(r.Key) + len(r.Value) + recordOverhead }
+
+// get returns the content under key, which was stored at ref.
+func (c *contents) get(ctx context.Context, key string, ref Ref) ([]byte, error) {
+	if value, ok := c.cached(key); ok {
+		return value, nil
+	}
+	if ref.Part < 0 || ref.Part >= len(c.stores) {
+		return nil, BadRecord.New("content %q in partition %d of %d", key, ref.Part, len(c.stores))
+	}
+	store := c.stores[ref.Part]
+	r, err := store.At(ctx, ref.Offset, ref.Size)
+	if err != nil || r.Key != key {
+		r, err = newest(ctx, store, key)
+	}
+	if err != nil {
+		return nil, err
+	}
+	c.keep(key, r.Value)
+	return r.Value, nil
+}
+
+// newest finds the newest record of key where its offset is no longer kept.
+func newest(ctx context.Context, store Store, key string) (keyedlog.Record, error) {
+	after := key[:len(key)-1]
+	for {
+		page, more, err := store.Newest(ctx, after)
+		if err != nil {
+			return keyedlog.Record{}, err
+		}
+		for _, r := range page.Records {
+			if r.Key == key {
+				return r, nil
+			}
+		}
+		if !more || len(page.Records) == 0 || page.Records[len(page.Records)-1].Key > key {
+			return keyedlog.Record{}, errorx.DataUnavailable.New("content %q is not stored", key)
+		}
+		after = page.Records[len(page.Records)-1].Key
+	}
+}
+
+func (c *contents) cached(key string) ([]byte, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e := c.cache[key]
+	if e == nil {
+		return nil, false
+	}
+	c.order.MoveToFront(e)
+	return e.Value.(*cached).value, true
+}
+
+func (c *contents) keep(key string, value []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cache[key] != nil {
+		return
+	}
+	c.cache[key] = c.order.PushFront(&cached{key: key, value: value})
+	c.bytes += len(value)
+	for c.bytes > cacheBytes {
+		last := c.order.Back()
+		old := c.order.Remove(last).(*cached)
+		delete(c.cache, old.key)
+		c.bytes -= len(old.value)
+	}
+}
+
+// request returns the request of an item.
+func (c *contents) request(ctx context.Context, job string, item int, ref Ref) (*Request, error) {
+	value, err := c.get(ctx, itemKey(kindRequest, job, item), ref)
+	if err != nil {
+		return nil, err
+	}
+	return decodeRequest(value)
+}
--- /dev/null
+++ b/batch/item.go
@@ -0,0 +1,221 @@
+package batch
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"dandelionrelay/config"
+	"dandelionrelay/eventstream"
+	"dandelionrelay/placement"
+	"dandelionrelay/upstream"
+)
+
+// Bounds of one run of an item.
+const (
+	// firstPatience is how long the begin of an answer is awaited; the
+	// endpoint may have online requests in its queue.
+	firstPatience = 4 * time.Second
+	// eventPatience is how long the next event is awaited.
+	eventPatience = 1500 * time.Millisecond
+	// lostPause is the time before an item runs again after an endpoint was
+	// lost; it doubles with each loss in a row.
+	lostPause    = 50 * time.Millisecond
+	maxLostPause = 2 * time.Second
+	// contentTimeout bounds reading a body and storing an output.
+	contentTimeout = 2 * time.Second
+)
+
+// outcome says how a run of an item ended.
+type outcome string
+
+// The outcomes of a run.
+const (
+	runCompleted outcome = "completed"
+	runFailed    outcome = "failed"   // a failed attempt
+	runHopeless  outcome = "hopeless" // no endpoint can do it
+	runLost      outcome = "lost"     // the endpoint was lost; the item resumes
+	runNot       outcome = "not_run"
+	runYielded   outcome = "yielded"
+)
+
+// runItem runs an item once at the endpoint of grant.
+func (r *runner) runItem(ctx context.Context, cancel context.CancelFunc, c candidate, route config.Route, grant *placement.Grant) {
+	defer cancel()
+	p := c.progress
+	started := time.Now()
+	from := p.events
+	end, result, err := r.exchange(ctx, c, grant)
+	if ctx.Err() != nil && end != runCompleted {
+		end, result = runYielded, placement.Yielded
+	}
+	var gap time.Duration
+	if n := p.events - from; n > 8 {
+		gap = time.Since(started) / time.Duration(n)
+	}
+	grant.End(r.Clock(), result, gap)
+	r.Metrics.runs.WithLabelValues(string(end)).Inc()
+	event := r.Log.Info().Str("job", c.job.ID).Str("request", c.job.Items[p.id.item].ID).Str("customer", c.job.Customer).
+		Str("endpoint", grant.Endpoint.ID).Int("at_endpoint_online", grant.Load.Online).Int("at_endpoint_batch", grant.Load.Batch).
+		Str("outcome", string(end)).Int("from_event", from).Int("events", p.events).Dur("took", time.Since(started)).
+		Dur("until_due", time.Until(c.due))
+	if err != nil {
+		event = event.AnErr("cause", err)
+	}
+	event.Msg("item ran")
+	r.settle(p, end, route)
+	poke(r.wake)
+}
+
+// settle decides what follows a run.
+func (r *runner) settle(p *progress, end outcome, route config.Route) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p.cancel = nil
+	p.phase = waiting
+	switch end {
+	case runCompleted:
+		p.phase = ended
+		p.result = Result{State: Completed}
+	case runHopeless:
+		p.phase = ended
+		p.result = Result{State: Errored, Reason: "endpoints can't do it"}
+	case runFailed:
+		p.failures++
+		p.reset()
+		if p.failures >= route.Provided.Batch.Attempts {
+			p.phase = ended
+			p.result = Result{State: Errored, Reason: "all attempts failed"}
+		}
+	case runLost:
+		p.notUntil = r.Clock() + min(lostPause<<min(p.lost, 6), maxLostPause)
+		p.lost++
+	case runNot:
+		p.notUntil = r.Clock() + lostPause
+	}
+	if p.phase == ended {
+		poke(r.done)
+	}
+}
+
+// reset forgets the output so far.
+func (p *progress) reset() {
+	p.output, p.events, p.lastID, p.hasID = nil, 0, 0, false
+}
+
+// exchange sends an item to the endpoint of grant and collects its output.
+func (r *runner) exchange(ctx context.Context, c candidate, grant *placement.Grant) (outcome, placement.Result, error) {
+	request, err := r.request(ctx, c, grant)
+	if err != nil {
+		return runNot, placement.Yielded, err
+	}
+	x, err := r.Pool.Do(ctx, grant.Endpoint.Address, request, time.Now().Add(firstPatience))
+	if errorx.IsOfType(err, upstream.NotSent) {
+		r.Pool.Forget(grant.Endpoint.Address)
+		return runNot, placement.Failed, err
+	}
+	if err != nil {
+		return runLost, placement.Failed, err
+	}
+	switch a := x.Response; {
+	case r.Dialect.Elsewhere(a):
+		return r.refused(x, runNot, placement.Replaced)
+	case r.Dialect.NotRun(a):
+		return r.refused(x, runNot, placement.Full)
+	case a.StatusCode == http.StatusUnprocessableEntity:
+		return r.refused(x, runHopeless, placement.Done)
+	case a.StatusCode == http.StatusInternalServerError:
+		return r.refused(x, runFailed, placement.Done)
+	case a.StatusCode != http.StatusOK || !r.Dialect.Vouched(a):
+		x.Close()
+		return runLost, placement.Done, errorx.ExternalError.New("status %d", a.StatusCode)
+	}
+	return r.collect(c.progress, x)
+}
+
+// refused reads the rest of a short answer.
+func (r *runner) refused(x *upstream.Exchange, end outcome, result placement.Result) (outcome, placement.Result, error) {
+	status := x.Response.StatusCode
+	if _, err := x.Drain(time.Now().Add(eventPatience)); err != nil {
+		return runLost, placement.Failed, err
+	}
+	return end, result, errorx.ExternalError.New("status %d", status)
+}
+
+// request returns what an endpoint is sent for an item.
+func (r *runner) request(ctx context.Context, c candidate, grant *placement.Grant) (*upstream.Request, error) {
+	ctx, cancel := context.WithTimeout(ctx, contentTimeout)
+	defer cancel()
+	item := c.job.Items[c.id.item]
+	stored, err := r.contents.request(ctx, c.job.ID, c.id.item, item.Ref)
+	if err != nil {
+		return nil, err
+	}
+	h := make(http.Header, len(stored.Header)+4)
+	for name, value := range stored.Header {
+		h.Set(name, value)
+	}
+	h = upstream.PassOn(h)
+	h.Del("Authorization")
+	h.Del("Content-Length")
+	r.Dialect.Write(h, upstream.Outgoing{
+		Request:   item.ID,
+		Endpoint:  grant.Endpoint.ID,
+		Customer:  c.job.Customer,
+		Resume:    c.hasID,
+		LastEvent: c.lastID,
+	})
+	return &upstream.Request{
+		Method: http.MethodPost,
+		URI:    stored.Path,
+		Host:   c.job.Host,
+		Header: h,
+		Body:   stored.Body,
+		ID:     item.ID,
+	}, nil
+}
+
+// collect adds the events of an answer to the item's output.
+func (r *runner) collect(p *progress, x *upstream.Exchange) (outcome, placement.Result, error) {
+	reader := eventstream.NewReader(x.Response.Body)
+	for n := 0; ; n++ {
+		patience := eventPatience
+		if n == 0 {
+			patience = firstPatience
+		}
+		x.SetReadDeadline(time.Now().Add(patience))
+		e, err := reader.Next()
+		if err == io.EOF && p.events > 0 {
+			x.Finish()
+			return runCompleted, placement.Done, nil
+		}
+		if err != nil {
+			x.Close()
+			return runLost, placement.Failed, err
+		}
+		if p.hasID && e.HasID && e.ID <= p.lastID {
+			continue
+		}
+		if p.hasID && e.HasID && e.ID != p.lastID+1 {
+			x.Close()
+			return runLost, placement.Done, errorx.IllegalState.New("event %d came after event %d", e.ID, p.lastID)
+		}
+		p.add(e)
+	}
+}
+
+// add appends the data of an event.
+func (p *progress) add(e eventstream.Event) {
+	if p.events > 0 {
+		p.output = append(p.output, '\n')
+	}
+	p.output = e.AppendData(p.output)
+	p.events++
+	p.lost = 0
+	if e.HasID {
+		p.lastID, p.hasID = e.ID, true
+	}
+}
--- /dev/null
+++ b/batch/metrics.go
@@ -0,0 +1,31 @@
+package batch
+
+import (
+	"github.com/cespare/xxhash/v2"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics counts runs of items and results.
+type Metrics struct {
+	runs   *prometheus.CounterVec
+	listed *prometheus.CounterVec
+}
+
+// NewMetrics registers the metrics with reg.
+func NewMetrics(reg prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		runs: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "relay_batch_runs_total",
+			Help: "Runs of batch items by how they ended.",
+		}, []string{"outcome"}),
+		listed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "relay_batch_results_total",
+			Help: "Results listed by this entry.",
+		}, []string{"state"}),
+	}
+	reg.MustRegister(m.runs, m.listed)
+	return m
+}
+
+// hash spreads pairs of names evenly.
+func hash(a, b string) uint64 { return xxhash.Sum64String(a + "/" + b) }
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -35,6 +35,7 @@
 
 	Entry      EntryCmd      `cmd:"" help:"Run an entry: it admits callers' requests and sends them to endpoints." group:"Roles"`
 	Sidecar    SidecarCmd    `cmd:"" help:"Run a sidecar beside an endpoint." group:"Roles"`
+	Gateway    GatewayCmd    `cmd:"" help:"Run an entry on a platform that provides configuration, endpoints and a store." group:"Roles"`
 	Standin    StandinCmd    `cmd:"" help:"Run a stand-in for the platform or for an endpoint (tests, demonstrations)." group:"Stand-ins"`
 	Demo       DemoCmd       `cmd:"" help:"Run the whole system in one process on loopback and show what it does." group:"Stand-ins"`
 	Experiment ExperimentCmd `cmd:"" help:"Measure this system beside its baselines, on stand-ins." group:"Stand-ins"`
--- a/config/state.go
+++ b/config/state.go
@@ -22,6 +22,9 @@
 	Rate   float64 `json:"rate"`             // requests per second over the whole fleet
 	Burst  float64 `json:"burst"`            // requests
 	Weight float64 `json:"weight,omitempty"` // fair share weight; 0 means 1
+	// Urgency is the customer's rank, 0 is the most urgent; set by a provider
+	// of whole states only.
+	Urgency int `json:"-"`
 }
 
 // Key is one credential of a customer. Only its digest is kept.
@@ -41,6 +44,38 @@
 	Idempotent bool     `json:"idempotent,omitempty"` // calls may be repeated
 	Timeout    Duration `json:"timeout,omitempty"`    // 0 means DefaultTimeout
 	Customers  []string `json:"customers,omitempty"`  // who may use it; empty means all
+
+	// Provided is what only a provider of whole states sets; nil for routes
+	// from configuration files.
+	Provided *ProvidedRoute `json:"-"`
+}
+
+// ProvidedRoute holds the rules of a route whose requests have opaque bodies.
+type ProvidedRoute struct {
+	Host         string          // callers' host name, lower case, without port
+	Resumable    bool            // a broken answer may be continued at another endpoint
+	Stream       bool            // answers are event streams
+	MaxEndpoints int             // endpoints that may run one request; at least 1
+	Goal         time.Duration   // time to the first byte for which an answer is on time
+	GapGoal      time.Duration   // longest pause between events of a stream that is on time; 0 means none
+	Urgency      int             // rank among routes, 0 is the most urgent
+	Split        []WeightedShare // deployments by weight; empty means Deployment alone
+	Batch        *BatchPolicy    // nil unless the route takes batch jobs
+}
+
+// WeightedShare is the part of a route's requests that goes to a deployment.
+type WeightedShare struct {
+	Deployment string
+	Weight     int
+}
+
+// BatchPolicy bounds the batch jobs of a route. Times count from the first
+// submission of a job.
+type BatchPolicy struct {
+	Due       time.Duration // all results are due
+	Retain    time.Duration // items without a result may be given up
+	MaxTokens int           // of one customer's waiting items; 0 means no bound
+	Attempts  int           // failures at endpoints after which an item is given up
 }
 
 // Kind says what stands behind a deployment.
@@ -107,10 +142,11 @@
 type Snapshot struct {
 	Version uint64
 	State   *State
-	Change  string            // id of the last change that led here; empty if it is not known
-	keys    map[string]string // digest -> key id
-	models  map[string]string // model -> route id
-	paths   []string          // route ids with a path prefix, longest prefix first
+	Change  string              // id of the last change that led here; empty if it is not known
+	keys    map[string]string   // digest -> key id
+	models  map[string]string   // model -> route id
+	paths   []string            // route ids with a path prefix, longest prefix first
+	hosts   map[string][]string // host -> its route ids, longest prefix first
 }
 
 // NewSnapshot indexes state. The caller gives up the right to change it.
@@ -120,6 +156,7 @@
 		State:   state,
 		keys:    make(map[string]string, len(state.Keys)),
 		models:  make(map[string]string, len(state.Routes)),
+		hosts:   make(map[string][]string),
 	}
 	for id, k := range state.Keys {
 		s.keys[k.Digest] = id
@@ -129,16 +166,40 @@
 			s.models[r.Model] = id
 			continue
 		}
+		if r.Provided != nil {
+			s.hosts[r.Provided.Host] = append(s.hosts[r.Provided.Host], id)
+			continue
+		}
 		s.paths = append(s.paths, id)
 	}
-	slices.SortFunc(s.paths, func(a, b string) int {
-		pa, pb := state.Routes[a].PathPrefix, state.Routes[b].PathPrefix
+	s.sortByPrefix(s.paths)
+	for _, ids := range s.hosts {
+		s.sortByPrefix(ids)
+	}
+	return s
+}
+
+// sortByPrefix orders routes by their path prefix, the longest first.
+func (s *Snapshot) sortByPrefix(ids []string) {
+	slices.SortFunc(ids, func(a, b string) int {
+		pa, pb := s.State.Routes[a].PathPrefix, s.State.Routes[b].PathPrefix
 		if len(pa) != len(pb) {
 			return len(pb) - len(pa)
 		}
 		return strings.Compare(a, b)
 	})
-	return s
+}
+
+// RouteByHost returns the provided route of host with the longest path prefix
+// that begins path.
+func (s *Snapshot) RouteByHost(host, path string) (id string, route Route, ok bool) {
+	for _, id := range s.hosts[host] {
+		r := s.State.Routes[id]
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return id, r, true
+		}
+	}
+	return "", Route{}, false
 }
 
 // KeyByDigest returns the key with the given digest, withdrawn or not.
--- /dev/null
+++ b/gateway/filters.go
@@ -0,0 +1,158 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"dandelionrelay/api"
+	"dandelionrelay/authn"
+	"dandelionrelay/config"
+	"dandelionrelay/pipeline"
+	"dandelionrelay/quota"
+)
+
+// Times of refusals.
+const (
+	// startRetryAfter is when a caller returns after an entry had no
+	// configuration.
+	startRetryAfter = 300 * time.Millisecond
+	// judgeAge is the age of a configuration up to which an unknown route or
+	// key is taken for wrong rather than for news that have not come yet.
+	judgeAge = 1500 * time.Millisecond
+	// minRetryAfter is the shortest time after which a caller over its rate
+	// is told to return.
+	minRetryAfter = 50 * time.Millisecond
+)
+
+// configured returns the filter that refuses calls while there is no
+// configuration.
+func (g *Gateway) configured(next pipeline.Handler) pipeline.Handler {
+	return func(ctx context.Context, c *pipeline.Call) *api.Error {
+		if c.Snapshot.Version == 0 {
+			return notRun(http.StatusServiceUnavailable, api.CodeConfigStale, "this entry has no configuration yet", startRetryAfter)
+		}
+		return next(ctx, c)
+	}
+}
+
+// routed returns the filter that finds a call's route and deployment, and
+// bounds its deadline.
+func (g *Gateway) routed(next pipeline.Handler) pipeline.Handler {
+	return func(ctx context.Context, c *pipeline.Call) *api.Error {
+		var ok bool
+		c.RouteID, c.Route, ok = c.Snapshot.RouteByHost(hostName(c.R.Host), c.R.URL.Path)
+		if !ok {
+			return g.unknown(http.StatusNotFound, api.CodeNoRoute, "no route leads there")
+		}
+		c.Route.Deployment = g.deployment(c.Route)
+		if end := c.Received.Add(time.Duration(c.Route.Timeout)); c.Deadline.IsZero() || end.Before(c.Deadline) {
+			c.Deadline = end
+		}
+		return next(ctx, c)
+	}
+}
+
+// hostName returns the lower-case host without a port.
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
+// deployment chooses the deployment of one request.
+func (g *Gateway) deployment(r config.Route) string {
+	total := 0
+	for _, s := range r.Provided.Split {
+		total += s.Weight
+	}
+	if total <= 0 {
+		return r.Deployment
+	}
+	n := g.draw(total)
+	for _, s := range r.Provided.Split {
+		if n < s.Weight {
+			return s.Deployment
+		}
+		n -= s.Weight
+	}
+	return r.Deployment
+}
+
+// unknown refuses what the configuration does not know, for good only if the
+// configuration is certain to be the newest.
+func (g *Gateway) unknown(status int, code api.Code, message string) *api.Error {
+	if age, ok := g.ConfigFeed.Age(); !ok || age > judgeAge || g.ConfigFeed.LostFor() > 0 {
+		return notRun(http.StatusServiceUnavailable, api.CodeConfigStale, "the configuration here may be old: "+message, startRetryAfter)
+	}
+	return api.NewError(status, code, message)
+}
+
+// identified returns the filter that finds whose key came with a call. Routes
+// that are not open need one, unless the configuration has no customers.
+func (g *Gateway) identified(next pipeline.Handler) pipeline.Handler {
+	return func(ctx context.Context, c *pipeline.Call) *api.Error {
+		if err := g.identify(c); err != nil {
+			return err
+		}
+		return next(ctx, c)
+	}
+}
+
+func (g *Gateway) identify(c *pipeline.Call) *api.Error {
+	if token, ok := strings.CutPrefix(c.R.Header.Get("Authorization"), "Bearer "); ok {
+		if id, key, ok := c.Snapshot.KeyByDigest(authn.Digest(strings.TrimSpace(token))); ok {
+			c.KeyID, c.Customer = id, key.Customer
+		}
+	}
+	if c.Customer == "" && !c.Route.Open && len(c.Snapshot.State.Customers) > 0 {
+		return g.unknown(http.StatusUnauthorized, api.CodeBadKey, "the key is missing or not known")
+	}
+	return nil
+}
+
+// fresh returns the filter that refuses keyed calls while the configuration is
+// not certain enough for their key to be in force.
+func (g *Gateway) fresh(next pipeline.Handler) pipeline.Handler {
+	return func(ctx context.Context, c *pipeline.Call) *api.Error {
+		if !g.certain(c) {
+			return notRun(http.StatusServiceUnavailable, api.CodeConfigStale, "keys were not confirmed of late", startRetryAfter)
+		}
+		return next(ctx, c)
+	}
+}
+
+// certain reports whether a call's key is certain to be in force, or was so
+// recently that its withdrawal is not yet in force.
+func (g *Gateway) certain(c *pipeline.Call) bool {
+	bound := time.Duration(g.Settings.Withdrawal)
+	if c.KeyID == "" || bound == 0 {
+		return true
+	}
+	age, ok := g.ConfigFeed.Age()
+	return ok && age < bound-withdrawalMargin
+}
+
+// limited returns the filter that keeps customers within their rate.
+func (g *Gateway) limited(next pipeline.Handler) pipeline.Handler {
+	return func(ctx context.Context, c *pipeline.Call) *api.Error {
+		customer := c.Snapshot.State.Customers[c.Customer]
+		l := quota.Limit{Rate: customer.Rate, Burst: customer.Burst}
+		ok, wait := g.limits.Admit(g.Clock(), c.Customer, l)
+		if !ok {
+			return notRun(http.StatusTooManyRequests, api.CodeRateLimited, "the customer's rate is used up", max(wait, minRetryAfter))
+		}
+		err := next(ctx, c)
+		if err != nil && err.Outcome == api.NotRun {
+			g.limits.Return(c.Customer, l)
+		}
+		return err
+	}
+}
+
+func notRun(status int, code api.Code, message string, retryAfter time.Duration) *api.Error {
+	return api.NewError(status, code, message).WithRetryAfter(retryAfter)
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,395 @@
+// Package gateway composes an entry whose surroundings provide configuration
+// and endpoints and keep what must last: callers' requests pass through the
+// filters of compose to endpoints, and batch jobs run beside them.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"dandelionrelay/api"
+	"dandelionrelay/batch"
+	"dandelionrelay/boottime"
+	"dandelionrelay/config"
+	"dandelionrelay/gossip"
+	"dandelionrelay/keyedlog"
+	"dandelionrelay/online"
+	"dandelionrelay/pipeline"
+	"dandelionrelay/placement"
+	"dandelionrelay/quota"
+	"dandelionrelay/settings"
+	"dandelionrelay/upstream"
+)
+
+// withdrawalMargin is how long before the bound of withdrawals keyed calls are
+// refused: a call takes this long from the check to the endpoint at most.
+const withdrawalMargin = 350 * time.Millisecond
+
+// Feed is a followed partition.
+type Feed interface {
+	Run(ctx context.Context)
+	// Age returns for how long its state has not been confirmed.
+	Age() (time.Duration, bool)
+	// LostFor returns for how long all reads have failed.
+	LostFor() time.Duration
+}
+
+// Providers is what the surroundings of an entry offer.
+type Providers struct {
+	Config     *config.Holder // kept by ConfigFeed
+	ConfigFeed Feed
+	// EndpointFeed calls Gateway.SetEndpoints with each new list.
+	EndpointFeed Feed
+	Members      keyedlog.Partition // registrations of entries
+	Jobs         keyedlog.Partition // index of batch jobs
+	Contents     []batch.Store
+	Dialect      upstream.Dialect
+	IDHeader     string // in which endpoints repeat a request's id
+}
+
+// Deps is what a Gateway works with.
+type Deps struct {
+	Providers
+	Settings    *settings.Gateway
+	Incarnation uint64 // drawn at each start
+	Clock       boottime.Clock
+	Log         zerolog.Logger
+	Registry    *prometheus.Registry
+	Watcher     keyedlog.Watcher
+}
+
+// Gateway is one entry.
+type Gateway struct {
+	Deps
+	online    pipeline.Handler
+	batch     pipeline.Handler
+	jobs      *batch.Service
+	table     *placement.Table
+	pool      *upstream.Pool
+	limits    *quota.Table
+	members   *gossip.Registry
+	node      *gossip.Node
+	followers []*keyedlog.Follower
+	known     *keyedlog.Follower // of the entries
+	index     *keyedlog.Follower
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	leaving bool
+	addrs   map[string]bool // of listed endpoints
+}
+
+// Pace of the followers: how long reads wait at the store, and the least time
+// between two that found records.
+const (
+	membersWait = 5 * time.Second
+	membersPace = 800 * time.Millisecond
+	jobsWait    = 1500 * time.Millisecond
+	jobsPace    = 150 * time.Millisecond
+)
+
+// New composes a Gateway. Nothing runs before Run.
+func New(d Deps) *Gateway {
+	seed := d.Incarnation
+	g := &Gateway{
+		Deps:   d,
+		limits: quota.NewTable(d.Settings.LimitSlack * slackShare),
+		random: rand.New(rand.NewPCG(seed, 1)),
+		addrs:  make(map[string]bool),
+	}
+	g.table = placement.NewTable(d.Settings.ID, d.Settings.DataCentre, rand.New(rand.NewPCG(seed, 2)), g.loadChanged)
+	g.pool = upstream.NewPool(d.IDHeader, nil, g.dialCounter())
+	g.members = gossip.NewRegistry(d.Clock, g.badRecord("members"))
+	g.known = g.follow("members", d.Members, g.members, membersWait, membersPace)
+	g.node = gossip.NewNode(g.self(), g.members, g.report, g, d.Clock, d.Log)
+	g.composeJobs()
+	g.compose()
+	return g
+}
+
+// slackShare is the part of the tolerated excess of a rate that is used; the
+// rest covers what entries have not yet told one another.
+const slackShare = 0.4
+
+func (g *Gateway) follow(name string, p keyedlog.Reader, s keyedlog.State, wait, pace time.Duration) *keyedlog.Follower {
+	f := keyedlog.NewFollower(p, s, keyedlog.Options{Name: name, Wait: wait, Pace: pace, Clock: g.Clock, Watcher: g.Watcher})
+	g.followers = append(g.followers, f)
+	return f
+}
+
+func (g *Gateway) self() gossip.Member {
+	s := g.Settings
+	return gossip.Member{Name: s.ID, Incarnation: g.Incarnation, Address: s.PeersAddr, DataCentre: s.DataCentre}
+}
+
+func (g *Gateway) composeJobs() {
+	ledger := batch.NewLedger(g.badRecord("jobs"), func() {
+		if g.jobs != nil {
+			g.jobs.Wake()
+		}
+	})
+	g.index = g.follow("jobs", g.Jobs, ledger, jobsWait, jobsPace)
+	g.jobs = batch.New(batch.Deps{
+		Self:      batch.Owner{Entry: g.Settings.ID, Incarnation: g.Incarnation},
+		Index:     batch.NewIndex(g.Jobs, g.index, ledger),
+		Stores:    g.Contents,
+		CallBytes: g.Settings.CallBytes,
+		Config:    g.Config,
+		Table:     g.table,
+		Pool:      g.pool,
+		Dialect:   g.Dialect,
+		Peers:     g.node,
+		Clock:     g.Clock,
+		Log:       g.Log,
+		Metrics:   batch.NewMetrics(g.Registry),
+	})
+}
+
+// compose joins the filters: callers' requests pass through them from first
+// to last.
+func (g *Gateway) compose() {
+	service := online.New(online.Deps{
+		Table:   g.table,
+		Pool:    g.pool,
+		Dialect: g.Dialect,
+		Clock:   g.Clock,
+		Log:     g.Log,
+		Metrics: online.NewMetrics(g.Registry),
+		Fresh:   g.certain,
+		ConfigAge: func() time.Duration {
+			age, _ := g.ConfigFeed.Age()
+			return age
+		},
+	})
+	g.online = pipeline.Chain(service.Handle, g.configured, g.routed, g.identified, g.fresh, g.limited)
+	g.batch = pipeline.Chain(func(context.Context, *pipeline.Call) *api.Error { return nil },
+		g.configured, g.identified)
+}
+
+// Serve answers a call on a route of online requests.
+func (g *Gateway) Serve(ctx context.Context, c *pipeline.Call) *api.Error {
+	c.Snapshot = g.Config.Current()
+	err := g.online(ctx, c)
+	if err != nil && !c.Started && c.Route.Provided == nil {
+		g.refused(c, err)
+	}
+	return err
+}
+
+// TakesJobs reports whether a call hands in a batch job.
+func (g *Gateway) TakesJobs(c *pipeline.Call) bool {
+	_, route, ok := g.Config.Current().RouteByHost(hostName(c.R.Host), c.R.URL.Path)
+	return ok && route.Provided.Batch != nil
+}
+
+// Identify finds the customer of a call to the batch interface.
+func (g *Gateway) Identify(ctx context.Context, c *pipeline.Call) *api.Error {
+	c.Snapshot = g.Config.Current()
+	return g.batch(ctx, c)
+}
+
+// Route finds the route of a call, and its customer.
+func (g *Gateway) Route(ctx context.Context, c *pipeline.Call) *api.Error {
+	c.Snapshot = g.Config.Current()
+	filters := pipeline.Chain(func(context.Context, *pipeline.Call) *api.Error { return nil },
+		g.configured, g.routed, g.identified, g.fresh)
+	return filters(ctx, c)
+}
+
+// refused logs a call that a filter before the last step has refused.
+func (g *Gateway) refused(c *pipeline.Call, err *api.Error) {
+	age, _ := g.ConfigFeed.Age()
+	g.Log.Info().Str("request", c.ID).Str("customer", c.Customer).Str("route", c.RouteID).
+		Str("outcome", string(err.Code)).Int("refused_with", err.Status).Dur("retry_after", err.RetryAfter).
+		Uint64("config", c.Snapshot.Version).Dur("config_age", age).Msg("request refused")
+}
+
+// BatchJobs returns the batch jobs.
+func (g *Gateway) BatchJobs() *batch.Service { return g.jobs }
+
+// Ready reports whether callers are welcome.
+func (g *Gateway) Ready() bool {
+	g.mu.Lock()
+	leaving := g.leaving
+	g.mu.Unlock()
+	if leaving || g.Config.Current().Version == 0 {
+		return false
+	}
+	if _, loaded := g.known.Next(); !loaded {
+		return false
+	}
+	if _, loaded := g.index.Next(); !loaded {
+		return false
+	}
+	return g.usable()
+}
+
+// usableShare is the part of the bound of withdrawals after which an entry
+// that can't confirm its configuration sends callers elsewhere.
+const usableShare = 0.6
+
+// usable reports whether keyed calls will be served for a while.
+func (g *Gateway) usable() bool {
+	bound := time.Duration(g.Settings.Withdrawal)
+	if bound == 0 {
+		return true
+	}
+	age, ok := g.ConfigFeed.Age()
+	return ok && age < time.Duration(usableShare*float64(bound))
+}
+
+// Leave has callers and duties go elsewhere.
+func (g *Gateway) Leave() {
+	g.mu.Lock()
+	g.leaving = true
+	g.mu.Unlock()
+	g.jobs.Leave()
+	g.node.Changed()
+}
+
+// Leaving reports whether Leave was called.
+func (g *Gateway) Leaving() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.leaving
+}
+
+// SetEndpoints takes a new list of endpoints.
+func (g *Gateway) SetEndpoints(list []placement.Endpoint) {
+	g.table.SetEndpoints(list)
+	addrs := make(map[string]bool, len(list))
+	for _, e := range list {
+		addrs[e.Address] = true
+	}
+	g.mu.Lock()
+	g.addrs = addrs
+	g.mu.Unlock()
+	g.jobs.Wake()
+}
+
+func (g *Gateway) draw(n int) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.random.IntN(n)
+}
+
+// loadChanged is called by the table with each change of this entry's load.
+func (g *Gateway) loadChanged() {
+	if g.node != nil {
+		g.node.Changed()
+	}
+}
+
+// report is what this entry tells the others.
+func (g *Gateway) report() gossip.Report {
+	return gossip.Report{
+		Loads:   g.table.Own(),
+		Counts:  g.limits.Own(),
+		LogLost: g.index.LostFor(),
+		Leaving: g.Leaving(),
+	}
+}
+
+// PeerReport implements gossip.Listener.
+func (g *Gateway) PeerReport(name string, incarnation uint64, r gossip.Report) {
+	g.table.SetPeer(name, r.Loads)
+	g.limits.Observe(name, incarnation, r.Counts)
+	g.table.Yield()
+	g.jobs.Wake()
+}
+
+// PeerSilent implements gossip.Listener.
+func (g *Gateway) PeerSilent(name string) {
+	g.table.SetPeer(name, nil)
+	g.jobs.Wake()
+}
+
+// Share implements gossip.Listener.
+func (g *Gateway) Share(s gossip.Share) {
+	g.limits.SetShare(quota.Share{Part: s.Part, Alone: s.Alone, Until: s.Until})
+}
+
+func (g *Gateway) badRecord(partition string) func(key string, err error) {
+	return func(key string, err error) {
+		g.Log.Warn().Err(err).Str("partition", partition).Str("key", key).Msg("record can't be read, passed over")
+	}
+}
+
+func (g *Gateway) dialCounter() func() {
+	dials := prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "relay_endpoint_connections_total",
+		Help: "Connections opened to endpoints.",
+	})
+	g.Registry.MustRegister(dials)
+	return dials.Inc
+}
+
+// pruneInterval is the interval at which idle connections are looked through.
+const pruneInterval = 2 * time.Second
+
+// Run does the background work until ctx ends. socket is for datagrams between
+// entries.
+func (g *Gateway) Run(ctx context.Context, socket *net.UDPConn) {
+	var wg sync.WaitGroup
+	wg.Go(func() { g.ConfigFeed.Run(ctx) })
+	wg.Go(func() { g.EndpointFeed.Run(ctx) })
+	for _, f := range g.followers {
+		wg.Go(func() { f.Run(ctx) })
+	}
+	wg.Go(func() { g.register(ctx) })
+	wg.Go(func() { g.node.Run(ctx, socket) })
+	wg.Go(func() { g.jobs.Run(ctx) })
+	wg.Go(func() { g.prune(ctx) })
+	wg.Wait()
+}
+
+// register tells the other entries of this one, again and again.
+func (g *Gateway) register(ctx context.Context) {
+	tick := time.NewTicker(gossip.RegisterEvery)
+	defer tick.Stop()
+	for {
+		if err := g.registerOnce(ctx); err != nil && !errors.Is(err, context.Canceled) {
+			g.Log.Debug().Err(err).Msg("not registered")
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+func (g *Gateway) registerOnce(ctx context.Context) error {
+	record, err := gossip.Encode(g.self())
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, gossip.RegisterEvery)
+	defer cancel()
+	_, err = g.Members.Append(ctx, keyedlog.Anywhere, []keyedlog.Record{record})
+	return err
+}
+
+// prune closes connections that are not needed any more.
+func (g *Gateway) prune(ctx context.Context) {
+	tick := time.NewTicker(pruneInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		g.mu.Lock()
+		addrs := g.addrs
+		g.mu.Unlock()
+		g.pool.Prune(func(addr string) bool { return addrs[addr] })
+	}
+}
--- /dev/null
+++ b/gossip/message.go
@@ -0,0 +1,155 @@
+// Package gossip lets entries tell one another what they run and admit, and
+// who is alive. Entries find one another through a keyed partition and then
+// exchange datagrams, which may get lost.
+package gossip
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"dandelionrelay/placement"
+	"dandelionrelay/quota"
+)
+
+// Report is what an entry tells the others of itself.
+type Report struct {
+	Loads   map[placement.Key]placement.Load // of endpoints that it uses now
+	Counts  map[quota.Key]quota.Count        // admissions of customers since it started
+	LogLost time.Duration                    // for how long it has not reached the log; 0: it does
+	Leaving bool                             // it ends soon
+}
+
+// message is one datagram.
+type message struct {
+	Incarnation uint64
+	Sequence    uint32
+	Name        string
+	Heard       []uint32 // hashes of the entries that the sender hears
+	Report
+}
+
+// formatVersion is the first byte of each datagram.
+const formatVersion = 1
+
+// maxDatagram bounds a datagram in bytes: the largest that UDP carries.
+const maxDatagram = 65_507
+
+// Errors is the namespace of the errors of this package.
+var Errors = errorx.NewNamespace("gossip")
+
+// Malformed says that a datagram can't be read.
+var Malformed = Errors.NewType("malformed")
+
+// hashName shortens an entry's name for lists of names.
+func hashName(name string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name))
+	return h.Sum32()
+}
+
+// append encodes m.
+func (m *message) append(b []byte) []byte {
+	b = append(b, formatVersion)
+	b = binary.BigEndian.AppendUint64(b, m.Incarnation)
+	b = binary.BigEndian.AppendUint32(b, m.Sequence)
+	b = binary.AppendUvarint(b, uint64(len(m.Name)))
+	b = append(b, m.Name...)
+	b = binary.AppendUvarint(b, uint64(len(m.Heard)))
+	for _, h := range m.Heard {
+		b = binary.BigEndian.AppendUint32(b, h)
+	}
+	b = binary.AppendUvarint(b, uint64(len(m.Loads)))
+	for key, l := range m.Loads {
+		b = binary.BigEndian.AppendUint32(b, uint32(key))
+		b = binary.AppendUvarint(b, uint64(l.Online))
+		b = binary.AppendUvarint(b, uint64(l.Batch))
+	}
+	b = binary.AppendUvarint(b, uint64(len(m.Counts)))
+	for key, c := range m.Counts {
+		b = binary.BigEndian.AppendUint32(b, uint32(key))
+		b = binary.BigEndian.AppendUint32(b, uint32(c))
+	}
+	b = binary.AppendUvarint(b, uint64(m.LogLost.Milliseconds()))
+	leaving := byte(0)
+	if m.Leaving {
+		leaving = 1
+	}
+	return append(b, leaving)
+}
+
+// decoder reads a datagram piece by piece; after a failure all is zero.
+type decoder struct {
+	b      []byte
+	failed bool
+}
+
+func (d *decoder) take(n int) []byte {
+	if n < 0 || n > len(d.b) {
+		d.failed = true
+		d.b = nil
+		return make([]byte, 8)
+	}
+	part := d.b[:n]
+	d.b = d.b[n:]
+	return part
+}
+
+func (d *decoder) uint32() uint32 { return binary.BigEndian.Uint32(d.take(4)) }
+func (d *decoder) uint64() uint64 { return binary.BigEndian.Uint64(d.take(8)) }
+
+func (d *decoder) uvarint() int {
+	v, n := binary.Uvarint(d.b)
+	if n <= 0 || v > 1<<40 {
+		d.failed = true
+		d.b = nil
+		return 0
+	}
+	d.b = d.b[n:]
+	return int(v)
+}
+
+// count reads the length of a list whose items take at least size bytes.
+func (d *decoder) count(size int) int {
+	n := d.uvarint()
+	if n > len(d.b)/size {
+		d.failed = true
+		return 0
+	}
+	return n
+}
+
+// decode reads a datagram.
+func decode(b []byte) (*message, error) {
+	if len(b) == 0 || b[0] != formatVersion {
+		return nil, Malformed.New("unknown format")
+	}
+	d := &decoder{b: b[1:]}
+	m := &message{Incarnation: d.uint64(), Sequence: d.uint32()}
+	n := d.uvarint()
+	if n > len(d.b) {
+		return nil, Malformed.New("cut short")
+	}
+	m.Name = string(d.take(n))
+	for range d.count(4) {
+		m.Heard = append(m.Heard, d.uint32())
+	}
+	m.Loads = make(map[placement.Key]placement.Load)
+	for range d.count(6) {
+		key := placement.Key(d.uint32())
+		m.Loads[key] = placement.Load{Online: d.uvarint(), Batch: d.uvarint()}
+	}
+	m.Counts = make(map[quota.Key]quota.Count)
+	for range d.count(8) {
+		key := quota.Key(d.uint32())
+		m.Counts[key] = quota.Count(d.uint32())
+	}
+	m.LogLost = time.Duration(d.uvarint()) * time.Millisecond
+	m.Leaving = d.take(1)[0] != 0
+	if d.failed {
+		return nil, Malformed.New("cut short")
+	}
+	return m, nil
+}
--- /dev/null
+++ b/gossip/registry.go
@@ -0,0 +1,112 @@
+package gossip
+
+import (
+	"encoding/json"
+	"sync"
+	"time"
+
+	"dandelionrelay/boottime"
+	"dandelionrelay/keyedlog"
+)
+
+// Member is one entry as it registered itself.
+type Member struct {
+	Name        string `json:"name"`
+	Incarnation uint64 `json:"incarnation"` // drawn at each start of its process
+	Address     string `json:"address"`     // ip:port for datagrams
+	DataCentre  string `json:"data_centre"`
+}
+
+// Times of registrations.
+const (
+	// RegisterEvery is the interval of registrations.
+	RegisterEvery = 1200 * time.Millisecond
+	// silentFor is three missed registrations: the entry may be gone.
+	silentFor = 3*RegisterEvery + 400*time.Millisecond
+	// expiredAfter is when a silent entry counts as gone for good.
+	expiredAfter = 10 * time.Second
+)
+
+// registered is a Member with when its newest registration was read.
+type registered struct {
+	Member
+	seen time.Duration
+}
+
+// Registry knows all registered entries. It is the keyedlog.State of the
+// partition that holds them.
+type Registry struct {
+	clock boottime.Clock
+	bad   func(key string, err error)
+
+	mu      sync.Mutex
+	members map[string]registered
+}
+
+// NewRegistry returns an empty Registry. bad is called for each record that
+// can't be read.
+func NewRegistry(clock boottime.Clock, bad func(key string, err error)) *Registry {
+	return &Registry{clock: clock, bad: bad, members: make(map[string]registered)}
+}
+
+// Reset implements keyedlog.State.
+func (r *Registry) Reset(records []keyedlog.Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.members = make(map[string]registered)
+	r.apply(records)
+}
+
+// Apply implements keyedlog.State.
+func (r *Registry) Apply(records []keyedlog.Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.apply(records)
+}
+
+func (r *Registry) apply(records []keyedlog.Record) {
+	now := r.clock()
+	for _, record := range records {
+		if record.Value == nil {
+			delete(r.members, record.Key)
+			continue
+		}
+		var m Member
+		if err := json.Unmarshal(record.Value, &m); err != nil || m.Name != record.Key {
+			r.bad(record.Key, err)
+			continue
+		}
+		r.members[m.Name] = registered{Member: m, seen: now}
+	}
+}
+
+// Members returns the entries that are not gone for good.
+func (r *Registry) Members() []Member {
+	now := r.clock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []Member
+	for _, m := range r.members {
+		if now-m.seen < expiredAfter {
+			list = append(list, m.Member)
+		}
+	}
+	return list
+}
+
+// find returns the member of that name and for how long it has been silent.
+func (r *Registry) find(name string) (Member, time.Duration, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m, ok := r.members[name]
+	return m.Member, r.clock() - m.seen, ok
+}
+
+// Encode returns the record that registers m.
+func Encode(m Member) (keyedlog.Record, error) {
+	value, err := json.Marshal(m)
+	if err != nil {
+		return keyedlog.Record{}, err
+	}
+	return keyedlog.Record{Key: m.Name, Value: value}, nil
+}
--- /dev/null
+++ b/online/metrics.go
@@ -0,0 +1,48 @@
+package online
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics counts how online requests end.
+type Metrics struct {
+	requests *prometheus.CounterVec
+	first    prometheus.Histogram
+	whole    prometheus.Histogram
+}
+
+// latencyBuckets span a quick first event and a request at its deadline, in
+// seconds.
+var latencyBuckets = []float64{.02, .05, .1, .2, .3, .5, 1, 2, 5, 10}
+
+// NewMetrics registers the metrics with reg.
+func NewMetrics(reg prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "relay_online_requests_total",
+			Help: "Online requests by how they ended.",
+		}, []string{"outcome"}),
+		first: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "relay_online_first_event_seconds",
+			Help:    "Time from the receipt of a request to the first byte of its answer.",
+			Buckets: latencyBuckets,
+		}),
+		whole: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "relay_online_request_seconds",
+			Help:    "Time from the receipt of a request to its end.",
+			Buckets: latencyBuckets,
+		}),
+	}
+	reg.MustRegister(m.requests, m.first, m.whole)
+	return m
+}
+
+func (m *Metrics) ended(outcome string, took, first time.Duration) {
+	m.requests.WithLabelValues(outcome).Inc()
+	m.whole.Observe(took.Seconds())
+	if first > 0 {
+		m.first.Observe(first.Seconds())
+	}
+}
--- /dev/null
+++ b/online/online.go
@@ -0,0 +1,85 @@
+// Package online serves callers' requests at endpoints: it places them, goes on
+// elsewhere where that is allowed, and passes answers on piece by piece.
+package online
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"dandelionrelay/api"
+	"dandelionrelay/boottime"
+	"dandelionrelay/pipeline"
+	"dandelionrelay/placement"
+	"dandelionrelay/upstream"
+)
+
+// Deps is what a Service works with.
+type Deps struct {
+	Table   *placement.Table
+	Pool    *upstream.Pool
+	Dialect upstream.Dialect
+	Clock   boottime.Clock
+	Log     zerolog.Logger
+	Metrics *Metrics
+	// Fresh reports whether the call may still run under the configuration
+	// that admitted it; it is asked right before each send.
+	Fresh func(c *pipeline.Call) bool
+	// ConfigAge tells, for the log, how long ago the configuration was
+	// confirmed.
+	ConfigAge func() time.Duration
+}
+
+// Service is the last step of the pipeline.
+type Service struct{ Deps }
+
+// New returns a Service.
+func New(d Deps) *Service { return &Service{Deps: d} }
+
+// Handle serves a call; it is a pipeline.Handler.
+func (s *Service) Handle(ctx context.Context, c *pipeline.Call) *api.Error {
+	a := &attempt{
+		Service: s,
+		call:    c,
+		rules:   c.Route.Provided,
+		avoid:   make(map[placement.Key]bool),
+		answer:  answer{call: c},
+	}
+	err := a.run(ctx)
+	a.report(ctx, err)
+	return err
+}
+
+// report logs and counts how a request ended.
+func (a *attempt) report(ctx context.Context, err *api.Error) {
+	outcome := "answered"
+	switch {
+	case ctx.Err() != nil:
+		outcome = "caller_left"
+	case err != nil:
+		outcome = string(err.Code)
+	}
+	c := a.call
+	took := time.Since(c.Received)
+	a.Metrics.ended(outcome, took, a.answer.first)
+	event := a.Log.Info().Str("request", c.ID).Str("customer", c.Customer).Str("route", c.RouteID).
+		Str("outcome", outcome).Uint64("config", c.Snapshot.Version).Dur("config_age", a.ConfigAge()).
+		Str("endpoint", a.endpoint).Int("at_endpoint_online", a.load.Online).Int("at_endpoint_batch", a.load.Batch).
+		Int("asked", a.asked).Int("began", a.began).Int("status", a.answer.status).
+		Int64("events", a.answer.events).Dur("first", a.answer.first).Dur("took", took).
+		Dur("left", time.Until(c.Deadline))
+	if a.cause != nil {
+		event = event.AnErr("cause", a.cause)
+	}
+	if err != nil {
+		event = event.Int("refused_with", err.Status).Dur("retry_after", err.RetryAfter)
+	}
+	event.Msg("request ended")
+}
+
+// refusal is an answer that promises that the request has not run.
+func refusal(code api.Code, message string, retryAfter time.Duration) *api.Error {
+	return api.NewError(http.StatusServiceUnavailable, code, message).WithRetryAfter(retryAfter)
+}
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,387 @@
+// Package placement decides at which endpoint a request runs, whether it is
+// turned away, and where batch items start and yield. It answers the load at
+// which online requests come in waves that nearly fill the fleet while batch
+// items want all that is left. Decisions hold no goroutine and no I/O.
+package placement
+
+import (
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Key names one incarnation of an endpoint between entries.
+type Key uint32
+
+// Endpoint is one incarnation of an endpoint as discovery lists it.
+type Endpoint struct {
+	ID         string
+	Born       int64 // start of the incarnation, Unix milliseconds; 0: unknown
+	Address    string
+	Deployment string
+	DataCentre string
+	Slots      int  // requests that it runs at once
+	Closed     bool // it is leaving: nothing new is sent to it
+}
+
+// Key returns the key of the endpoint.
+func (e Endpoint) Key() Key {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(e.ID))
+	_, _ = h.Write([]byte(strconv.FormatInt(e.Born, 10)))
+	return Key(h.Sum32())
+}
+
+// Load counts what runs or waits at an endpoint.
+type Load struct {
+	Online int
+	Batch  int
+}
+
+// Kind tells online requests from batch items.
+type Kind int
+
+// The kinds of work.
+const (
+	Online Kind = iota
+	Batch
+)
+
+// Result says how work at an endpoint ended.
+type Result int
+
+// The results of work at an endpoint.
+const (
+	Done     Result = iota // the endpoint answered
+	Full                   // it refused for want of room
+	Failed                 // it could not be reached, fell silent or broke off
+	Replaced               // another incarnation answered at its address
+	Yielded                // the entry cut it for other work, or its caller left
+)
+
+// Constants of the model of an endpoint.
+const (
+	// reserve is the number of slots of each endpoint that batch items leave
+	// to the next online request.
+	reserve = 1
+	// yieldDelay is the time until a batch item has given up its slot: news
+	// reach its owner and the endpoint ends its step.
+	yieldDelay = 80 * time.Millisecond
+	// crossing is the wait that is accepted rather than leave the data centre.
+	crossing = 12 * time.Millisecond
+	// stepShare is what each running request adds to the first step of another.
+	stepShare = 2 * time.Millisecond
+	// serviceStart is the assumed time of an online request at an endpoint
+	// until some were observed.
+	serviceStart = 800 * time.Millisecond
+	// fullFor is for how long a refusal for want of room is believed.
+	fullFor = 100 * time.Millisecond
+	// minSuspension and maxSuspension bound how long an endpoint that failed
+	// is passed over; the time doubles with each failure in a row.
+	minSuspension = 500 * time.Millisecond
+	maxSuspension = 4 * time.Second
+	// smoothing is the weight of a new observation in a moving average.
+	smoothing = 0.15
+)
+
+// endpoint is what the table knows of an endpoint.
+type endpoint struct {
+	Endpoint
+	key       Key
+	own       Load
+	peers     Load // sum over peers
+	grants    map[*Grant]struct{}
+	gap       time.Duration // moving average between events; 0: unknown
+	failures  int           // in a row
+	suspended time.Duration // clock until which it is passed over
+	full      time.Duration // clock until which it is taken for full
+	replaced  bool
+}
+
+func (e *endpoint) online() int { return e.own.Online + e.peers.Online }
+func (e *endpoint) batch() int  { return e.own.Batch + e.peers.Batch }
+
+// Table is an entry's view of all endpoints.
+type Table struct {
+	self       string
+	dataCentre string
+	changed    func()
+
+	mu        sync.Mutex
+	random    *rand.Rand
+	endpoints map[Key]*endpoint
+	byGroup   map[string][]*endpoint // by deployment
+	peers     map[string]map[Key]Load
+	service   time.Duration // moving average of an online request's time at an endpoint
+}
+
+// NewTable returns an empty table of the entry self in dataCentre. changed is
+// called whenever this entry's own load has changed; it must neither block nor
+// call back.
+func NewTable(self, dataCentre string, random *rand.Rand, changed func()) *Table {
+	return &Table{
+		self:       self,
+		dataCentre: dataCentre,
+		changed:    changed,
+		random:     random,
+		endpoints:  make(map[Key]*endpoint),
+		byGroup:    make(map[string][]*endpoint),
+		peers:      make(map[string]map[Key]Load),
+		service:    serviceStart,
+	}
+}
+
+// SetEndpoints replaces the list of endpoints. What is known of those that
+// stay is kept; grants of those that go remain valid.
+func (t *Table) SetEndpoints(list []Endpoint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.endpoints
+	t.endpoints = make(map[Key]*endpoint, len(list))
+	t.byGroup = make(map[string][]*endpoint)
+	for _, item := range list {
+		key := item.Key()
+		e := known[key]
+		if e == nil {
+			e = &endpoint{key: key, grants: make(map[*Grant]struct{})}
+		}
+		e.Endpoint = item
+		t.endpoints[key] = e
+		t.byGroup[item.Deployment] = append(t.byGroup[item.Deployment], e)
+	}
+	t.sumPeers()
+}
+
+// SetPeer replaces the load that another entry reported of itself; nil forgets
+// the entry.
+func (t *Table) SetPeer(id string, load map[Key]Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if load == nil {
+		delete(t.peers, id)
+	} else {
+		t.peers[id] = load
+	}
+	t.sumPeers()
+}
+
+func (t *Table) sumPeers() {
+	for _, e := range t.endpoints {
+		e.peers = Load{}
+	}
+	for _, load := range t.peers {
+		for key, l := range load {
+			if e := t.endpoints[key]; e != nil {
+				e.peers.Online += l.Online
+				e.peers.Batch += l.Batch
+			}
+		}
+	}
+}
+
+// Own returns this entry's own load, without idle endpoints.
+func (t *Table) Own() map[Key]Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	own := make(map[Key]Load)
+	for key, e := range t.endpoints {
+		if e.own != (Load{}) {
+			own[key] = e.own
+		}
+	}
+	return own
+}
+
+// Known reports whether an endpoint of the deployment takes work.
+func (t *Table) Known(deployment string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(t.byGroup[deployment], func(e *endpoint) bool { return !e.Closed })
+}
+
+// Grant is a place at an endpoint that this entry has taken.
+type Grant struct {
+	Endpoint Endpoint
+	Kind     Kind
+	Load     Load // of the endpoint when the grant was made, over all entries
+	table    *Table
+	at       *endpoint
+	since    time.Duration
+	yield    func()
+	yielding bool
+}
+
+// Refusal says that no endpoint can serve a request in time.
+type Refusal struct {
+	Wait       time.Duration // expected until the request would begin
+	RetryAfter time.Duration // when there should be room
+}
+
+// Ask is a request for a place.
+type Ask struct {
+	Deployment string
+	Avoid      map[Key]bool  // endpoints that failed this request already
+	Patience   time.Duration // longest wait for the begin that is of use to the caller
+}
+
+// Place takes a place for an online request at the endpoint where it should
+// begin first, or refuses it if it would wait beyond its patience everywhere.
+// now is the entry's clock.
+func (t *Table) Place(now time.Duration, ask Ask) (*Grant, *Refusal) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	best, wait := t.soonest(now, ask, true)
+	if best == nil {
+		// Rather an endpoint that failed a moment ago than none.
+		best, wait = t.soonest(now, ask, false)
+	}
+	if best == nil {
+		return nil, &Refusal{RetryAfter: minSuspension}
+	}
+	if wait > ask.Patience {
+		return nil, &Refusal{Wait: wait, RetryAfter: t.retryAfter(wait - ask.Patience)}
+	}
+	return t.grant(best, Online, now, nil), nil
+}
+
+// retryAfter spreads returning callers over some service times, so that they
+// do not meet again.
+func (t *Table) retryAfter(excess time.Duration) time.Duration {
+	spread := time.Duration(t.random.Float64() * float64(t.service))
+	return excess + t.service/4 + spread
+}
+
+// soonest returns the endpoint at which a request would begin first.
+func (t *Table) soonest(now time.Duration, ask Ask, sound bool) (*endpoint, time.Duration) {
+	var best *endpoint
+	var least, wait time.Duration
+	group := t.byGroup[ask.Deployment]
+	reference := t.referenceGap(group)
+	for _, e := range group {
+		if e.Closed || e.replaced || ask.Avoid[e.key] || sound && now < e.suspended {
+			continue
+		}
+		w := t.wait(e, now, slowness(e.gap, reference))
+		cost := w + time.Duration(t.random.Int64N(int64(time.Millisecond)))
+		if e.DataCentre != t.dataCentre {
+			cost += crossing
+		}
+		if best == nil || cost < least {
+			best, least, wait = e, cost, w
+		}
+	}
+	return best, wait
+}
+
+// wait estimates when one more online request would begin at e.
+func (t *Table) wait(e *endpoint, now time.Duration, slow float64) time.Duration {
+	online := e.online()
+	running := min(online+e.batch(), e.Slots)
+	w := time.Duration(running) * stepShare
+	switch {
+	case online >= e.Slots:
+		ahead := online - e.Slots + 1
+		w += time.Duration(ahead) * t.service / time.Duration(max(e.Slots, 1))
+	case online+e.batch() >= e.Slots:
+		w += yieldDelay
+	}
+	if now < e.full {
+		w += t.service / 2
+	}
+	return time.Duration(float64(w) * slow)
+}
+
+// referenceGap returns the median time between events over a group.
+func (t *Table) referenceGap(group []*endpoint) time.Duration {
+	gaps := make([]time.Duration, 0, len(group))
+	for _, e := range group {
+		if e.gap > 0 {
+			gaps = append(gaps, e.gap)
+		}
+	}
+	if len(gaps) == 0 {
+		return 0
+	}
+	slices.Sort(gaps)
+	return gaps[len(gaps)/2]
+}
+
+// slowness is how many times slower than its group an endpoint is, at least 1.
+func slowness(gap, reference time.Duration) float64 {
+	if gap <= 0 || reference <= 0 || gap <= reference {
+		return 1
+	}
+	return float64(gap) / float64(reference)
+}
+
+func (t *Table) grant(e *endpoint, kind Kind, now time.Duration, yield func()) *Grant {
+	g := &Grant{
+		Endpoint: e.Endpoint,
+		Kind:     kind,
+		Load:     Load{Online: e.online(), Batch: e.batch()},
+		table:    t,
+		at:       e,
+		since:    now,
+		yield:    yield,
+	}
+	if kind == Online {
+		e.own.Online++
+	} else {
+		e.own.Batch++
+		e.grants[g] = struct{}{}
+	}
+	t.notify()
+	return g
+}
+
+// notify tells of a change of the own load. The receiver must not call back.
+func (t *Table) notify() {
+	if t.changed != nil {
+		t.changed()
+	}
+}
+
+// Key returns the key of the grant's endpoint.
+func (g *Grant) Key() Key { return g.at.key }
+
+// End gives the place back. gap is the mean time between the events of the
+// answer; 0 if it is not known.
+func (g *Grant) End(now time.Duration, result Result, gap time.Duration) {
+	t, e := g.table, g.at
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if g.Kind == Online {
+		e.own.Online--
+	} else {
+		e.own.Batch--
+		delete(e.grants, g)
+	}
+	if gap > 0 {
+		e.gap = average(e.gap, gap)
+	}
+	switch result {
+	case Done:
+		e.failures = 0
+		if g.Kind == Online {
+			t.service = average(t.service, now-g.since)
+		}
+	case Full:
+		e.full = now + fullFor
+	case Failed:
+		e.suspended = now + min(minSuspension<<min(e.failures, 6), maxSuspension)
+		e.failures++
+	case Replaced:
+		e.replaced = true
+	}
+	t.notify()
+}
+
+func average(old, observed time.Duration) time.Duration {
+	if old == 0 {
+		return observed
+	}
+	return old + time.Duration(smoothing*float64(observed-old))
+}
--- a/settings/load.go
+++ b/settings/load.go
@@ -27,6 +27,9 @@
 // LoadEntry reads the settings of an entry.
 func LoadEntry(path string) (*Entry, error) { return load[Entry](path) }
 
+// LoadGateway reads the settings of an entry with providers.
+func LoadGateway(path string) (*Gateway, error) { return load[Gateway](path) }
+
 // LoadSidecar reads the settings of a sidecar.
 func LoadSidecar(path string) (*Sidecar, error) { return load[Sidecar](path) }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -130,6 +130,16 @@
 	}
 }
 
+// level checks a log level and fills in the default.
+func (f *findings) level(pointer string, value *string) {
+	orDefault(value, "info")
+	switch *value {
+	case "debug", "info", "warn", "error":
+	default:
+		f.add(pointer, "must be debug, info, warn or error")
+	}
+}
+
 // orDefault replaces a zero value.
 func orDefault[T comparable](value *T, byDefault T) {
 	var zero T
@@ -145,12 +155,7 @@
 	f.addr("/rpc_addr", p.RPCAddr)
 	f.addr("/ops_addr", p.OpsAddr)
 	f.url("/platform_url", p.PlatformURL)
-	orDefault(&p.LogLevel, "info")
-	switch p.LogLevel {
-	case "debug", "info", "warn", "error":
-	default:
-		f.add("/log_level", "must be debug, info, warn or error")
-	}
+	f.level("/log_level", &p.LogLevel)
 	if p.TLS != nil {
 		f.required("/tls/cert_file", p.TLS.CertFile)
 		f.required("/tls/key_file", p.TLS.KeyFile)
--- /dev/null
+++ b/upstream/dialect.go
@@ -0,0 +1,55 @@
+package upstream
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+	"time"
+)
+
+// Outgoing is what the system tells an endpoint beside the caller's request.
+type Outgoing struct {
+	Request   string        // the request's id; empty: it stands in the header
+	Endpoint  string        // the id of the endpoint that is meant
+	Customer  string        // empty on open routes
+	Remaining time.Duration // how long the answer is of use; 0: not said
+	Resume    bool          // continue after event LastEvent
+	LastEvent int64
+}
+
+// Dialect knows the header names of requests to endpoints and of their
+// answers.
+type Dialect interface {
+	// Write sets o in the header of a request.
+	Write(h http.Header, o Outgoing)
+	// NotRun reports whether the endpoint says that it has not run the request
+	// and never will.
+	NotRun(r *http.Response) bool
+	// Elsewhere reports whether another endpoint has the address.
+	Elsewhere(r *http.Response) bool
+	// Vouched reports whether the endpoint vouches for the answer.
+	Vouched(r *http.Response) bool
+}
+
+// connectionHeaders concern one connection only and are never passed on.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// PassOn returns a copy of h without what concerns one connection only.
+func PassOn(h http.Header) http.Header {
+	out := h.Clone()
+	if out == nil {
+		out = make(http.Header)
+	}
+	for _, v := range h["Connection"] {
+		for _, name := range strings.Split(v, ",") {
+			out.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range connectionHeaders {
+		out.Del(name)
+	}
+	return out
+}
