batch: outputs have keys of their own

Ruled out: two results at one position in the index (appends are conditional; the log shows one). Test: TestListedOutputIsReadBesideAnother, which failed first.

--- a/batch/content.go
+++ b/batch/content.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"hash/fnv"
+	"strconv"
 	"sync"
 
 	"github.com/joomcode/errorx"
@@ -106,7 +107,7 @@
 			return nil, err
 		}
 		for i, r := range records[:n] {
-			refs = append(refs, Ref{Part: part, Offset: first + int64(i), Size: weight(r)})
+			refs = append(refs, Ref{Key: r.Key, Part: part, Offset: first + int64(i), Size: weight(r)})
 			c.keep(r.Key, r.Value)
 		}
 		records = records[n:]
@@ -117,8 +118,15 @@
 // weight is the size of a record as the store counts it.
 func weight(r keyedlog.Record) int { return len(r.Key) + len(r.Value) + recordOverhead }
 
-// get returns the content under key, which was stored at ref.
-func (c *contents) get(ctx context.Context, key string, ref Ref) ([]byte, error) {
+// outputKey returns the key of an output. Other entries, and this one earlier,
+// may have stored outputs of the same item, of which at most one is listed.
+func outputKey(id itemID, writer Owner, sequence uint64) string {
+	return itemKey(kindOutput, id.job, id.item) + "." + strconv.FormatUint(writer.Incarnation, 36) + "." + strconv.FormatUint(sequence, 36)
+}
+
+// get returns the content at ref.
+func (c *contents) get(ctx context.Context, ref Ref) ([]byte, error) {
+	key := ref.Key
 	if value, ok := c.cached(key); ok {
 		return value, nil
 	}
@@ -185,8 +193,8 @@
 }
 
 // request returns the request of an item.
-func (c *contents) request(ctx context.Context, job string, item int, ref Ref) (*Request, error) {
-	value, err := c.get(ctx, itemKey(kindRequest, job, item), ref)
+func (c *contents) request(ctx context.Context, ref Ref) (*Request, error) {
+	value, err := c.get(ctx, ref)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/batch/content_test.go
@@ -0,0 +1,42 @@
+package batch
+
+import (
+	"context"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"dandelionrelay/keyedlog"
+	"dandelionrelay/standin/keyed"
+)
+
+// Two entries ran one item, the first of them while it was cut off from the
+// index: both stored an output. What was listed must be read everywhere, also
+// by the entry whose own output was not.
+func TestListedOutputIsReadBesideAnother(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ctx := context.Background()
+	log := keyed.NewLog(500)
+	one := newContents([]Store{&keyed.Handle{Log: log}})
+	two := newContents([]Store{&keyed.Handle{Log: log}})
+	put := func(c *contents, key, text string) Ref {
+		refs, err := c.put(ctx, 0, []keyedlog.Record{{Key: key, Value: []byte(text)}}, 1<<20)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		return refs[0]
+	}
+	id := itemID{"job", 3}
+	put(one, outputKey(id, Owner{Entry: "one", Incarnation: 1}, 1), "by the first")
+	listed := put(two, outputKey(id, Owner{Entry: "two", Incarnation: 2}, 1), "by the second")
+	put(one, outputKey(id, Owner{Entry: "one", Incarnation: 1}, 2), "by the first again")
+
+	for _, forgotten := range []bool{false, true} {
+		if forgotten {
+			log.Forget()
+		}
+		for _, c := range []*contents{one, two, newContents([]Store{&keyed.Handle{Log: log}})} {
+			text, err := c.get(ctx, listed)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(string(text)).To(gomega.Equal("by the second"))
+		}
+	}
+}
--- a/batch/item.go
+++ b/batch/item.go
@@ -150,7 +150,7 @@
 	ctx, cancel := context.WithTimeout(ctx, contentTimeout)
 	defer cancel()
 	item := c.job.Items[c.id.item]
-	stored, err := r.contents.request(ctx, c.job.ID, c.id.item, item.Ref)
+	stored, err := r.contents.request(ctx, item.Ref)
 	if err != nil {
 		return nil, err
 	}
--- a/batch/list.go
+++ b/batch/list.go
@@ -84,8 +84,8 @@
 	for part, indexes := range byPart {
 		records := make([]keyedlog.Record, len(indexes))
 		for n, i := range indexes {
-			id := ready[i].id
-			records[n] = keyedlog.Record{Key: itemKey(kindOutput, id.job, id.item), Value: ready[i].output}
+			r.stored++
+			records[n] = keyedlog.Record{Key: outputKey(ready[i].id, r.Self, r.stored), Value: ready[i].output}
 		}
 		refs, err := r.contents.put(ctx, part, records, r.CallBytes)
 		if err != nil {
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -60,6 +60,8 @@
 	wake chan struct{}
 	done chan struct{} // items ended that are to be listed
 
+	stored uint64 // outputs stored so far; used by list only
+
 	mu    sync.Mutex
 	items map[itemID]*progress
 	stop  bool // nothing new is started
--- a/batch/service.go
+++ b/batch/service.go
@@ -206,7 +206,7 @@
 	}
 	size := 0
 	for _, r := range v.results[after:] {
-		output, err := s.output(ctx, id, r)
+		output, err := s.output(ctx, r)
 		if err != nil && len(page.Results) == 0 {
 			return Page{}, Unreachable.Wrap(err, "output not read")
 		}
@@ -240,11 +240,11 @@
 	return v
 }
 
-func (s *Service) output(ctx context.Context, id string, r Result) ([]byte, error) {
+func (s *Service) output(ctx context.Context, r Result) ([]byte, error) {
 	if r.Output.Size == 0 {
 		return nil, nil
 	}
-	return s.contents.get(ctx, itemKey(kindOutput, id, r.Item), r.Output)
+	return s.contents.get(ctx, r.Output)
 }
 
 // ItemBody returns the body of an item.
@@ -253,11 +253,11 @@
 	if err != nil {
 		return nil, err
 	}
-	for i, it := range v.Items {
+	for _, it := range v.Items {
 		if it.ID != item {
 			continue
 		}
-		r, err := s.contents.request(ctx, id, i, it.Ref)
+		r, err := s.contents.request(ctx, it.Ref)
 		if err != nil {
 			return nil, Unreachable.Wrap(err, "body not read")
 		}
