batch: none are said to be left only when the index is certain

Ruled out: a lost record (the other entries had it). Now an index older than half of the settling time is read again first, and without an answer the caller gets 503.

--- a/batch/runner.go
+++ b/batch/runner.go
@@ -9,6 +9,7 @@
 
 	"dandelionrelay/config"
 	"dandelionrelay/placement"
+	"dandelionrelay/sleep"
 )
 
 // Intervals of the runner.
@@ -114,8 +115,8 @@
 		case <-r.wake:
 		case <-timer.C:
 		}
-		if pause := planPace - time.Since(last); pause > 0 {
-			time.Sleep(pause)
+		if !sleep.For(ctx, planPace-time.Since(last)) {
+			return
 		}
 		last = time.Now()
 		waiting := r.plan(ctx)
--- a/batch/service.go
+++ b/batch/service.go
@@ -197,11 +197,13 @@
 		return Page{}, err
 	}
 	v = s.await(ctx, v, after, wait)
-	page := Page{Total: len(v.Items)}
 	if after >= len(v.results) {
-		if s.Index.follower.LostFor() > 0 {
-			return Page{}, Unreachable.New("results not certain")
+		if v, err = s.certain(ctx, v); err != nil {
+			return Page{}, err
 		}
+	}
+	page := Page{Total: len(v.Items)}
+	if after >= len(v.results) {
 		return page, nil
 	}
 	size := 0
@@ -219,6 +221,26 @@
 	return page, nil
 }
 
+// certainAge is the age of the index up to which it is certain that there are
+// no further results: half of the time after which a result that was read
+// somewhere must be known.
+const certainAge = 500 * time.Millisecond
+
+// certain returns what is known of a job now; it fails if there may be results
+// that are not known here.
+func (s *Service) certain(ctx context.Context, v view) (view, error) {
+	if age, ok := s.Index.follower.Age(); ok && age < certainAge {
+		return v, nil
+	}
+	if err := s.refresh(ctx); err != nil {
+		return v, Unreachable.Wrap(err, "results not certain")
+	}
+	if newer, ok := s.Index.ledger.view(v.ID); ok {
+		v = newer
+	}
+	return v, nil
+}
+
 // await waits for a result at position after.
 func (s *Service) await(ctx context.Context, v view, after int, wait time.Duration) view {
 	timer := time.NewTimer(wait)
--- a/standin/keyed/keyed.go
+++ b/standin/keyed/keyed.go
@@ -51,6 +51,7 @@
 	Cut           // calls have no effect and no answer
 	Lost          // appends are done and not answered
 	Refused       // calls are refused
+	Silent        // calls have no effect and hang until they are given up
 )
 
 // Handle is one caller's way to a Log. It implements batch.Store.
@@ -68,21 +69,25 @@
 	h.mu.Unlock()
 }
 
-func (h *Handle) met() (Fault, error) {
+func (h *Handle) met(ctx context.Context) (Fault, error) {
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	switch h.fault {
+	fault := h.fault
+	h.mu.Unlock()
+	switch fault {
+	case Silent:
+		<-ctx.Done()
+		return Silent, keyedlog.Unavailable.Wrap(ctx.Err(), "silent")
 	case Cut:
 		return Cut, keyedlog.Unavailable.New("cut")
 	case Refused:
 		return Refused, keyedlog.NotDone.New("refused")
 	}
-	return h.fault, nil
+	return fault, nil
 }
 
 // Append implements keyedlog.Partition.
-func (h *Handle) Append(_ context.Context, at int64, records []keyedlog.Record) (int64, error) {
-	fault, err := h.met()
+func (h *Handle) Append(ctx context.Context, at int64, records []keyedlog.Record) (int64, error) {
+	fault, err := h.met(ctx)
 	if err != nil {
 		return 0, err
 	}
@@ -117,7 +122,7 @@
 
 // Read implements keyedlog.Reader.
 func (h *Handle) Read(ctx context.Context, from int64, wait time.Duration) (keyedlog.Page, error) {
-	if _, err := h.met(); err != nil {
+	if _, err := h.met(ctx); err != nil {
 		return keyedlog.Page{}, err
 	}
 	timer := time.NewTimer(wait)
@@ -151,8 +156,8 @@
 }
 
 // Newest implements keyedlog.Reader.
-func (h *Handle) Newest(_ context.Context, after string) (keyedlog.Page, bool, error) {
-	if _, err := h.met(); err != nil {
+func (h *Handle) Newest(ctx context.Context, after string) (keyedlog.Page, bool, error) {
+	if _, err := h.met(ctx); err != nil {
 		return keyedlog.Page{}, false, err
 	}
 	l := h.Log
--- /dev/null
+++ b/standin/streams/streams.go
@@ -0,0 +1,212 @@
+// Package streams is a stand-in for an endpoint that answers with event
+// streams, with the faults that endpoints have. It works in a testing/synctest
+// bubble.
+package streams
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"dandelionrelay/upstream"
+)
+
+// Headers of the stand-in's dialect.
+const (
+	HeaderID       = "X-Request"
+	HeaderNotRun   = "X-Not-Run"
+	HeaderVouched  = "X-Vouched"
+	HeaderEndpoint = "X-Endpoint"
+	HeaderCustomer = "X-Customer"
+	HeaderMillis   = "X-Remaining-Ms"
+)
+
+// Dialect implements upstream.Dialect with the headers above.
+type Dialect struct{}
+
+// Write implements upstream.Dialect.
+func (Dialect) Write(h http.Header, o upstream.Outgoing) {
+	if o.Request != "" {
+		h.Set(HeaderID, o.Request)
+	}
+	h.Set(HeaderEndpoint, o.Endpoint)
+	h.Set(HeaderCustomer, o.Customer)
+	h.Set(HeaderMillis, strconv.FormatInt(o.Remaining.Milliseconds(), 10))
+	if o.Resume {
+		h.Set("Last-Event-Id", strconv.FormatInt(o.LastEvent, 10))
+	}
+}
+
+// NotRun implements upstream.Dialect.
+func (Dialect) NotRun(r *http.Response) bool { return r.Header.Get(HeaderNotRun) != "" }
+
+// Elsewhere implements upstream.Dialect.
+func (Dialect) Elsewhere(r *http.Response) bool {
+	return r.StatusCode == http.StatusMisdirectedRequest
+}
+
+// Vouched implements upstream.Dialect.
+func (Dialect) Vouched(r *http.Response) bool { return r.Header.Get(HeaderVouched) != "" }
+
+// Behaviour is how the endpoint treats one request.
+type Behaviour struct {
+	Status      int  // other than 200: a failure without events
+	NotRun      bool // refused as not run, with Status
+	Unsigned    bool // nobody vouches for the answer
+	CutAfter    int  // break off after so many events; 0: never
+	SilentAfter int  // fall silent after so many events; 0: never
+}
+
+// Run is one request that the endpoint began.
+type Run struct {
+	ID     string
+	From   int // first event
+	At     time.Time
+	Header http.Header
+	Body   int
+}
+
+// Endpoint is one endpoint. Its fields are set before the first request.
+type Endpoint struct {
+	ID     string
+	Events int           // of an answer
+	First  time.Duration // until the first event
+	Gap    time.Duration // between events
+	Slots  int           // requests run at once; others wait in order of arrival
+	Behave func(r *http.Request, n int) Behaviour
+
+	mu      sync.Mutex
+	runs    []Run
+	seen    int
+	running int
+	most    int
+	places  chan struct{}
+	begin   sync.Once
+}
+
+// Runs returns the requests begun so far.
+func (e *Endpoint) Runs() []Run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Run(nil), e.runs...)
+}
+
+// Most returns the largest number of requests that ran at once.
+func (e *Endpoint) Most() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.most
+}
+
+// Text returns the data of all events of a request, joined by line feeds.
+func (e *Endpoint) Text(id string) string { return text(id, 1, e.Events) }
+
+func text(id string, from, to int) string {
+	out := ""
+	for n := from; n <= to; n++ {
+		if n > from {
+			out += "\n"
+		}
+		out += fmt.Sprintf("%s-%d", id, n)
+	}
+	return out
+}
+
+// Stream returns the events of a request as they stand in its answer.
+func (e *Endpoint) Stream(id string) string {
+	out := ""
+	for n := 1; n <= e.Events; n++ {
+		out += event(id, n)
+	}
+	return out
+}
+
+func event(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s-%d\n\n", n, id, n) }
+
+// Serve answers on l until the server returned is closed.
+func (e *Endpoint) Serve(l net.Listener) *http.Server {
+	s := &http.Server{Handler: e}
+	go func() { _ = s.Serve(l) }() // it ends with Close
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.begin.Do(func() { e.places = make(chan struct{}, max(e.Slots, 1)) })
+	e.mu.Lock()
+	e.seen++
+	n := e.seen
+	e.mu.Unlock()
+	var b Behaviour
+	if e.Behave != nil {
+		b = e.Behave(r, n)
+	}
+	id := r.Header.Get(HeaderID)
+	w.Header().Set(HeaderID, id)
+	if b.NotRun {
+		w.Header().Set(HeaderNotRun, "1")
+		w.WriteHeader(b.Status)
+		return
+	}
+	if r.Header.Get(HeaderEndpoint) != e.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	select {
+	case e.places <- struct{}{}:
+	case <-r.Context().Done():
+		return
+	}
+	defer func() { <-e.places }()
+	e.run(w, r, id, b)
+}
+
+// run runs a request in a slot.
+func (e *Endpoint) run(w http.ResponseWriter, r *http.Request, id string, b Behaviour) {
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // absent: 0
+	body := make([]byte, 1<<16)
+	size, _ := r.Body.Read(body)
+	e.mu.Lock()
+	e.runs = append(e.runs, Run{ID: id, From: last + 1, At: time.Now(), Header: r.Header.Clone(), Body: size})
+	e.running++
+	e.most = max(e.most, e.running)
+	e.mu.Unlock()
+	defer func() {
+		e.mu.Lock()
+		e.running--
+		e.mu.Unlock()
+	}()
+	if !b.Unsigned {
+		w.Header().Set(HeaderVouched, "1")
+	}
+	if b.Status != 0 && b.Status != http.StatusOK {
+		w.WriteHeader(b.Status)
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	e.stream(w, r, id, last, b)
+}
+
+func (e *Endpoint) stream(w http.ResponseWriter, r *http.Request, id string, last int, b Behaviour) {
+	pause := e.First
+	for n := last + 1; n <= e.Events; n++ {
+		select {
+		case <-time.After(pause):
+		case <-r.Context().Done():
+			return
+		}
+		pause = e.Gap
+		_, _ = w.Write([]byte(event(id, n)))
+		_ = http.NewResponseController(w).Flush()
+		if b.CutAfter == n-last {
+			panic(http.ErrAbortHandler)
+		}
+		if b.SilentAfter == n-last {
+			<-r.Context().Done()
+			return
+		}
+	}
+}
