quota: buckets refill on others' reports and begin almost empty; kept connections

Ruled out: lost datagrams (the share was 1.00 in each refusal). Refusals by rate are logged with what decided.

--- a/gateway/filters.go
+++ b/gateway/filters.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -11,7 +12,6 @@
 	"dandelionrelay/authn"
 	"dandelionrelay/config"
 	"dandelionrelay/pipeline"
-	"dandelionrelay/quota"
 )
 
 // Times of refusals.
@@ -28,11 +28,11 @@
 )
 
 // configured returns the filter that refuses calls while there is no
-// configuration.
+// configuration, or no word of the other entries with which limits are shared.
 func (g *Gateway) configured(next pipeline.Handler) pipeline.Handler {
 	return func(ctx context.Context, c *pipeline.Call) *api.Error {
-		if c.Snapshot.Version == 0 {
-			return notRun(http.StatusServiceUnavailable, api.CodeConfigStale, "this entry has no configuration yet", startRetryAfter)
+		if c.Snapshot.Version == 0 || !g.members.Loaded() {
+			return notRun(http.StatusServiceUnavailable, api.CodeConfigStale, "this entry has just started", startRetryAfter)
 		}
 		return next(ctx, c)
 	}
@@ -139,15 +139,15 @@
 // limited returns the filter that keeps customers within their rate.
 func (g *Gateway) limited(next pipeline.Handler) pipeline.Handler {
 	return func(ctx context.Context, c *pipeline.Call) *api.Error {
-		customer := c.Snapshot.State.Customers[c.Customer]
-		l := quota.Limit{Rate: customer.Rate, Burst: customer.Burst}
-		ok, wait := g.limits.Admit(g.Clock(), c.Customer, l)
-		if !ok {
-			return notRun(http.StatusTooManyRequests, api.CodeRateLimited, "the customer's rate is used up", max(wait, minRetryAfter))
+		v := g.limits.Admit(g.Clock(), c.Customer)
+		if !v.Admitted {
+			message := fmt.Sprintf("the customer's rate of %g a second with a burst of %g is used up: %.2f left, of a share of %.2f",
+				v.Limit.Rate, v.Limit.Burst, v.Level, v.Share)
+			return notRun(http.StatusTooManyRequests, api.CodeRateLimited, message, max(v.Wait, minRetryAfter))
 		}
 		err := next(ctx, c)
 		if err != nil && err.Outcome == api.NotRun {
-			g.limits.Return(c.Customer, l)
+			g.limits.Return(c.Customer)
 		}
 		return err
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,7 +43,9 @@
 
 // Providers is what the surroundings of an entry offer.
 type Providers struct {
-	Config     *config.Holder // kept by ConfigFeed
+	Config *config.Holder // kept by ConfigFeed
+	// ConfigFeed calls Gateway.ConfigChanged before each new version is in
+	// force.
 	ConfigFeed Feed
 	// EndpointFeed calls Gateway.SetEndpoints with each new list.
 	EndpointFeed Feed
@@ -90,9 +92,9 @@
 // between two that found records.
 const (
 	membersWait = 5 * time.Second
-	membersPace = 800 * time.Millisecond
+	membersPace = 1500 * time.Millisecond
 	jobsWait    = 1500 * time.Millisecond
-	jobsPace    = 150 * time.Millisecond
+	jobsPace    = 250 * time.Millisecond
 )
 
 // New composes a Gateway. Nothing runs before Run.
@@ -168,7 +170,11 @@
 			return age
 		},
 	})
-	g.online = pipeline.Chain(service.Handle, g.configured, g.routed, g.identified, g.fresh, g.limited)
+	last := func(ctx context.Context, c *pipeline.Call) *api.Error {
+		c.Admitted = true
+		return service.Handle(ctx, c)
+	}
+	g.online = pipeline.Chain(last, g.configured, g.routed, g.identified, g.fresh, g.limited)
 	g.batch = pipeline.Chain(func(context.Context, *pipeline.Call) *api.Error { return nil },
 		g.configured, g.identified)
 }
@@ -177,7 +183,7 @@
 func (g *Gateway) Serve(ctx context.Context, c *pipeline.Call) *api.Error {
 	c.Snapshot = g.Config.Current()
 	err := g.online(ctx, c)
-	if err != nil && !c.Started && c.Route.Provided == nil {
+	if err != nil && !c.Admitted {
 		g.refused(c, err)
 	}
 	return err
@@ -207,7 +213,7 @@
 func (g *Gateway) refused(c *pipeline.Call, err *api.Error) {
 	age, _ := g.ConfigFeed.Age()
 	g.Log.Info().Str("request", c.ID).Str("customer", c.Customer).Str("route", c.RouteID).
-		Str("outcome", string(err.Code)).Int("refused_with", err.Status).Dur("retry_after", err.RetryAfter).
+		Str("outcome", string(err.Code)).Str("reason", err.Message).Int("refused_with", err.Status).Dur("retry_after", err.RetryAfter).
 		Uint64("config", c.Snapshot.Version).Dur("config_age", age).Msg("request refused")
 }
 
@@ -261,6 +267,16 @@
 	return g.leaving
 }
 
+// ConfigChanged takes a configuration that has come into force.
+func (g *Gateway) ConfigChanged(s *config.Snapshot) {
+	limits := make(map[string]quota.Limit, len(s.State.Customers))
+	for id, c := range s.State.Customers {
+		limits[id] = quota.Limit{Rate: c.Rate, Burst: c.Burst}
+	}
+	g.limits.SetLimits(g.Clock(), limits)
+	g.jobs.Wake()
+}
+
 // SetEndpoints takes a new list of endpoints.
 func (g *Gateway) SetEndpoints(list []placement.Endpoint) {
 	g.table.SetEndpoints(list)
@@ -300,7 +316,7 @@
 // PeerReport implements gossip.Listener.
 func (g *Gateway) PeerReport(name string, incarnation uint64, r gossip.Report) {
 	g.table.SetPeer(name, r.Loads)
-	g.limits.Observe(name, incarnation, r.Counts)
+	g.limits.Observe(g.Clock(), name, incarnation, r.Counts, r.Whole)
 	g.table.Yield()
 	g.jobs.Wake()
 }
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -5,7 +5,6 @@
 
 import (
 	"encoding/binary"
-	"hash/fnv"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -16,10 +15,13 @@
 
 // Report is what an entry tells the others of itself.
 type Report struct {
-	Loads   map[placement.Key]placement.Load // of endpoints that it uses now
-	Counts  map[quota.Key]quota.Count        // admissions of customers since it started
-	LogLost time.Duration                    // for how long it has not reached the log; 0: it does
-	Leaving bool                             // it ends soon
+	Loads map[placement.Key]placement.Load // of endpoints that it uses now
+	// Counts holds admissions of customers since the entry started: of all
+	// customers if Whole, else of those that had some of late.
+	Counts  map[quota.Key]quota.Count
+	Whole   bool
+	LogLost time.Duration // for how long it has not reached the log; 0: it does
+	Leaving bool          // it ends soon
 }
 
 // message is one datagram.
@@ -27,12 +29,12 @@
 	Incarnation uint64
 	Sequence    uint32
 	Name        string
-	Heard       []uint32 // hashes of the entries that the sender hears
 	Report
+	HearsYou bool // the sender hears the receiver
 }
 
 // formatVersion is the first byte of each datagram.
-const formatVersion = 1
+const formatVersion = 2
 
 // maxDatagram bounds a datagram in bytes: the largest that UDP carries.
 const maxDatagram = 65_507
@@ -43,13 +45,6 @@
 // Malformed says that a datagram can't be read.
 var Malformed = Errors.NewType("malformed")
 
-// hashName shortens an entry's name for lists of names.
-func hashName(name string) uint32 {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(name))
-	return h.Sum32()
-}
-
 // append encodes m.
 func (m *message) append(b []byte) []byte {
 	b = append(b, formatVersion)
@@ -57,10 +52,6 @@
 	b = binary.BigEndian.AppendUint32(b, m.Sequence)
 	b = binary.AppendUvarint(b, uint64(len(m.Name)))
 	b = append(b, m.Name...)
-	b = binary.AppendUvarint(b, uint64(len(m.Heard)))
-	for _, h := range m.Heard {
-		b = binary.BigEndian.AppendUint32(b, h)
-	}
 	b = binary.AppendUvarint(b, uint64(len(m.Loads)))
 	for key, l := range m.Loads {
 		b = binary.BigEndian.AppendUint32(b, uint32(key))
@@ -73,11 +64,14 @@
 		b = binary.BigEndian.AppendUint32(b, uint32(c))
 	}
 	b = binary.AppendUvarint(b, uint64(m.LogLost.Milliseconds()))
-	leaving := byte(0)
-	if m.Leaving {
-		leaving = 1
+	return append(b, flag(m.Whole), flag(m.Leaving), flag(m.HearsYou))
+}
+
+func flag(yes bool) byte {
+	if yes {
+		return 1
 	}
-	return append(b, leaving)
+	return 0
 }
 
 // decoder reads a datagram piece by piece; after a failure all is zero.
@@ -133,9 +127,6 @@
 		return nil, Malformed.New("cut short")
 	}
 	m.Name = string(d.take(n))
-	for range d.count(4) {
-		m.Heard = append(m.Heard, d.uint32())
-	}
 	m.Loads = make(map[placement.Key]placement.Load)
 	for range d.count(6) {
 		key := placement.Key(d.uint32())
@@ -147,7 +138,8 @@
 		m.Counts[key] = quota.Count(d.uint32())
 	}
 	m.LogLost = time.Duration(d.uvarint()) * time.Millisecond
-	m.Leaving = d.take(1)[0] != 0
+	flags := d.take(3)
+	m.Whole, m.Leaving, m.HearsYou = flags[0] != 0, flags[1] != 0, flags[2] != 0
 	if d.failed {
 		return nil, Malformed.New("cut short")
 	}
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"dandelionrelay/boottime"
+	"dandelionrelay/quota"
 )
 
 // Intervals of datagrams.
@@ -19,12 +20,17 @@
 	// data centre: a few steps of an engine.
 	nearPace = 30 * time.Millisecond
 	// farPace is the same for other data centres, between which bytes are dear.
-	farPace = 120 * time.Millisecond
+	farPace = 200 * time.Millisecond
 	// idlePace is the longest time without a datagram.
 	idlePace = 250 * time.Millisecond
 	// heardFor is for how long an entry counts as heard after a datagram: two
 	// may be lost in a row.
 	heardFor = 3*idlePace - 50*time.Millisecond
+	// countedFor is for how long a changed count is repeated: several datagrams
+	// may be lost.
+	countedFor = 2 * time.Second
+	// wholePace is the interval of datagrams with all counts.
+	wholePace = 4 * time.Second
 	// silentPeer is when the load that an entry reported is forgotten.
 	silentPeer = 1500 * time.Millisecond
 	// maxLogLost is for how long an entry may be without the log before others
@@ -75,6 +81,35 @@
 	sequence uint32
 	peers    map[string]*peer
 	share    float64
+	counted  map[quota.Key]counted
+	whole    time.Duration // clock at which the next datagrams hold all counts
+}
+
+// counted is a count and when it changed.
+type counted struct {
+	count quota.Count
+	at    time.Duration
+}
+
+// counts returns the counts to send now, and whether they are all; toAll says
+// that they go to all entries. The caller holds the lock.
+func (n *Node) counts(all map[quota.Key]quota.Count, now time.Duration, toAll bool) (map[quota.Key]quota.Count, bool) {
+	late := make(map[quota.Key]quota.Count)
+	for key, count := range all {
+		before := n.counted[key]
+		if before.count != count {
+			before = counted{count: count, at: now}
+			n.counted[key] = before
+		}
+		if now-before.at < countedFor {
+			late[key] = count
+		}
+	}
+	if now < n.whole || !toAll {
+		return late, false
+	}
+	n.whole = now + wholePace
+	return all, true
 }
 
 // NewNode returns a Node of the entry self. report is called for each datagram.
@@ -88,6 +123,7 @@
 		log:      log,
 		changed:  make(chan struct{}, 1),
 		peers:    make(map[string]*peer),
+		counted:  make(map[quota.Key]counted),
 	}
 }
 
@@ -125,7 +161,8 @@
 		now := time.Now()
 		nearNow := nearDue && now.Sub(near) >= nearPace || now.Sub(near) >= idlePace
 		farNow := farDue && now.Sub(far) >= farPace || now.Sub(far) >= idlePace
-		if nearNow || farNow {
+		nearNow = nearNow || farNow
+		if nearNow {
 			n.broadcast(socket, nearNow, farNow)
 			n.review()
 		}
@@ -162,12 +199,7 @@
 	n.mu.Lock()
 	n.sequence++
 	m.Sequence = n.sequence
-	now := n.clock()
-	for name, p := range n.peers {
-		if now-p.last < heardFor {
-			m.Heard = append(m.Heard, hashName(name))
-		}
-	}
+	m.Counts, m.Whole = n.counts(m.Counts, n.clock(), near && far)
 	n.mu.Unlock()
 	datagram := m.append(make([]byte, 0, 512))
 	for _, member := range n.registry.Members() {
@@ -180,12 +212,21 @@
 			n.log.Warn().Err(err).Str("entry", member.Name).Msg("registered address can't be read")
 			continue
 		}
+		datagram[len(datagram)-1] = flag(n.hears(member.Name))
 		if _, err := socket.WriteToUDPAddrPort(datagram, to); err != nil && !errors.Is(err, net.ErrClosed) {
 			n.log.Debug().Err(err).Str("entry", member.Name).Msg("datagram not sent")
 		}
 	}
 }
 
+// hears reports whether another entry was heard of late.
+func (n *Node) hears(name string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p := n.peers[name]
+	return p != nil && n.clock()-p.last < heardFor
+}
+
 // receive reads datagrams until the socket is closed.
 func (n *Node) receive(socket *net.UDPConn) {
 	buffer := make([]byte, maxDatagram)
@@ -228,11 +269,7 @@
 	p.silent = false
 	p.leaving = m.Leaving
 	p.logLost = m.LogLost
-	p.hearsUs = false
-	own := hashName(n.self.Name)
-	for _, h := range m.Heard {
-		p.hearsUs = p.hearsUs || h == own
-	}
+	p.hearsUs = m.HearsYou
 	n.mu.Unlock()
 	if back {
 		n.log.Info().Str("entry", m.Name).Uint64("incarnation", m.Incarnation).Msg("entry heard")
@@ -240,8 +277,12 @@
 	n.listener.PeerReport(m.Name, m.Incarnation, m.Report)
 }
 
-// review notes who has fallen silent and works out this entry's share.
+// review notes who has fallen silent and works out this entry's share, once it
+// knows how many entries there are.
 func (n *Node) review() {
+	if !n.registry.Loaded() {
+		return
+	}
 	members := n.registry.Members()
 	var silent []string
 	n.mu.Lock()
--- a/gossip/registry.go
+++ b/gossip/registry.go
@@ -41,6 +41,7 @@
 
 	mu      sync.Mutex
 	members map[string]registered
+	loaded  bool
 }
 
 // NewRegistry returns an empty Registry. bad is called for each record that
@@ -54,6 +55,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.members = make(map[string]registered)
+	r.loaded = true
 	r.apply(records)
 }
 
@@ -80,6 +82,13 @@
 	}
 }
 
+// Loaded reports whether the registrations were read.
+func (r *Registry) Loaded() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.loaded
+}
+
 // Members returns the entries that are not gone for good.
 func (r *Registry) Members() []Member {
 	now := r.clock()
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -29,6 +29,8 @@
 	Deployment config.Deployment
 	Chat       *api.ChatRequest // set by route for model deployments
 
+	// Admitted is set once all filters let the call pass to the last step.
+	Admitted bool
 	// Started is set as soon as a byte of the answer was sent to the caller.
 	Started bool
 	// BesideBatch says that batch items ran at the endpoint when the call came
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -7,6 +7,8 @@
 
 import (
 	"hash/fnv"
+	"maps"
+	"math"
 	"sync"
 	"time"
 )
@@ -38,9 +40,28 @@
 // bucket is the state of one customer.
 type bucket struct {
 	level   float64
-	at      time.Duration
+	at      time.Duration // of the last refill
 	started bool
 	own     Count
+	// recent is what others reported within about reportLag: they have used
+	// about as much since, of which no word has come yet.
+	recent   float64
+	recentAt time.Duration
+}
+
+// reportLag is the time from an admission until all other entries know of it.
+const reportLag = 250 * time.Millisecond
+
+// unreported estimates what other entries have used without word of it, at
+// most half of the bucket.
+func (b *bucket) unreported(now time.Duration, top float64) float64 {
+	b.decay(now)
+	return min(b.recent, top/2)
+}
+
+func (b *bucket) decay(now time.Duration) {
+	b.recent *= math.Exp(-float64(now-b.recentAt) / float64(reportLag))
+	b.recentAt = now
 }
 
 // Table holds the buckets of all customers.
@@ -49,6 +70,7 @@
 
 	mu      sync.Mutex
 	share   Share
+	limits  map[Key]Limit
 	buckets map[Key]*bucket
 	seen    map[string]observed // by entry
 }
@@ -73,11 +95,29 @@
 func NewTable(slack float64) *Table {
 	return &Table{
 		slack:   slack,
+		limits:  make(map[Key]Limit),
 		buckets: make(map[Key]*bucket),
 		seen:    make(map[string]observed),
 	}
 }
 
+// SetLimits replaces the limits of all customers.
+// Customers that are new get a bucket at now.
+func (t *Table) SetLimits(now time.Duration, limits map[string]Limit) {
+	byKey := make(map[Key]Limit, len(limits))
+	for customer, l := range limits {
+		byKey[KeyOf(customer)] = l
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.limits = byKey
+	for key := range byKey {
+		if t.buckets[key] == nil {
+			t.buckets[key] = &bucket{at: now, recentAt: now}
+		}
+	}
+}
+
 // SetShare sets the share of this entry.
 func (t *Table) SetShare(share Share) {
 	t.mu.Lock()
@@ -85,36 +125,51 @@
 	t.mu.Unlock()
 }
 
-// Admit takes a token of the customer. Without one it returns how long the
-// next takes.
-func (t *Table) Admit(now time.Duration, customer string, l Limit) (ok bool, wait time.Duration) {
-	if l.Rate <= 0 {
-		return true, 0
-	}
+// Verdict says whether a request is within its customer's rate, and what
+// decided it.
+type Verdict struct {
+	Admitted bool
+	Wait     time.Duration // until the next token, if it is not admitted
+	Level    float64       // tokens in this entry's bucket
+	Share    float64       // part of the rate that this entry counted on
+	Limit    Limit
+}
+
+// Admit takes a token of the customer if there is one.
+func (t *Table) Admit(now time.Duration, customer string) Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	b := t.bucket(KeyOf(customer))
+	key := KeyOf(customer)
+	l := t.limits[key]
+	if l.Rate <= 0 {
+		return Verdict{Admitted: true}
+	}
+	b := t.bucket(key)
 	share := t.share.at(now)
 	if share <= 0 {
-		return false, noShareWait
+		return Verdict{Wait: noShareWait, Limit: l}
 	}
-	b.refill(now, l, t.slack, share)
-	if b.level < 1 {
-		return false, time.Duration((1 - b.level) / (l.Rate * share) * float64(time.Second))
+	b.refill(now, l, t.slack, share, t.share.Alone)
+	left := b.level - b.unreported(now, (l.Burst+t.slack)*share)
+	v := Verdict{Admitted: left >= 1, Level: b.level, Share: share, Limit: l}
+	if !v.Admitted {
+		v.Wait = time.Duration((1 - left) / (l.Rate * share) * float64(time.Second))
+		return v
 	}
 	b.level--
 	b.own++
-	return true, 0
+	return v
 }
 
 // Return gives a token back whose request did not run.
-func (t *Table) Return(customer string, l Limit) {
-	if l.Rate <= 0 {
-		return
-	}
+func (t *Table) Return(customer string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	b := t.bucket(KeyOf(customer))
+	key := KeyOf(customer)
+	if t.limits[key].Rate <= 0 {
+		return
+	}
+	b := t.bucket(key)
 	b.level++
 	b.own--
 }
@@ -128,43 +183,57 @@
 	return b
 }
 
-// refill adds the tokens since the last call, up to the share of the burst.
-func (b *bucket) refill(now time.Duration, l Limit, slack, share float64) {
-	top := (l.Burst + slack) * share
+// refill adds the tokens since the last refill, up to the share of the burst.
+// A bucket begins almost empty: this entry may have started again, and what it
+// admitted before still counts.
+func (b *bucket) refill(now time.Duration, l Limit, slack, share, alone float64) {
 	if !b.started {
 		b.started = true
-		b.level += top
-	} else {
-		b.level += (now - b.at).Seconds() * l.Rate * share
+		b.level += slack * alone
 	}
-	b.level = min(b.level, top)
+	b.level += (now - b.at).Seconds() * l.Rate * share
+	b.level = min(b.level, (l.Burst+slack)*share)
 	b.at = now
 }
 
-// observed is what an entry has reported last.
+// observed is what an entry has reported so far.
 type observed struct {
 	incarnation uint64
 	counts      map[Key]Count
 }
 
-// Observe takes what another entry has admitted since its last report; since
-// its start, if it has started again.
-func (t *Table) Observe(id string, incarnation uint64, counts map[Key]Count) {
+// Observe takes what another entry has admitted since its last report. whole
+// says that counts holds all customers that it ever admitted; until it has sent
+// such a report, its counts say nothing. An entry that has started again began
+// at zero.
+func (t *Table) Observe(now time.Duration, id string, incarnation uint64, counts map[Key]Count, whole bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	before, known := t.seen[id]
-	t.seen[id] = observed{incarnation: incarnation, counts: counts}
+	if !known && !whole {
+		return
+	}
 	if !known {
+		t.seen[id] = observed{incarnation: incarnation, counts: maps.Clone(counts)}
 		return
 	}
 	if before.incarnation != incarnation {
-		before.counts = nil
+		before = observed{incarnation: incarnation, counts: make(map[Key]Count)}
+		t.seen[id] = before
 	}
 	for key, count := range counts {
 		used := int32(count - before.counts[key])
-		if used != 0 {
-			t.bucket(key).level -= float64(used)
+		before.counts[key] = count
+		if used == 0 {
+			continue
+		}
+		b := t.bucket(key)
+		if l := t.limits[key]; l.Rate > 0 {
+			b.refill(now, l, t.slack, t.share.at(now), t.share.Alone)
 		}
+		b.level -= float64(used)
+		b.decay(now)
+		b.recent = max(0, b.recent+float64(used))
 	}
 }
 
--- /dev/null
+++ b/quota/quota_test.go
@@ -0,0 +1,238 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// The figures of a customer as the operator's rule bounds it.
+const (
+	rate   = 33.0
+	burst  = 33.0
+	slack  = 20.0 // requests that the operator tolerates in a window
+	excess = 0.1  // part of the bound that the operator tolerates
+	window = 5 * time.Second
+)
+
+// bound is what may be admitted in any window over the whole fleet.
+const bound = (rate*5+burst)*(1+excess) + slack
+
+// fleet is some entries that tell one another of their admissions with a delay.
+type fleet struct {
+	tables []*Table
+	cut    map[int]bool // entries that nobody hears and that hear nobody
+	frozen map[int]bool // entries that do nothing, and hear nothing
+	pipe   []delayed
+	past   []time.Duration // of admissions
+	begun  time.Duration   // the last start of all
+}
+
+type delayed struct {
+	from   int
+	at     time.Duration
+	counts map[Key]Count
+}
+
+const (
+	tick      = 10 * time.Millisecond
+	delay     = 150 * time.Millisecond // of a report, its pace included
+	heardFor  = 700 * time.Millisecond // after the last report
+	sendEvery = 100 * time.Millisecond
+	meeting   = 2 * sendEvery // until entries that start know that they hear one another
+)
+
+func newFleet(n int) *fleet {
+	f := &fleet{cut: make(map[int]bool), frozen: make(map[int]bool)}
+	for range n {
+		f.tables = append(f.tables, newTable(0))
+	}
+	return f
+}
+
+// newTable returns the table of an entry that starts at now.
+func newTable(now time.Duration) *Table {
+	t := NewTable(slack * 0.4)
+	t.SetLimits(now, map[string]Limit{"c": {Rate: rate, Burst: burst}})
+	return t
+}
+
+// lead is the time between the start of a fleet and the first request.
+const lead = 10 * time.Second
+
+// restart starts all entries anew.
+func (f *fleet) restart(now time.Duration) {
+	for i := range f.tables {
+		f.tables[i] = newTable(now)
+	}
+	f.pipe = nil
+	f.begun = now
+}
+
+// step lets a tick pass at now.
+func (f *fleet) step(now time.Duration) {
+	if now%sendEvery == 0 {
+		for i, t := range f.tables {
+			if !f.cut[i] && !f.frozen[i] {
+				f.pipe = append(f.pipe, delayed{from: i, at: now + delay, counts: t.Own()})
+			}
+		}
+	}
+	for len(f.pipe) > 0 && f.pipe[0].at <= now {
+		d := f.pipe[0]
+		f.pipe = f.pipe[1:]
+		for i, t := range f.tables {
+			if i != d.from && !f.cut[i] && !f.frozen[i] {
+				t.Observe(now, string(rune('a'+d.from)), 1, d.counts, true)
+			}
+		}
+	}
+	n := float64(len(f.tables))
+	for i, t := range f.tables {
+		if f.frozen[i] {
+			continue
+		}
+		share := Share{Part: (n - float64(len(f.cut)+len(f.frozen))) / n, Alone: 1 / n, Until: now + heardFor}
+		if f.cut[i] || now < f.begun+meeting {
+			share.Part = 1 / n
+		}
+		t.SetShare(share)
+	}
+}
+
+// ask asks entry i for an admission.
+func (f *fleet) ask(now time.Duration, i int) bool {
+	ok := f.tables[i].Admit(now, "c").Admitted
+	if ok {
+		f.past = append(f.past, now)
+	}
+	return ok
+}
+
+// most returns the largest number of admissions in any window.
+func (f *fleet) most() int {
+	most, first := 0, 0
+	for i, at := range f.past {
+		for f.past[first] <= at-window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// A customer within its rate is served by most entries for a while; then its
+// first request at one that only heard of it must be admitted.
+func TestAnEntryThatOnlyHeardOfACustomerAdmitsIt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFleet(4)
+	for now := lead; now < 30*time.Second; now += tick {
+		f.step(now)
+		if now%(50*time.Millisecond) == 0 {
+			g.Expect(f.ask(now, int(now/(50*time.Millisecond))%3)).To(gomega.BeTrue(), "at %v", now)
+		}
+	}
+	g.Expect(f.ask(30*time.Second, 3)).To(gomega.BeTrue())
+}
+
+// Waves of nearly twice the mean, whose mean is within the rate, over all
+// entries unevenly: nothing is refused.
+func TestWavesWithinTheRateAreAdmitted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFleet(7)
+	refused, n := 0, 0
+	owed := 0.0
+	for now := lead; now < 30*time.Second; now += tick {
+		f.step(now)
+		level := 0.378
+		if now%(5200*time.Millisecond) >= 3*time.Second {
+			level = 1.85
+		}
+		for owed += level * rate / 1.6 * tick.Seconds(); owed >= 1; owed-- {
+			n++
+			if !f.ask(now, (n*n)%7) {
+				refused++
+			}
+		}
+	}
+	g.Expect(refused).To(gomega.BeZero())
+}
+
+// A customer sends many times its rate to all entries, some of which are cut
+// off or frozen for a while: the bound holds in every window.
+func TestTheBoundHoldsWhateverIsCutOrFrozen(t *testing.T) {
+	for name, disturb := range map[string]func(f *fleet, now time.Duration){
+		"calm": func(*fleet, time.Duration) {},
+		"cut": func(f *fleet, now time.Duration) {
+			delete(f.cut, 0)
+			delete(f.cut, 1)
+			if now > 13*time.Second && now < 19*time.Second {
+				f.cut[0], f.cut[1] = true, true
+			}
+		},
+		"restarted": func(f *fleet, now time.Duration) {
+			if now == 13*time.Second {
+				f.restart(now)
+			}
+		},
+		"frozen": func(f *fleet, now time.Duration) {
+			delete(f.frozen, 2)
+			if now > 13*time.Second && now < 17*time.Second {
+				f.frozen[2] = true
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			f := newFleet(7)
+			for now := time.Duration(0); now < 30*time.Second; now += tick {
+				disturb(f, now)
+				f.step(now)
+				if now < lead {
+					continue
+				}
+				for i := range f.tables {
+					if !f.frozen[i] && now%(30*time.Millisecond) == 0 {
+						f.ask(now, i)
+					}
+				}
+			}
+			g.Expect(f.most()).To(gomega.BeNumerically("<=", bound))
+			g.Expect(f.most()).To(gomega.BeNumerically(">=", rate*5*0.9), "the rate is used")
+		})
+	}
+}
+
+// An entry that was paused does not count on a share that it had before.
+func TestAPausedEntryCountsOnItsOwnShare(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := NewTable(0)
+	table.SetLimits(-time.Hour, map[string]Limit{"c": {Rate: 1, Burst: 100}})
+	table.SetShare(Share{Part: 1, Alone: 0.05, Until: time.Second})
+	g.Expect(table.Admit(0, "c").Admitted).To(gomega.BeTrue())
+	admitted := 0
+	for range 100 {
+		if table.Admit(5*time.Second, "c").Admitted {
+			admitted++
+		}
+	}
+	g.Expect(admitted).To(gomega.Equal(5))
+}
+
+// A lower limit binds at once.
+func TestALowerLimitBinds(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := NewTable(0)
+	table.SetShare(Share{Part: 1, Alone: 1, Until: time.Second})
+	table.SetLimits(-time.Hour, map[string]Limit{"c": {Rate: 100, Burst: 100}})
+	g.Expect(table.Admit(0, "c").Admitted).To(gomega.BeTrue())
+	table.SetLimits(0, map[string]Limit{"c": {Rate: 1, Burst: 2}})
+	admitted := 0
+	for range 10 {
+		if table.Admit(0, "c").Admitted {
+			admitted++
+		}
+	}
+	g.Expect(admitted).To(gomega.Equal(2))
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -111,6 +111,10 @@
 		c.close()
 		return
 	}
+	if err := c.SetDeadline(time.Time{}); err != nil {
+		c.close()
+		return
+	}
 	c.until = time.Now().Add(idle)
 	p.mu.Lock()
 	defer p.mu.Unlock()
