Refusals for want of room log what decided; a starting entry learns its share at once

Cause: 'overloaded' in the log did not say why; entries answered 429 for 250 ms after a start since they did not know their share yet. Now 503 with when to come back, and the share is worked out as soon as the registrations are read.

--- a/gateway/filters.go
+++ b/gateway/filters.go
@@ -140,6 +140,9 @@
 func (g *Gateway) limited(next pipeline.Handler) pipeline.Handler {
 	return func(ctx context.Context, c *pipeline.Call) *api.Error {
 		v := g.limits.Admit(g.Clock(), c.Customer)
+		if v.Share == 0 && !v.Admitted {
+			return notRun(http.StatusServiceUnavailable, api.CodeConfigStale, "this entry does not know its share of the limits yet", v.Wait)
+		}
 		if !v.Admitted {
 			message := fmt.Sprintf("the customer's rate of %g a second with a burst of %g is used up: %.2f left, of a share of %.2f",
 				v.Limit.Rate, v.Limit.Burst, v.Level, v.Share)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -108,7 +108,7 @@
 	}
 	g.table = placement.NewTable(d.Settings.ID, d.Settings.DataCentre, rand.New(rand.NewPCG(seed, 2)), g.loadChanged)
 	g.pool = upstream.NewPool(d.IDHeader, nil, g.dialCounter())
-	g.members = gossip.NewRegistry(d.Clock, g.badRecord("members"))
+	g.members = gossip.NewRegistry(d.Clock, g.badRecord("members"), g.loadChanged)
 	g.known = g.follow("members", d.Members, g.members, membersWait, membersPace)
 	g.node = gossip.NewNode(g.self(), g.members, g.report, g, d.Clock, d.Log)
 	g.composeJobs()
@@ -296,7 +296,8 @@
 	return g.random.IntN(n)
 }
 
-// loadChanged is called by the table with each change of this entry's load.
+// loadChanged is called with each change of this entry's load, and when it has
+// read who the other entries are: both are news for them.
 func (g *Gateway) loadChanged() {
 	if g.node != nil {
 		g.node.Changed()
--- a/gossip/registry.go
+++ b/gossip/registry.go
@@ -36,8 +36,9 @@
 // Registry knows all registered entries. It is the keyedlog.State of the
 // partition that holds them.
 type Registry struct {
-	clock boottime.Clock
-	bad   func(key string, err error)
+	clock  boottime.Clock
+	bad    func(key string, err error)
+	notify func()
 
 	mu      sync.Mutex
 	members map[string]registered
@@ -45,9 +46,10 @@
 }
 
 // NewRegistry returns an empty Registry. bad is called for each record that
-// can't be read.
-func NewRegistry(clock boottime.Clock, bad func(key string, err error)) *Registry {
-	return &Registry{clock: clock, bad: bad, members: make(map[string]registered)}
+// can't be read, and notify once registrations were read anew; neither may
+// block.
+func NewRegistry(clock boottime.Clock, bad func(key string, err error), notify func()) *Registry {
+	return &Registry{clock: clock, bad: bad, notify: notify, members: make(map[string]registered)}
 }
 
 // Reset implements keyedlog.State.
@@ -57,6 +59,7 @@
 	r.members = make(map[string]registered)
 	r.loaded = true
 	r.apply(records)
+	r.notify()
 }
 
 // Apply implements keyedlog.State.
--- a/online/attempt.go
+++ b/online/attempt.go
@@ -51,6 +51,7 @@
 	endpoint string         // the one asked last
 	load     placement.Load // there, when it was chosen
 	cause    error          // the last failure at an endpoint
+	refused  *placement.Refusal
 	gap      time.Duration  // between the events of the last endpoint's answer
 }
 
@@ -102,6 +103,7 @@
 		Avoid:      a.avoid,
 		Patience:   patience,
 	})
+	a.refused = refused
 	if refused != nil && a.began == 0 {
 		return nil, refusal(api.CodeOverloaded, "no endpoint can begin the request in time", refused.RetryAfter)
 	}
--- a/online/online.go
+++ b/online/online.go
@@ -73,6 +73,10 @@
 	if a.cause != nil {
 		event = event.AnErr("cause", a.cause)
 	}
+	if r := a.refused; r != nil {
+		event = event.Dur("wait", r.Wait).Str("soonest", r.Endpoint).Int("soonest_online", r.Load.Online).
+			Int("soonest_batch", r.Load.Batch).Float64("soonest_slowness", r.Slowness).Bool("soonest_full", r.Full)
+	}
 	if err != nil {
 		event = event.Int("refused_with", err.Status).Dur("retry_after", err.RetryAfter)
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -214,10 +214,15 @@
 	yielding bool
 }
 
-// Refusal says that no endpoint can serve a request in time.
+// Refusal says that no endpoint can serve a request in time, and what decided
+// it: the endpoint where the request would begin first.
 type Refusal struct {
-	Wait       time.Duration // expected until the request would begin
 	RetryAfter time.Duration // when there should be room
+	Wait       time.Duration // expected there
+	Endpoint   string        // empty: there is none
+	Load       Load          // there, over all entries
+	Slowness   float64       // of it, against its group
+	Full       bool          // it has refused a request for want of room of late
 }
 
 // Ask is a request for a place.
@@ -242,7 +247,14 @@
 		return nil, &Refusal{RetryAfter: minSuspension}
 	}
 	if wait > ask.Patience {
-		return nil, &Refusal{Wait: wait, RetryAfter: t.retryAfter(wait - ask.Patience)}
+		return nil, &Refusal{
+			RetryAfter: t.retryAfter(wait - ask.Patience),
+			Wait:       wait,
+			Endpoint:   best.ID,
+			Load:       Load{Online: best.online(), Batch: best.batch()},
+			Slowness:   slowness(best.gap, t.referenceGap(t.byGroup[ask.Deployment])),
+			Full:       now < best.full,
+		}
 	}
 	return t.grant(best, Online, now, nil), nil
 }
