Placement: stay in the data centre, and move requests that do not begin

Now a request leaves its data centre only for 50 ms less of waiting, and one that may be resumed moves after 0.4 of its goal if a slot is free elsewhere. Ruled out: slow endpoints (slowness 1.00 in the refusals), full queues.

--- a/online/attempt.go
+++ b/online/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"os"
 	"time"
@@ -26,6 +27,10 @@
 	// maxAsked bounds the endpoints that are asked for one request, counting
 	// those that did not run it.
 	maxAsked = 5
+	// reviewShare is the part of a route's goal after which a request that has
+	// not begun is moved to an endpoint with a free slot: another entry has
+	// placed a request there at the same time.
+	reviewShare = 0.4
 	// minRemaining is the shortest time in which an endpoint can still answer.
 	minRemaining = 60 * time.Millisecond
 	// firstEventGoals is how many goals a request waits for its first event
@@ -52,7 +57,7 @@
 	load     placement.Load // there, when it was chosen
 	cause    error          // the last failure at an endpoint
 	refused  *placement.Refusal
-	gap      time.Duration  // between the events of the last endpoint's answer
+	gap      time.Duration // between the events of the last endpoint's answer
 }
 
 // verdict says how to go on after one endpoint.
@@ -194,7 +199,20 @@
 		Resume:    a.answer.hasID,
 		LastEvent: a.answer.lastID,
 	})
-	return &upstream.Request{Method: c.R.Method, URI: c.R.RequestURI, Host: c.R.Host, Header: h, Body: c.Body, ID: c.ID}
+	r := &upstream.Request{Method: c.R.Method, URI: c.R.RequestURI, Host: c.R.Host, Header: h, Body: c.Body, ID: c.ID}
+	if a.rules.Resumable && !a.answer.started() && a.began+1 < a.rules.MaxEndpoints {
+		r.Review = time.Now().Add(time.Duration(reviewShare * float64(a.rules.Goal)))
+		r.Abandon = func() bool { return a.idleElsewhere(grant) }
+	}
+	return r
+}
+
+// idleElsewhere reports whether another endpoint than that of grant would begin
+// the request at once.
+func (a *attempt) idleElsewhere(grant *placement.Grant) bool {
+	avoid := maps.Clone(a.avoid)
+	avoid[grant.Key()] = true
+	return a.Table.Idle(a.Clock(), placement.Ask{Deployment: a.call.Route.Deployment, Avoid: avoid})
 }
 
 // headerPatience is how long the header or the first event of an answer is
@@ -230,6 +248,9 @@
 		return next, placement.Failed
 	}
 	a.began++
+	if errorx.IsOfType(err, upstream.Abandoned) {
+		return next, placement.Yielded
+	}
 	result := placement.Failed
 	if errors.Is(err, os.ErrDeadlineExceeded) && time.Until(a.call.Deadline) < minRemaining {
 		result = placement.Yielded // it may well be only busy
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -70,8 +70,9 @@
 	// yieldDelay is the time until a batch item has given up its slot: news
 	// reach its owner and the endpoint ends its step.
 	yieldDelay = 80 * time.Millisecond
-	// crossing is the wait that is accepted rather than leave the data centre.
-	crossing = 12 * time.Millisecond
+	// crossing is the wait that is accepted rather than leave the data centre:
+	// what runs elsewhere is known later, and bytes between data centres are dear.
+	crossing = 50 * time.Millisecond
 	// stepShare is what each running request adds to the first step of another.
 	stepShare = 2 * time.Millisecond
 	// serviceStart is the assumed time of an online request at an endpoint
@@ -259,6 +260,14 @@
 	return t.grant(best, Online, now, nil), nil
 }
 
+// Idle reports whether some endpoint would begin an online request at once.
+func (t *Table) Idle(now time.Duration, ask Ask) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	best, _ := t.soonest(now, ask, true)
+	return best != nil && best.online()+best.batch() < best.Slots && now >= best.full
+}
+
 // retryAfter spreads returning callers over some service times, so that they
 // do not meet again.
 func (t *Table) retryAfter(excess time.Duration) time.Duration {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -26,6 +26,9 @@
 var (
 	// NotSent says that nothing of the request left for the endpoint.
 	NotSent = Errors.NewType("not_sent")
+	// Abandoned says that the sender has taken the request back before any of
+	// its answer had come; the endpoint may have begun it.
+	Abandoned = Errors.NewType("abandoned")
 	// Broken says that the exchange failed after some of the request was sent:
 	// the endpoint may have run it.
 	Broken = Errors.NewType("broken")
@@ -59,6 +62,11 @@
 	Header http.Header
 	Body   []byte
 	ID     string // expected in the answer; empty: any answer is taken
+
+	// At Review without any of the answer, Abandon is asked whether to take the
+	// request back. A zero Review means never.
+	Review  time.Time
+	Abandon func() bool
 }
 
 // Exchange is a request whose answer's header has come.
@@ -86,6 +94,10 @@
 		x.Close()
 		return nil, err
 	}
+	if x.abandons(r) {
+		x.Close()
+		return nil, Abandoned.New("no answer from %s so far", addr)
+	}
 	x.SetReadDeadline(deadline)
 	if err := x.receive(r); err != nil {
 		x.Close()
@@ -94,6 +106,18 @@
 	return x, nil
 }
 
+// abandons waits for the first byte of the answer until r.Review and reports
+// whether the request is taken back then.
+func (x *Exchange) abandons(r *Request) bool {
+	if r.Review.IsZero() {
+		return false
+	}
+	x.SetReadDeadline(r.Review)
+	_, err := x.conn.reader.Peek(1)
+	// Other failures show again at the next read.
+	return errors.Is(err, os.ErrDeadlineExceeded) && r.Abandon()
+}
+
 // send writes the request, or begins to.
 func (x *Exchange) send(r *Request) error {
 	head := appendHead(make([]byte, 0, 1024), r)
