--- /dev/null
+++ b/gossip/gossip_test.go
@@ -0,0 +1,182 @@
+package gossip
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"dandelionrelay/keyedlog"
+	"dandelionrelay/placement"
+	"dandelionrelay/quota"
+)
+
+func sample() *message {
+	return &message{
+		Incarnation: 7, Sequence: 9, Name: "one", HearsYou: true,
+		Report: Report{
+			Loads:   map[placement.Key]placement.Load{3: {Online: 2, Batch: 300}, 4: {Batch: 1}},
+			Counts:  map[quota.Key]quota.Count{5: 6, 7: 1 << 31},
+			Whole:   true,
+			LogLost: 1500 * time.Millisecond,
+			Leaving: true,
+		},
+	}
+}
+
+func TestDatagramsAreReadAsTheyWereWritten(t *testing.T) {
+	g := gomega.NewWithT(t)
+	got, err := decode(sample().append(nil))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(got).To(gomega.Equal(sample()))
+}
+
+func TestDatagramsThatAreCutAreRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	whole := sample().append(nil)
+	for n := range whole {
+		_, err := decode(whole[:n])
+		g.Expect(err).To(gomega.HaveOccurred(), "%d of %d bytes", n, len(whole))
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(sample().append(nil))
+	f.Fuzz(func(_ *testing.T, b []byte) { _, _ = decode(b) })
+}
+
+// world is one node with a clock of its own.
+type world struct {
+	now      time.Duration
+	registry *Registry
+	node     *Node
+	shares   []Share
+	silent   []string
+	reports  int
+}
+
+func (w *world) PeerReport(string, uint64, Report) { w.reports++ }
+func (w *world) PeerSilent(name string)            { w.silent = append(w.silent, name) }
+func (w *world) Share(s Share)                     { w.shares = append(w.shares, s) }
+
+func newWorld(members ...string) *world {
+	w := &world{now: time.Hour}
+	clock := func() time.Duration { return w.now }
+	w.registry = NewRegistry(clock, func(string, error) {}, func() {})
+	w.register(members...)
+	self := Member{Name: "self", Incarnation: 1, DataCentre: "a"}
+	w.node = NewNode(self, w.registry, func() Report { return Report{} }, w, clock, zerolog.Nop())
+	return w
+}
+
+func (w *world) register(members ...string) {
+	var records []keyedlog.Record
+	for _, name := range append(members, "self") {
+		value, err := json.Marshal(Member{Name: name, Incarnation: 1, Address: "127.0.0.1:1"})
+		if err != nil {
+			panic(err)
+		}
+		records = append(records, keyedlog.Record{Key: name, Value: value})
+	}
+	w.registry.Reset(records)
+}
+
+// hear takes a datagram of another entry.
+func (w *world) hear(name string, sequence uint32, hearsUs bool, change func(*message)) {
+	m := &message{Name: name, Incarnation: 1, Sequence: sequence, HearsYou: hearsUs}
+	if change != nil {
+		change(m)
+	}
+	w.node.take(m)
+}
+
+func (w *world) share() Share {
+	w.node.review()
+	return w.shares[len(w.shares)-1]
+}
+
+func TestTheShareCountsWhomWeHearAndWhoHearsUs(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld("b", "c", "d")
+	g.Expect(w.share().Part).To(gomega.Equal(0.25))
+	w.hear("b", 1, true, nil)
+	w.hear("c", 1, false, nil) // a cut in one direction
+	s := w.share()
+	g.Expect(s.Part).To(gomega.Equal(0.5))
+	g.Expect(s.Alone).To(gomega.Equal(0.25))
+	g.Expect(s.Until).To(gomega.BeNumerically("<=", w.now+heardFor))
+	w.now += heardFor
+	g.Expect(w.share().Part).To(gomega.Equal(0.25), "nothing was heard of late")
+}
+
+func TestNoShareBeforeTheOthersAreKnown(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld()
+	w.registry.loaded = false
+	w.node.review()
+	g.Expect(w.shares).To(gomega.BeEmpty())
+}
+
+func TestOldDatagramsAreDropped(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld("b")
+	w.hear("b", 5, true, nil)
+	w.hear("b", 4, true, nil)
+	w.hear("b", 5, true, nil)
+	g.Expect(w.reports).To(gomega.Equal(1))
+	w.hear("b", 1, true, func(m *message) { m.Incarnation = 2 })
+	g.Expect(w.reports).To(gomega.Equal(2))
+}
+
+func TestWhoIsAlive(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld("b")
+	g.Expect(w.node.Alive("self", 1)).To(gomega.BeTrue())
+	g.Expect(w.node.Alive("self", 2)).To(gomega.BeFalse())
+	g.Expect(w.node.Alive("b", 1)).To(gomega.BeTrue(), "registered of late")
+	g.Expect(w.node.Alive("b", 3)).To(gomega.BeFalse(), "started again since")
+	g.Expect(w.node.Alive("unknown", 1)).To(gomega.BeFalse())
+
+	w.hear("b", 1, true, nil)
+	w.now += silentFor
+	g.Expect(w.node.Alive("b", 1)).To(gomega.BeFalse(), "neither heard nor registered")
+	w.hear("b", 2, true, nil)
+	g.Expect(w.node.Alive("b", 1)).To(gomega.BeTrue())
+	w.hear("b", 3, true, func(m *message) { m.Leaving = true })
+	g.Expect(w.node.Alive("b", 1)).To(gomega.BeFalse(), "it leaves")
+	w.hear("b", 4, true, func(m *message) { m.LogLost = maxLogLost })
+	g.Expect(w.node.Alive("b", 1)).To(gomega.BeFalse(), "it does not reach the log")
+	g.Expect(w.node.Candidates()).To(gomega.ConsistOf("self"))
+}
+
+func TestSilenceIsToldOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld("b")
+	w.hear("b", 1, true, nil)
+	w.now += silentPeer
+	w.node.review()
+	w.node.review()
+	g.Expect(w.silent).To(gomega.Equal([]string{"b"}))
+}
+
+// Counts that did not change are sent now and then only.
+func TestCountsAreSentWhenTheyChange(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld()
+	all := map[quota.Key]quota.Count{1: 1, 2: 1}
+	counts, whole := w.node.counts(all, w.now, true)
+	g.Expect(whole).To(gomega.BeTrue())
+	g.Expect(counts).To(gomega.HaveLen(2))
+	w.now += countedFor
+	all[2]++
+	counts, whole = w.node.counts(all, w.now, true)
+	g.Expect(whole).To(gomega.BeFalse())
+	g.Expect(counts).To(gomega.Equal(map[quota.Key]quota.Count{2: 2}))
+	w.now += wholePace
+	_, whole = w.node.counts(all, w.now, false)
+	g.Expect(whole).To(gomega.BeFalse(), "not to all")
+	_, whole = w.node.counts(all, w.now, true)
+	g.Expect(whole).To(gomega.BeTrue())
+}
--- /dev/null
+++ b/keyedlog/follower_test.go
@@ -0,0 +1,183 @@
+package keyedlog_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"dandelionrelay/boottime"
+	"dandelionrelay/keyedlog"
+	"dandelionrelay/standin/keyed"
+)
+
+// state keeps the newest value of each key.
+type state struct {
+	mu     sync.Mutex
+	values map[string]string
+	last   int64
+	back   bool // an offset came again or out of order
+}
+
+func (s *state) Reset(records []keyedlog.Record) {
+	s.mu.Lock()
+	s.values = make(map[string]string)
+	s.last = -1
+	s.mu.Unlock()
+	for _, r := range records {
+		s.set(r)
+	}
+}
+
+func (s *state) Apply(records []keyedlog.Record) {
+	for _, r := range records {
+		s.mu.Lock()
+		s.back = s.back || r.Offset <= s.last
+		s.last = r.Offset
+		s.mu.Unlock()
+		s.set(r)
+	}
+}
+
+func (s *state) set(r keyedlog.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.Value == nil {
+		delete(s.values, r.Key)
+		return
+	}
+	s.values[r.Key] = string(r.Value)
+}
+
+func (s *state) copy() map[string]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.values)
+}
+
+// events counts what a watcher is told.
+type events struct{ lost, regained atomic.Int64 }
+
+func (e *events) Lost(string, error)             { e.lost.Add(1) }
+func (e *events) Regained(string, time.Duration) { e.regained.Add(1) }
+
+func clock() boottime.Clock {
+	start := time.Now()
+	return func() time.Duration { return time.Since(start) + time.Second }
+}
+
+func follow(t *testing.T, h *keyed.Handle, w keyedlog.Watcher) (*keyedlog.Follower, *state) {
+	s := &state{}
+	f := keyedlog.NewFollower(h, s, keyedlog.Options{Name: "p", Wait: time.Second, Pace: 50 * time.Millisecond, Clock: clock(), Watcher: w})
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go f.Run(ctx)
+	return f, s
+}
+
+func put(t *testing.T, h *keyed.Handle, key, value string) {
+	r := keyedlog.Record{Key: key}
+	if value != "" {
+		r.Value = []byte(value)
+	}
+	if _, err := h.Append(t.Context(), keyedlog.Anywhere, []keyedlog.Record{r}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Random writes, forgotten histories and faults: in the end the state is that
+// of the log, and records came once and in order between two resets.
+func TestAFollowerHasWhatTheLogHas(t *testing.T) {
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			random := rand.New(rand.NewPCG(seed, 0))
+			log := keyed.NewLog(2)
+			writer, reader := &keyed.Handle{Log: log}, &keyed.Handle{Log: log}
+			want := make(map[string]string)
+			_, s := follow(t, reader, nil)
+			for i := range 200 {
+				key := fmt.Sprint(random.IntN(7))
+				value := ""
+				if random.IntN(4) > 0 {
+					value = fmt.Sprint(i)
+				}
+				put(t, writer, key, value)
+				if value == "" {
+					delete(want, key)
+				} else {
+					want[key] = value
+				}
+				switch random.IntN(20) {
+				case 0:
+					log.Forget()
+				case 1:
+					reader.Set(keyed.Fault(random.IntN(4)))
+				}
+				time.Sleep(time.Duration(random.IntN(80)) * time.Millisecond)
+			}
+			reader.Set(keyed.None)
+			time.Sleep(5 * time.Second)
+			g.Expect(s.copy()).To(gomega.Equal(want), "seed %d", seed)
+			g.Expect(s.back).To(gomega.BeFalse(), "seed %d", seed)
+		})
+	}
+}
+
+// The age counts from the start of the read that confirmed the state, and the
+// loss of the log is told once.
+func TestAgeAndLoss(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		log := keyed.NewLog(10)
+		h := &keyed.Handle{Log: log}
+		seen := &events{}
+		f, _ := follow(t, h, seen)
+		synctest.Wait()
+		time.Sleep(3 * time.Second)
+		age, ok := f.Age()
+		g.Expect(ok).To(gomega.BeTrue())
+		// The read before the one under way began two waits ago at most.
+		g.Expect(age).To(gomega.BeNumerically("<=", 2*time.Second))
+		h.Set(keyed.Cut)
+		time.Sleep(4 * time.Second)
+		age, _ = f.Age()
+		g.Expect(age).To(gomega.BeNumerically(">=", 4*time.Second))
+		g.Expect(f.LostFor()).To(gomega.BeNumerically(">=", 2*time.Second))
+		g.Expect(seen.lost.Load()).To(gomega.BeEquivalentTo(1))
+		h.Set(keyed.None)
+		time.Sleep(2 * time.Second)
+		g.Expect(f.LostFor()).To(gomega.BeZero())
+		g.Expect(seen.regained.Load()).To(gomega.BeEquivalentTo(1))
+	})
+}
+
+// An append's own records are known at once, unless others came in between.
+func TestAppendedRecordsAreKnownAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		log := keyed.NewLog(10)
+		h := &keyed.Handle{Log: log}
+		f, s := follow(t, h, nil)
+		synctest.Wait()
+		records := []keyedlog.Record{{Key: "a", Value: []byte("1")}, {Key: "b", Value: []byte("2")}}
+		at, _ := f.Next()
+		f.Appended(at+1, records) // not the next ones
+		g.Expect(s.copy()).To(gomega.BeEmpty())
+		first, err := h.Append(t.Context(), at, records)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		f.Appended(first, records)
+		g.Expect(s.copy()).To(gomega.HaveLen(2))
+		put(t, h, "c", "3")
+		time.Sleep(time.Second)
+		g.Expect(s.copy()).To(gomega.HaveLen(3))
+		g.Expect(s.back).To(gomega.BeFalse())
+	})
+}
