--- a/batch/item.go
+++ b/batch/item.go
@@ -60,8 +60,8 @@
 	r.Metrics.runs.WithLabelValues(string(end)).Inc()
 	event := r.Log.Info().Str("job", c.job.ID).Str("request", c.job.Items[p.id.item].ID).Str("customer", c.job.Customer).
 		Str("endpoint", grant.Endpoint.ID).Int("at_endpoint_online", grant.Load.Online).Int("at_endpoint_batch", grant.Load.Batch).
-		Str("outcome", string(end)).Int("from_event", from).Int("events", p.events).Dur("took", time.Since(started)).
-		Dur("until_due", time.Until(c.due))
+		Str("outcome", string(end)).Int("from_event", from).Int("events", p.events).Dur("took_ms", time.Since(started)).
+		Dur("until_due_ms", time.Until(c.due))
 	if err != nil {
 		event = event.AnErr("cause", err)
 	}
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -46,6 +46,7 @@
 	Apply      ApplyCmd      `cmd:"" help:"Make configuration files the desired state." group:"Operator"`
 	Key        KeyCmd        `cmd:"" help:"Issue and withdraw callers' keys." group:"Operator"`
 	Audit      AuditCmd      `cmd:"" help:"Show accepted and rejected changes." group:"Operator"`
+	Trace      TraceCmd      `cmd:"" help:"Collect what processes logged of one request or job." group:"Operator"`
 	Status     StatusCmd     `cmd:"" help:"Show what an entry knows of the configuration." group:"Operator"`
 	Jobs       JobsCmd       `cmd:"" help:"List batch jobs and their progress." group:"Operator"`
 	Quarantine QuarantineCmd `cmd:"" help:"Show and lift what is held against requests that endpoints died of." group:"Operator"`
--- a/config/state.go
+++ b/config/state.go
@@ -17,7 +17,7 @@
 	Deployments map[string]Deployment `json:"deployments"`
 }
 
-// Customer is a tenant with its share of the system.
+// Customer is one of those who share the system.
 type Customer struct {
 	Rate   float64 `json:"rate"`             // requests per second over the whole fleet
 	Burst  float64 `json:"burst"`            // requests
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -213,8 +213,8 @@
 func (g *Gateway) refused(c *pipeline.Call, err *api.Error) {
 	age, _ := g.ConfigFeed.Age()
 	g.Log.Info().Str("request", c.ID).Str("customer", c.Customer).Str("route", c.RouteID).
-		Str("outcome", string(err.Code)).Str("reason", err.Message).Int("refused_with", err.Status).Dur("retry_after", err.RetryAfter).
-		Uint64("config", c.Snapshot.Version).Dur("config_age", age).Msg("request refused")
+		Str("outcome", string(err.Code)).Str("reason", err.Message).Int("refused_with", err.Status).Dur("retry_after_ms", err.RetryAfter).
+		Uint64("config", c.Snapshot.Version).Dur("config_age_ms", age).Msg("request refused")
 }
 
 // BatchJobs returns the batch jobs.
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -209,12 +209,12 @@
 		}
 		to, err := netip.ParseAddrPort(member.Address)
 		if err != nil {
-			n.log.Warn().Err(err).Str("entry", member.Name).Msg("registered address can't be read")
+			n.log.Warn().Err(err).Str("peer", member.Name).Msg("registered address can't be read")
 			continue
 		}
 		datagram[len(datagram)-1] = flag(n.hears(member.Name))
 		if _, err := socket.WriteToUDPAddrPort(datagram, to); err != nil && !errors.Is(err, net.ErrClosed) {
-			n.log.Debug().Err(err).Str("entry", member.Name).Msg("datagram not sent")
+			n.log.Debug().Err(err).Str("peer", member.Name).Msg("datagram not sent")
 		}
 	}
 }
@@ -272,7 +272,7 @@
 	p.hearsUs = m.HearsYou
 	n.mu.Unlock()
 	if back {
-		n.log.Info().Str("entry", m.Name).Uint64("incarnation", m.Incarnation).Msg("entry heard")
+		n.log.Info().Str("peer", m.Name).Uint64("incarnation", m.Incarnation).Msg("entry heard")
 	}
 	n.listener.PeerReport(m.Name, m.Incarnation, m.Report)
 }
@@ -305,7 +305,7 @@
 	n.mu.Unlock()
 	n.listener.Share(Share{Part: share, Alone: 1 / float64(known), Until: now + heardFor})
 	for _, name := range silent {
-		n.log.Warn().Str("entry", name).Msg("entry not heard any more")
+		n.log.Warn().Str("peer", name).Msg("entry not heard any more")
 		n.listener.PeerSilent(name)
 	}
 	if changed {
--- a/online/online.go
+++ b/online/online.go
@@ -65,20 +65,20 @@
 	took := time.Since(c.Received)
 	a.Metrics.ended(outcome, took, a.answer.first)
 	event := a.Log.Info().Str("request", c.ID).Str("customer", c.Customer).Str("route", c.RouteID).
-		Str("outcome", outcome).Uint64("config", c.Snapshot.Version).Dur("config_age", a.ConfigAge()).
+		Str("outcome", outcome).Uint64("config", c.Snapshot.Version).Dur("config_age_ms", a.ConfigAge()).
 		Str("endpoint", a.endpoint).Int("at_endpoint_online", a.load.Online).Int("at_endpoint_batch", a.load.Batch).
 		Int("asked", a.asked).Int("began", a.began).Int("status", a.answer.status).
-		Int64("events", a.answer.events).Dur("first", a.answer.first).Dur("took", took).
-		Dur("left", time.Until(c.Deadline))
+		Int64("events", a.answer.events).Dur("first_ms", a.answer.first).Dur("took_ms", took).
+		Dur("left_ms", time.Until(c.Deadline))
 	if a.cause != nil {
 		event = event.AnErr("cause", a.cause)
 	}
 	if r := a.refused; r != nil {
-		event = event.Dur("wait", r.Wait).Str("soonest", r.Endpoint).Int("soonest_online", r.Load.Online).
+		event = event.Dur("wait_ms", r.Wait).Str("soonest", r.Endpoint).Int("soonest_online", r.Load.Online).
 			Int("soonest_batch", r.Load.Batch).Float64("soonest_slowness", r.Slowness).Bool("soonest_full", r.Full)
 	}
 	if err != nil {
-		event = event.Int("refused_with", err.Status).Dur("retry_after", err.RetryAfter)
+		event = event.Int("refused_with", err.Status).Dur("retry_after_ms", err.RetryAfter)
 	}
 	event.Msg("request ended")
 }
