quota: a surge's unreported admissions are estimated from this entry's own

Over 34 entries a surge of eight times the rate admits for 0.3 s before any word comes, and what others had reported lately, the only estimate, was still zero. Ruled out: cuts (share 1.00 all the while). Now an entry takes its own admissions of the last 0.3 s times others' usual part. Replay TestTheBoundHoldsOverManyEntries: 270 at 8 times, 356 at 16 times, bound 237.8, before; within the bound now.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -43,25 +43,55 @@
 	at      time.Duration // of the last refill
 	started bool
 	own     Count
-	// recent is what others reported within about reportLag: they have used
-	// about as much since, of which no word has come yet.
-	recent   float64
-	recentAt time.Duration
+
+	// What was admitted here and, by their reports, elsewhere: within about
+	// reportLag, and within about usageMemory.
+	ownRecent, otherRecent fading
+	ownLong, otherLong     fading
 }
 
-// reportLag is the time from an admission until all other entries know of it.
-const reportLag = 250 * time.Millisecond
+const (
+	// reportLag is the time from an admission until all other entries know of
+	// it: the pace of datagrams between data centres and the way.
+	reportLag = 300 * time.Millisecond
+	// usageMemory is for how long it is remembered where a customer's requests
+	// arrive.
+	usageMemory = 5 * time.Second
+	// priorEntries is at how many entries a customer without a past is assumed
+	// to arrive at the same time.
+	priorEntries = 7
+)
+
+// fading is a sum whose parts fade with time.
+type fading struct {
+	sum float64
+	at  time.Duration
+}
 
-// unreported estimates what other entries have used without word of it, at
-// most half of the bucket.
-func (b *bucket) unreported(now time.Duration, top float64) float64 {
-	b.decay(now)
-	return min(b.recent, top/2)
+// add adds n at now, to a sum that fades over memory.
+func (f *fading) add(now time.Duration, n float64, memory time.Duration) {
+	f.sum = max(0, f.value(now, memory)+n)
+	f.at = now
 }
 
-func (b *bucket) decay(now time.Duration) {
-	b.recent *= math.Exp(-float64(now-b.recentAt) / float64(reportLag))
-	b.recentAt = now
+func (f *fading) value(now, memory time.Duration) float64 {
+	return f.sum * math.Exp(-float64(now-f.at)/float64(memory))
+}
+
+// unreported estimates what other entries have admitted without word of it: as
+// much as they reported in the time that reports take, or, when a surge has just
+// begun, as much as follows from this entry's own admissions and its usual part
+// of the customer's.
+// An entry that counts on its own part alone leaves nothing to others.
+func (b *bucket) unreported(now time.Duration, share Share, top float64) float64 {
+	if share.at(now) <= share.Alone {
+		return 0
+	}
+	reported := b.otherRecent.value(now, reportLag)
+	own := b.ownLong.value(now, usageMemory) + 1
+	others := b.otherLong.value(now, usageMemory) + min(priorEntries, 1/share.Alone) - 1
+	surge := b.ownRecent.value(now, reportLag) * others / own
+	return min(max(reported, surge), top-1)
 }
 
 // Table holds the buckets of all customers.
@@ -113,7 +143,7 @@
 	t.limits = byKey
 	for key := range byKey {
 		if t.buckets[key] == nil {
-			t.buckets[key] = &bucket{at: now, recentAt: now}
+			t.buckets[key] = &bucket{at: now}
 		}
 	}
 }
@@ -150,7 +180,7 @@
 		return Verdict{Wait: noShareWait, Limit: l}
 	}
 	b.refill(now, l, t.slack, share, t.share.Alone)
-	left := b.level - b.unreported(now, (l.Burst+t.slack)*share)
+	left := b.level - b.unreported(now, t.share, (l.Burst+t.slack)*share)
 	v := Verdict{Admitted: left >= 1, Level: b.level, Share: share, Limit: l}
 	if !v.Admitted {
 		v.Wait = time.Duration((1 - left) / (l.Rate * share) * float64(time.Second))
@@ -158,6 +188,8 @@
 	}
 	b.level--
 	b.own++
+	b.ownRecent.add(now, 1, reportLag)
+	b.ownLong.add(now, 1, usageMemory)
 	return v
 }
 
@@ -232,8 +264,8 @@
 			b.refill(now, l, t.slack, t.share.at(now), t.share.Alone)
 		}
 		b.level -= float64(used)
-		b.decay(now)
-		b.recent = max(0, b.recent+float64(used))
+		b.otherRecent.add(now, float64(used), reportLag)
+		b.otherLong.add(now, float64(used), usageMemory)
 	}
 }
 
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -26,6 +27,7 @@
 	frozen map[int]bool // entries that do nothing, and hear nothing
 	pipe   []delayed
 	past   []time.Duration // of admissions
+	delay  time.Duration   // of reports
 	begun  time.Duration   // the last start of all
 }
 
@@ -44,7 +46,7 @@
 )
 
 func newFleet(n int) *fleet {
-	f := &fleet{cut: make(map[int]bool), frozen: make(map[int]bool)}
+	f := &fleet{cut: make(map[int]bool), frozen: make(map[int]bool), delay: delay}
 	for range n {
 		f.tables = append(f.tables, newTable(0))
 	}
@@ -75,7 +77,7 @@
 	if now%sendEvery == 0 {
 		for i, t := range f.tables {
 			if !f.cut[i] && !f.frozen[i] {
-				f.pipe = append(f.pipe, delayed{from: i, at: now + delay, counts: t.Own()})
+				f.pipe = append(f.pipe, delayed{from: i, at: now + f.delay, counts: t.Own()})
 			}
 		}
 	}
@@ -204,6 +206,31 @@
 	}
 }
 
+// Over many entries and data centres reports take longer; a customer sends
+// eight times its rate after a quiet time, in one wave after another.
+func TestTheBoundHoldsOverManyEntries(t *testing.T) {
+	for _, surge := range []float64{2, 4, 8, 16} {
+		t.Run(fmt.Sprint(surge), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			f := newFleet(34)
+			f.delay = 250 * time.Millisecond
+			owed, n := 0.0, 0
+			for now := time.Duration(0); now < 40*time.Second; now += tick {
+				f.step(now)
+				if now < lead || now%(10*time.Second) > 6*time.Second {
+					continue
+				}
+				for owed += surge * rate * tick.Seconds(); owed >= 1; owed-- {
+					n++
+					f.ask(now, n*n%34)
+				}
+			}
+			g.Expect(f.most()).To(gomega.BeNumerically("<=", bound))
+			g.Expect(f.most()).To(gomega.BeNumerically(">=", rate*5*0.9), "the rate is used")
+		})
+	}
+}
+
 // An entry that was paused does not count on a share that it had before.
 func TestAPausedEntryCountsOnItsOwnShare(t *testing.T) {
 	g := gomega.NewWithT(t)
