--- a/keyedlog/follower.go
+++ b/keyedlog/follower.go
@@ -66,7 +66,11 @@
 func (f *Follower) Run(ctx context.Context) {
 	retry := minRetry
 	for ctx.Err() == nil {
-		found, err := f.step(ctx, f.options.Wait)
+		wait := f.options.Wait
+		if f.LostFor() > 0 {
+			wait = 0 // the sooner it is known that the log is back
+		}
+		found, err := f.step(ctx, wait)
 		if err != nil {
 			f.failed(ctx, err)
 			sleep.For(ctx, retry)
