--- a/placement/placement.go
+++ b/placement/placement.go
@@ -6,6 +6,7 @@
 
 import (
 	"hash/fnv"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -73,6 +74,11 @@
 	// crossing is the wait that is accepted rather than leave the data centre:
 	// what runs elsewhere is known later, and bytes between data centres are dear.
 	crossing = 50 * time.Millisecond
+	// alike is the difference in waiting below which endpoints count as alike:
+	// entries that know the same counts should not all choose the same one.
+	alike = 15 * time.Millisecond
+	// reportLag is the time until entries of a data centre know of a placement.
+	reportLag = 50 * time.Millisecond
 	// stepShare is what each running request adds to the first step of another.
 	stepShare = 2 * time.Millisecond
 	// serviceStart is the assumed time of an online request at an endpoint
@@ -117,6 +123,8 @@
 	byGroup   map[string][]*endpoint // by deployment
 	peers     map[string]map[Key]Load
 	service   time.Duration // moving average of an online request's time at an endpoint
+	asks      float64       // online requests here within about reportLag, fading
+	asked     time.Duration // clock of the last one
 }
 
 // NewTable returns an empty table of the entry self in dataCentre. changed is
@@ -239,6 +247,7 @@
 func (t *Table) Place(now time.Duration, ask Ask) (*Grant, *Refusal) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.countAsk(now)
 	best, wait := t.soonest(now, ask, true)
 	if best == nil {
 		// Rather an endpoint that failed a moment ago than none.
@@ -247,6 +256,9 @@
 	if best == nil {
 		return nil, &Refusal{RetryAfter: minSuspension}
 	}
+	if best.online() >= best.Slots && wait <= ask.Patience {
+		best, wait = t.queue(now, ask, best, wait)
+	}
 	if wait > ask.Patience {
 		return nil, &Refusal{
 			RetryAfter: t.retryAfter(wait - ask.Patience),
@@ -260,6 +272,40 @@
 	return t.grant(best, Online, now, nil), nil
 }
 
+// countAsk counts a request that wants a place.
+func (t *Table) countAsk(now time.Duration) {
+	t.asks = t.asks*math.Exp(-float64(now-t.asked)/float64(reportLag)) + 1
+	t.asked = now
+}
+
+// queue chooses where a request waits when all slots are taken. What is free in
+// the queues is free for all entries, which do not know of one another's
+// choices yet: each uses its part of it. Without such a place the request
+// would wait behind others'.
+func (t *Table) queue(now time.Duration, ask Ask, soonest *endpoint, wait time.Duration) (*endpoint, time.Duration) {
+	part := 1 / (float64(len(t.peers)+1) * t.asks)
+	if t.random.Float64() < part*float64(t.places(now, ask)) {
+		return soonest, wait
+	}
+	return soonest, wait + t.service/time.Duration(max(soonest.Slots, 1))
+}
+
+// places counts the endpoints at which a request would wait within its patience.
+func (t *Table) places(now time.Duration, ask Ask) int {
+	n := 0
+	group := t.byGroup[ask.Deployment]
+	reference := t.referenceGap(group)
+	for _, e := range group {
+		if e.Closed || e.replaced || ask.Avoid[e.key] || now < e.suspended {
+			continue
+		}
+		if t.wait(e, now, slowness(e.gap, reference)) <= ask.Patience {
+			n++
+		}
+	}
+	return n
+}
+
 // Idle reports whether some endpoint would begin an online request at once.
 func (t *Table) Idle(now time.Duration, ask Ask) bool {
 	t.mu.Lock()
@@ -286,7 +332,7 @@
 			continue
 		}
 		w := t.wait(e, now, slowness(e.gap, reference))
-		cost := w + time.Duration(t.random.Int64N(int64(time.Millisecond)))
+		cost := w + time.Duration(t.random.Int64N(int64(alike)))
 		if e.DataCentre != t.dataCentre {
 			cost += crossing
 		}
