--- /dev/null
+++ b/batch/expire.go
@@ -0,0 +1,112 @@
+package batch
+
+import (
+	"context"
+	"time"
+
+	"dandelionrelay/keyedlog"
+	"dandelionrelay/sleep"
+)
+
+// Times of finished jobs.
+const (
+	// expirePace is the interval of looks for jobs that need not be kept.
+	expirePace = 5 * time.Second
+	// keepGrace is how long a job is kept beyond the bound: entries' times of
+	// day may differ.
+	keepGrace = 30 * time.Second
+	// expireAtOnce bounds the jobs that are dropped in one change.
+	expireAtOnce = 20
+)
+
+// expire drops jobs that are not open and older than Keep, with all that is
+// stored of them.
+func (s *Service) expire(ctx context.Context) {
+	for sleep.For(ctx, expirePace) {
+		old := s.expired()
+		if len(old) == 0 {
+			continue
+		}
+		dropCtx, cancel := context.WithTimeout(ctx, contentTimeout)
+		err := s.drop(dropCtx, old)
+		cancel()
+		if err != nil && ctx.Err() == nil {
+			s.Log.Warn().Err(err).Int("jobs", len(old)).Msg("old jobs not dropped yet")
+		}
+	}
+}
+
+// expired returns jobs that this entry is to drop.
+func (s *Service) expired() []view {
+	candidates := s.Peers.Candidates()
+	var old []view
+	for _, j := range s.Index.ledger.closedJobs(time.Now().Add(-s.Keep - keepGrace)) {
+		if len(old) < expireAtOnce && heir(j.ID, candidates) == s.Self.Entry {
+			old = append(old, j)
+		}
+	}
+	return old
+}
+
+// closedJobs returns the jobs that are not open and were submitted before t.
+func (l *Ledger) closedJobs(t time.Time) []view {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var closed []view
+	for _, j := range l.jobs {
+		if !j.open() && j.Submitted.Before(t) {
+			closed = append(closed, j.view())
+		}
+	}
+	return closed
+}
+
+// drop drops the contents of jobs first: a job whose record remains is dropped
+// again.
+func (s *Service) drop(ctx context.Context, old []view) error {
+	byPart := make(map[int][]keyedlog.Record)
+	drop := func(r Ref) {
+		if r.Key != "" {
+			byPart[r.Part] = append(byPart[r.Part], keyedlog.Record{Key: r.Key})
+		}
+	}
+	for _, j := range old {
+		for _, item := range j.Items {
+			drop(item.Ref)
+		}
+		for _, r := range j.results {
+			drop(r.Output)
+		}
+	}
+	for part, records := range byPart {
+		if part < 0 || part >= len(s.Stores) {
+			continue // of a fleet with more partitions
+		}
+		if _, err := s.Stores[part].Append(ctx, keyedlog.Anywhere, records); err != nil {
+			return err
+		}
+	}
+	err := s.Index.change(ctx, func(l *Ledger) ([]keyedlog.Record, error) {
+		var records []keyedlog.Record
+		for _, j := range old {
+			if l.jobs[j.ID] != nil {
+				records = append(records, j.tombstones()...)
+			}
+		}
+		return records, nil
+	})
+	if err == nil {
+		s.Log.Info().Int("jobs", len(old)).Msg("old jobs dropped")
+	}
+	return err
+}
+
+// tombstones returns the records that drop a job from the index, the job's own
+// last.
+func (v view) tombstones() []keyedlog.Record {
+	records := []keyedlog.Record{{Key: key(kindOwner, v.ID)}, {Key: key(kindEnd, v.ID)}}
+	for item := range v.listed {
+		records = append(records, keyedlog.Record{Key: itemKey(kindResult, v.ID, item)})
+	}
+	return append(records, keyedlog.Record{Key: key(kindJob, v.ID)})
+}
--- a/batch/list.go
+++ b/batch/list.go
@@ -59,15 +59,23 @@
 	return true
 }
 
+// maxOutputKey bounds the key of an output, in bytes.
+const maxOutputKey = 255
+
 // takeEnded returns the items whose results are to be listed.
 func (r *runner) takeEnded() []listing {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var ready []listing
 	for id, p := range r.items {
-		if p.phase == ended {
-			ready = append(ready, listing{id: id, result: p.result, output: p.output})
+		if p.phase != ended {
+			continue
+		}
+		if len(p.output)+recordOverhead+maxOutputKey > r.RecordBytes {
+			r.Log.Error().Str("job", id.job).Int("item", id.item).Int("bytes", len(p.output)).Msg("output is larger than a record, item given up")
+			p.result, p.output = Result{State: Errored, Reason: "its output is too large"}, nil
 		}
+		ready = append(ready, listing{id: id, result: p.result, output: p.output})
 	}
 	return ready
 }
--- a/batch/rig_test.go
+++ b/batch/rig_test.go
@@ -54,6 +54,12 @@
 	testModel    = "lm"
 )
 
+// testRecord bounds one record, in bytes.
+const testRecord = 4 << 10
+
+// testKeep is how long finished jobs are kept.
+const testKeep = 2 * time.Minute
+
 // testPolicy is the policy of the rig's route.
 var testPolicy = config.BatchPolicy{Due: 18 * time.Second, Retain: time.Minute, MaxTokens: 1000, Attempts: 3}
 
@@ -127,18 +133,20 @@
 		return r.network.DialContext(ctx, "tcp", addr)
 	}
 	e.Service = New(Deps{
-		Self:      Owner{Entry: name, Incarnation: uint64(n + 1)},
-		Index:     NewIndex(e.index, follower, ledger),
-		Stores:    []Store{e.contents},
-		CallBytes: 1 << 20,
-		Config:    r.config,
-		Table:     table,
-		Pool:      upstream.NewPool(streams.HeaderID, dial, func() {}),
-		Dialect:   streams.Dialect{},
-		Peers:     r,
-		Clock:     clock,
-		Log:       zerolog.Nop(),
-		Metrics:   NewMetrics(prometheus.NewRegistry()),
+		Self:        Owner{Entry: name, Incarnation: uint64(n + 1)},
+		Index:       NewIndex(e.index, follower, ledger),
+		Stores:      []Store{e.contents},
+		CallBytes:   1 << 20,
+		RecordBytes: testRecord,
+		Keep:        testKeep,
+		Config:      r.config,
+		Table:       table,
+		Pool:        upstream.NewPool(streams.HeaderID, dial, func() {}),
+		Dialect:     streams.Dialect{},
+		Peers:       r,
+		Clock:       clock,
+		Log:         zerolog.Nop(),
+		Metrics:     NewMetrics(prometheus.NewRegistry()),
 	})
 	ctx, stop := context.WithCancel(r.ctx)
 	e.stop = stop
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -21,8 +21,9 @@
 	// listPause is for how long a finished item waits for others to be listed
 	// with it in one append.
 	listPause = 120 * time.Millisecond
-	// dropGrace is how long a job is kept after Keep.
-	dropGrace = 30 * time.Second
+	// retainGrace is how long an item is run beyond the time after which it may
+	// be given up: entries' times of day may differ.
+	retainGrace = 10 * time.Second
 )
 
 // itemID names an item of a job.
@@ -51,6 +52,8 @@
 	failures int           // answers that count as failed attempts
 	lost     int           // exchanges in a row that ended without a whole answer
 	notUntil time.Duration // clock before which it does not run again
+	first    time.Time     // of the events of the present run
+	last     time.Time
 	cancel   context.CancelFunc
 	result   Result // in phase ended
 }
@@ -100,6 +103,7 @@
 	wg.Go(func() { s.runner.run(ctx) })
 	wg.Go(func() { s.runner.list(ctx) })
 	wg.Go(func() { s.takeOver(ctx) })
+	wg.Go(func() { s.expire(ctx) })
 	wg.Wait()
 }
 
@@ -236,7 +240,7 @@
 	if !ok || route.Provided == nil || route.Provided.Batch == nil {
 		return r.giveUp(c, "its route is gone")
 	}
-	if time.Since(c.job.Submitted) > route.Provided.Batch.Retain+dropGrace {
+	if time.Since(c.job.Submitted) > route.Provided.Batch.Retain+retainGrace {
 		return r.giveUp(c, "it is too old")
 	}
 	if full[route.Deployment] {
--- a/batch/service.go
+++ b/batch/service.go
@@ -29,14 +29,17 @@
 	Index     *Index
 	Stores    []Store
 	CallBytes int // bytes of records in one append at most
-	Config    config.Source
-	Table     *placement.Table
-	Pool      *upstream.Pool
-	Dialect   upstream.Dialect
-	Peers     Peers
-	Clock     boottime.Clock
-	Log       zerolog.Logger
-	Metrics   *Metrics
+	// RecordBytes bounds one record: a body or an output with its head.
+	RecordBytes int
+	Keep        time.Duration // finished jobs are kept so long after their submission
+	Config      config.Source
+	Table       *placement.Table
+	Pool        *upstream.Pool
+	Dialect     upstream.Dialect
+	Peers       Peers
+	Clock       boottime.Clock
+	Log         zerolog.Logger
+	Metrics     *Metrics
 }
 
 // Service accepts batch jobs, runs those that this entry owns and answers for
@@ -58,6 +61,8 @@
 var (
 	// TooMany says that the customer's waiting items leave no room for the job.
 	TooMany = Errors.NewType("too_many")
+	// TooLarge says that an item is larger than what can be stored.
+	TooLarge = Errors.NewType("too_large")
 	// NotFound says that there is no such job or item.
 	NotFound = Errors.NewType("not_found")
 	// Unreachable says that the store can't be asked, and nothing was done.
@@ -90,6 +95,9 @@
 			return err
 		}
 		records[i] = keyedlog.Record{Key: itemKey(kindRequest, sub.ID, i), Value: value}
+		if weight(records[i]) > s.RecordBytes {
+			return TooLarge.New("item %d takes %d bytes, over %d", i, weight(records[i]), s.RecordBytes)
+		}
 	}
 	refs, err := s.contents.put(ctx, part, records, s.CallBytes)
 	if err != nil {
--- a/batch/service_test.go
+++ b/batch/service_test.go
@@ -240,3 +240,37 @@
 		r.Expect(errorx.IsOfType(err, NotFound)).To(gomega.BeTrue())
 	})
 }
+
+// Finished jobs are kept as long as promised, then dropped with all that is
+// stored of them; open ones stay.
+func TestOldJobsAreDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 2, worker("w", 5, 8))
+		r.Expect(r.entries[0].Submit(r.ctx, submission("done", 3, 10))).To(gomega.Succeed())
+		r.await(r.entries[0], "done", 5*time.Second)
+		time.Sleep(testKeep - 10*time.Second)
+		r.Expect(r.results(r.entries[1], "done").Results).To(gomega.HaveLen(3))
+		time.Sleep(keepGrace + 20*time.Second)
+		_, err := r.entries[1].Results(r.ctx, testCustomer, "done", 0, 0, 1)
+		r.Expect(errorx.IsOfType(err, NotFound)).To(gomega.BeTrue(), "%v", err)
+		for _, log := range []*keyed.Log{r.index, r.contents} {
+			page, _, err := (&keyed.Handle{Log: log}).Newest(r.ctx, "")
+			r.Expect(err).NotTo(gomega.HaveOccurred())
+			r.Expect(page.Records).To(gomega.BeEmpty())
+		}
+	})
+}
+
+// What can't be stored is refused, or given up, rather than tried for ever.
+func TestWhatIsLargerThanARecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1, worker("w", 600, 8))
+		large := submission("large", 2, 10)
+		large.Requests[1].Body = make([]byte, testRecord)
+		err := r.entries[0].Submit(r.ctx, large)
+		r.Expect(errorx.IsOfType(err, TooLarge)).To(gomega.BeTrue(), "%v", err)
+		r.Expect(r.entries[0].Submit(r.ctx, submission("long", 1, 10))).To(gomega.Succeed())
+		p := r.await(r.entries[0], "long", 30*time.Second)
+		r.Expect(p.Results[0].State).To(gomega.Equal(Errored))
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -139,18 +139,20 @@
 	})
 	g.index = g.follow("jobs", g.Jobs, ledger, jobsWait, jobsPace)
 	g.jobs = batch.New(batch.Deps{
-		Self:      batch.Owner{Entry: g.Settings.ID, Incarnation: g.Incarnation},
-		Index:     batch.NewIndex(g.Jobs, g.index, ledger),
-		Stores:    g.Contents,
-		CallBytes: g.Settings.CallBytes,
-		Config:    g.Config,
-		Table:     g.table,
-		Pool:      g.pool,
-		Dialect:   g.Dialect,
-		Peers:     g.node,
-		Clock:     g.Clock,
-		Log:       g.Log,
-		Metrics:   batch.NewMetrics(g.Registry),
+		Self:        batch.Owner{Entry: g.Settings.ID, Incarnation: g.Incarnation},
+		Index:       batch.NewIndex(g.Jobs, g.index, ledger),
+		Stores:      g.Contents,
+		CallBytes:   g.Settings.CallBytes,
+		RecordBytes: g.Settings.RecordBytes,
+		Keep:        time.Duration(g.Settings.KeepJobs),
+		Config:      g.Config,
+		Table:       g.table,
+		Pool:        g.pool,
+		Dialect:     g.Dialect,
+		Peers:       g.node,
+		Clock:       g.Clock,
+		Log:         g.Log,
+		Metrics:     batch.NewMetrics(g.Registry),
 	})
 }
 
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -22,6 +22,7 @@
 	Withdrawal    config.Duration `json:"withdrawal_bound,omitempty"` // after which no request with a withdrawn key may run; 0: no bound
 	LimitSlack    float64         `json:"limit_slack,omitempty"`      // requests by which a customer may exceed rate and burst
 	EndGrace      config.Duration `json:"end_grace,omitempty"`        // from SIGTERM until the process is killed; default 8s
+	KeepJobs      config.Duration `json:"keep_jobs,omitempty"`        // finished batch jobs are kept so long after their submission; default 1h
 	GoneAfter     config.Duration `json:"gone_after,omitempty"`       // endpoints that lapsed with the store are kept so long after its return; default 2s
 	RegisterEvery config.Duration `json:"register_every,omitempty"`   // interval of endpoints' registrations; default 1.2s
 	LogLevel      string          `json:"log_level,omitempty"`        // debug, info, warn or error; default info
@@ -33,6 +34,7 @@
 	DefaultCallBytes     = 1 << 20
 	DefaultRecordBytes   = 256 << 10
 	DefaultEndGrace      = 8 * time.Second
+	DefaultKeepJobs      = time.Hour
 	DefaultGoneAfter     = 2 * time.Second
 	DefaultRegisterEvery = 1200 * time.Millisecond
 )
@@ -51,12 +53,14 @@
 	f.notNegative("/withdrawal_bound", int64(g.Withdrawal))
 	f.notNegative("/limit_slack", int64(g.LimitSlack))
 	f.notNegative("/end_grace", int64(g.EndGrace))
+	f.notNegative("/keep_jobs", int64(g.KeepJobs))
 	f.notNegative("/gone_after", int64(g.GoneAfter))
 	f.notNegative("/register_every", int64(g.RegisterEvery))
 	orDefault(&g.ContentParts, DefaultContentParts)
 	orDefault(&g.CallBytes, DefaultCallBytes)
 	orDefault(&g.RecordBytes, DefaultRecordBytes)
 	orDefault(&g.EndGrace, config.Duration(DefaultEndGrace))
+	orDefault(&g.KeepJobs, config.Duration(DefaultKeepJobs))
 	orDefault(&g.GoneAfter, config.Duration(DefaultGoneAfter))
 	orDefault(&g.RegisterEvery, config.Duration(DefaultRegisterEvery))
 	f.level("/log_level", &g.LogLevel)
