--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -63,7 +63,8 @@
 	g.Expect(grant.Endpoint.ID).To(gomega.Equal("y"))
 	tab.SetPeer("other", nil)
 	for range 2 {
-		grant, _ = tab.Place(0, ask())
+		_, refused := tab.Place(0, ask())
+		g.Expect(refused).To(gomega.BeNil())
 	}
 	g.Expect(tab.Own()).To(gomega.HaveLen(2))
 }
