--- a/batch/metrics.go
+++ b/batch/metrics.go
@@ -24,6 +24,12 @@
 		}, []string{"state"}),
 	}
 	reg.MustRegister(m.runs, m.listed)
+	for _, o := range []outcome{runCompleted, runFailed, runHopeless, runLost, runNot, runYielded} {
+		m.runs.WithLabelValues(string(o))
+	}
+	for _, state := range []ItemState{Completed, Errored} {
+		m.listed.WithLabelValues(string(state))
+	}
 	return m
 }
 
--- a/online/metrics.go
+++ b/online/metrics.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"dandelionrelay/api"
 )
 
 // Metrics counts how online requests end.
@@ -36,9 +38,19 @@
 		}),
 	}
 	reg.MustRegister(m.requests, m.first, m.whole)
+	for _, outcome := range []string{outcomeAnswered, outcomeCallerLeft, string(api.CodeOverloaded), string(api.CodeConfigStale),
+		string(api.CodeNoEndpoint), string(api.CodeEndpointLost), string(api.CodeDeadline)} {
+		m.requests.WithLabelValues(outcome)
+	}
 	return m
 }
 
+// Outcomes of requests that are no error's code.
+const (
+	outcomeAnswered   = "answered"
+	outcomeCallerLeft = "caller_left"
+)
+
 func (m *Metrics) ended(outcome string, took, first time.Duration) {
 	m.requests.WithLabelValues(outcome).Inc()
 	m.whole.Observe(took.Seconds())
--- a/online/online.go
+++ b/online/online.go
@@ -54,10 +54,10 @@
 
 // report logs and counts how a request ended.
 func (a *attempt) report(ctx context.Context, err *api.Error) {
-	outcome := "answered"
+	outcome := outcomeAnswered
 	switch {
 	case ctx.Err() != nil:
-		outcome = "caller_left"
+		outcome = outcomeCallerLeft
 	case err != nil:
 		outcome = string(err.Code)
 	}
--- a/ops/ops.go
+++ b/ops/ops.go
@@ -56,6 +56,16 @@
 	return reg
 }
 
+// DroppedLines returns the counter of log lines that were not written.
+func DroppedLines(reg prometheus.Registerer) prometheus.Counter {
+	dropped := prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "relay_log_lines_dropped_total",
+		Help: "Log lines that were not written.",
+	})
+	reg.MustRegister(dropped)
+	return dropped
+}
+
 // Invariants returns the invariants of a process: a violation is logged and
 // counted in relay_invariant_violations_total, and handed to each of also that
 // is not nil.
--- a/test/system/metrics_test.go
+++ b/test/system/metrics_test.go
@@ -3,16 +3,29 @@
 import (
 	"fmt"
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"regexp"
 	"strings"
 	"testing"
 	"testing/synctest"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/prometheus/client_golang/prometheus/testutil/promlint"
+	"github.com/rs/zerolog"
 
+	"dandelionrelay/batch"
+	"dandelionrelay/boottime"
+	"dandelionrelay/config"
+	"dandelionrelay/gateway"
 	"dandelionrelay/invariant"
+	"dandelionrelay/ops"
+	"dandelionrelay/settings"
 	"dandelionrelay/standin/fleet"
+	"dandelionrelay/standin/keyed"
+	"dandelionrelay/standin/streams"
 )
 
 // scrape returns what an instance shows to the metrics system.
@@ -95,6 +108,7 @@
 		for _, e := range w.endpoints {
 			all.WriteString(w.checkSeries(e.Instance, sidecarSeries))
 		}
+		all.WriteString(gatewayText(t))
 		checkPage(t, all.String())
 		for _, series := range someSeries {
 			if !strings.Contains(all.String(), series) {
@@ -104,6 +118,31 @@
 	})
 }
 
+// gatewayText returns what a gateway shows before its first request.
+func gatewayText(t *testing.T) string {
+	registry := prometheus.NewRegistry()
+	ops.DroppedLines(registry)
+	log := keyed.NewLog(1)
+	gateway.New(gateway.Deps{
+		Providers: gateway.Providers{
+			Config:   new(config.Holder),
+			Members:  &keyed.Handle{Log: log},
+			Jobs:     &keyed.Handle{Log: log},
+			Contents: []batch.Store{&keyed.Handle{Log: log}},
+			Dialect:  streams.Dialect{},
+		},
+		Settings: &settings.Gateway{ID: "gateway-1"},
+		Clock:    boottime.Now,
+		Log:      zerolog.Nop(),
+		Registry: registry,
+	})
+	answer := httptest.NewRecorder()
+	promhttp.HandlerFor(registry, promhttp.HandlerOpts{}).ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	text := answer.Body.String()
+	lint(t, text)
+	return text
+}
+
 // checkPage checks that all metrics that the operators' page names exist. Those
 // of the platform's client are not part of a system in memory.
 func checkPage(t *testing.T, text string) {
