--- a/batch/item.go
+++ b/batch/item.go
@@ -164,14 +164,11 @@
 	if err != nil {
 		return nil, err
 	}
-	h := make(http.Header, len(stored.Header)+4)
+	sent := make(http.Header, len(stored.Header))
 	for name, value := range stored.Header {
-		h.Set(name, value)
+		sent.Set(name, value)
 	}
-	h = upstream.PassOn(h)
-	h.Del("Authorization")
-	h.Del("Content-Length")
-	r.Dialect.Write(h, upstream.Outgoing{
+	h := upstream.HeaderFor(sent, r.Dialect, upstream.Outgoing{
 		Request:   item.ID,
 		Endpoint:  grant.Endpoint.ID,
 		Customer:  c.job.Customer,
--- a/online/attempt.go
+++ b/online/attempt.go
@@ -189,10 +189,7 @@
 // request returns what the endpoint of a grant is sent.
 func (a *attempt) request(grant *placement.Grant) *upstream.Request {
 	c := a.call
-	h := upstream.PassOn(c.R.Header)
-	h.Del("Authorization")
-	h.Del("Content-Length")
-	a.Dialect.Write(h, upstream.Outgoing{
+	h := upstream.HeaderFor(c.R.Header, a.Dialect, upstream.Outgoing{
 		Endpoint:  grant.Endpoint.ID,
 		Customer:  c.Customer,
 		Remaining: time.Until(c.Deadline),
--- a/upstream/dialect.go
+++ b/upstream/dialect.go
@@ -53,3 +53,13 @@
 	}
 	return out
 }
+
+// HeaderFor returns the header of a request to an endpoint: what the caller
+// sent, without its key and what concerns one connection, and o.
+func HeaderFor(sent http.Header, d Dialect, o Outgoing) http.Header {
+	h := PassOn(sent)
+	h.Del("Authorization")
+	h.Del("Content-Length")
+	d.Write(h, o)
+	return h
+}
