batch: items that are taken over go on from checkpoints

Now an owner stores the output so far of its items every two seconds and when it leaves; an heir reads it before it runs them. Ruled out: more owners at once (each job had one owner at a time in the log). Test: TestATakenOverItemGoesOnWhereItWas, which failed first.

--- a/batch/content.go
+++ b/batch/content.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"hash/fnv"
+	"iter"
 	"strconv"
 	"sync"
 
@@ -96,25 +97,36 @@
 // After a failure some may be stored; nothing refers to them.
 func (c *contents) put(ctx context.Context, part int, records []keyedlog.Record, callBytes int) ([]Ref, error) {
 	refs := make([]Ref, 0, len(records))
-	for len(records) > 0 {
-		n, size := 0, 0
-		for n < len(records) && (n == 0 || size+weight(records[n]) <= callBytes) {
-			size += weight(records[n])
-			n++
-		}
-		first, err := c.stores[part].Append(ctx, keyedlog.Anywhere, records[:n])
+	for from, to := range calls(records, callBytes) {
+		first, err := c.stores[part].Append(ctx, keyedlog.Anywhere, records[from:to])
 		if err != nil {
 			return nil, err
 		}
-		for i, r := range records[:n] {
+		for i, r := range records[from:to] {
 			refs = append(refs, Ref{Key: r.Key, Part: part, Offset: first + int64(i), Size: weight(r)})
 			c.keep(r.Key, r.Value)
 		}
-		records = records[n:]
 	}
 	return refs, nil
 }
 
+// calls yields the bounds of the parts of records that fit in one call each.
+func calls(records []keyedlog.Record, callBytes int) iter.Seq2[int, int] {
+	return func(yield func(from, to int) bool) {
+		for from := 0; from < len(records); {
+			to, size := from, 0
+			for to < len(records) && (to == from || size+weight(records[to]) <= callBytes) {
+				size += weight(records[to])
+				to++
+			}
+			if !yield(from, to) {
+				return
+			}
+			from = to
+		}
+	}
+}
+
 // weight is the size of a record as the store counts it.
 func weight(r keyedlog.Record) int { return len(r.Key) + len(r.Value) + recordOverhead }
 
--- a/batch/expire.go
+++ b/batch/expire.go
@@ -71,8 +71,9 @@
 		}
 	}
 	for _, j := range old {
-		for _, item := range j.Items {
+		for i, item := range j.Items {
 			drop(item.Ref)
+			drop(Ref{Key: itemKey(kindCheckpoint, j.ID, i), Part: s.contents.part(j.ID)})
 		}
 		for _, r := range j.results {
 			drop(r.Output)
--- a/batch/item.go
+++ b/batch/item.go
@@ -95,7 +95,7 @@
 		p.result = Result{State: Errored, Reason: "endpoints can't do it"}
 	case runFailed:
 		p.failures++
-		p.reset()
+		p.forget()
 		if p.failures >= route.Provided.Batch.Attempts {
 			p.phase = ended
 			p.result = Result{State: Errored, Reason: "all attempts failed"}
@@ -111,11 +111,6 @@
 	}
 }
 
-// reset forgets the output so far.
-func (p *progress) reset() {
-	p.output, p.events, p.lastID, p.hasID = nil, 0, 0, false
-}
-
 // exchange sends an item to the endpoint of grant and collects its output.
 func (r *runner) exchange(ctx context.Context, c candidate, grant *placement.Grant) (outcome, placement.Result, error) {
 	request, err := r.request(ctx, c, grant)
@@ -216,6 +211,8 @@
 
 // add appends the data of an event.
 func (p *progress) add(e eventstream.Event) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.events > 0 {
 		p.output = append(p.output, '\n')
 	}
--- a/batch/list.go
+++ b/batch/list.go
@@ -182,6 +182,7 @@
 // owner that is gone.
 func (s *Service) claim(ctx context.Context, orphans map[string]Owner) error {
 	claimed := 0
+	s.runner.hold(orphans)
 	err := s.Index.change(ctx, func(l *Ledger) ([]keyedlog.Record, error) {
 		var records []keyedlog.Record
 		for id, gone := range orphans {
@@ -198,6 +199,7 @@
 		claimed = len(records)
 		return records, nil
 	})
+	s.runner.release(ctx, orphans)
 	if err == nil && claimed > 0 {
 		s.Log.Info().Int("jobs", claimed).Msg("jobs of an entry that is gone taken over")
 	}
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -43,12 +43,16 @@
 
 // progress is what this entry has of an item that it runs.
 type progress struct {
-	id       itemID
-	phase    phase
-	output   []byte // data of the events so far, joined by line feeds
-	events   int
-	lastID   int64
-	hasID    bool
+	id    itemID
+	phase phase
+
+	mu     sync.Mutex // guards what follows, up to kept, while the item runs
+	output []byte     // data of the events so far, joined by line feeds
+	events int
+	lastID int64
+	hasID  bool
+	kept   int // events in the newest checkpoint
+
 	failures int           // answers that count as failed attempts
 	lost     int           // exchanges in a row that ended without a whole answer
 	notUntil time.Duration // clock before which it does not run again
@@ -66,9 +70,12 @@
 
 	stored uint64 // outputs stored so far; used by list only
 
+	leave chan struct{} // this entry leaves
+
 	mu    sync.Mutex
 	items map[itemID]*progress
-	stop  bool // nothing new is started
+	held  map[string]bool // jobs whose items do not run yet
+	stop  bool            // nothing new is started
 }
 
 func newRunner(s *Service) *runner {
@@ -76,7 +83,9 @@
 		Service: s,
 		wake:    make(chan struct{}, 1),
 		done:    make(chan struct{}, 1),
+		leave:   make(chan struct{}, 1),
 		items:   make(map[itemID]*progress),
+		held:    make(map[string]bool),
 	}
 }
 
@@ -95,6 +104,7 @@
 	s.runner.mu.Lock()
 	s.runner.stop = true
 	s.runner.mu.Unlock()
+	poke(s.runner.leave)
 }
 
 // Run runs items, lists results and takes over jobs until ctx ends.
@@ -104,6 +114,7 @@
 	wg.Go(func() { s.runner.list(ctx) })
 	wg.Go(func() { s.takeOver(ctx) })
 	wg.Go(func() { s.expire(ctx) })
+	wg.Go(func() { s.runner.checkpoints(ctx) })
 	wg.Wait()
 }
 
@@ -181,12 +192,8 @@
 				continue
 			}
 			wanted[id] = true
-			p := r.items[id]
-			if p == nil {
-				p = &progress{id: id}
-				r.items[id] = p
-			}
-			if p.phase == waiting && !r.stop {
+			p := r.item(id)
+			if p.phase == waiting && !r.stop && !r.held[j.ID] {
 				list = append(list, candidate{progress: p, job: j, due: due, late: now.After(due)})
 			}
 		}
@@ -204,6 +211,16 @@
 	return list
 }
 
+// item returns the progress of an item. The caller holds the lock.
+func (r *runner) item(id itemID) *progress {
+	p := r.items[id]
+	if p == nil {
+		p = &progress{id: id}
+		r.items[id] = p
+	}
+	return p
+}
+
 // compareCandidates puts what can still be in time first, then what is due
 // first, and of these what has begun.
 func compareCandidates(a, b candidate) int {
--- a/batch/service_test.go
+++ b/batch/service_test.go
@@ -274,3 +274,23 @@
 		r.Expect(p.Results[0].State).To(gomega.Equal(Errored))
 	})
 }
+
+// An owner is killed while its items run: the heir goes on where they were last
+// kept, and the texts are whole.
+func TestATakenOverItemGoesOnWhereItWas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := worker("w", 300, 8)
+		r := newRig(t, 3, w)
+		r.Expect(r.entries[0].Submit(r.ctx, submission("j", 4, 10))).To(gomega.Succeed())
+		time.Sleep(4 * time.Second)
+		r.kill(r.entries[0])
+		for _, l := range r.await(r.entries[1], "j", 15*time.Second).Results {
+			r.Expect(string(l.Output)).To(gomega.Equal(w.Text(l.Item)))
+		}
+		runs := w.Runs()
+		r.Expect(runs).To(gomega.HaveLen(8))
+		for _, run := range runs[4:] {
+			r.Expect(run.From).To(gomega.BeNumerically(">", 50))
+		}
+	})
+}
