--- a/batch/service.go
+++ b/batch/service.go
@@ -61,6 +61,8 @@
 var (
 	// TooMany says that the customer's waiting items leave no room for the job.
 	TooMany = Errors.NewType("too_many")
+	// Taken says that the id is that of another customer's job.
+	Taken = Errors.NewType("taken")
 	// TooLarge says that an item is larger than what can be stored.
 	TooLarge = Errors.NewType("too_large")
 	// NotFound says that there is no such job or item.
@@ -81,8 +83,8 @@
 
 // Submit accepts a job. It returns nil also for a job that was accepted before.
 func (s *Service) Submit(ctx context.Context, sub Submission) error {
-	if s.known(sub.ID) {
-		return nil
+	if v, ok := s.Index.ledger.view(sub.ID); ok {
+		return again(v.Job, sub)
 	}
 	if err := s.room(ctx, sub); err != nil {
 		return err
@@ -109,8 +111,8 @@
 		accepted.Items[i].Ref = refs[i]
 	}
 	err = s.Index.change(ctx, func(l *Ledger) ([]keyedlog.Record, error) {
-		if l.jobs[sub.ID] != nil {
-			return nil, nil
+		if j := l.jobs[sub.ID]; j != nil {
+			return nil, again(j.Job, sub)
 		}
 		if err := fits(l, sub); err != nil {
 			return nil, err
@@ -118,15 +120,18 @@
 		record, err := encode(key(kindJob, sub.ID), accepted)
 		return []keyedlog.Record{record}, err
 	})
-	if err != nil && !errorx.IsOfType(err, TooMany) && !errorx.IsOfType(err, Unsure) {
-		return Unreachable.Wrap(err, "job not stored")
+	if err == nil || errorx.IsOfType(err, TooMany) || errorx.IsOfType(err, Unsure) || errorx.IsOfType(err, Taken) {
+		return err
 	}
-	return err
+	return Unreachable.Wrap(err, "job not stored")
 }
 
-func (s *Service) known(id string) bool {
-	_, ok := s.Index.ledger.view(id)
-	return ok
+// again judges a submission whose job is known.
+func again(known Job, sub Submission) error {
+	if known.Customer != sub.Customer {
+		return Taken.New("job %s is another customer's", sub.ID)
+	}
+	return nil
 }
 
 // room refuses a job that does not fit, if that is certain.
--- a/batch/service_test.go
+++ b/batch/service_test.go
@@ -54,6 +54,9 @@
 		r.Expect(r.entries[1].Submit(r.ctx, submission("j", 4, 10))).To(gomega.Succeed())
 		r.await(r.entries[1], "j", 5*time.Second)
 		r.Expect(w.Runs()).To(gomega.HaveLen(4))
+		other := submission("j", 1, 10)
+		other.Customer = "another"
+		r.Expect(errorx.IsOfType(r.entries[1].Submit(r.ctx, other), Taken)).To(gomega.BeTrue())
 	})
 }
 
--- a/config/state.go
+++ b/config/state.go
@@ -22,9 +22,6 @@
 	Rate   float64 `json:"rate"`             // requests per second over the whole fleet
 	Burst  float64 `json:"burst"`            // requests
 	Weight float64 `json:"weight,omitempty"` // fair share weight; 0 means 1
-	// Urgency is the customer's rank, 0 is the most urgent; set by a provider
-	// of whole states only.
-	Urgency int `json:"-"`
 }
 
 // Key is one credential of a customer. Only its digest is kept.
@@ -58,7 +55,6 @@
 	MaxEndpoints int             // endpoints that may run one request; at least 1
 	Goal         time.Duration   // time to the first byte for which an answer is on time
 	GapGoal      time.Duration   // longest pause between events of a stream that is on time; 0 means none
-	Urgency      int             // rank among routes, 0 is the most urgent
 	Split        []WeightedShare // deployments by weight; empty means Deployment alone
 	Batch        *BatchPolicy    // nil unless the route takes batch jobs
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,8 +70,9 @@
 // Gateway is one entry.
 type Gateway struct {
 	Deps
-	online    pipeline.Handler
-	batch     pipeline.Handler
+	online    pipeline.Handler // serves a caller's request
+	submit    pipeline.Handler // lets a call that hands in a job pass
+	batch     pipeline.Handler // lets other calls on jobs pass
 	jobs      *batch.Service
 	table     *placement.Table
 	pool      *upstream.Pool
@@ -177,13 +178,14 @@
 		return service.Handle(ctx, c)
 	}
 	g.online = pipeline.Chain(last, g.configured, g.routed, g.identified, g.fresh, g.limited)
-	g.batch = pipeline.Chain(func(context.Context, *pipeline.Call) *api.Error { return nil },
-		g.configured, g.identified)
+	passed := func(context.Context, *pipeline.Call) *api.Error { return nil }
+	g.submit = pipeline.Chain(passed, g.configured, g.routed, g.identified, g.fresh)
+	g.batch = pipeline.Chain(passed, g.configured, g.identified)
 }
 
-// Serve answers a call on a route of online requests.
+// Serve answers a call on a route of online requests. Like the methods below it
+// needs the call's Snapshot.
 func (g *Gateway) Serve(ctx context.Context, c *pipeline.Call) *api.Error {
-	c.Snapshot = g.Config.Current()
 	err := g.online(ctx, c)
 	if err != nil && !c.Admitted {
 		g.refused(c, err)
@@ -193,22 +195,18 @@
 
 // TakesJobs reports whether a call hands in a batch job.
 func (g *Gateway) TakesJobs(c *pipeline.Call) bool {
-	_, route, ok := g.Config.Current().RouteByHost(hostName(c.R.Host), c.R.URL.Path)
+	_, route, ok := c.Snapshot.RouteByHost(hostName(c.R.Host), c.R.URL.Path)
 	return ok && route.Provided.Batch != nil
 }
 
 // Identify finds the customer of a call to the batch interface.
 func (g *Gateway) Identify(ctx context.Context, c *pipeline.Call) *api.Error {
-	c.Snapshot = g.Config.Current()
 	return g.batch(ctx, c)
 }
 
 // Route finds the route of a call, and its customer.
 func (g *Gateway) Route(ctx context.Context, c *pipeline.Call) *api.Error {
-	c.Snapshot = g.Config.Current()
-	filters := pipeline.Chain(func(context.Context, *pipeline.Call) *api.Error { return nil },
-		g.configured, g.routed, g.identified, g.fresh)
-	return filters(ctx, c)
+	return g.submit(ctx, c)
 }
 
 // refused logs a call that a filter before the last step has refused.
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -9,34 +9,32 @@
 // Gateway is the settings of an entry whose surroundings are a provider of
 // configuration and endpoints and a keyed log.
 type Gateway struct {
-	ID            string          `json:"id"`                         // unique in the fleet
-	DataCentre    string          `json:"data_centre"`                // where it runs
-	CallersAddr   string          `json:"callers_addr"`               // ip:port, serves callers
-	ReadyAddr     string          `json:"ready_addr"`                 // ip:port, says whether callers are welcome
-	MetricsAddr   string          `json:"metrics_addr"`               // ip:port, serves metrics and profiles
-	PeersAddr     string          `json:"peers_addr"`                 // ip:port of datagrams between entries
-	StoreAddr     string          `json:"store_addr"`                 // ip:port of the store
-	ContentParts  int             `json:"content_parts,omitempty"`    // partitions of batch bodies and outputs; default 4
-	CallBytes     int             `json:"call_bytes,omitempty"`       // of records in one append; default 1 MiB
-	RecordBytes   int             `json:"record_bytes,omitempty"`     // of one record; default 256 KiB
-	Withdrawal    config.Duration `json:"withdrawal_bound,omitempty"` // after which no request with a withdrawn key may run; 0: no bound
-	LimitSlack    float64         `json:"limit_slack,omitempty"`      // requests by which a customer may exceed rate and burst
-	EndGrace      config.Duration `json:"end_grace,omitempty"`        // from SIGTERM until the process is killed; default 8s
-	KeepJobs      config.Duration `json:"keep_jobs,omitempty"`        // finished batch jobs are kept so long after their submission; default 1h
-	GoneAfter     config.Duration `json:"gone_after,omitempty"`       // endpoints that lapsed with the store are kept so long after its return; default 2s
-	RegisterEvery config.Duration `json:"register_every,omitempty"`   // interval of endpoints' registrations; default 1.2s
-	LogLevel      string          `json:"log_level,omitempty"`        // debug, info, warn or error; default info
+	ID           string          `json:"id"`                         // unique in the fleet
+	DataCentre   string          `json:"data_centre"`                // where it runs
+	CallersAddr  string          `json:"callers_addr"`               // ip:port, serves callers
+	ReadyAddr    string          `json:"ready_addr"`                 // ip:port, says whether callers are welcome
+	MetricsAddr  string          `json:"metrics_addr"`               // ip:port, serves metrics and profiles
+	PeersAddr    string          `json:"peers_addr"`                 // ip:port of datagrams between entries
+	StoreAddr    string          `json:"store_addr"`                 // ip:port of the store
+	ContentParts int             `json:"content_parts,omitempty"`    // partitions of batch bodies and outputs; default 4
+	CallBytes    int             `json:"call_bytes,omitempty"`       // of records in one append; default 1 MiB
+	RecordBytes  int             `json:"record_bytes,omitempty"`     // of one record; default 256 KiB
+	Withdrawal   config.Duration `json:"withdrawal_bound,omitempty"` // after which no request with a withdrawn key may run; 0: no bound
+	LimitSlack   float64         `json:"limit_slack,omitempty"`      // requests by which a customer may exceed rate and burst
+	EndGrace     config.Duration `json:"end_grace,omitempty"`        // from SIGTERM until the process is killed; default 8s
+	KeepJobs     config.Duration `json:"keep_jobs,omitempty"`        // finished batch jobs are kept so long after their submission; default 1h
+	GoneAfter    config.Duration `json:"gone_after,omitempty"`       // endpoints that lapsed with the store are kept so long after its return; default 2s
+	LogLevel     string          `json:"log_level,omitempty"`        // debug, info, warn or error; default info
 }
 
 // Defaults of optional fields of a Gateway.
 const (
-	DefaultContentParts  = 4
-	DefaultCallBytes     = 1 << 20
-	DefaultRecordBytes   = 256 << 10
-	DefaultEndGrace      = 8 * time.Second
-	DefaultKeepJobs      = time.Hour
-	DefaultGoneAfter     = 2 * time.Second
-	DefaultRegisterEvery = 1200 * time.Millisecond
+	DefaultContentParts = 4
+	DefaultCallBytes    = 1 << 20
+	DefaultRecordBytes  = 256 << 10
+	DefaultEndGrace     = 8 * time.Second
+	DefaultKeepJobs     = time.Hour
+	DefaultGoneAfter    = 2 * time.Second
 )
 
 func (g *Gateway) check(f *findings) {
@@ -55,13 +53,11 @@
 	f.notNegative("/end_grace", int64(g.EndGrace))
 	f.notNegative("/keep_jobs", int64(g.KeepJobs))
 	f.notNegative("/gone_after", int64(g.GoneAfter))
-	f.notNegative("/register_every", int64(g.RegisterEvery))
 	orDefault(&g.ContentParts, DefaultContentParts)
 	orDefault(&g.CallBytes, DefaultCallBytes)
 	orDefault(&g.RecordBytes, DefaultRecordBytes)
 	orDefault(&g.EndGrace, config.Duration(DefaultEndGrace))
 	orDefault(&g.KeepJobs, config.Duration(DefaultKeepJobs))
 	orDefault(&g.GoneAfter, config.Duration(DefaultGoneAfter))
-	orDefault(&g.RegisterEvery, config.Duration(DefaultRegisterEvery))
 	f.level("/log_level", &g.LogLevel)
 }
