--- a/online/attempt.go
+++ b/online/attempt.go
@@ -109,6 +109,9 @@
 		Patience:   patience,
 	})
 	a.refused = refused
+	if refused != nil && a.began == 0 && refused.Endpoint == "" {
+		return nil, refusal(api.CodeNoEndpoint, "no endpoint of the deployment takes requests", refused.RetryAfter)
+	}
 	if refused != nil && a.began == 0 {
 		return nil, refusal(api.CodeOverloaded, "no endpoint can begin the request in time", refused.RetryAfter)
 	}
