quota: others' admissions count since this entry started

Ruled out: the estimate of unreported admissions (unchanged). Datagrams now tell the uptime, and all counts of an entry that started at the same time or later count. Test: TestOthersAdmissionsCountSinceThisEntryStarted.

--- a/gateway/filters_test.go
+++ b/gateway/filters_test.go
@@ -17,6 +17,7 @@
 	"dandelionrelay/config"
 	"dandelionrelay/gossip"
 	"dandelionrelay/pipeline"
+	"dandelionrelay/quota"
 	"dandelionrelay/settings"
 	"dandelionrelay/standin/keyed"
 	"dandelionrelay/standin/streams"
@@ -153,3 +154,19 @@
 	}
 	r.Expect(count["two"]).To(gomega.BeNumerically("~", 100, 50))
 }
+
+// What another entry admitted before this one started does not count here, as
+// buckets begin empty; what one that started with it admitted does.
+func TestOthersAdmissionsCountSinceThisEntryStarted(t *testing.T) {
+	for uptime, counted := range map[time.Duration]bool{
+		meeting - time.Millisecond: true,
+		meeting:                    false,
+	} {
+		r := newRig(t)
+		r.configure()
+		full := r.limits.Admit(r.now, "garden").Level
+		r.started = r.now
+		r.PeerReport("other", 1, gossip.Report{Whole: true, Uptime: uptime, Counts: map[quota.Key]quota.Count{quota.KeyOf("garden"): 9}})
+		r.Expect(r.limits.Admit(r.now, "garden").Level < full-5).To(gomega.Equal(counted), "uptime %v", uptime)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -82,6 +82,7 @@
 	followers []*keyedlog.Follower
 	known     *keyedlog.Follower // of the entries
 	index     *keyedlog.Follower
+	started   time.Duration
 
 	mu      sync.Mutex
 	random  *rand.Rand
@@ -102,10 +103,11 @@
 func New(d Deps) *Gateway {
 	seed := d.Incarnation
 	g := &Gateway{
-		Deps:   d,
-		limits: quota.NewTable(d.Settings.LimitSlack * slackShare),
-		random: rand.New(rand.NewPCG(seed, 1)),
-		addrs:  make(map[string]bool),
+		Deps:    d,
+		started: d.Clock(),
+		limits:  quota.NewTable(d.Settings.LimitSlack * slackShare),
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		addrs:   make(map[string]bool),
 	}
 	g.table = placement.NewTable(d.Settings.ID, d.Settings.DataCentre, rand.New(rand.NewPCG(seed, 2)), g.loadChanged)
 	g.pool = upstream.NewPool(d.IDHeader, nil, g.dialCounter())
@@ -314,10 +316,15 @@
 	}
 }
 
+// meeting is by how much earlier than this entry another may have started for
+// all that it admitted to count here: the time until entries that start
+// together hear one another.
+const meeting = time.Second
+
 // PeerReport implements gossip.Listener.
 func (g *Gateway) PeerReport(name string, incarnation uint64, r gossip.Report) {
 	g.table.SetPeer(name, r.Loads)
-	g.limits.Observe(g.Clock(), name, incarnation, r.Counts, quota.Report{Whole: r.Whole, Young: r.Young})
+	g.limits.Observe(g.Clock(), name, incarnation, r.Counts, quota.Report{Whole: r.Whole, Young: r.Uptime < g.Clock()-g.started+meeting})
 	g.table.Yield()
 	g.jobs.Wake()
 }
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -22,7 +22,7 @@
 			Whole:   true,
 			LogLost: 1500 * time.Millisecond,
 			Leaving: true,
-			Young:   true,
+			Uptime:  3 * time.Second,
 		},
 	}
 }
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -22,7 +22,7 @@
 	Whole   bool
 	LogLost time.Duration // for how long it has not reached the log; 0: it does
 	Leaving bool          // it ends soon
-	Young   bool          // it has started of late
+	Uptime  time.Duration // since it started
 }
 
 // message is one datagram.
@@ -35,7 +35,7 @@
 }
 
 // formatVersion is the first byte of each datagram.
-const formatVersion = 3
+const formatVersion = 4
 
 // maxDatagram bounds a datagram in bytes: the largest that UDP carries.
 const maxDatagram = 65_507
@@ -65,7 +65,8 @@
 		b = binary.BigEndian.AppendUint32(b, uint32(c))
 	}
 	b = binary.AppendUvarint(b, uint64(m.LogLost.Milliseconds()))
-	return append(b, flag(m.Whole), flag(m.Leaving), flag(m.Young), flag(m.HearsYou))
+	b = binary.AppendUvarint(b, uint64(m.Uptime.Milliseconds()))
+	return append(b, flag(m.Whole), flag(m.Leaving), flag(m.HearsYou))
 }
 
 func flag(yes bool) byte {
@@ -139,8 +140,9 @@
 		m.Counts[key] = quota.Count(d.uint32())
 	}
 	m.LogLost = time.Duration(d.uvarint()) * time.Millisecond
-	flags := d.take(4)
-	m.Whole, m.Leaving, m.Young, m.HearsYou = flags[0] != 0, flags[1] != 0, flags[2] != 0, flags[3] != 0
+	m.Uptime = time.Duration(d.uvarint()) * time.Millisecond
+	flags := d.take(3)
+	m.Whole, m.Leaving, m.HearsYou = flags[0] != 0, flags[1] != 0, flags[2] != 0
 	if d.failed {
 		return nil, Malformed.New("cut short")
 	}
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -31,8 +31,8 @@
 	countedFor = 2 * time.Second
 	// wholePace is the interval of datagrams with all counts.
 	wholePace = 4 * time.Second
-	// youngFor is for how long after its start an entry says so, and sends all
-	// counts: others may have started with it and know nothing yet.
+	// youngFor is for how long after its start an entry sends all counts: others
+	// may have started with it and know nothing yet.
 	youngFor = 5 * time.Second
 	// silentPeer is when the load that an entry reported is forgotten.
 	silentPeer = 1500 * time.Millisecond
@@ -210,7 +210,7 @@
 	n.mu.Lock()
 	n.sequence++
 	m.Sequence = n.sequence
-	m.Young = n.young(n.clock())
+	m.Uptime = n.clock() - n.started
 	m.Counts, m.Whole = n.counts(m.Counts, n.clock(), near && far)
 	n.mu.Unlock()
 	datagram := m.append(make([]byte, 0, 512))
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -237,7 +237,7 @@
 // Report says what the counts of another entry hold.
 type Report struct {
 	Whole bool // of all customers that it ever admitted
-	Young bool // it has started of late: all that it admitted is recent
+	Young bool // it started with this entry or later: all that it admitted counts
 }
 
 // Observe takes what another entry has admitted since its last report. Of an
