--- a/batch/checkpoint.go
+++ b/batch/checkpoint.go
@@ -3,10 +3,10 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"strings"
 	"time"
 
+	"dandelionrelay/eventstream"
 	"dandelionrelay/keyedlog"
 )
 
@@ -37,25 +37,21 @@
 	if p.events < p.kept+checkpointEvents {
 		return keyedlog.Record{}, false, nil
 	}
-	head, err := json.Marshal(checkpoint{Events: p.events, LastID: p.lastID, HasID: p.hasID})
+	value, err := join(checkpoint{Events: p.events, LastID: p.cursor.LastID, HasID: p.cursor.HasID}, p.output)
 	if err != nil {
 		return keyedlog.Record{}, false, err
 	}
 	p.kept = p.events
-	value := append(append(head, '\n'), p.output...)
 	return keyedlog.Record{Key: itemKey(kindCheckpoint, p.id.job, p.id.item), Value: value}, true, nil
 }
 
 // restore takes over the progress that another owner stored, unless the item is
 // further here.
 func (p *progress) restore(value []byte) error {
-	head, output, ok := bytes.Cut(value, []byte("\n"))
-	if !ok {
-		return BadRecord.New("a checkpoint without a head")
-	}
 	var c checkpoint
-	if err := json.Unmarshal(head, &c); err != nil {
-		return BadRecord.Wrap(err, "the head of a checkpoint")
+	output, err := split(value, &c)
+	if err != nil {
+		return err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -63,7 +59,8 @@
 		return nil
 	}
 	p.output = bytes.Clone(output)
-	p.events, p.kept, p.lastID, p.hasID = c.Events, c.Events, c.LastID, c.HasID
+	p.events, p.kept = c.Events, c.Events
+	p.cursor = eventstream.Cursor{LastID: c.LastID, HasID: c.HasID}
 	return nil
 }
 
@@ -100,14 +97,7 @@
 			byPart[part] = append(byPart[part], record)
 		}
 	}
-	for part, records := range byPart {
-		for first, end := range calls(records, r.CallBytes) {
-			if _, err := r.Stores[part].Append(ctx, keyedlog.Anywhere, records[first:end]); err != nil {
-				return err
-			}
-		}
-	}
-	return nil
+	return r.contents.appendAll(ctx, byPart, r.CallBytes)
 }
 
 // unfinished returns the items of this entry that have no result yet.
@@ -184,5 +174,5 @@
 func (p *progress) forget() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.output, p.events, p.kept, p.lastID, p.hasID = nil, 0, 0, 0, false
+	p.output, p.events, p.kept, p.cursor = nil, 0, 0, eventstream.Cursor{}
 }
--- a/batch/content.go
+++ b/batch/content.go
@@ -2,17 +2,16 @@
 
 import (
 	"bytes"
-	"container/list"
 	"context"
 	"encoding/json"
 	"hash/fnv"
 	"iter"
 	"strconv"
-	"sync"
 
 	"github.com/joomcode/errorx"
 
 	"dandelionrelay/keyedlog"
+	"dandelionrelay/lru"
 )
 
 // Store is a partition of contents.
@@ -43,47 +42,36 @@
 	Body   []byte            `json:"-"`
 }
 
-// encode returns the request as it is stored: a line of JSON, then the body as
-// it is.
-func (r *Request) encode() ([]byte, error) {
-	head, err := json.Marshal(r)
+// join returns a content as it is stored: its head as a line of JSON, then the
+// body as it is.
+func join(head any, body []byte) ([]byte, error) {
+	line, err := json.Marshal(head)
 	if err != nil {
 		return nil, err
 	}
-	return append(append(head, '\n'), r.Body...), nil
+	return append(append(line, '\n'), body...), nil
 }
 
-// decodeRequest reads what encode returned.
-func decodeRequest(b []byte) (*Request, error) {
-	head, body, ok := bytes.Cut(b, []byte("\n"))
+// split reads what join returned: head is filled in, and the body is part of b.
+func split(b []byte, head any) (body []byte, err error) {
+	line, body, ok := bytes.Cut(b, []byte("\n"))
 	if !ok {
-		return nil, BadRecord.New("a request without a head")
+		return nil, BadRecord.New("a content without a head")
 	}
-	r := new(Request)
-	if err := json.Unmarshal(head, r); err != nil {
-		return nil, BadRecord.Wrap(err, "the head of a request")
+	if err := json.Unmarshal(line, head); err != nil {
+		return nil, BadRecord.Wrap(err, "the head of a content")
 	}
-	r.Body = body
-	return r, nil
+	return body, nil
 }
 
 // contents reads and writes bodies and outputs.
 type contents struct {
 	stores []Store
-
-	mu    sync.Mutex
-	cache map[string]*list.Element
-	order *list.List // the most recently used first
-	bytes int
-}
-
-type cached struct {
-	key   string
-	value []byte
+	cache  *lru.Cache[string, []byte] // by key
 }
 
 func newContents(stores []Store) *contents {
-	return &contents{stores: stores, cache: make(map[string]*list.Element), order: list.New()}
+	return &contents{stores: stores, cache: lru.New[string, []byte](cacheBytes)}
 }
 
 // part returns the partition of a job's contents.
@@ -104,12 +92,25 @@
 		}
 		for i, r := range records[from:to] {
 			refs = append(refs, Ref{Key: r.Key, Part: part, Offset: first + int64(i), Size: weight(r)})
-			c.keep(r.Key, r.Value)
+			c.cache.Add(r.Key, r.Value, len(r.Value))
 		}
 	}
 	return refs, nil
 }
 
+// appendAll stores records by partition, some in a call. What is kept in
+// memory stays as it is.
+func (c *contents) appendAll(ctx context.Context, byPart map[int][]keyedlog.Record, callBytes int) error {
+	for part, records := range byPart {
+		for from, to := range calls(records, callBytes) {
+			if _, err := c.stores[part].Append(ctx, keyedlog.Anywhere, records[from:to]); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 // calls yields the bounds of the parts of records that fit in one call each.
 func calls(records []keyedlog.Record, callBytes int) iter.Seq2[int, int] {
 	return func(yield func(from, to int) bool) {
@@ -139,7 +140,7 @@
 // get returns the content at ref.
 func (c *contents) get(ctx context.Context, ref Ref) ([]byte, error) {
 	key := ref.Key
-	if value, ok := c.cached(key); ok {
+	if value, ok := c.cache.Get(key); ok {
 		return value, nil
 	}
 	if ref.Part < 0 || ref.Part >= len(c.stores) {
@@ -153,7 +154,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.keep(key, r.Value)
+	c.cache.Add(key, r.Value, len(r.Value))
 	return r.Value, nil
 }
 
@@ -177,38 +178,13 @@
 	}
 }
 
-func (c *contents) cached(key string) ([]byte, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	e := c.cache[key]
-	if e == nil {
-		return nil, false
-	}
-	c.order.MoveToFront(e)
-	return e.Value.(*cached).value, true
-}
-
-func (c *contents) keep(key string, value []byte) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.cache[key] != nil {
-		return
-	}
-	c.cache[key] = c.order.PushFront(&cached{key: key, value: value})
-	c.bytes += len(value)
-	for c.bytes > cacheBytes {
-		last := c.order.Back()
-		old := c.order.Remove(last).(*cached)
-		delete(c.cache, old.key)
-		c.bytes -= len(old.value)
-	}
-}
-
 // request returns the request of an item.
 func (c *contents) request(ctx context.Context, ref Ref) (*Request, error) {
 	value, err := c.get(ctx, ref)
 	if err != nil {
 		return nil, err
 	}
-	return decodeRequest(value)
+	r := new(Request)
+	r.Body, err = split(value, r)
+	return r, err
 }
--- a/batch/expire.go
+++ b/batch/expire.go
@@ -39,8 +39,10 @@
 // expired returns jobs that this entry is to drop.
 func (s *Service) expired() []view {
 	candidates := s.Peers.Candidates()
+	before := time.Now().Add(-s.Keep - keepGrace)
+	closed := s.Index.ledger.views(func(j *job) bool { return !j.open() && j.Submitted.Before(before) })
 	var old []view
-	for _, j := range s.Index.ledger.closedJobs(time.Now().Add(-s.Keep - keepGrace)) {
+	for _, j := range closed {
 		if len(old) < expireAtOnce && heir(j.ID, candidates) == s.Self.Entry {
 			old = append(old, j)
 		}
@@ -48,25 +50,13 @@
 	return old
 }
 
-// closedJobs returns the jobs that are not open and were submitted before t.
-func (l *Ledger) closedJobs(t time.Time) []view {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var closed []view
-	for _, j := range l.jobs {
-		if !j.open() && j.Submitted.Before(t) {
-			closed = append(closed, j.view())
-		}
-	}
-	return closed
-}
-
 // drop drops the contents of jobs first: a job whose record remains is dropped
 // again.
 func (s *Service) drop(ctx context.Context, old []view) error {
 	byPart := make(map[int][]keyedlog.Record)
 	drop := func(r Ref) {
-		if r.Key != "" {
+		// Partitions may be those of a fleet that had more.
+		if r.Key != "" && r.Part >= 0 && r.Part < len(s.Stores) {
 			byPart[r.Part] = append(byPart[r.Part], keyedlog.Record{Key: r.Key})
 		}
 	}
@@ -79,13 +69,8 @@
 			drop(r.Output)
 		}
 	}
-	for part, records := range byPart {
-		if part < 0 || part >= len(s.Stores) {
-			continue // of a fleet with more partitions
-		}
-		if _, err := s.Stores[part].Append(ctx, keyedlog.Anywhere, records); err != nil {
-			return err
-		}
+	if err := s.contents.appendAll(ctx, byPart, s.CallBytes); err != nil {
+		return err
 	}
 	err := s.Index.change(ctx, func(l *Ledger) ([]keyedlog.Record, error) {
 		var records []keyedlog.Record
--- a/batch/item.go
+++ b/batch/item.go
@@ -167,8 +167,8 @@
 		Request:   item.ID,
 		Endpoint:  grant.Endpoint.ID,
 		Customer:  c.job.Customer,
-		Resume:    c.hasID,
-		LastEvent: c.lastID,
+		Resume:    c.cursor.HasID,
+		LastEvent: c.cursor.LastID,
 	})
 	return &upstream.Request{
 		Method: http.MethodPost,
@@ -198,12 +198,12 @@
 			x.Close()
 			return runLost, placement.Failed, err
 		}
-		if p.hasID && e.HasID && e.ID <= p.lastID {
+		if p.cursor.Stale(e) {
 			continue
 		}
-		if p.hasID && e.HasID && e.ID != p.lastID+1 {
+		if p.cursor.Misses(e) {
 			x.Close()
-			return runLost, placement.Done, errorx.IllegalState.New("event %d came after event %d", e.ID, p.lastID)
+			return runLost, placement.Done, errorx.IllegalState.New("event %d came after event %d", e.ID, p.cursor.LastID)
 		}
 		p.add(e)
 	}
@@ -223,7 +223,5 @@
 	if p.first.IsZero() {
 		p.first = p.last
 	}
-	if e.HasID {
-		p.lastID, p.hasID = e.ID, true
-	}
+	p.cursor.Take(e)
 }
--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -167,7 +167,7 @@
 	changed <-chan struct{}
 }
 
-// Job returns what is known of a job.
+// view returns what is known of a job.
 func (l *Ledger) view(id string) (view, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -189,15 +189,15 @@
 	}
 }
 
-// openJobs returns the jobs whose items may still run, by id.
-func (l *Ledger) openJobs() []view {
+// views returns the jobs that want picks, by id. want must not call back.
+func (l *Ledger) views(want func(*job) bool) []view {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var open []view
+	var picked []view
 	for _, id := range slices.Sorted(maps.Keys(l.jobs)) {
-		if j := l.jobs[id]; j.open() {
-			open = append(open, j.view())
+		if j := l.jobs[id]; want(j) {
+			picked = append(picked, j.view())
 		}
 	}
-	return open
+	return picked
 }
--- a/batch/list.go
+++ b/batch/list.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dandelionrelay/keyedlog"
+	"dandelionrelay/membership"
 	"dandelionrelay/sleep"
 )
 
@@ -158,8 +159,9 @@
 	}
 	var candidates []string
 	orphans := make(map[string]Owner)
-	for _, j := range s.Index.ledger.openJobs() {
-		if j.owner == s.Self || s.Peers.Alive(j.owner.Entry, j.owner.Incarnation) {
+	others := s.Index.ledger.views(func(j *job) bool { return j.owner != s.Self && j.open() })
+	for _, j := range others {
+		if s.Peers.Alive(j.owner.Entry, j.owner.Incarnation) {
 			continue
 		}
 		if candidates == nil {
@@ -211,7 +213,7 @@
 func heir(job string, candidates []string) string {
 	best, most := "", uint64(0)
 	for _, c := range candidates {
-		if score := hash(job, c); best == "" || score > most {
+		if score := membership.Score(job, c); best == "" || score > most {
 			best, most = c, score
 		}
 	}
--- a/batch/metrics.go
+++ b/batch/metrics.go
@@ -1,7 +1,6 @@
 package batch
 
 import (
-	"github.com/cespare/xxhash/v2"
 	"github.com/prometheus/client_golang/prometheus"
 )
 
@@ -32,6 +31,3 @@
 	}
 	return m
 }
-
-// hash spreads pairs of names evenly.
-func hash(a, b string) uint64 { return xxhash.Sum64String(a + "/" + b) }
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dandelionrelay/config"
+	"dandelionrelay/eventstream"
 	"dandelionrelay/placement"
 	"dandelionrelay/sleep"
 )
@@ -49,8 +50,7 @@
 	mu     sync.Mutex // guards what follows, up to kept, while the item runs
 	output []byte     // data of the events so far, joined by line feeds
 	events int
-	lastID int64
-	hasID  bool
+	cursor eventstream.Cursor
 	kept   int // events in the newest checkpoint
 
 	failures int           // answers that count as failed attempts
@@ -175,16 +175,13 @@
 // candidates returns the waiting items of this entry's jobs in the order in
 // which they are to run.
 func (r *runner) candidates(snapshot *config.Snapshot) []candidate {
-	open := r.Index.ledger.openJobs()
+	own := r.Index.ledger.views(func(j *job) bool { return j.owner == r.Self && j.open() })
 	now := time.Now()
 	var list []candidate
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	wanted := make(map[itemID]bool)
-	for _, j := range open {
-		if j.owner != r.Self {
-			continue
-		}
+	for _, j := range own {
 		due := j.Submitted.Add(dueAfter(snapshot, j.Route))
 		for i := range j.Items {
 			id := itemID{j.ID, i}
--- a/batch/service.go
+++ b/batch/service.go
@@ -92,7 +92,7 @@
 	part := s.contents.part(sub.ID)
 	records := make([]keyedlog.Record, len(sub.Requests))
 	for i, r := range sub.Requests {
-		value, err := r.encode()
+		value, err := join(r, r.Body)
 		if err != nil {
 			return err
 		}
--- a/eventstream/eventstream.go
+++ b/eventstream/eventstream.go
@@ -102,3 +102,23 @@
 	}
 	return out
 }
+
+// Cursor is how far a stream has been taken over all endpoints that sent parts
+// of it. The zero value is at its begin.
+type Cursor struct {
+	LastID int64 // of the last event taken
+	HasID  bool  // an event with an id was taken
+}
+
+// Stale reports whether e was taken before.
+func (c Cursor) Stale(e Event) bool { return c.HasID && e.HasID && e.ID <= c.LastID }
+
+// Misses reports whether an event between the last one taken and e is missing.
+func (c Cursor) Misses(e Event) bool { return c.HasID && e.HasID && e.ID != c.LastID+1 }
+
+// Take moves the cursor behind e.
+func (c *Cursor) Take(e Event) {
+	if e.HasID {
+		c.LastID, c.HasID = e.ID, true
+	}
+}
--- a/gateway/filters.go
+++ b/gateway/filters.go
@@ -42,9 +42,7 @@
 // bounds its deadline.
 func (g *Gateway) routed(next pipeline.Handler) pipeline.Handler {
 	return func(ctx context.Context, c *pipeline.Call) *api.Error {
-		var ok bool
-		c.RouteID, c.Route, ok = c.Snapshot.RouteByHost(hostName(c.R.Host), c.R.URL.Path)
-		if !ok {
+		if !findRoute(c) {
 			return g.unknown(http.StatusNotFound, api.CodeNoRoute, "no route leads there")
 		}
 		c.Route.Deployment = g.deployment(c.Route)
@@ -55,6 +53,16 @@
 	}
 }
 
+// findRoute sets a call's route, unless it was found before.
+func findRoute(c *pipeline.Call) bool {
+	if c.Route.Provided != nil {
+		return true
+	}
+	var ok bool
+	c.RouteID, c.Route, ok = c.Snapshot.RouteByHost(hostName(c.R.Host), c.R.URL.Path)
+	return ok
+}
+
 // hostName returns the lower-case host without a port.
 func hostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
@@ -132,8 +140,7 @@
 	if c.KeyID == "" || bound == 0 {
 		return true
 	}
-	age, ok := g.ConfigFeed.Age()
-	return ok && age < bound-withdrawalMargin
+	return g.confirmedWithin(bound - withdrawalMargin)
 }
 
 // limited returns the filter that keeps customers within their rate.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -197,8 +197,7 @@
 
 // TakesJobs reports whether a call hands in a batch job.
 func (g *Gateway) TakesJobs(c *pipeline.Call) bool {
-	_, route, ok := c.Snapshot.RouteByHost(hostName(c.R.Host), c.R.URL.Path)
-	return ok && route.Provided.Batch != nil
+	return findRoute(c) && c.Route.Provided.Batch != nil
 }
 
 // Identify finds the customer of a call to the batch interface.
@@ -249,8 +248,14 @@
 	if bound == 0 {
 		return true
 	}
+	return g.confirmedWithin(time.Duration(usableShare * float64(bound)))
+}
+
+// confirmedWithin reports whether the configuration was confirmed less than d
+// ago.
+func (g *Gateway) confirmedWithin(d time.Duration) bool {
 	age, ok := g.ConfigFeed.Age()
-	return ok && age < time.Duration(usableShare*float64(bound))
+	return ok && age < d
 }
 
 // Leave has callers and duties go elsewhere.
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -172,12 +172,9 @@
 		now := time.Now()
 		nearNow := nearDue && now.Sub(near) >= nearPace || now.Sub(near) >= idlePace
 		farNow := farDue && now.Sub(far) >= farPace || now.Sub(far) >= idlePace
-		nearNow = nearNow || farNow
-		if nearNow {
-			n.broadcast(socket, nearNow, farNow)
+		if nearNow || farNow {
+			n.broadcast(socket, farNow)
 			n.review()
-		}
-		if nearNow {
 			near, nearDue = now, false
 		}
 		if farNow {
@@ -203,20 +200,19 @@
 	return next
 }
 
-// broadcast sends the present report to the entries of this data centre, of
-// the others, or both.
-func (n *Node) broadcast(socket *net.UDPConn, near, far bool) {
+// broadcast sends the present report to the entries of this data centre, and
+// with far to those of the others.
+func (n *Node) broadcast(socket *net.UDPConn, far bool) {
 	m := message{Incarnation: n.self.Incarnation, Name: n.self.Name, Report: n.report()}
 	n.mu.Lock()
 	n.sequence++
 	m.Sequence = n.sequence
 	m.Uptime = n.clock() - n.started
-	m.Counts, m.Whole = n.counts(m.Counts, n.clock(), near && far)
+	m.Counts, m.Whole = n.counts(m.Counts, n.clock(), far)
 	n.mu.Unlock()
 	datagram := m.append(make([]byte, 0, 512))
 	for _, member := range n.registry.Members() {
-		isNear := member.DataCentre == n.self.DataCentre
-		if member.Name == n.self.Name || isNear && !near || !isNear && !far {
+		if member.Name == n.self.Name || member.DataCentre != n.self.DataCentre && !far {
 			continue
 		}
 		to, err := netip.ParseAddrPort(member.Address)
--- a/jobs/cache.go
+++ b/jobs/cache.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"dandelionrelay/infra"
+	"dandelionrelay/lru"
 )
 
 // stored is a record as it lies in the log, split once.
@@ -67,29 +68,29 @@
 // those after it, as they are handed out next.
 type cache struct {
 	log     infra.Log
-	records *lru[recordKey, *stored]
-	items   *lru[itemPlace, inputItem]
+	records *lru.Cache[recordKey, *stored]
+	items   *lru.Cache[itemPlace, inputItem]
 }
 
 func newCache(log infra.Log) *cache {
 	return &cache{
 		log:     log,
-		records: newLRU[recordKey, *stored](CacheBytes),
-		items:   newLRU[itemPlace, inputItem](ItemCacheBytes),
+		records: lru.New[recordKey, *stored](CacheBytes),
+		items:   lru.New[itemPlace, inputItem](ItemCacheBytes),
 	}
 }
 
 // get returns the record at an offset.
 func (c *cache) get(ctx context.Context, stream string, offset infra.Offset) (*stored, error) {
 	key := recordKey{stream, offset}
-	if s, ok := c.records.get(key); ok {
+	if s, ok := c.records.Get(key); ok {
 		return s, nil
 	}
 	s, err := c.read(ctx, key)
 	if err != nil {
 		return nil, err
 	}
-	c.records.add(key, s, s.bytes)
+	c.records.Add(key, s, s.bytes)
 	return s, nil
 }
 
@@ -107,7 +108,7 @@
 // item returns an item of the chunk at an offset.
 func (c *cache) item(ctx context.Context, stream string, offset infra.Offset, index int) (inputItem, error) {
 	key := recordKey{stream, offset}
-	if it, ok := c.items.get(itemPlace{key, index}); ok {
+	if it, ok := c.items.Get(itemPlace{key, index}); ok {
 		return it, nil
 	}
 	s, err := c.read(ctx, key)
@@ -126,7 +127,7 @@
 		}
 		it.body = slices.Clone(it.body) // the record is not kept
 		size := len(it.body) + len(it.customID) + itemOverhead
-		c.items.add(itemPlace{key, i}, it, size)
+		c.items.Add(itemPlace{key, i}, it, size)
 		bytes += size
 	}
 	return first, nil
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -56,7 +56,7 @@
 func Rank(key string, members []infra.Instance) []infra.Instance {
 	ranked := make([]rankedInstance, len(members))
 	for i := range members {
-		ranked[i].score = score(key, members[i].ID)
+		ranked[i].score = Score(key, members[i].ID)
 		ranked[i].instance = &members[i]
 	}
 	slices.SortFunc(ranked, func(a, b rankedInstance) int {
@@ -78,7 +78,9 @@
 	instance *infra.Instance
 }
 
-func score(key, id string) uint64 {
+// Score is the weight of a member for key in rendezvous hashing: the one with
+// the largest is preferred.
+func Score(key, id string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
 	_, _ = d.WriteString(key)
--- a/online/answer.go
+++ b/online/answer.go
@@ -15,9 +15,8 @@
 	call   *pipeline.Call
 	status int
 	events int64
-	lastID int64 // of the last event passed on
-	hasID  bool
-	first  time.Duration // from the receipt of the request to the first byte; 0: none
+	cursor eventstream.Cursor // over the events passed on
+	first  time.Duration      // from the receipt of the request to the first byte; 0: none
 }
 
 func (a *answer) started() bool { return a.call.Started }
@@ -51,17 +50,6 @@
 	return err
 }
 
-// stale reports whether the caller has e already.
-func (a *answer) stale(e eventstream.Event) bool {
-	return a.hasID && e.HasID && e.ID <= a.lastID
-}
-
-// misses reports whether an event between the last one passed on and e is
-// missing.
-func (a *answer) misses(e eventstream.Event) bool {
-	return a.hasID && e.HasID && e.ID != a.lastID+1
-}
-
 // event sends one event at once.
 func (a *answer) event(r *http.Response, e eventstream.Event) error {
 	r.Header.Del("Content-Length") // another endpoint may have to finish it
@@ -70,11 +58,6 @@
 		return err
 	}
 	a.events++
-	if e.HasID {
-		a.lastID, a.hasID = e.ID, true
-	}
+	a.cursor.Take(e)
 	return http.NewResponseController(a.call.W).Flush()
 }
-
-// end finishes a stream.
-func (a *answer) end(r *http.Response) { a.begin(r) }
--- a/online/attempt.go
+++ b/online/attempt.go
@@ -196,8 +196,8 @@
 		Endpoint:  grant.Endpoint.ID,
 		Customer:  c.Customer,
 		Remaining: time.Until(c.Deadline),
-		Resume:    a.answer.hasID,
-		LastEvent: a.answer.lastID,
+		Resume:    a.answer.cursor.HasID,
+		LastEvent: a.answer.cursor.LastID,
 	})
 	r := &upstream.Request{Method: c.R.Method, URI: c.R.RequestURI, Host: c.R.Host, Header: h, Body: c.Body, ID: c.ID}
 	if a.rules.Resumable && !a.answer.started() && a.began+1 < a.rules.MaxEndpoints {
@@ -299,19 +299,18 @@
 		e, err := a.nextEvent(x, reader, passed)
 		if err == io.EOF && passed > 0 {
 			x.Finish()
-			a.answer.end(x.Response)
 			return finished, placement.Done
 		}
 		if err != nil {
 			x.Close()
 			return a.brokenOff(ctx, err)
 		}
-		if a.answer.stale(e) {
+		if a.answer.cursor.Stale(e) {
 			continue
 		}
-		if a.answer.misses(e) {
+		if a.answer.cursor.Misses(e) {
 			x.Close()
-			return a.afterLoss(errorx.IllegalState.New("event %d came after event %d", e.ID, a.answer.lastID)), placement.Failed
+			return a.afterLoss(errorx.IllegalState.New("event %d came after event %d", e.ID, a.answer.cursor.LastID)), placement.Failed
 		}
 		if err := a.answer.event(x.Response, e); err != nil {
 			x.Close()
@@ -349,11 +348,7 @@
 
 // brokenOff says how to go on after a stream has ended unfinished.
 func (a *attempt) brokenOff(ctx context.Context, err error) (verdict, placement.Result) {
-	if ctx.Err() != nil {
-		a.cause = err
-		return givenUp, placement.Yielded
-	}
-	if time.Until(a.call.Deadline) < minRemaining {
+	if ctx.Err() != nil || time.Until(a.call.Deadline) < minRemaining {
 		a.cause = err
 		return givenUp, placement.Yielded
 	}
--- a/placement/batch.go
+++ b/placement/batch.go
@@ -17,7 +17,7 @@
 	group := t.byGroup[ask.Deployment]
 	reference := t.referenceGap(group)
 	for _, e := range group {
-		if e.Closed || e.replaced || ask.Avoid[e.key] || now < e.suspended || now < e.full {
+		if !e.takes(ask) || now < e.suspended || now < e.full {
 			continue
 		}
 		free := e.Slots - reserve - e.online() - e.batch()
@@ -39,19 +39,6 @@
 	return t.grant(best, Batch, now, yield)
 }
 
-// Free returns the slots of a deployment that batch items may take.
-func (t *Table) Free(deployment string) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	free := 0
-	for _, e := range t.byGroup[deployment] {
-		if !e.Closed {
-			free += max(0, e.Slots-reserve-e.online()-e.batch())
-		}
-	}
-	return free
-}
-
 // Yield has batch items give their slots to online requests that wait. Entries
 // decide alike from the same counts: the one with the most items at an
 // endpoint gives first.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -111,6 +111,9 @@
 func (e *endpoint) online() int { return e.own.Online + e.peers.Online }
 func (e *endpoint) batch() int  { return e.own.Batch + e.peers.Batch }
 
+// takes reports whether an endpoint may be chosen for a request at all.
+func (e *endpoint) takes(ask Ask) bool { return !e.Closed && !e.replaced && !ask.Avoid[e.key] }
+
 // Table is an entry's view of all endpoints.
 type Table struct {
 	self       string
@@ -158,10 +161,13 @@
 			e = &endpoint{key: key, grants: make(map[*Grant]struct{})}
 		}
 		e.Endpoint = item
+		e.peers = Load{}
 		t.endpoints[key] = e
 		t.byGroup[item.Deployment] = append(t.byGroup[item.Deployment], e)
 	}
-	t.sumPeers()
+	for _, load := range t.peers {
+		t.addPeer(load, 1)
+	}
 }
 
 // SetPeer replaces the load that another entry reported of itself; nil forgets
@@ -169,24 +175,22 @@
 func (t *Table) SetPeer(id string, load map[Key]Load) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.addPeer(t.peers[id], -1)
+	t.addPeer(load, 1)
 	if load == nil {
 		delete(t.peers, id)
 	} else {
 		t.peers[id] = load
 	}
-	t.sumPeers()
 }
 
-func (t *Table) sumPeers() {
-	for _, e := range t.endpoints {
-		e.peers = Load{}
-	}
-	for _, load := range t.peers {
-		for key, l := range load {
-			if e := t.endpoints[key]; e != nil {
-				e.peers.Online += l.Online
-				e.peers.Batch += l.Batch
-			}
+// addPeer adds an entry's load to the sums of the listed endpoints, or with
+// sign -1 takes it off.
+func (t *Table) addPeer(load map[Key]Load, sign int) {
+	for key, l := range load {
+		if e := t.endpoints[key]; e != nil {
+			e.peers.Online += sign * l.Online
+			e.peers.Batch += sign * l.Batch
 		}
 	}
 }
@@ -204,13 +208,6 @@
 	return own
 }
 
-// Known reports whether an endpoint of the deployment takes work.
-func (t *Table) Known(deployment string) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return slices.ContainsFunc(t.byGroup[deployment], func(e *endpoint) bool { return !e.Closed })
-}
-
 // Grant is a place at an endpoint that this entry has taken.
 type Grant struct {
 	Endpoint Endpoint
@@ -257,7 +254,7 @@
 		return nil, &Refusal{RetryAfter: minSuspension}
 	}
 	if best.online() >= best.Slots && wait <= ask.Patience {
-		best, wait = t.queue(now, ask, best, wait)
+		wait += t.queueing(now, ask, best)
 	}
 	if wait > ask.Patience {
 		return nil, &Refusal{
@@ -278,16 +275,16 @@
 	t.asked = now
 }
 
-// queue chooses where a request waits when all slots are taken. What is free in
-// the queues is free for all entries, which do not know of one another's
-// choices yet: each uses its part of it. Without such a place the request
-// would wait behind others'.
-func (t *Table) queue(now time.Duration, ask Ask, soonest *endpoint, wait time.Duration) (*endpoint, time.Duration) {
+// queueing is what a request waits in the queue of e beyond the estimate when
+// all slots are taken. What is free in the queues is free for all entries, which
+// do not know of one another's choices yet: each uses its part of it. Without
+// such a place the request would wait behind others'.
+func (t *Table) queueing(now time.Duration, ask Ask, e *endpoint) time.Duration {
 	part := 1 / (float64(len(t.peers)+1) * t.asks)
 	if t.random.Float64() < part*float64(t.places(now, ask)) {
-		return soonest, wait
+		return 0
 	}
-	return soonest, wait + t.service/time.Duration(max(soonest.Slots, 1))
+	return t.service / time.Duration(max(e.Slots, 1))
 }
 
 // places counts the endpoints at which a request would wait within its patience.
@@ -296,7 +293,7 @@
 	group := t.byGroup[ask.Deployment]
 	reference := t.referenceGap(group)
 	for _, e := range group {
-		if e.Closed || e.replaced || ask.Avoid[e.key] || now < e.suspended {
+		if !e.takes(ask) || now < e.suspended {
 			continue
 		}
 		if t.wait(e, now, slowness(e.gap, reference)) <= ask.Patience {
@@ -328,7 +325,7 @@
 	group := t.byGroup[ask.Deployment]
 	reference := t.referenceGap(group)
 	for _, e := range group {
-		if e.Closed || e.replaced || ask.Avoid[e.key] || sound && now < e.suspended {
+		if !e.takes(ask) || sound && now < e.suspended {
 			continue
 		}
 		w := t.wait(e, now, slowness(e.gap, reference))
