quota: entries that start take levels over, and are heard at once

Cause: a bucket began empty at each start, so at the crest of a wave, which is above the rate, customers inside their rate were refused until the next trough. After a start of all entries each also counted on its own part of the rate for about 0.4 s: mutual hearing took two rounds of the 200 ms pace between data centres.

Change: one entry (the first by name of those that can) stores the levels each 1.2 s; an entry that starts takes them over, bounded by half of what the operator tolerates beyond the rate, as they may be older than the newest admissions. An entry that is new is answered at once. Settings limit_window and limit_excess, since the bound needs them.

What is left by rate is the hot customer and the estimate of what others have not told yet.

--- a/gateway/filters_test.go
+++ b/gateway/filters_test.go
@@ -43,15 +43,20 @@
 }
 
 func newRig(t *testing.T) *rig {
+	return newRigOver(t, keyed.NewLog(1))
+}
+
+// newRigOver returns a rig of a fleet that keeps the levels of limits in levels.
+func newRigOver(t *testing.T, levels *keyed.Log) *rig {
 	r := &rig{WithT: gomega.NewWithT(t), feed: &feed{}, now: time.Hour}
 	log := keyed.NewLog(1)
 	r.Gateway = New(Deps{
 		Providers: Providers{
 			Config: new(config.Holder), ConfigFeed: r.feed, EndpointFeed: r.feed,
-			Members: &keyed.Handle{Log: log}, Jobs: &keyed.Handle{Log: log}, Contents: []batch.Store{&keyed.Handle{Log: log}},
+			Members: &keyed.Handle{Log: log}, Levels: &keyed.Handle{Log: levels}, Jobs: &keyed.Handle{Log: log}, Contents: []batch.Store{&keyed.Handle{Log: log}},
 			Dialect: streams.Dialect{},
 		},
-		Settings: &settings.Gateway{ID: "self", Withdrawal: config.Duration(bound)},
+		Settings: &settings.Gateway{ID: "self", Withdrawal: config.Duration(bound), LimitSlack: 10},
 		Clock:    func() time.Duration { return r.now },
 		Log:      zerolog.Nop(),
 		Registry: prometheus.NewRegistry(),
@@ -170,3 +175,30 @@
 		r.Expect(r.limits.Admit(r.now, "garden").Level < full-5).To(gomega.Equal(counted), "uptime %v", uptime)
 	}
 }
+
+// An entry that starts goes on with the tokens that are left; a fleet that has
+// never run begins with empty buckets.
+func TestAnEntryThatStartsTakesLevelsOver(t *testing.T) {
+	levels := keyed.NewLog(1)
+	first := newRigOver(t, levels)
+	first.Expect(first.adoptLevels(t.Context())).To(gomega.BeTrue())
+	first.configure()
+	left, known := first.limits.Levels(first.now)
+	first.Expect(known).To(gomega.BeTrue())
+	first.Expect(first.storeLevels(t.Context(), left)).To(gomega.Succeed())
+
+	admits := func(adopt bool) int {
+		r := newRigOver(t, levels)
+		if adopt {
+			r.Expect(r.adoptLevels(t.Context())).To(gomega.BeTrue())
+		}
+		r.configure()
+		r.now -= time.Minute // nothing was refilled
+		n := 0
+		for r.limits.Admit(r.now, "garden").Admitted {
+			n++
+		}
+		return n
+	}
+	first.Expect(admits(true)).To(gomega.BeNumerically(">", admits(false)))
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,6 +50,7 @@
 	// EndpointFeed calls Gateway.SetEndpoints with each new list.
 	EndpointFeed Feed
 	Members      keyedlog.Partition // registrations of entries
+	Levels       keyedlog.Partition // levels of customers' rates, for entries that start
 	Jobs         keyedlog.Partition // index of batch jobs
 	Contents     []batch.Store
 	Dialect      upstream.Dialect
@@ -105,7 +106,7 @@
 	g := &Gateway{
 		Deps:    d,
 		started: d.Clock(),
-		limits:  quota.NewTable(d.Settings.LimitSlack * slackShare),
+		limits:  quota.NewTable(tolerance(d.Settings)),
 		random:  rand.New(rand.NewPCG(seed, 1)),
 		addrs:   make(map[string]bool),
 	}
@@ -119,9 +120,9 @@
 	return g
 }
 
-// slackShare is the part of the tolerated excess of a rate that is used; the
-// rest covers what entries have not yet told one another.
-const slackShare = 0.4
+func tolerance(s *settings.Gateway) quota.Tolerance {
+	return quota.Tolerance{Window: time.Duration(s.LimitWindow), Excess: s.LimitExcess, Slack: s.LimitSlack}
+}
 
 func (g *Gateway) follow(name string, p keyedlog.Reader, s keyedlog.State, wait, pace time.Duration) *keyedlog.Follower {
 	f := keyedlog.NewFollower(p, s, keyedlog.Options{Name: name, Wait: wait, Pace: pace, Clock: g.Clock, Watcher: g.Watcher})
@@ -373,6 +374,7 @@
 		wg.Go(func() { f.Run(ctx) })
 	}
 	wg.Go(func() { g.register(ctx) })
+	wg.Go(func() { g.shareLevels(ctx) })
 	wg.Go(func() { g.node.Run(ctx, socket) })
 	wg.Go(func() { g.jobs.Run(ctx) })
 	wg.Go(func() { g.prune(ctx) })
--- /dev/null
+++ b/gateway/levels.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"dandelionrelay/gossip"
+	"dandelionrelay/keyedlog"
+	"dandelionrelay/quota"
+	"dandelionrelay/sleep"
+)
+
+// levelsKey is the key of the record that hands the levels of customers' rates
+// on to entries that start.
+const levelsKey = "levels"
+
+// Pace of handing levels on.
+const (
+	// levelsPace is the interval of records: what customers use meanwhile is
+	// not known to an entry that starts.
+	levelsPace = 1200 * time.Millisecond
+	// firstLevelsPace is the interval of looks at whether this entry knows the
+	// levels yet, after its start.
+	firstLevelsPace = 50 * time.Millisecond
+	// levelsRetry is the pause after a failed read.
+	levelsRetry = 100 * time.Millisecond
+)
+
+// levelsRecord is the record under levelsKey.
+type levelsRecord struct {
+	Tokens map[quota.Key]int `json:"tokens"` // left of each rate; customers left out have all
+}
+
+// shareLevels takes the levels over that another entry has stored, then stores
+// them now and then as long as that is up to this entry.
+func (g *Gateway) shareLevels(ctx context.Context) {
+	for !g.adoptLevels(ctx) {
+		if !sleep.For(ctx, levelsRetry) {
+			return
+		}
+	}
+	pace := firstLevelsPace
+	for sleep.For(ctx, pace) {
+		if !g.keepsLevels() {
+			continue
+		}
+		levels, known := g.limits.Levels(g.Clock())
+		if !known {
+			continue
+		}
+		pace = levelsPace
+		if err := g.storeLevels(ctx, levels); err != nil && ctx.Err() == nil {
+			g.Log.Debug().Err(err).Msg("levels of limits not stored")
+		}
+	}
+}
+
+// keepsLevels reports whether it is up to this entry to store the levels: the
+// first by name of those that can.
+func (g *Gateway) keepsLevels() bool {
+	return !g.Leaving() && g.index.LostFor() == 0 && slices.Min(g.node.Candidates()) == g.Settings.ID
+}
+
+// adoptLevels takes the stored levels over, if there are any. It returns false
+// if they could not be read.
+func (g *Gateway) adoptLevels(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, gossip.RegisterEvery)
+	defer cancel()
+	page, _, err := g.Levels.Newest(ctx, "")
+	if err != nil {
+		g.Log.Debug().Err(err).Msg("levels of limits not read")
+		return false
+	}
+	for _, r := range page.Records {
+		if r.Key != levelsKey {
+			continue
+		}
+		var stored levelsRecord
+		if err := json.Unmarshal(r.Value, &stored); err != nil {
+			g.badRecord("levels")(r.Key, err)
+			return true
+		}
+		g.limits.Adopt(g.Clock(), stored.Tokens)
+		g.Log.Info().Int64("offset", r.Offset).Int("customers", len(stored.Tokens)).Msg("levels of limits taken over")
+	}
+	return true
+}
+
+func (g *Gateway) storeLevels(ctx context.Context, levels map[quota.Key]int) error {
+	value, err := json.Marshal(levelsRecord{Tokens: levels})
+	if err != nil {
+		return errorx.Decorate(err, "encode levels")
+	}
+	ctx, cancel := context.WithTimeout(ctx, gossip.RegisterEvery)
+	defer cancel()
+	_, err = g.Levels.Append(ctx, keyedlog.Anywhere, []keyedlog.Record{{Key: levelsKey, Value: value}})
+	return err
+}
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -152,6 +154,32 @@
 	g.Expect(w.node.Candidates()).To(gomega.ConsistOf("self"))
 }
 
+// An entry that has started is answered before the next round of datagrams.
+func TestAnEntryThatHasStartedIsAnsweredAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	listen := func() *net.UDPConn {
+		socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		return socket
+	}
+	ours, theirs := listen(), listen()
+	defer theirs.Close() //nolint:errcheck // nothing is sent any more
+	var received sync.WaitGroup
+	received.Go(func() { newWorld("b").node.receive(ours) })
+	_, err := theirs.WriteTo((&message{Name: "b", Incarnation: 2, Sequence: 1}).append(nil), ours.LocalAddr())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+
+	g.Expect(theirs.SetReadDeadline(time.Now().Add(10 * time.Second))).To(gomega.Succeed())
+	answer := make([]byte, maxDatagram)
+	size, err := theirs.Read(answer)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	m, err := decode(answer[:size])
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(m.HearsYou).To(gomega.BeTrue())
+	g.Expect(ours.Close()).To(gomega.Succeed())
+	received.Wait()
+}
+
 func TestSilenceIsToldOnce(t *testing.T) {
 	g := gomega.NewWithT(t)
 	w := newWorld("b")
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -203,14 +203,7 @@
 // broadcast sends the present report to the entries of this data centre, and
 // with far to those of the others.
 func (n *Node) broadcast(socket *net.UDPConn, far bool) {
-	m := message{Incarnation: n.self.Incarnation, Name: n.self.Name, Report: n.report()}
-	n.mu.Lock()
-	n.sequence++
-	m.Sequence = n.sequence
-	m.Uptime = n.clock() - n.started
-	m.Counts, m.Whole = n.counts(m.Counts, n.clock(), far)
-	n.mu.Unlock()
-	datagram := m.append(make([]byte, 0, 512))
+	datagram := n.datagram(far)
 	for _, member := range n.registry.Members() {
 		if member.Name == n.self.Name || member.DataCentre != n.self.DataCentre && !far {
 			continue
@@ -220,10 +213,28 @@
 			n.log.Warn().Err(err).Str("peer", member.Name).Msg("registered address can't be read")
 			continue
 		}
-		datagram[len(datagram)-1] = flag(n.hears(member.Name))
-		if _, err := socket.WriteToUDPAddrPort(datagram, to); err != nil && !errors.Is(err, net.ErrClosed) {
-			n.log.Debug().Err(err).Str("peer", member.Name).Msg("datagram not sent")
-		}
+		n.sendTo(socket, datagram, member.Name, to)
+	}
+}
+
+// datagram encodes the present report, to be sent to all entries or only to some.
+func (n *Node) datagram(toAll bool) []byte {
+	m := message{Incarnation: n.self.Incarnation, Name: n.self.Name, Report: n.report()}
+	n.mu.Lock()
+	n.sequence++
+	m.Sequence = n.sequence
+	m.Uptime = n.clock() - n.started
+	m.Counts, m.Whole = n.counts(m.Counts, n.clock(), toAll)
+	n.mu.Unlock()
+	return m.append(make([]byte, 0, 512))
+}
+
+// sendTo sends a datagram to another entry, after noting in it whether that
+// entry is heard.
+func (n *Node) sendTo(socket *net.UDPConn, datagram []byte, name string, to netip.AddrPort) {
+	datagram[len(datagram)-1] = flag(n.hears(name))
+	if _, err := socket.WriteToUDPAddrPort(datagram, to); err != nil && !errors.Is(err, net.ErrClosed) {
+		n.log.Debug().Err(err).Str("peer", name).Msg("datagram not sent")
 	}
 }
 
@@ -239,7 +250,7 @@
 func (n *Node) receive(socket *net.UDPConn) {
 	buffer := make([]byte, maxDatagram)
 	for {
-		size, _, err := socket.ReadFromUDPAddrPort(buffer)
+		size, from, err := socket.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -252,14 +263,20 @@
 			n.log.Warn().Err(err).Int("bytes", size).Msg("datagram dropped")
 			continue
 		}
-		n.take(m)
+		if n.take(m) {
+			// It learns at once that it is heard, so that both soon count on
+			// each other.
+			n.sendTo(socket, n.datagram(false), m.Name, from)
+			n.Changed()
+		}
 	}
 }
 
-// take notes a datagram, unless a newer one came before.
-func (n *Node) take(m *message) {
+// take notes a datagram, unless a newer one came before. It reports whether the
+// entry has started or is back.
+func (n *Node) take(m *message) bool {
 	if m.Name == n.self.Name {
-		return
+		return false
 	}
 	n.mu.Lock()
 	p := n.peers[m.Name]
@@ -269,7 +286,7 @@
 	}
 	if p.incarnation == m.Incarnation && int32(m.Sequence-p.sequence) <= 0 {
 		n.mu.Unlock()
-		return
+		return false
 	}
 	back := p.silent || p.incarnation != m.Incarnation
 	if back {
@@ -286,6 +303,7 @@
 		n.log.Info().Str("peer", m.Name).Uint64("incarnation", m.Incarnation).Msg("entry heard")
 	}
 	n.listener.PeerReport(m.Name, m.Incarnation, m.Report)
+	return back
 }
 
 // review notes who has fallen silent and works out this entry's share, once it
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -39,10 +39,11 @@
 
 // bucket is the state of one customer.
 type bucket struct {
-	level   float64
-	at      time.Duration // of the last refill
-	started bool
-	own     Count
+	level     float64
+	at        time.Duration // of the last refill
+	started   bool
+	inherited float64 // part of the inherited tokens that the level holds
+	own       Count
 
 	// What was admitted here and, by their reports, elsewhere: within about
 	// reportLag, and within about usageMemory.
@@ -96,13 +97,15 @@
 
 // Table holds the buckets of all customers.
 type Table struct {
-	slack float64 // requests by which a bucket may exceed the burst
+	tolerance Tolerance
+	slack     float64 // requests by which a bucket may exceed the burst
 
-	mu      sync.Mutex
-	share   Share
-	limits  map[Key]Limit
-	buckets map[Key]*bucket
-	seen    map[string]observed // by entry
+	mu       sync.Mutex
+	share    Share
+	limits   map[Key]Limit
+	buckets  map[Key]*bucket
+	seen     map[string]observed // by entry
+	heritage *heritage
 }
 
 // Share is the part of each rate that an entry may count on, 0 to 1.
@@ -121,13 +124,13 @@
 }
 
 // NewTable returns a Table that admits nothing before SetShare is called.
-// slack is what the operator tolerates beyond the burst, in requests.
-func NewTable(slack float64) *Table {
+func NewTable(tolerance Tolerance) *Table {
 	return &Table{
-		slack:   slack,
-		limits:  make(map[Key]Limit),
-		buckets: make(map[Key]*bucket),
-		seen:    make(map[string]observed),
+		tolerance: tolerance,
+		slack:     tolerance.Slack * slackShare,
+		limits:    make(map[Key]Limit),
+		buckets:   make(map[Key]*bucket),
+		seen:      make(map[string]observed),
 	}
 }
 
@@ -179,7 +182,7 @@
 	if share <= 0 {
 		return Verdict{Wait: noShareWait, Limit: l}
 	}
-	b.refill(now, l, t.slack, share, t.share.Alone)
+	t.refill(now, key, b, l)
 	left := b.level - b.unreported(now, t.share, (l.Burst+t.slack)*share)
 	v := Verdict{Admitted: left >= 1, Level: b.level, Share: share, Limit: l}
 	if !v.Admitted {
@@ -216,15 +219,20 @@
 }
 
 // refill adds the tokens since the last refill, up to the share of the burst.
-// A bucket begins almost empty: this entry may have started again, and what it
-// admitted before still counts.
-func (b *bucket) refill(now time.Duration, l Limit, slack, share, alone float64) {
+// A bucket begins with what is inherited and little else: this entry may have
+// started again, and what it admitted before still counts.
+func (t *Table) refill(now time.Duration, key Key, b *bucket, l Limit) {
+	share := t.share.at(now)
 	if !b.started {
 		b.started = true
-		b.level += slack * alone
+		b.level += t.slack * t.share.Alone
+	}
+	if part := share - b.inherited; part > 0 && t.heritage != nil {
+		b.level += part * t.inherits(now, key, l)
+		b.inherited = share
 	}
 	b.level += (now - b.at).Seconds() * l.Rate * share
-	b.level = min(b.level, (l.Burst+slack)*share)
+	b.level = min(b.level, (l.Burst+t.slack)*share)
 	b.at = now
 }
 
@@ -266,7 +274,7 @@
 		}
 		b := t.bucket(key)
 		if l := t.limits[key]; l.Rate > 0 {
-			b.refill(now, l, t.slack, t.share.at(now), t.share.Alone)
+			t.refill(now, key, b, l)
 		}
 		b.level -= float64(used)
 		b.otherRecent.add(now, float64(used), reportLag)
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -17,12 +18,16 @@
 	window = 5 * time.Second
 )
 
+var tolerance = Tolerance{Window: window, Excess: excess, Slack: slack}
+
 // bound is what may be admitted in any window over the whole fleet.
 const bound = (rate*5+burst)*(1+excess) + slack
 
 // fleet is some entries that tell one another of their admissions with a delay.
 type fleet struct {
 	tables []*Table
+	starts []uint64     // of each table
+	record map[Key]int  // levels handed on last
 	cut    map[int]bool // entries that nobody hears and that hear nobody
 	frozen map[int]bool // entries that do nothing, and hear nothing
 	pipe   []delayed
@@ -31,6 +36,9 @@
 	begun  time.Duration   // the last start of all
 }
 
+// recordEvery is the interval at which levels are handed on.
+const recordEvery = 1200 * time.Millisecond
+
 type delayed struct {
 	from   int
 	at     time.Duration
@@ -49,13 +57,14 @@
 	f := &fleet{cut: make(map[int]bool), frozen: make(map[int]bool), delay: delay}
 	for range n {
 		f.tables = append(f.tables, newTable(0))
+		f.starts = append(f.starts, 1)
 	}
 	return f
 }
 
 // newTable returns the table of an entry that starts at now.
 func newTable(now time.Duration) *Table {
-	t := NewTable(slack * 0.4)
+	t := NewTable(tolerance)
 	t.SetLimits(now, map[string]Limit{"c": {Rate: rate, Burst: burst}})
 	return t
 }
@@ -66,12 +75,21 @@
 // restart starts all entries anew.
 func (f *fleet) restart(now time.Duration) {
 	for i := range f.tables {
-		f.tables[i] = newTable(now)
+		f.start(now, i)
 	}
-	f.pipe = nil
 	f.begun = now
 }
 
+// start starts entry i anew. What it has not reported yet is lost.
+func (f *fleet) start(now time.Duration, i int) {
+	f.tables[i] = newTable(now)
+	f.starts[i]++
+	f.pipe = slices.DeleteFunc(f.pipe, func(d delayed) bool { return d.from == i })
+	if f.record != nil {
+		f.tables[i].Adopt(now, f.record)
+	}
+}
+
 // step lets a tick pass at now.
 func (f *fleet) step(now time.Duration) {
 	if now%sendEvery == 0 {
@@ -86,7 +104,8 @@
 		f.pipe = f.pipe[1:]
 		for i, t := range f.tables {
 			if i != d.from && !f.cut[i] && !f.frozen[i] {
-				t.Observe(now, string(rune('a'+d.from)), 1, d.counts, Report{Whole: true})
+				young := f.starts[d.from] > 1 && f.starts[i] > 1 // all have started anew
+				t.Observe(now, string(rune('a'+d.from)), f.starts[d.from], d.counts, Report{Whole: true, Young: young})
 			}
 		}
 	}
@@ -101,6 +120,11 @@
 		}
 		t.SetShare(share)
 	}
+	if now%recordEvery == 0 {
+		if levels, ok := f.tables[0].Levels(now); ok {
+			f.record = levels
+		}
+	}
 }
 
 // ask asks entry i for an admission.
@@ -161,6 +185,70 @@
 	g.Expect(refused).To(gomega.BeZero())
 }
 
+// Entries that are killed at the crest of a wave, one or all of them, go on with
+// the tokens that were left: no customer within its rate is refused.
+func TestWavesWithinTheRateAreAdmittedAfterAStart(t *testing.T) {
+	for name, start := range map[string]func(f *fleet, now time.Duration){
+		"one": func(f *fleet, now time.Duration) { f.start(now, 3) },
+		"all": func(f *fleet, now time.Duration) { f.restart(now) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			f := newFleet(7)
+			refused, n := 0, 0
+			owed := 0.0
+			for now := time.Duration(0); now < 30*time.Second; now += tick {
+				if now == 13800*time.Millisecond {
+					start(f, now)
+				}
+				f.step(now)
+				if now < lead || now > 13700*time.Millisecond && now < 13900*time.Millisecond {
+					continue // before traffic, and until the entries are back
+				}
+				level := 0.378
+				if now%(5200*time.Millisecond) >= 3*time.Second {
+					level = 1.85
+				}
+				for owed += level * rate / 1.6 * tick.Seconds(); owed >= 1; owed-- {
+					n++
+					if !f.ask(now, (n*n)%7) {
+						refused++
+					}
+				}
+			}
+			g.Expect(refused).To(gomega.BeZero())
+			g.Expect(f.most()).To(gomega.BeNumerically("<=", bound))
+		})
+	}
+}
+
+// A customer begins to send many times its rate right after levels were handed
+// on, and then all entries are killed: the levels are out of date, but the bound
+// holds, also if it happens again.
+func TestTheBoundHoldsWithLevelsThatAreOutOfDate(t *testing.T) {
+	for name, again := range map[string]time.Duration{"once": time.Hour, "twice": 15400 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			f := newFleet(7)
+			for now := time.Duration(0); now < 30*time.Second; now += tick {
+				if now == 14200*time.Millisecond || now == again {
+					f.restart(now)
+				}
+				f.step(now)
+				if now < 13200*time.Millisecond {
+					continue
+				}
+				for i := range f.tables {
+					if now%(30*time.Millisecond) == 0 {
+						f.ask(now, i)
+					}
+				}
+			}
+			g.Expect(f.most()).To(gomega.BeNumerically("<=", bound))
+		})
+	}
+}
+
 // A customer sends many times its rate to all entries, some of which are cut
 // off or frozen for a while: the bound holds in every window.
 func TestTheBoundHoldsWhateverIsCutOrFrozen(t *testing.T) {
@@ -271,7 +359,7 @@
 		"old":       {left: 10},
 	} {
 		g := gomega.NewWithT(t)
-		table := NewTable(0)
+		table := NewTable(Tolerance{})
 		table.SetLimits(-100*time.Hour, map[string]Limit{"c": {Rate: 0.001, Burst: 10}})
 		table.SetShare(Share{Part: 1, Alone: 1, Until: time.Hour})
 		table.Observe(0, "other", 1, map[Key]Count{KeyOf("c"): 7}, Report{Whole: c.whole, Young: c.young})
@@ -286,7 +374,7 @@
 // An entry that was paused does not count on a share that it had before.
 func TestAPausedEntryCountsOnItsOwnShare(t *testing.T) {
 	g := gomega.NewWithT(t)
-	table := NewTable(0)
+	table := NewTable(Tolerance{})
 	table.SetLimits(-time.Hour, map[string]Limit{"c": {Rate: 1, Burst: 100}})
 	table.SetShare(Share{Part: 1, Alone: 0.05, Until: time.Second})
 	g.Expect(table.Admit(0, "c").Admitted).To(gomega.BeTrue())
@@ -302,7 +390,7 @@
 // A lower limit binds at once.
 func TestALowerLimitBinds(t *testing.T) {
 	g := gomega.NewWithT(t)
-	table := NewTable(0)
+	table := NewTable(Tolerance{})
 	table.SetShare(Share{Part: 1, Alone: 1, Until: time.Second})
 	table.SetLimits(-time.Hour, map[string]Limit{"c": {Rate: 100, Burst: 100}})
 	g.Expect(table.Admit(0, "c").Admitted).To(gomega.BeTrue())
--- a/settings/experiment.go
+++ b/settings/experiment.go
@@ -94,9 +94,9 @@
 }
 
 func (e *Experiment) check(f *findings) {
-	f.notNegative("/duration", int64(e.Duration))
-	f.notNegative("/engines", int64(e.Engines))
-	f.notNegative("/entries", int64(e.Entries))
+	f.notNegative("/duration", float64(e.Duration))
+	f.notNegative("/engines", float64(e.Engines))
+	f.notNegative("/entries", float64(e.Entries))
 	orDefault(&e.Duration, DefaultExperimentDuration)
 	orDefault(&e.Engines, DefaultEngines)
 	orDefault(&e.Entries, DefaultEntries)
@@ -136,14 +136,14 @@
 	if !customers[b.Customer] {
 		f.add(at+"/customer", "must be one of the customers, not "+strconv.Quote(b.Customer))
 	}
-	f.notNegative(at+"/at", int64(b.At))
+	f.notNegative(at+"/at", float64(b.At))
 	if b.Items < 1 {
 		f.add(at+"/items", "must be 1 at least")
 	}
 }
 
 func (x *ExperimentFault) check(f *findings, at string, e *Experiment) {
-	f.notNegative(at+"/at", int64(x.At))
+	f.notNegative(at+"/at", float64(x.At))
 	if x.At >= e.Duration {
 		f.add(at+"/at", "must be before the end of the load")
 	}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -20,7 +20,9 @@
 	CallBytes    int             `json:"call_bytes,omitempty"`       // of records in one append; default 1 MiB
 	RecordBytes  int             `json:"record_bytes,omitempty"`     // of one record; default 256 KiB
 	Withdrawal   config.Duration `json:"withdrawal_bound,omitempty"` // after which no request with a withdrawn key may run; 0: no bound
-	LimitSlack   float64         `json:"limit_slack,omitempty"`      // requests by which a customer may exceed rate and burst
+	LimitWindow  config.Duration `json:"limit_window,omitempty"`     // the span in which a customer may exceed rate and burst by what follows
+	LimitExcess  float64         `json:"limit_excess,omitempty"`     // as a part of what rate and burst allow
+	LimitSlack   float64         `json:"limit_slack,omitempty"`      // and by as many requests
 	EndGrace     config.Duration `json:"end_grace,omitempty"`        // from SIGTERM until the process is killed; default 8s
 	KeepJobs     config.Duration `json:"keep_jobs,omitempty"`        // finished batch jobs are kept so long after their submission; default 1h
 	GoneAfter    config.Duration `json:"gone_after,omitempty"`       // endpoints that lapsed with the store are kept so long after its return; default 2s
@@ -45,14 +47,16 @@
 	f.addr("/metrics_addr", g.MetricsAddr)
 	f.addr("/peers_addr", g.PeersAddr)
 	f.addr("/store_addr", g.StoreAddr)
-	f.notNegative("/content_parts", int64(g.ContentParts))
-	f.notNegative("/call_bytes", int64(g.CallBytes))
-	f.notNegative("/record_bytes", int64(g.RecordBytes))
-	f.notNegative("/withdrawal_bound", int64(g.Withdrawal))
-	f.notNegative("/limit_slack", int64(g.LimitSlack))
-	f.notNegative("/end_grace", int64(g.EndGrace))
-	f.notNegative("/keep_jobs", int64(g.KeepJobs))
-	f.notNegative("/gone_after", int64(g.GoneAfter))
+	f.notNegative("/content_parts", float64(g.ContentParts))
+	f.notNegative("/call_bytes", float64(g.CallBytes))
+	f.notNegative("/record_bytes", float64(g.RecordBytes))
+	f.notNegative("/withdrawal_bound", float64(g.Withdrawal))
+	f.notNegative("/limit_window", float64(g.LimitWindow))
+	f.notNegative("/limit_excess", g.LimitExcess)
+	f.notNegative("/limit_slack", g.LimitSlack)
+	f.notNegative("/end_grace", float64(g.EndGrace))
+	f.notNegative("/keep_jobs", float64(g.KeepJobs))
+	f.notNegative("/gone_after", float64(g.GoneAfter))
 	orDefault(&g.ContentParts, DefaultContentParts)
 	orDefault(&g.CallBytes, DefaultCallBytes)
 	orDefault(&g.RecordBytes, DefaultRecordBytes)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -124,7 +124,7 @@
 	}
 }
 
-func (f *findings) notNegative(pointer string, value int64) {
+func (f *findings) notNegative(pointer string, value float64) {
 	if value < 0 {
 		f.add(pointer, "must not be negative")
 	}
@@ -165,10 +165,10 @@
 
 func (e *Entry) check(f *findings) {
 	e.Process.check(f)
-	f.notNegative("/max_body_bytes", e.MaxBodyBytes)
-	f.notNegative("/log_retention", int64(e.LogRetention))
-	f.notNegative("/drain_delay", int64(e.DrainDelay))
-	f.notNegative("/drain_timeout", int64(e.DrainTimeout))
+	f.notNegative("/max_body_bytes", float64(e.MaxBodyBytes))
+	f.notNegative("/log_retention", float64(e.LogRetention))
+	f.notNegative("/drain_delay", float64(e.DrainDelay))
+	f.notNegative("/drain_timeout", float64(e.DrainTimeout))
 	if e.MaxStaleness != 0 && e.MaxStaleness < config.MinStaleness {
 		f.add("/max_staleness", "must be 0 or 1m at least, as followers hear of the log every few seconds only")
 	}
@@ -188,23 +188,23 @@
 	s.Process.check(f)
 	f.required("/deployment", s.Deployment)
 	f.url("/endpoint_url", s.EndpointURL)
-	f.notNegative("/drain_timeout", int64(s.DrainTimeout))
+	f.notNegative("/drain_timeout", float64(s.DrainTimeout))
 	orDefault(&s.DrainTimeout, config.Duration(DefaultDrainTimeout))
 }
 
 func (p *Platform) check(f *findings) {
 	f.addr("/http_addr", p.HTTPAddr)
-	f.notNegative("/retention", int64(p.Retention))
-	f.notNegative("/list_lag", int64(p.ListLag))
-	f.notNegative("/loads_per_minute", int64(p.LoadsPerMinute))
+	f.notNegative("/retention", float64(p.Retention))
+	f.notNegative("/list_lag", float64(p.ListLag))
+	f.notNegative("/loads_per_minute", float64(p.LoadsPerMinute))
 	orDefault(&p.LoadsPerMinute, DefaultLoadsPerMinute)
 }
 
 func (e *Engine) check(f *findings) {
 	f.addr("/http_addr", e.HTTPAddr)
 	f.required("/model", e.Model)
-	f.notNegative("/step_base", int64(e.StepBase))
-	f.notNegative("/step_per_slot", int64(e.StepPerSlot))
+	f.notNegative("/step_base", float64(e.StepBase))
+	f.notNegative("/step_per_slot", float64(e.StepPerSlot))
 	orDefault(&e.StepBase, config.Duration(DefaultStepBase))
 	orDefault(&e.StepPerSlot, config.Duration(DefaultStepPerSlot))
 }
