placement, eventstream: the median of a group is worked out once, the pace of events measured in one place

The median of a deployment's endpoints was sorted up to three times for one placement, and the mean time between events was reckoned in online and in batch. No change of behaviour but one: a pace is measured from the second event of an answer on in both.

--- a/batch/item.go
+++ b/batch/item.go
@@ -48,12 +48,12 @@
 	p := c.progress
 	started := time.Now()
 	from := p.events
-	p.first, p.last = time.Time{}, time.Time{}
+	p.pace = eventstream.Pace{}
 	end, result, err := r.exchange(ctx, c, grant)
 	if ctx.Err() != nil && end != runCompleted {
 		end, result = runYielded, placement.Yielded
 	}
-	grant.End(r.Clock(), result, p.gap(p.events-from))
+	grant.End(r.Clock(), result, p.pace.Gap(minPaceEvents))
 	r.Metrics.runs.WithLabelValues(string(end)).Inc()
 	event := r.Log.Info().Str("job", c.job.ID).Str("request", c.job.Items[p.id.item].ID).Str("customer", c.job.Customer).
 		Str("endpoint", grant.Endpoint.ID).Int("at_endpoint_online", grant.Load.Online).Int("at_endpoint_batch", grant.Load.Batch).
@@ -67,18 +67,9 @@
 	poke(r.wake)
 }
 
-// minGapEvents is the number of events from which their pace tells something of
-// the endpoint.
-const minGapEvents = 8
-
-// gap returns the mean time between the events of the last run, of which there
-// were n; 0 if they are too few.
-func (p *progress) gap(n int) time.Duration {
-	if n < minGapEvents {
-		return 0
-	}
-	return p.last.Sub(p.first) / time.Duration(n-1)
-}
+// minPaceEvents is the number of events from which their pace tells something
+// of the endpoint: an item often resumes for a few events only.
+const minPaceEvents = 8
 
 // settle decides what follows a run.
 func (r *runner) settle(p *progress, end outcome, route config.Route) {
@@ -219,9 +210,6 @@
 	p.output = e.AppendData(p.output)
 	p.events++
 	p.lost = 0
-	p.last = time.Now()
-	if p.first.IsZero() {
-		p.first = p.last
-	}
+	p.pace.Take()
 	p.cursor.Take(e)
 }
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -53,11 +53,10 @@
 	cursor eventstream.Cursor
 	kept   int // events in the newest checkpoint
 
-	failures int           // answers that count as failed attempts
-	lost     int           // exchanges in a row that ended without a whole answer
-	notUntil time.Duration // clock before which it does not run again
-	first    time.Time     // of the events of the present run
-	last     time.Time
+	failures int              // answers that count as failed attempts
+	lost     int              // exchanges in a row that ended without a whole answer
+	notUntil time.Duration    // clock before which it does not run again
+	pace     eventstream.Pace // of the present run
 	cancel   context.CancelFunc
 	result   Result // in phase ended
 }
--- /dev/null
+++ b/eventstream/pace.go
@@ -0,0 +1,27 @@
+package eventstream
+
+import "time"
+
+// Pace measures the time between the events of one answer.
+type Pace struct {
+	events      int
+	first, last time.Time
+}
+
+// Take notes an event that came now.
+func (p *Pace) Take() {
+	p.last = time.Now()
+	if p.events == 0 {
+		p.first = p.last
+	}
+	p.events++
+}
+
+// Gap returns the mean time between events; 0 before there were least of them,
+// which are at least two.
+func (p *Pace) Gap(least int) time.Duration {
+	if p.events < max(least, 2) {
+		return 0
+	}
+	return p.last.Sub(p.first) / time.Duration(p.events-1)
+}
--- a/online/attempt.go
+++ b/online/attempt.go
@@ -39,6 +39,9 @@
 	// gapShare is the part of a route's longest pause after which a stream is
 	// continued elsewhere, so that the caller sees no longer pause.
 	gapShare = 0.6
+	// minPaceEvents is the number of events whose pace tells something of their
+	// endpoint.
+	minPaceEvents = 2
 	// staleRetryAfter is when a caller returns after this entry had no certain
 	// configuration; by then the balancer sends it elsewhere.
 	staleRetryAfter = 300 * time.Millisecond
@@ -57,7 +60,7 @@
 	load     placement.Load // there, when it was chosen
 	cause    error          // the last failure at an endpoint
 	refused  *placement.Refusal
-	gap      time.Duration // between the events of the last endpoint's answer
+	pace     eventstream.Pace // of the last endpoint's answer
 }
 
 // verdict says how to go on after one endpoint.
@@ -77,7 +80,7 @@
 			return err
 		}
 		v, result := a.try(ctx, grant)
-		grant.End(a.Clock(), result, a.gap)
+		grant.End(a.Clock(), result, a.pace.Gap(minPaceEvents))
 		if v == finished {
 			return nil
 		}
@@ -164,7 +167,7 @@
 // try sends the request to one endpoint and passes its answer on.
 func (a *attempt) try(ctx context.Context, grant *placement.Grant) (verdict, placement.Result) {
 	a.asked++
-	a.gap = 0
+	a.pace = eventstream.Pace{}
 	x, err := a.Pool.Do(ctx, grant.Endpoint.Address, a.request(grant), a.patience(a.headerPatience()))
 	if err != nil {
 		return a.unanswered(ctx, grant, err)
@@ -293,7 +296,6 @@
 // relayEvents passes the events of a stream on, whole ones only.
 func (a *attempt) relayEvents(ctx context.Context, x *upstream.Exchange) (verdict, placement.Result) {
 	reader := eventstream.NewReader(x.Response.Body)
-	var firstAt time.Time
 	passed := 0
 	for {
 		e, err := a.nextEvent(x, reader, passed)
@@ -318,11 +320,7 @@
 			return givenUp, placement.Yielded
 		}
 		passed++
-		if passed == 1 {
-			firstAt = time.Now()
-		} else {
-			a.gap = time.Since(firstAt) / time.Duration(passed-1)
-		}
+		a.pace.Take()
 	}
 }
 
--- a/placement/batch.go
+++ b/placement/batch.go
@@ -14,9 +14,8 @@
 	defer t.mu.Unlock()
 	var best *endpoint
 	var most float64
-	group := t.byGroup[ask.Deployment]
-	reference := t.referenceGap(group)
-	for _, e := range group {
+	group := t.group(ask.Deployment)
+	for _, e := range group.endpoints {
 		if !e.takes(ask) || now < e.suspended || now < e.full {
 			continue
 		}
@@ -24,7 +23,7 @@
 		if free <= 0 {
 			continue
 		}
-		room := float64(free) / slowness(e.gap, reference)
+		room := float64(free) / group.slowness(e)
 		if e.DataCentre == t.dataCentre {
 			room++
 		}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -8,7 +8,6 @@
 	"hash/fnv"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -123,7 +122,7 @@
 	mu        sync.Mutex
 	random    *rand.Rand
 	endpoints map[Key]*endpoint
-	byGroup   map[string][]*endpoint // by deployment
+	groups    map[string]*group // by deployment
 	peers     map[string]map[Key]Load
 	service   time.Duration // moving average of an online request's time at an endpoint
 	asks      float64       // online requests here within about reportLag, fading
@@ -140,7 +139,7 @@
 		changed:    changed,
 		random:     random,
 		endpoints:  make(map[Key]*endpoint),
-		byGroup:    make(map[string][]*endpoint),
+		groups:     make(map[string]*group),
 		peers:      make(map[string]map[Key]Load),
 		service:    serviceStart,
 	}
@@ -153,7 +152,7 @@
 	defer t.mu.Unlock()
 	known := t.endpoints
 	t.endpoints = make(map[Key]*endpoint, len(list))
-	t.byGroup = make(map[string][]*endpoint)
+	t.groups = make(map[string]*group)
 	for _, item := range list {
 		key := item.Key()
 		e := known[key]
@@ -163,7 +162,7 @@
 		e.Endpoint = item
 		e.peers = Load{}
 		t.endpoints[key] = e
-		t.byGroup[item.Deployment] = append(t.byGroup[item.Deployment], e)
+		t.group(item.Deployment).add(e)
 	}
 	for _, load := range t.peers {
 		t.addPeer(load, 1)
@@ -262,7 +261,7 @@
 			Wait:       wait,
 			Endpoint:   best.ID,
 			Load:       Load{Online: best.online(), Batch: best.batch()},
-			Slowness:   slowness(best.gap, t.referenceGap(t.byGroup[ask.Deployment])),
+			Slowness:   t.group(ask.Deployment).slowness(best),
 			Full:       now < best.full,
 		}
 	}
@@ -290,13 +289,12 @@
 // places counts the endpoints at which a request would wait within its patience.
 func (t *Table) places(now time.Duration, ask Ask) int {
 	n := 0
-	group := t.byGroup[ask.Deployment]
-	reference := t.referenceGap(group)
-	for _, e := range group {
+	group := t.group(ask.Deployment)
+	for _, e := range group.endpoints {
 		if !e.takes(ask) || now < e.suspended {
 			continue
 		}
-		if t.wait(e, now, slowness(e.gap, reference)) <= ask.Patience {
+		if t.wait(e, now, group.slowness(e)) <= ask.Patience {
 			n++
 		}
 	}
@@ -322,13 +320,12 @@
 func (t *Table) soonest(now time.Duration, ask Ask, sound bool) (*endpoint, time.Duration) {
 	var best *endpoint
 	var least, wait time.Duration
-	group := t.byGroup[ask.Deployment]
-	reference := t.referenceGap(group)
-	for _, e := range group {
+	group := t.group(ask.Deployment)
+	for _, e := range group.endpoints {
 		if !e.takes(ask) || sound && now < e.suspended {
 			continue
 		}
-		w := t.wait(e, now, slowness(e.gap, reference))
+		w := t.wait(e, now, group.slowness(e))
 		cost := w + time.Duration(t.random.Int64N(int64(alike)))
 		if e.DataCentre != t.dataCentre {
 			cost += crossing
@@ -358,29 +355,6 @@
 	return time.Duration(float64(w) * slow)
 }
 
-// referenceGap returns the median time between events over a group.
-func (t *Table) referenceGap(group []*endpoint) time.Duration {
-	gaps := make([]time.Duration, 0, len(group))
-	for _, e := range group {
-		if e.gap > 0 {
-			gaps = append(gaps, e.gap)
-		}
-	}
-	if len(gaps) == 0 {
-		return 0
-	}
-	slices.Sort(gaps)
-	return gaps[len(gaps)/2]
-}
-
-// slowness is how many times slower than its group an endpoint is, at least 1.
-func slowness(gap, reference time.Duration) float64 {
-	if gap <= 0 || reference <= 0 || gap <= reference {
-		return 1
-	}
-	return float64(gap) / float64(reference)
-}
-
 func (t *Table) grant(e *endpoint, kind Kind, now time.Duration, yield func()) *Grant {
 	g := &Grant{
 		Endpoint: e.Endpoint,
@@ -425,6 +399,7 @@
 	}
 	if gap > 0 {
 		e.gap = average(e.gap, gap)
+		t.group(e.Deployment).changed()
 	}
 	switch result {
 	case Done:
