quarantine on the users' platform; busy endpoints are not passed over

Cause 1: the chain of gateway had no quarantine. A request that crashes each endpoint that runs it was bounded by its attempts and by callers' retries only, and a batch item that does so was run again every two seconds at most, until its time was up.

Cause 2, found on the way: errorx's wrapped errors are opaque to errors.Is, so an endpoint that was still silent at a caller's deadline was always taken for failed and passed over for 0.5 to 4 s, though the code means to spare it: at full load it is only busy.

Change: an exchange that the endpoint's side has ended is looked into by one connection, beside the next attempt; if none is taken, the death is held against the request. Deaths are shared in a keyed partition, one record each, and replayed by entries that start. Four of them condemn a request (422); mass losses do not count, one good end clears. Items may not be given up before their time, so a condemned one runs every 15 s at most. upstream.Ended and TimedOut look through errorx.

--- a/batch/item.go
+++ b/batch/item.go
@@ -11,6 +11,7 @@
 	"dandelionrelay/config"
 	"dandelionrelay/eventstream"
 	"dandelionrelay/placement"
+	"dandelionrelay/quarantine"
 	"dandelionrelay/upstream"
 )
 
@@ -25,6 +26,9 @@
 	// lost; it doubles with each loss in a row.
 	lostPause    = 50 * time.Millisecond
 	maxLostPause = 2 * time.Second
+	// condemnedPause is the time between runs of an item that endpoints died of:
+	// it may not be given up before its time, but does little harm so.
+	condemnedPause = 15 * time.Second
 	// contentTimeout bounds reading a body and storing an output.
 	contentTimeout = 2 * time.Second
 )
@@ -63,7 +67,13 @@
 		event = event.AnErr("cause", err)
 	}
 	event.Msg("item ran")
-	r.settle(p, end, route)
+	if end == runLost && upstream.Ended(err) {
+		quarantine.Blame(r.Suspects, r.Pool, r.death(c, grant), grant.Endpoint.Address)
+	}
+	if end == runCompleted && !r.Suspects.Empty() {
+		r.Suspects.Finished(r.digest(c))
+	}
+	r.settle(c, end, route)
 	poke(r.wake)
 }
 
@@ -72,7 +82,8 @@
 const minPaceEvents = 8
 
 // settle decides what follows a run.
-func (r *runner) settle(p *progress, end outcome, route config.Route) {
+func (r *runner) settle(c candidate, end outcome, route config.Route) {
+	p := c.progress
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p.cancel = nil
@@ -92,7 +103,7 @@
 			p.result = Result{State: Errored, Reason: "all attempts failed"}
 		}
 	case runLost:
-		p.notUntil = r.Clock() + min(lostPause<<min(p.lost, 6), maxLostPause)
+		p.notUntil = r.Clock() + r.lostPause(c)
 		p.lost++
 	case runNot:
 		p.notUntil = r.Clock() + lostPause
@@ -102,6 +113,29 @@
 	}
 }
 
+// lostPause returns how long an item waits whose endpoint was lost.
+func (r *runner) lostPause(c candidate) time.Duration {
+	if !r.Suspects.Empty() && r.Suspects.Verdict(r.digest(c), c.job.Customer) == quarantine.Quarantined {
+		return condemnedPause
+	}
+	return min(lostPause<<min(c.lost, 6), maxLostPause)
+}
+
+// digest returns the digest of an item. Ids of items are never used twice.
+func (r *runner) digest(c candidate) quarantine.Digest {
+	item := c.job.Items[c.id.item]
+	return quarantine.DigestOf(c.job.Customer, c.job.ID, []byte(item.ID))
+}
+
+func (r *runner) death(c candidate, grant *placement.Grant) quarantine.Death {
+	return quarantine.Death{
+		Digest:   r.digest(c),
+		Customer: c.job.Customer,
+		Attempt:  c.job.Items[c.id.item].ID + "/" + grant.Endpoint.ID,
+		Endpoint: grant.Endpoint.ID,
+	}
+}
+
 // exchange sends an item to the endpoint of grant and collects its output.
 func (r *runner) exchange(ctx context.Context, c candidate, grant *placement.Grant) (outcome, placement.Result, error) {
 	request, err := r.request(ctx, c, grant)
--- a/batch/rig_test.go
+++ b/batch/rig_test.go
@@ -18,6 +18,7 @@
 	"dandelionrelay/config"
 	"dandelionrelay/keyedlog"
 	"dandelionrelay/placement"
+	"dandelionrelay/quarantine"
 	"dandelionrelay/standin/keyed"
 	"dandelionrelay/standin/network"
 	"dandelionrelay/standin/streams"
@@ -144,6 +145,7 @@
 		Pool:        upstream.NewPool(streams.HeaderID, dial, func() {}),
 		Dialect:     streams.Dialect{},
 		Peers:       r,
+		Suspects:    quarantine.NoSuspects{},
 		Clock:       clock,
 		Log:         zerolog.Nop(),
 		Metrics:     NewMetrics(prometheus.NewRegistry()),
--- a/batch/service.go
+++ b/batch/service.go
@@ -12,6 +12,7 @@
 	"dandelionrelay/config"
 	"dandelionrelay/keyedlog"
 	"dandelionrelay/placement"
+	"dandelionrelay/quarantine"
 	"dandelionrelay/upstream"
 )
 
@@ -37,6 +38,7 @@
 	Pool        *upstream.Pool
 	Dialect     upstream.Dialect
 	Peers       Peers
+	Suspects    quarantine.Suspects // requests and items that endpoints died of
 	Clock       boottime.Clock
 	Log         zerolog.Logger
 	Metrics     *Metrics
--- a/batch/service_test.go
+++ b/batch/service_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -8,7 +9,9 @@
 
 	"github.com/joomcode/errorx"
 	"github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
+	"dandelionrelay/quarantine"
 	"dandelionrelay/standin/keyed"
 	"dandelionrelay/standin/streams"
 )
@@ -180,6 +183,29 @@
 	})
 }
 
+// An item crashes each endpoint that runs it. It may not be given up before its
+// time, but is not sent from one endpoint to the next.
+func TestAnItemThatCrashesEndpointsRunsSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var workers []*streams.Endpoint
+		for i := range 9 {
+			w := worker(fmt.Sprint("w", i), 3, 8)
+			w.Behave = func(*http.Request, int) streams.Behaviour { return streams.Behaviour{Crash: true} }
+			workers = append(workers, w)
+		}
+		r := newRig(t, 1, workers...)
+		r.entries[0].Suspects = quarantine.NewShared(&keyed.Handle{Log: keyed.NewLog(1)}, zerolog.Nop(), nil)
+		r.Expect(r.entries[0].Submit(r.ctx, submission("j", 1, 10))).To(gomega.Succeed())
+		time.Sleep(condemnedPause - time.Second)
+		runs := 0
+		for _, w := range workers {
+			runs += len(w.Runs())
+		}
+		r.Expect(runs).To(gomega.Equal(quarantine.LossesToQuarantine))
+		r.Expect(r.results(r.entries[0], "j").Results).To(gomega.BeEmpty())
+	})
+}
+
 func TestItemsThatCannotBeDoneRunOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := worker("w", 3, 8)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -185,7 +185,7 @@
 		authn.Identify(&e.holder),
 		route.Filter(),
 		guard.Authorize(),
-		e.suspects.Filter,
+		quarantine.Filter(e.suspects),
 		limit.Filter(e.limits),
 		e.calls.Filter,
 	)
--- a/gateway/filters_test.go
+++ b/gateway/filters_test.go
@@ -53,7 +53,7 @@
 	r.Gateway = New(Deps{
 		Providers: Providers{
 			Config: new(config.Holder), ConfigFeed: r.feed, EndpointFeed: r.feed,
-			Members: &keyed.Handle{Log: log}, Levels: &keyed.Handle{Log: levels}, Jobs: &keyed.Handle{Log: log}, Contents: []batch.Store{&keyed.Handle{Log: log}},
+			Members: &keyed.Handle{Log: log}, Suspects: &keyed.Handle{Log: log}, Levels: &keyed.Handle{Log: levels}, Jobs: &keyed.Handle{Log: log}, Contents: []batch.Store{&keyed.Handle{Log: log}},
 			Dialect: streams.Dialect{},
 		},
 		Settings: &settings.Gateway{ID: "self", Withdrawal: config.Duration(bound), LimitSlack: 10},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -23,6 +22,7 @@
 	"dandelionrelay/online"
 	"dandelionrelay/pipeline"
 	"dandelionrelay/placement"
+	"dandelionrelay/quarantine"
 	"dandelionrelay/quota"
 	"dandelionrelay/settings"
 	"dandelionrelay/upstream"
@@ -50,6 +50,7 @@
 	// EndpointFeed calls Gateway.SetEndpoints with each new list.
 	EndpointFeed Feed
 	Members      keyedlog.Partition // registrations of entries
+	Suspects     keyedlog.Partition // requests that endpoints died of
 	Levels       keyedlog.Partition // levels of customers' rates, for entries that start
 	Jobs         keyedlog.Partition // index of batch jobs
 	Contents     []batch.Store
@@ -78,6 +79,7 @@
 	table     *placement.Table
 	pool      *upstream.Pool
 	limits    *quota.Table
+	suspects  *quarantine.Shared
 	members   *gossip.Registry
 	node      *gossip.Node
 	followers []*keyedlog.Follower
@@ -94,10 +96,12 @@
 // Pace of the followers: how long reads wait at the store, and the least time
 // between two that found records.
 const (
-	membersWait = 5 * time.Second
-	membersPace = 1500 * time.Millisecond
-	jobsWait    = 1500 * time.Millisecond
-	jobsPace    = 250 * time.Millisecond
+	membersWait  = 5 * time.Second
+	membersPace  = 1500 * time.Millisecond
+	suspectsWait = 10 * time.Second
+	suspectsPace = 500 * time.Millisecond
+	jobsWait     = 1500 * time.Millisecond
+	jobsPace     = 250 * time.Millisecond
 )
 
 // New composes a Gateway. Nothing runs before Run.
@@ -115,6 +119,8 @@
 	g.members = gossip.NewRegistry(d.Clock, g.badRecord("members"), g.loadChanged)
 	g.known = g.follow("members", d.Members, g.members, membersWait, membersPace)
 	g.node = gossip.NewNode(g.self(), g.members, g.report, g, d.Clock, d.Log)
+	g.suspects = quarantine.NewShared(d.Suspects, d.Log, g.badRecord("suspects"))
+	g.follow("suspects", d.Suspects, g.suspects, suspectsWait, suspectsPace)
 	g.composeJobs()
 	g.compose()
 	return g
@@ -154,6 +160,7 @@
 		Pool:        g.pool,
 		Dialect:     g.Dialect,
 		Peers:       g.node,
+		Suspects:    g.suspects,
 		Clock:       g.Clock,
 		Log:         g.Log,
 		Metrics:     batch.NewMetrics(g.Registry),
@@ -164,13 +171,14 @@
 // to last.
 func (g *Gateway) compose() {
 	service := online.New(online.Deps{
-		Table:   g.table,
-		Pool:    g.pool,
-		Dialect: g.Dialect,
-		Clock:   g.Clock,
-		Log:     g.Log,
-		Metrics: online.NewMetrics(g.Registry),
-		Fresh:   g.certain,
+		Table:    g.table,
+		Pool:     g.pool,
+		Dialect:  g.Dialect,
+		Clock:    g.Clock,
+		Log:      g.Log,
+		Metrics:  online.NewMetrics(g.Registry),
+		Suspects: g.suspects,
+		Fresh:    g.certain,
 		ConfigAge: func() time.Duration {
 			age, _ := g.ConfigFeed.Age()
 			return age
@@ -180,7 +188,7 @@
 		c.Admitted = true
 		return service.Handle(ctx, c)
 	}
-	g.online = pipeline.Chain(last, g.configured, g.routed, g.identified, g.fresh, g.limited)
+	g.online = pipeline.Chain(last, g.configured, g.routed, g.identified, g.fresh, quarantine.Filter(g.suspects), g.limited)
 	passed := func(context.Context, *pipeline.Call) *api.Error { return nil }
 	g.submit = pipeline.Chain(passed, g.configured, g.routed, g.identified, g.fresh)
 	g.batch = pipeline.Chain(passed, g.configured, g.identified)
@@ -375,6 +383,7 @@
 	}
 	wg.Go(func() { g.register(ctx) })
 	wg.Go(func() { g.shareLevels(ctx) })
+	wg.Go(func() { g.suspects.Run(ctx) })
 	wg.Go(func() { g.node.Run(ctx, socket) })
 	wg.Go(func() { g.jobs.Run(ctx) })
 	wg.Go(func() { g.prune(ctx) })
@@ -386,7 +395,7 @@
 	tick := time.NewTicker(gossip.RegisterEvery)
 	defer tick.Stop()
 	for {
-		if err := g.registerOnce(ctx); err != nil && !errors.Is(err, context.Canceled) {
+		if err := g.registerOnce(ctx); err != nil && ctx.Err() == nil {
 			g.Log.Debug().Err(err).Msg("not registered")
 		}
 		select {
--- a/online/attempt.go
+++ b/online/attempt.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"maps"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -16,6 +14,7 @@
 	"dandelionrelay/eventstream"
 	"dandelionrelay/pipeline"
 	"dandelionrelay/placement"
+	"dandelionrelay/quarantine"
 	"dandelionrelay/upstream"
 )
 
@@ -56,9 +55,9 @@
 	asked    int // endpoints that were sent the request
 	began    int // of these, those that may have run it
 	answer   answer
-	endpoint string         // the one asked last
-	load     placement.Load // there, when it was chosen
-	cause    error          // the last failure at an endpoint
+	endpoint placement.Endpoint // the one asked last
+	load     placement.Load     // there, when it was chosen
+	cause    error              // the last failure at an endpoint
 	refused  *placement.Refusal
 	pace     eventstream.Pace // of the last endpoint's answer
 }
@@ -82,6 +81,7 @@
 		v, result := a.try(ctx, grant)
 		grant.End(a.Clock(), result, a.pace.Gap(minPaceEvents))
 		if v == finished {
+			a.clear()
 			return nil
 		}
 		a.avoid[grant.Key()] = true
@@ -92,6 +92,30 @@
 	return a.failure()
 }
 
+// blame has the request suspected if the endpoint asked last has crashed with
+// it. That is found out beside the next attempt.
+func (a *attempt) blame() {
+	death := quarantine.Death{
+		Digest:   quarantine.Of(a.call),
+		Customer: a.call.Customer,
+		Attempt:  a.call.ID + "/" + a.endpoint.ID,
+		Endpoint: a.endpoint.ID,
+	}
+	go quarantine.Blame(a.Suspects, a.Pool, death, a.endpoint.Address)
+}
+
+// clear takes back what is held against a request that has ended well.
+func (a *attempt) clear() {
+	if !a.Suspects.Empty() {
+		a.Suspects.Finished(quarantine.Of(a.call))
+	}
+}
+
+// condemned reports whether the request is known to crash endpoints.
+func (a *attempt) condemned() bool {
+	return !a.Suspects.Empty() && a.Suspects.Verdict(quarantine.Of(a.call), a.call.Customer) == quarantine.Quarantined
+}
+
 // place finds the next endpoint, or says why there is none.
 func (a *attempt) place(ctx context.Context) (*placement.Grant, *api.Error) {
 	remaining := time.Until(a.call.Deadline)
@@ -101,6 +125,9 @@
 	if !a.Fresh(a.call) {
 		return nil, a.withdrawn()
 	}
+	if a.began > 0 && a.condemned() {
+		return nil, a.failure()
+	}
 	patience := time.Duration(patienceShare * float64(a.rules.Goal))
 	if a.began > 0 {
 		// It has begun: late is better than never.
@@ -121,7 +148,7 @@
 	if refused != nil {
 		return nil, a.failure()
 	}
-	a.endpoint, a.load = grant.Endpoint.ID, grant.Load
+	a.endpoint, a.load = grant.Endpoint, grant.Load
 	if grant.Load.Online+grant.Load.Batch >= grant.Endpoint.Slots {
 		a.Table.Yield()
 	}
@@ -158,6 +185,9 @@
 // is lost.
 func (a *attempt) afterLoss(cause error) verdict {
 	a.cause = cause
+	if upstream.Ended(cause) {
+		a.blame()
+	}
 	if a.mayRepeat() {
 		return next
 	}
@@ -255,7 +285,7 @@
 		return next, placement.Yielded
 	}
 	result := placement.Failed
-	if errors.Is(err, os.ErrDeadlineExceeded) && time.Until(a.call.Deadline) < minRemaining {
+	if upstream.TimedOut(err) && time.Until(a.call.Deadline) < minRemaining {
 		result = placement.Yielded // it may well be only busy
 	}
 	return a.afterLoss(err), result
--- a/online/online.go
+++ b/online/online.go
@@ -13,6 +13,7 @@
 	"dandelionrelay/boottime"
 	"dandelionrelay/pipeline"
 	"dandelionrelay/placement"
+	"dandelionrelay/quarantine"
 	"dandelionrelay/upstream"
 )
 
@@ -24,6 +25,8 @@
 	Clock   boottime.Clock
 	Log     zerolog.Logger
 	Metrics *Metrics
+	// Suspects are the requests that endpoints died of.
+	Suspects quarantine.Suspects
 	// Fresh reports whether the call may still run under the configuration
 	// that admitted it; it is asked right before each send.
 	Fresh func(c *pipeline.Call) bool
@@ -66,7 +69,7 @@
 	a.Metrics.ended(outcome, took, a.answer.first)
 	event := a.Log.Info().Str("request", c.ID).Str("customer", c.Customer).Str("route", c.RouteID).
 		Str("outcome", outcome).Uint64("config", c.Snapshot.Version).Dur("config_age_ms", a.ConfigAge()).
-		Str("endpoint", a.endpoint).Int("at_endpoint_online", a.load.Online).Int("at_endpoint_batch", a.load.Batch).
+		Str("endpoint", a.endpoint.ID).Int("at_endpoint_online", a.load.Online).Int("at_endpoint_batch", a.load.Batch).
 		Int("asked", a.asked).Int("began", a.began).Int("status", a.answer.status).
 		Int64("events", a.answer.events).Dur("first_ms", a.answer.first).Dur("took_ms", took).
 		Dur("left_ms", time.Until(c.Deadline))
--- a/online/online_test.go
+++ b/online/online_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -20,6 +21,8 @@
 	"dandelionrelay/config"
 	"dandelionrelay/pipeline"
 	"dandelionrelay/placement"
+	"dandelionrelay/quarantine"
+	"dandelionrelay/standin/keyed"
 	"dandelionrelay/standin/network"
 	"dandelionrelay/standin/streams"
 	"dandelionrelay/upstream"
@@ -52,8 +55,9 @@
 		Pool:      upstream.NewPool(streams.HeaderID, dial, func() {}),
 		Dialect:   streams.Dialect{},
 		Clock:     boottime.Clock(func() time.Duration { return time.Duration(time.Now().UnixNano()) }),
-		Log:       zerolog.New(r.logs),
+		Log:       zerolog.New(zerolog.SyncWriter(r.logs)),
 		Metrics:   NewMetrics(prometheus.NewRegistry()),
+		Suspects:  quarantine.NoSuspects{},
 		Fresh:     func(*pipeline.Call) bool { return r.fresh },
 		ConfigAge: func() time.Duration { return 0 },
 	})
@@ -270,6 +274,49 @@
 
 // The deadline passes while an endpoint is silent: the caller is told then,
 // not later, and the endpoint is let go.
+// A request crashes each endpoint that runs it, and its caller sends it again
+// and again; another request runs beside it. The first is not sent any more once
+// it is known, the other ends well and stays clear.
+func TestARequestThatCrashesEndpointsIsNotSentAnyMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		crash := func(r *http.Request, _ int) streams.Behaviour {
+			return streams.Behaviour{Crash: r.Header.Get("X-Poison") != ""}
+		}
+		var endpoints []*streams.Endpoint
+		for i := range 9 {
+			endpoints = append(endpoints, worker(fmt.Sprint("e", i), crash))
+		}
+		r := newRig(t, endpoints...)
+		suspects := quarantine.NewShared(&keyed.Handle{Log: keyed.NewLog(1)}, zerolog.Nop(), nil)
+		r.Suspects = suspects
+		handle := pipeline.Chain(r.Handle, quarantine.Filter(suspects))
+		for n := range 6 {
+			innocent, _ := call(fmt.Sprint("innocent-", n), true)
+			innocent.Body = []byte("innocent")
+			ended := make(chan *api.Error)
+			go func() { ended <- handle(t.Context(), innocent) }()
+			poison, _ := call(fmt.Sprint("poison-", n), true)
+			poison.R.Header.Set("X-Poison", "1")
+			r.Expect(handle(t.Context(), poison)).NotTo(gomega.BeNil())
+			<-ended
+			time.Sleep(time.Minute)
+		}
+		runs := 0
+		for _, e := range endpoints {
+			for _, run := range e.Runs() {
+				if run.Header.Get("X-Poison") != "" {
+					runs++
+				}
+			}
+		}
+		r.Expect(runs).To(gomega.Equal(quarantine.LossesToQuarantine))
+		innocent, w := call("last", true)
+		innocent.Body = []byte("innocent")
+		r.Expect(handle(t.Context(), innocent)).To(gomega.BeNil())
+		r.Expect(w.status).To(gomega.Equal(http.StatusOK))
+	})
+}
+
 func TestTheDeadlineIsKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := worker("e", nil)
@@ -279,6 +326,7 @@
 		err := r.Handle(t.Context(), c)
 		r.Expect(err.Status).To(gomega.Equal(http.StatusGatewayTimeout))
 		r.Expect(time.Since(c.Received)).To(gomega.BeNumerically("~", timeout, 100*time.Millisecond))
+		r.Expect(r.Table.Idle(r.Clock(), placement.Ask{Deployment: "lm"})).To(gomega.BeTrue(), "it may have been only busy")
 	})
 }
 
--- a/quarantine/node.go
+++ b/quarantine/node.go
@@ -5,17 +5,14 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 
-	"dandelionrelay/api"
 	"dandelionrelay/infra"
 	"dandelionrelay/membership"
-	"dandelionrelay/pipeline"
 )
 
 // Stream is the log stream of the events.
@@ -86,22 +83,6 @@
 	}
 }
 
-// Filter refuses quarantined requests.
-func (n *Node) Filter(next pipeline.Handler) pipeline.Handler {
-	return func(ctx context.Context, c *pipeline.Call) *api.Error {
-		if !n.Empty() && n.Verdict(Of(c), c.Customer) == Quarantined {
-			return Refusal()
-		}
-		return next(ctx, c)
-	}
-}
-
-// Refusal is the final answer to a quarantined request.
-func Refusal() *api.Error {
-	return api.NewError(http.StatusUnprocessableEntity, api.CodeQuarantined,
-		"endpoints crashed running this request; it is not run again")
-}
-
 // spread queues events and wakes Run.
 func (n *Node) spread(events []Event, own bool) {
 	n.outbox.Add(events, own)
--- a/quarantine/spread.go
+++ b/quarantine/spread.go
@@ -57,6 +57,13 @@
 	return out
 }
 
+// Waits reports whether events wait to be recorded.
+func (o *Outbox) Waits() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.record) > 0
+}
+
 // NotRecorded gives back events whose record may be missing.
 func (o *Outbox) NotRecorded(events []Event) {
 	o.mu.Lock()
--- a/standin/streams/streams.go
+++ b/standin/streams/streams.go
@@ -57,6 +57,7 @@
 	NotRun      bool // refused as not run, with Status
 	Unsigned    bool // nobody vouches for the answer
 	CutAfter    int  // break off after so many events; 0: never
+	Crash       bool // the endpoint ends with all its connections
 	SilentAfter int  // fall silent after so many events; 0: never
 }
 
@@ -78,6 +79,7 @@
 	Slots  int           // requests run at once; others wait in order of arrival
 	Behave func(r *http.Request, n int) Behaviour
 
+	server  *http.Server
 	mu      sync.Mutex
 	runs    []Run
 	seen    int
@@ -129,6 +131,7 @@
 // Serve answers on l until the server returned is closed.
 func (e *Endpoint) Serve(l net.Listener) *http.Server {
 	s := &http.Server{Handler: e}
+	e.server = s
 	go func() { _ = s.Serve(l) }() // it ends with Close
 	return s
 }
@@ -179,6 +182,10 @@
 		e.running--
 		e.mu.Unlock()
 	}()
+	if b.Crash {
+		_ = e.server.Close() // closing sockets can't fail in a way that matters here
+		return
+	}
 	if !b.Unsigned {
 		w.Header().Set(HeaderVouched, "1")
 	}
--- a/test/system/metrics_test.go
+++ b/test/system/metrics_test.go
@@ -127,6 +127,7 @@
 		Providers: gateway.Providers{
 			Config:   new(config.Holder),
 			Members:  &keyed.Handle{Log: log},
+			Suspects: &keyed.Handle{Log: log},
 			Levels:   &keyed.Handle{Log: log},
 			Jobs:     &keyed.Handle{Log: log},
 			Contents: []batch.Store{&keyed.Handle{Log: log}},
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -83,6 +83,10 @@
 		}
 		c.close()
 	}
+	return p.connect(ctx, addr)
+}
+
+func (p *Pool) connect(ctx context.Context, addr string) (*conn, error) {
 	raw, err := p.dial(ctx, addr)
 	if err != nil {
 		return nil, err
@@ -93,6 +97,17 @@
 	return c, nil
 }
 
+// Reachable reports whether the endpoint at addr still takes connections. The
+// one that it takes is kept for the next request.
+func (p *Pool) Reachable(ctx context.Context, addr string) bool {
+	c, err := p.connect(ctx, addr)
+	if err != nil {
+		return false
+	}
+	p.put(c, defaultIdle-idleMargin)
+	return true
+}
+
 func (p *Pool) pop(addr string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
