settings: a gateway uses no more partitions than the store has

Cause: bodies and outputs of batch jobs lie in 4 partitions whatever the store allows. Where it allows one, three quarters of all jobs were refused with a 503 that said the store was away.

Ruled out: the low rates of writes; with one partition used they suffice.

Test failed first.

--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -16,7 +16,8 @@
 	MetricsAddr  string          `json:"metrics_addr"`               // ip:port, serves metrics and profiles
 	PeersAddr    string          `json:"peers_addr"`                 // ip:port of datagrams between entries
 	StoreAddr    string          `json:"store_addr"`                 // ip:port of the store
-	ContentParts int             `json:"content_parts,omitempty"`    // partitions of batch bodies and outputs; default 4
+	StoreParts   int             `json:"store_parts,omitempty"`      // partitions that a topic of the store may have; 0: any number
+	ContentParts int             `json:"content_parts,omitempty"`    // partitions of batch bodies and outputs; default 4, or store_parts if those are fewer
 	CallBytes    int             `json:"call_bytes,omitempty"`       // of records in one append; default 1 MiB
 	RecordBytes  int             `json:"record_bytes,omitempty"`     // of one record; default 256 KiB
 	Withdrawal   config.Duration `json:"withdrawal_bound,omitempty"` // after which no request with a withdrawn key may run; 0: no bound
@@ -47,7 +48,11 @@
 	f.addr("/metrics_addr", g.MetricsAddr)
 	f.addr("/peers_addr", g.PeersAddr)
 	f.addr("/store_addr", g.StoreAddr)
+	f.notNegative("/store_parts", float64(g.StoreParts))
 	f.notNegative("/content_parts", float64(g.ContentParts))
+	if g.StoreParts > 0 && g.ContentParts > g.StoreParts {
+		f.add("/content_parts", "must not be more than store_parts")
+	}
 	f.notNegative("/call_bytes", float64(g.CallBytes))
 	f.notNegative("/record_bytes", float64(g.RecordBytes))
 	f.notNegative("/withdrawal_bound", float64(g.Withdrawal))
@@ -57,7 +62,7 @@
 	f.notNegative("/end_grace", float64(g.EndGrace))
 	f.notNegative("/keep_jobs", float64(g.KeepJobs))
 	f.notNegative("/gone_after", float64(g.GoneAfter))
-	orDefault(&g.ContentParts, DefaultContentParts)
+	orDefault(&g.ContentParts, g.defaultContentParts())
 	orDefault(&g.CallBytes, DefaultCallBytes)
 	orDefault(&g.RecordBytes, DefaultRecordBytes)
 	orDefault(&g.EndGrace, config.Duration(DefaultEndGrace))
@@ -65,3 +70,10 @@
 	orDefault(&g.GoneAfter, config.Duration(DefaultGoneAfter))
 	f.level("/log_level", &g.LogLevel)
 }
+
+func (g *Gateway) defaultContentParts() int {
+	if g.StoreParts > 0 {
+		return min(DefaultContentParts, g.StoreParts)
+	}
+	return DefaultContentParts
+}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -28,6 +28,22 @@
 	g.Expect(s.LogLevel).To(Equal("info"))
 }
 
+// A store may allow fewer partitions than a gateway uses by default.
+func TestAGatewayUsesNoMorePartitionsThanTheStoreHas(t *testing.T) {
+	load := func(more string) (*settings.Gateway, error) {
+		return settings.LoadGateway(write(t, `{"id":"e1","data_centre":"a","callers_addr":"127.0.0.1:1","ready_addr":"127.0.0.1:2",
+			"metrics_addr":"127.0.0.1:3","peers_addr":"127.0.0.1:4","store_addr":"127.0.0.1:5"`+more+`}`))
+	}
+	for more, parts := range map[string]int{"": settings.DefaultContentParts, `,"store_parts":1`: 1, `,"store_parts":12`: settings.DefaultContentParts} {
+		g := NewWithT(t)
+		s, err := load(more)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(s.ContentParts).To(Equal(parts), more)
+	}
+	_, err := load(`,"store_parts":2,"content_parts":3,"limit_excess":-0.1`)
+	NewWithT(t).Expect(err).To(MatchError(And(ContainSubstring("/content_parts"), ContainSubstring("/limit_excess"))))
+}
+
 func TestAllFindingsAreReportedWithTheirPlace(t *testing.T) {
 	g := NewWithT(t)
 	path := write(t, `{"id":"","data_centre":"a","http_addr":"localhost:1","rpc_addr":"127.0.0.1:2",
