placement: endpoints that answer with failures are passed over

Cause: an answer of 500 counted as work well done.

Change: each entry keeps a moving share of failures of each endpoint; from two in a row on it is passed over, and the other entries are told. The first of those that saw it, by name, tries again after 0.5 to 4 s with one request that may be repeated. If more than half of a deployment's endpoints fail, none is passed over. An item does not run again for 3 s where it failed.

Ruled out: asking for health (it is good), suspension after one failure (it may be the request's own: an item in a hundred fails everywhere).

--- a/batch/item.go
+++ b/batch/item.go
@@ -26,6 +26,9 @@
 	// lost; it doubles with each loss in a row.
 	lostPause    = 50 * time.Millisecond
 	maxLostPause = 2 * time.Second
+	// avoidFor is for how long an item does not run where it failed: by then it
+	// has run elsewhere if it can.
+	avoidFor = 3 * time.Second
 	// condemnedPause is the time between runs of an item that endpoints died of:
 	// it may not be given up before its time, but does little harm so.
 	condemnedPause = 15 * time.Second
@@ -73,6 +76,9 @@
 	if end == runCompleted && !r.Suspects.Empty() {
 		r.Suspects.Finished(r.digest(c))
 	}
+	if end == runFailed {
+		p.avoid = avoided{endpoint: grant.Key(), until: r.Clock() + avoidFor}
+	}
 	r.settle(c, end, route)
 	poke(r.wake)
 }
@@ -158,10 +164,10 @@
 	case a.StatusCode == http.StatusUnprocessableEntity:
 		return r.refused(x, runHopeless, placement.Done)
 	case a.StatusCode == http.StatusInternalServerError:
-		return r.refused(x, runFailed, placement.Done)
+		return r.refused(x, runFailed, placement.Erred)
 	case a.StatusCode != http.StatusOK || !r.Dialect.Vouched(a):
 		x.Close()
-		return runLost, placement.Done, errorx.ExternalError.New("status %d", a.StatusCode)
+		return runLost, placement.Erred, errorx.ExternalError.New("status %d", a.StatusCode)
 	}
 	return r.collect(c.progress, x)
 }
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -54,6 +54,7 @@
 	kept   int // events in the newest checkpoint
 
 	failures int              // answers that count as failed attempts
+	avoid    avoided          // where the last of them came from
 	lost     int              // exchanges in a row that ended without a whole answer
 	notUntil time.Duration    // clock before which it does not run again
 	pace     eventstream.Pace // of the present run
@@ -61,6 +62,20 @@
 	result   Result // in phase ended
 }
 
+// avoided is an endpoint at which an item does not run for a while.
+type avoided struct {
+	endpoint placement.Key
+	until    time.Duration // clock
+}
+
+// keys returns the endpoint in the form of placement.Ask.
+func (a avoided) keys(now time.Duration) map[placement.Key]bool {
+	if now >= a.until {
+		return nil
+	}
+	return map[placement.Key]bool{a.endpoint: true}
+}
+
 // runner runs the items of the jobs that this entry owns.
 type runner struct {
 	*Service
@@ -260,10 +275,11 @@
 		return false
 	}
 	itemCtx, cancel := context.WithCancel(ctx)
-	grant := r.Table.PlaceBatch(r.Clock(), placement.Ask{Deployment: route.Deployment}, cancel)
+	avoid := c.avoid.keys(r.Clock())
+	grant := r.Table.PlaceBatch(r.Clock(), placement.Ask{Deployment: route.Deployment, Avoid: avoid}, cancel)
 	if grant == nil {
 		cancel()
-		full[route.Deployment] = true
+		full[route.Deployment] = len(avoid) == 0
 		return false
 	}
 	r.mu.Lock()
--- a/batch/service_test.go
+++ b/batch/service_test.go
@@ -206,6 +206,20 @@
 	})
 }
 
+// Of two endpoints one fails whatever it is sent: items that failed there run at
+// the other one, and none is given up.
+func TestItemsRunElsewhereAfterAFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bad, good := worker("bad", 3, 8), worker("good", 3, 8)
+		bad.Behave = status(http.StatusInternalServerError)
+		r := newRig(t, 1, bad, good)
+		r.Expect(r.entries[0].Submit(r.ctx, submission("j", 12, 10))).To(gomega.Succeed())
+		for _, result := range r.await(r.entries[0], "j", 20*time.Second).Results {
+			r.Expect(result.State).To(gomega.Equal(Completed))
+		}
+	})
+}
+
 func TestItemsThatCannotBeDoneRunOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := worker("w", 3, 8)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -323,10 +323,10 @@
 // report is what this entry tells the others.
 func (g *Gateway) report() gossip.Report {
 	return gossip.Report{
-		Loads:   g.table.Own(),
-		Counts:  g.limits.Own(),
-		LogLost: g.index.LostFor(),
-		Leaving: g.Leaving(),
+		Endpoints: placement.Report{Loads: g.table.Own(), Erring: g.table.Erring()},
+		Counts:    g.limits.Own(),
+		LogLost:   g.index.LostFor(),
+		Leaving:   g.Leaving(),
 	}
 }
 
@@ -337,7 +337,7 @@
 
 // PeerReport implements gossip.Listener.
 func (g *Gateway) PeerReport(name string, incarnation uint64, r gossip.Report) {
-	g.table.SetPeer(name, r.Loads)
+	g.table.SetPeer(name, r.Endpoints)
 	g.limits.Observe(g.Clock(), name, incarnation, r.Counts, quota.Report{Whole: r.Whole, Young: r.Uptime < g.Clock()-g.started+meeting})
 	g.table.Yield()
 	g.jobs.Wake()
@@ -345,7 +345,7 @@
 
 // PeerSilent implements gossip.Listener.
 func (g *Gateway) PeerSilent(name string) {
-	g.table.SetPeer(name, nil)
+	g.table.ForgetPeer(name)
 	g.jobs.Wake()
 }
 
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -19,7 +19,10 @@
 	return &message{
 		Incarnation: 7, Sequence: 9, Name: "one", HearsYou: true,
 		Report: Report{
-			Loads:   map[placement.Key]placement.Load{3: {Online: 2, Batch: 300}, 4: {Batch: 1}},
+			Endpoints: placement.Report{
+				Loads:  map[placement.Key]placement.Load{3: {Online: 2, Batch: 300}, 4: {Batch: 1}},
+				Erring: []placement.Key{8, 9},
+			},
 			Counts:  map[quota.Key]quota.Count{5: 6, 7: 1 << 31},
 			Whole:   true,
 			LogLost: 1500 * time.Millisecond,
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -15,7 +15,7 @@
 
 // Report is what an entry tells the others of itself.
 type Report struct {
-	Loads map[placement.Key]placement.Load // of endpoints that it uses now
+	Endpoints placement.Report
 	// Counts holds admissions of customers since the entry started: of all
 	// customers if Whole, else of those that had some of late.
 	Counts  map[quota.Key]quota.Count
@@ -35,7 +35,7 @@
 }
 
 // formatVersion is the first byte of each datagram.
-const formatVersion = 4
+const formatVersion = 5
 
 // maxDatagram bounds a datagram in bytes: the largest that UDP carries.
 const maxDatagram = 65_507
@@ -53,8 +53,12 @@
 	b = binary.BigEndian.AppendUint32(b, m.Sequence)
 	b = binary.AppendUvarint(b, uint64(len(m.Name)))
 	b = append(b, m.Name...)
-	b = binary.AppendUvarint(b, uint64(len(m.Loads)))
-	for key, l := range m.Loads {
+	b = binary.AppendUvarint(b, uint64(len(m.Endpoints.Erring)))
+	for _, key := range m.Endpoints.Erring {
+		b = binary.BigEndian.AppendUint32(b, uint32(key))
+	}
+	b = binary.AppendUvarint(b, uint64(len(m.Endpoints.Loads)))
+	for key, l := range m.Endpoints.Loads {
 		b = binary.BigEndian.AppendUint32(b, uint32(key))
 		b = binary.AppendUvarint(b, uint64(l.Online))
 		b = binary.AppendUvarint(b, uint64(l.Batch))
@@ -129,10 +133,13 @@
 		return nil, Malformed.New("cut short")
 	}
 	m.Name = string(d.take(n))
-	m.Loads = make(map[placement.Key]placement.Load)
+	for range d.count(4) {
+		m.Endpoints.Erring = append(m.Endpoints.Erring, placement.Key(d.uint32()))
+	}
+	m.Endpoints.Loads = make(map[placement.Key]placement.Load)
 	for range d.count(6) {
 		key := placement.Key(d.uint32())
-		m.Loads[key] = placement.Load{Online: d.uvarint(), Batch: d.uvarint()}
+		m.Endpoints.Loads[key] = placement.Load{Online: d.uvarint(), Batch: d.uvarint()}
 	}
 	m.Counts = make(map[quota.Key]quota.Count)
 	for range d.count(8) {
--- a/online/attempt.go
+++ b/online/attempt.go
@@ -137,6 +137,7 @@
 		Deployment: a.call.Route.Deployment,
 		Avoid:      a.avoid,
 		Patience:   patience,
+		Once:       !a.rules.Resumable && !a.call.Route.Idempotent,
 	})
 	a.refused = refused
 	if refused != nil && a.began == 0 && refused.Endpoint == "" {
@@ -308,19 +309,23 @@
 		}
 		return a.afterLoss(err), placement.Failed
 	}
+	result := placement.Done
+	if r.StatusCode >= http.StatusInternalServerError && r.StatusCode != http.StatusGatewayTimeout {
+		result = placement.Erred
+	}
 	if r.StatusCode >= http.StatusInternalServerError && a.mayRepeat() {
 		a.cause = errorx.ExternalError.New("status %d", r.StatusCode)
-		return next, placement.Done
+		return next, result
 	}
 	if a.answer.started() {
 		// A stream can't turn into a failure; it ends unfinished.
 		a.cause = errorx.ExternalError.New("status %d on resuming", r.StatusCode)
-		return givenUp, placement.Done
+		return givenUp, result
 	}
 	if err := a.answer.whole(r, body); err != nil {
 		a.cause = err
 	}
-	return finished, placement.Done
+	return finished, result
 }
 
 // relayEvents passes the events of a stream on, whole ones only.
--- a/placement/batch.go
+++ b/placement/batch.go
@@ -15,8 +15,9 @@
 	var best *endpoint
 	var most float64
 	group := t.group(ask.Deployment)
+	spare := group.tooManyErr()
 	for _, e := range group.endpoints {
-		if !e.takes(ask) || now < e.suspended || now < e.full {
+		if !e.takes(ask) || now < e.suspended || now < e.full || !spare && e.passedOver(ask) {
 			continue
 		}
 		free := e.Slots - reserve - e.online() - e.batch()
@@ -73,8 +74,8 @@
 		return 0
 	}
 	holders := []holder{{id: t.self, items: e.own.Batch}}
-	for id, load := range t.peers {
-		if n := load[e.key].Batch; n > 0 {
+	for id, r := range t.peers {
+		if n := r.Loads[e.key].Batch; n > 0 {
 			holders = append(holders, holder{id: id, items: n})
 		}
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -57,6 +57,7 @@
 const (
 	Done     Result = iota // the endpoint answered
 	Full                   // it refused for want of room
+	Erred                  // it answered with a failure of its own
 	Failed                 // it could not be reached, fell silent or broke off
 	Replaced               // another incarnation answered at its address
 	Yielded                // the entry cut it for other work, or its caller left
@@ -101,6 +102,8 @@
 	peers     Load // sum over peers
 	grants    map[*Grant]struct{}
 	gap       time.Duration // moving average between events; 0: unknown
+	errors    float64       // moving share of its answers here that were failures
+	doubts    int           // other entries that see its answers fail
 	failures  int           // in a row
 	suspended time.Duration // clock until which it is passed over
 	full      time.Duration // clock until which it is taken for full
@@ -123,7 +126,7 @@
 	random    *rand.Rand
 	endpoints map[Key]*endpoint
 	groups    map[string]*group // by deployment
-	peers     map[string]map[Key]Load
+	peers     map[string]Report
 	service   time.Duration // moving average of an online request's time at an endpoint
 	asks      float64       // online requests here within about reportLag, fading
 	asked     time.Duration // clock of the last one
@@ -140,7 +143,7 @@
 		random:     random,
 		endpoints:  make(map[Key]*endpoint),
 		groups:     make(map[string]*group),
-		peers:      make(map[string]map[Key]Load),
+		peers:      make(map[string]Report),
 		service:    serviceStart,
 	}
 }
@@ -160,33 +163,52 @@
 			e = &endpoint{key: key, grants: make(map[*Grant]struct{})}
 		}
 		e.Endpoint = item
-		e.peers = Load{}
+		e.peers, e.doubts = Load{}, 0
 		t.endpoints[key] = e
 		t.group(item.Deployment).add(e)
 	}
-	for _, load := range t.peers {
-		t.addPeer(load, 1)
+	for _, r := range t.peers {
+		t.addPeer(r, 1)
 	}
 }
 
-// SetPeer replaces the load that another entry reported of itself; nil forgets
-// the entry.
-func (t *Table) SetPeer(id string, load map[Key]Load) {
+// Report is what an entry tells the others of endpoints.
+type Report struct {
+	Loads  map[Key]Load // of endpoints that it uses now
+	Erring []Key        // endpoints whose answers to it fail
+}
+
+// SetPeer replaces what another entry reported.
+func (t *Table) SetPeer(id string, r Report) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.addPeer(t.peers[id], -1)
-	t.addPeer(load, 1)
-	if load == nil {
-		delete(t.peers, id)
-	} else {
-		t.peers[id] = load
+	t.addPeer(r, 1)
+	t.peers[id] = r
+	for _, key := range r.Erring {
+		if e := t.endpoints[key]; e != nil {
+			t.leaveTo(id, e)
+		}
 	}
 }
 
-// addPeer adds an entry's load to the sums of the listed endpoints, or with
+// ForgetPeer drops what another entry reported.
+func (t *Table) ForgetPeer(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.addPeer(t.peers[id], -1)
+	delete(t.peers, id)
+}
+
+// addPeer adds an entry's report to the sums of the listed endpoints, or with
 // sign -1 takes it off.
-func (t *Table) addPeer(load map[Key]Load, sign int) {
-	for key, l := range load {
+func (t *Table) addPeer(r Report, sign int) {
+	for _, key := range r.Erring {
+		if e := t.endpoints[key]; e != nil {
+			e.doubts += sign
+		}
+	}
+	for key, l := range r.Loads {
 		if e := t.endpoints[key]; e != nil {
 			e.peers.Online += sign * l.Online
 			e.peers.Batch += sign * l.Batch
@@ -235,6 +257,7 @@
 	Deployment string
 	Avoid      map[Key]bool  // endpoints that failed this request already
 	Patience   time.Duration // longest wait for the begin that is of use to the caller
+	Once       bool          // the request may not be repeated
 }
 
 // Place takes a place for an online request at the endpoint where it should
@@ -321,8 +344,9 @@
 	var best *endpoint
 	var least, wait time.Duration
 	group := t.group(ask.Deployment)
+	spare := group.tooManyErr()
 	for _, e := range group.endpoints {
-		if !e.takes(ask) || sound && now < e.suspended {
+		if !e.takes(ask) || sound && (now < e.suspended || !spare && e.passedOver(ask)) {
 			continue
 		}
 		w := t.wait(e, now, group.slowness(e))
@@ -404,20 +428,32 @@
 	switch result {
 	case Done:
 		e.failures = 0
+		e.answered(false)
 		if g.Kind == Online {
 			t.service = average(t.service, now-g.since)
 		}
 	case Full:
 		e.full = now + fullFor
+	case Erred:
+		e.answered(true)
+		if e.erring() {
+			e.suspend(now)
+		}
 	case Failed:
-		e.suspended = now + min(minSuspension<<min(e.failures, 6), maxSuspension)
-		e.failures++
+		e.suspend(now)
 	case Replaced:
 		e.replaced = true
 	}
 	t.notify()
 }
 
+// suspend has the endpoint passed over for a while, longer with each time in a
+// row.
+func (e *endpoint) suspend(now time.Duration) {
+	e.suspended = now + min(minSuspension<<min(e.failures, 6), maxSuspension)
+	e.failures++
+}
+
 func average(old, observed time.Duration) time.Duration {
 	if old == 0 {
 		return observed
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -58,10 +58,10 @@
 	g := gomega.NewWithT(t)
 	x, y := at("x", "a"), at("y", "a")
 	tab := table("self", x, y)
-	tab.SetPeer("other", map[Key]Load{x.Key(): {Online: 6}})
+	tab.SetPeer("other", Report{Loads: map[Key]Load{x.Key(): {Online: 6}}})
 	grant, _ := tab.Place(0, ask())
 	g.Expect(grant.Endpoint.ID).To(gomega.Equal("y"))
-	tab.SetPeer("other", nil)
+	tab.ForgetPeer("other")
 	for range 2 {
 		_, refused := tab.Place(0, ask())
 		g.Expect(refused).To(gomega.BeNil())
@@ -160,7 +160,7 @@
 		tab := table(self, x)
 		for id, l := range counts {
 			if id != self {
-				tab.SetPeer(id, map[Key]Load{x.Key(): l})
+				tab.SetPeer(id, Report{Loads: map[Key]Load{x.Key(): l}})
 			}
 		}
 		e := tab.endpoints[x.Key()]
@@ -222,7 +222,7 @@
 			for i, from := range tables {
 				for j, to := range tables {
 					if i != j {
-						to.SetPeer(fmt.Sprint(i), from.Own())
+						to.SetPeer(fmt.Sprint(i), Report{Loads: from.Own()})
 					}
 				}
 			}
