gossip: entries of large fleets form cells

Cause: each entry sent what it runs and admits to every other one, up to 33 times a second within a data centre.

Change: up to 40 entries nothing changes. Beyond, the entries of a data centre form cells of about 12 by rendezvous hashing. A cell's entries tell one another all and use the endpoints that are hashed to the cell; those of other cells are a last resort. The first by name is the cell's relay: it sends the sum of its cell's admissions to the relays of other cells, and passes theirs on to its own cell. An entry counts on the part of each rate of those with whom it is in mutual contact this way. Jobs of an entry in another cell are taken over only when its own cell has not done it.

Ruled out: slower datagrams for larger fleets (loads of endpoints would be known too late); sums relayed for a whole data centre (placement needs each endpoint's).

--- a/gateway/filters_test.go
+++ b/gateway/filters_test.go
@@ -171,7 +171,7 @@
 		r.configure()
 		full := r.limits.Admit(r.now, "garden").Level
 		r.started = r.now
-		r.PeerReport("other", 1, gossip.Report{Whole: true, Uptime: uptime, Counts: map[quota.Key]quota.Count{quota.KeyOf("garden"): 9}})
+		r.PeerReport("other", 1, gossip.Report{Uptime: uptime, Counts: gossip.Counts{Whole: true, ByCustomer: map[quota.Key]quota.Count{quota.KeyOf("garden"): 9}}})
 		r.Expect(r.limits.Admit(r.now, "garden").Level < full-5).To(gomega.Equal(counted), "uptime %v", uptime)
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -87,10 +87,14 @@
 	index     *keyedlog.Follower
 	started   time.Duration
 
-	mu      sync.Mutex
-	random  *rand.Rand
-	leaving bool
-	addrs   map[string]bool // of listed endpoints
+	// Admissions, summed for entries of other cells and for those of this one.
+	cellMates, otherCells *quota.Tally
+
+	mu        sync.Mutex
+	random    *rand.Rand
+	leaving   bool
+	endpoints []placement.Endpoint // as discovery lists them
+	addrs     map[string]bool      // of these
 }
 
 // Pace of the followers: how long reads wait at the store, and the least time
@@ -113,12 +117,15 @@
 		limits:  quota.NewTable(tolerance(d.Settings)),
 		random:  rand.New(rand.NewPCG(seed, 1)),
 		addrs:   make(map[string]bool),
+
+		cellMates:  quota.NewTally(),
+		otherCells: quota.NewTally(),
 	}
 	g.table = placement.NewTable(d.Settings.ID, d.Settings.DataCentre, rand.New(rand.NewPCG(seed, 2)), g.loadChanged)
 	g.pool = upstream.NewPool(d.IDHeader, nil, g.dialCounter())
 	g.members = gossip.NewRegistry(d.Clock, g.badRecord("members"), g.loadChanged)
 	g.known = g.follow("members", d.Members, g.members, membersWait, membersPace)
-	g.node = gossip.NewNode(g.self(), g.members, g.report, g, d.Clock, d.Log)
+	g.node = gossip.NewNode(g.self(), g.members, g, g, d.Clock, d.Log)
 	g.suspects = quarantine.NewShared(d.Suspects, d.Log, g.badRecord("suspects"))
 	g.follow("suspects", d.Suspects, g.suspects, suspectsWait, suspectsPace)
 	g.composeJobs()
@@ -295,15 +302,15 @@
 
 // SetEndpoints takes a new list of endpoints.
 func (g *Gateway) SetEndpoints(list []placement.Endpoint) {
-	g.table.SetEndpoints(list)
 	addrs := make(map[string]bool, len(list))
 	for _, e := range list {
 		addrs[e.Address] = true
 	}
 	g.mu.Lock()
+	g.endpoints = list
 	g.addrs = addrs
 	g.mu.Unlock()
-	g.jobs.Wake()
+	g.assignEndpoints()
 }
 
 func (g *Gateway) draw(n int) int {
@@ -320,35 +327,6 @@
 	}
 }
 
-// report is what this entry tells the others.
-func (g *Gateway) report() gossip.Report {
-	return gossip.Report{
-		Endpoints: placement.Report{Loads: g.table.Own(), Erring: g.table.Erring()},
-		Counts:    g.limits.Own(),
-		LogLost:   g.index.LostFor(),
-		Leaving:   g.Leaving(),
-	}
-}
-
-// meeting is by how much earlier than this entry another may have started for
-// all that it admitted to count here: the time until entries that start
-// together hear one another.
-const meeting = time.Second
-
-// PeerReport implements gossip.Listener.
-func (g *Gateway) PeerReport(name string, incarnation uint64, r gossip.Report) {
-	g.table.SetPeer(name, r.Endpoints)
-	g.limits.Observe(g.Clock(), name, incarnation, r.Counts, quota.Report{Whole: r.Whole, Young: r.Uptime < g.Clock()-g.started+meeting})
-	g.table.Yield()
-	g.jobs.Wake()
-}
-
-// PeerSilent implements gossip.Listener.
-func (g *Gateway) PeerSilent(name string) {
-	g.table.ForgetPeer(name)
-	g.jobs.Wake()
-}
-
 // Share implements gossip.Listener.
 func (g *Gateway) Share(s gossip.Share) {
 	g.limits.SetShare(quota.Share{Part: s.Part, Alone: s.Alone, Until: s.Until})
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -23,8 +23,10 @@
 				Loads:  map[placement.Key]placement.Load{3: {Online: 2, Batch: 300}, 4: {Batch: 1}},
 				Erring: []placement.Key{8, 9},
 			},
-			Counts:  map[quota.Key]quota.Count{5: 6, 7: 1 << 31},
-			Whole:   true,
+			Counts:  Counts{ByCustomer: map[quota.Key]quota.Count{5: 6, 7: 1 << 31}, Whole: true},
+			Outside: Counts{ByCustomer: map[quota.Key]quota.Count{5: 9}},
+			Covers:  3,
+			Cell:    true,
 			LogLost: 1500 * time.Millisecond,
 			Leaving: true,
 			Uptime:  3 * time.Second,
@@ -67,13 +69,20 @@
 func (w *world) PeerSilent(name string)            { w.silent = append(w.silent, name) }
 func (w *world) Share(s Share)                     { w.shares = append(w.shares, s) }
 
+func (w *world) CellReport(string, uint64, Report)     {}
+func (w *world) OutsideReport(string, uint64, Report)  {}
+func (w *world) SourceGone(string)                     {}
+func (w *world) CellsChanged()                         {}
+func (w *world) Report() Report                        { return Report{} }
+func (w *world) CellCounts() map[quota.Key]quota.Count { return nil }
+
 func newWorld(members ...string) *world {
 	w := &world{now: time.Hour}
 	clock := func() time.Duration { return w.now }
 	w.registry = NewRegistry(clock, func(string, error) {}, func() {})
 	w.register(members...)
 	self := Member{Name: "self", Incarnation: 1, DataCentre: "a"}
-	w.node = NewNode(self, w.registry, func() Report { return Report{} }, w, clock, zerolog.Nop())
+	w.node = NewNode(self, w.registry, w, w, clock, zerolog.Nop())
 	return w
 }
 
@@ -196,25 +205,30 @@
 // Counts that did not change are sent now and then only.
 func TestCountsAreSentWhenTheyChange(t *testing.T) {
 	g := gomega.NewWithT(t)
-	w := newWorld()
+	now := time.Hour
+	l := newCountLog()
 	all := map[quota.Key]quota.Count{1: 1, 2: 1}
-	_, whole := w.node.counts(all, w.now, false)
-	g.Expect(whole).To(gomega.BeTrue(), "it has just started")
-	w.now += youngFor
-	counts, whole := w.node.counts(all, w.now, true)
-	g.Expect(whole).To(gomega.BeTrue())
-	g.Expect(counts).To(gomega.HaveLen(2))
-	w.now += countedFor
+	g.Expect(l.pick(all, now, true, false).Whole).To(gomega.BeTrue(), "it has just started")
+	counts := l.pick(all, now, false, true)
+	g.Expect(counts.Whole).To(gomega.BeTrue())
+	g.Expect(counts.ByCustomer).To(gomega.HaveLen(2))
+	now += countedFor
 	all[2]++
-	counts, whole = w.node.counts(all, w.now, true)
-	g.Expect(whole).To(gomega.BeFalse())
-	g.Expect(counts).To(gomega.Equal(map[quota.Key]quota.Count{2: 2}))
-	w.now += wholePace
-	_, whole = w.node.counts(all, w.now, false)
-	g.Expect(whole).To(gomega.BeFalse(), "not to all")
-	_, whole = w.node.counts(all, w.now, true)
-	g.Expect(whole).To(gomega.BeTrue())
+	counts = l.pick(all, now, false, true)
+	g.Expect(counts.Whole).To(gomega.BeFalse())
+	g.Expect(counts.ByCustomer).To(gomega.Equal(map[quota.Key]quota.Count{2: 2}))
+	now += wholePace
+	g.Expect(l.pick(all, now, false, false).Whole).To(gomega.BeFalse(), "not to all")
+	g.Expect(l.pick(all, now, false, true).Whole).To(gomega.BeTrue())
+	l.sendWhole()
+	g.Expect(l.pick(all, now, false, true).Whole).To(gomega.BeTrue(), "to an entry that is new")
+}
+
+// An entry that is new has all counts sent.
+func TestAnEntryThatIsNewGetsAllCounts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld("new")
+	w.node.counts.whole = w.now + time.Hour
 	w.hear("new", 1, true, nil)
-	_, whole = w.node.counts(all, w.now, true)
-	g.Expect(whole).To(gomega.BeTrue(), "to an entry that is new")
+	g.Expect(w.node.counts.whole).To(gomega.BeZero())
 }
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -13,16 +13,17 @@
 	"dandelionrelay/quota"
 )
 
-// Report is what an entry tells the others of itself.
+// Report is what an entry tells the others of itself, or with Cell set what its
+// whole cell admits.
 type Report struct {
 	Endpoints placement.Report
-	// Counts holds admissions of customers since the entry started: of all
-	// customers if Whole, else of those that had some of late.
-	Counts  map[quota.Key]quota.Count
-	Whole   bool
-	LogLost time.Duration // for how long it has not reached the log; 0: it does
-	Leaving bool          // it ends soon
-	Uptime  time.Duration // since it started
+	Counts    Counts        // admissions of this entry, or of its cell
+	Outside   Counts        // of a relay: admissions of the other cells
+	Covers    int           // entries of the cell, or of a relay those of other cells, whose admissions are counted
+	Cell      bool          // sent from relay to relay
+	LogLost   time.Duration // for how long it has not reached the log; 0: it does
+	Leaving   bool          // it ends soon
+	Uptime    time.Duration // since it started
 }
 
 // message is one datagram.
@@ -35,7 +36,7 @@
 }
 
 // formatVersion is the first byte of each datagram.
-const formatVersion = 5
+const formatVersion = 6
 
 // maxDatagram bounds a datagram in bytes: the largest that UDP carries.
 const maxDatagram = 65_507
@@ -63,14 +64,22 @@
 		b = binary.AppendUvarint(b, uint64(l.Online))
 		b = binary.AppendUvarint(b, uint64(l.Batch))
 	}
-	b = binary.AppendUvarint(b, uint64(len(m.Counts)))
-	for key, c := range m.Counts {
-		b = binary.BigEndian.AppendUint32(b, uint32(key))
-		b = binary.BigEndian.AppendUint32(b, uint32(c))
-	}
+	b = m.Counts.append(b)
+	b = m.Outside.append(b)
+	b = binary.AppendUvarint(b, uint64(m.Covers))
 	b = binary.AppendUvarint(b, uint64(m.LogLost.Milliseconds()))
 	b = binary.AppendUvarint(b, uint64(m.Uptime.Milliseconds()))
-	return append(b, flag(m.Whole), flag(m.Leaving), flag(m.HearsYou))
+	return append(b, flag(m.Cell), flag(m.Leaving), flag(m.HearsYou))
+}
+
+func (c Counts) append(b []byte) []byte {
+	b = append(b, flag(c.Whole))
+	b = binary.AppendUvarint(b, uint64(len(c.ByCustomer)))
+	for key, count := range c.ByCustomer {
+		b = binary.BigEndian.AppendUint32(b, uint32(key))
+		b = binary.BigEndian.AppendUint32(b, uint32(count))
+	}
+	return b
 }
 
 func flag(yes bool) byte {
@@ -121,6 +130,15 @@
 	return n
 }
 
+func (d *decoder) counts() Counts {
+	c := Counts{Whole: d.take(1)[0] != 0, ByCustomer: make(map[quota.Key]quota.Count)}
+	for range d.count(8) {
+		key := quota.Key(d.uint32())
+		c.ByCustomer[key] = quota.Count(d.uint32())
+	}
+	return c
+}
+
 // decode reads a datagram.
 func decode(b []byte) (*message, error) {
 	if len(b) == 0 || b[0] != formatVersion {
@@ -141,15 +159,13 @@
 		key := placement.Key(d.uint32())
 		m.Endpoints.Loads[key] = placement.Load{Online: d.uvarint(), Batch: d.uvarint()}
 	}
-	m.Counts = make(map[quota.Key]quota.Count)
-	for range d.count(8) {
-		key := quota.Key(d.uint32())
-		m.Counts[key] = quota.Count(d.uint32())
-	}
+	m.Counts = d.counts()
+	m.Outside = d.counts()
+	m.Covers = d.uvarint()
 	m.LogLost = time.Duration(d.uvarint()) * time.Millisecond
 	m.Uptime = time.Duration(d.uvarint()) * time.Millisecond
 	flags := d.take(3)
-	m.Whole, m.Leaving, m.HearsYou = flags[0] != 0, flags[1] != 0, flags[2] != 0
+	m.Cell, m.Leaving, m.HearsYou = flags[0] != 0, flags[1] != 0, flags[2] != 0
 	if d.failed {
 		return nil, Malformed.New("cut short")
 	}
--- a/gossip/registry.go
+++ b/gossip/registry.go
@@ -43,6 +43,7 @@
 	mu      sync.Mutex
 	members map[string]registered
 	loaded  bool
+	changes int // of who is registered
 }
 
 // NewRegistry returns an empty Registry. bad is called for each record that
@@ -58,6 +59,7 @@
 	defer r.mu.Unlock()
 	r.members = make(map[string]registered)
 	r.loaded = true
+	r.changes++
 	r.apply(records)
 	r.notify()
 }
@@ -74,6 +76,7 @@
 	for _, record := range records {
 		if record.Value == nil {
 			delete(r.members, record.Key)
+			r.changes++
 			continue
 		}
 		var m Member
@@ -81,6 +84,9 @@
 			r.bad(record.Key, err)
 			continue
 		}
+		if r.members[m.Name].Member != m {
+			r.changes++
+		}
 		r.members[m.Name] = registered{Member: m, seen: now}
 	}
 }
@@ -106,6 +112,13 @@
 	return list
 }
 
+// Changes counts how often it has changed who is registered, and where.
+func (r *Registry) Changes() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changes
+}
+
 // find returns the member of that name and for how long it has been silent.
 func (r *Registry) find(name string) (Member, time.Duration, bool) {
 	r.mu.Lock()
--- a/placement/batch.go
+++ b/placement/batch.go
@@ -16,7 +16,7 @@
 	var most float64
 	group := t.group(ask.Deployment)
 	spare := group.tooManyErr()
-	for _, e := range group.endpoints {
+	for _, e := range group.own() {
 		if !e.takes(ask) || now < e.suspended || now < e.full || !spare && e.passedOver(ask) {
 			continue
 		}
--- a/placement/group.go
+++ b/placement/group.go
@@ -8,6 +8,7 @@
 // group is the endpoints of one deployment.
 type group struct {
 	endpoints []*endpoint
+	foreign   []*endpoint
 	reference time.Duration // median time between events over the group; 0: unknown
 	stale     bool          // reference is to be worked out anew
 }
@@ -23,10 +24,22 @@
 }
 
 func (g *group) add(e *endpoint) {
+	if e.Foreign {
+		g.foreign = append(g.foreign, e)
+		return
+	}
 	g.endpoints = append(g.endpoints, e)
 	g.changed()
 }
 
+// own returns the endpoints whose loads are known; where there are none, all.
+func (g *group) own() []*endpoint {
+	if len(g.endpoints) == 0 {
+		return g.foreign
+	}
+	return g.endpoints
+}
+
 // changed notes that the time between events has changed at some endpoint.
 func (g *group) changed() { g.stale = true }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -25,6 +25,9 @@
 	DataCentre string
 	Slots      int  // requests that it runs at once
 	Closed     bool // it is leaving: nothing new is sent to it
+	// Foreign says that entries use it of which this one knows no loads: it is a
+	// last resort.
+	Foreign bool
 }
 
 // Key returns the key of the endpoint.
@@ -267,11 +270,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.countAsk(now)
-	best, wait := t.soonest(now, ask, true)
-	if best == nil {
-		// Rather an endpoint that failed a moment ago than none.
-		best, wait = t.soonest(now, ask, false)
-	}
+	best, wait := t.find(now, ask)
 	if best == nil {
 		return nil, &Refusal{RetryAfter: minSuspension}
 	}
@@ -328,7 +327,7 @@
 func (t *Table) Idle(now time.Duration, ask Ask) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	best, _ := t.soonest(now, ask, true)
+	best, _ := t.soonest(now, ask, t.group(ask.Deployment).endpoints, true)
 	return best != nil && best.online()+best.batch() < best.Slots && now >= best.full
 }
 
@@ -339,13 +338,28 @@
 	return excess + t.service/4 + spread
 }
 
-// soonest returns the endpoint at which a request would begin first.
-func (t *Table) soonest(now time.Duration, ask Ask, sound bool) (*endpoint, time.Duration) {
+// find returns the endpoint to use for a request: rather a foreign one than one
+// that failed a moment ago, and rather that than none.
+func (t *Table) find(now time.Duration, ask Ask) (*endpoint, time.Duration) {
+	group := t.group(ask.Deployment)
+	for _, sound := range []bool{true, false} {
+		for _, among := range [][]*endpoint{group.endpoints, group.foreign} {
+			if best, wait := t.soonest(now, ask, among, sound); best != nil {
+				return best, wait
+			}
+		}
+	}
+	return nil, 0
+}
+
+// soonest returns the endpoint among some of a deployment's at which a request
+// would begin first.
+func (t *Table) soonest(now time.Duration, ask Ask, among []*endpoint, sound bool) (*endpoint, time.Duration) {
 	var best *endpoint
 	var least, wait time.Duration
 	group := t.group(ask.Deployment)
 	spare := group.tooManyErr()
-	for _, e := range group.endpoints {
+	for _, e := range among {
 		if !e.takes(ask) || sound && (now < e.suspended || !spare && e.passedOver(ask)) {
 			continue
 		}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -7,7 +7,6 @@
 
 import (
 	"hash/fnv"
-	"maps"
 	"math"
 	"sync"
 	"time"
@@ -104,7 +103,7 @@
 	share    Share
 	limits   map[Key]Limit
 	buckets  map[Key]*bucket
-	seen     map[string]observed // by entry
+	seen     sources // by entry
 	heritage *heritage
 }
 
@@ -130,7 +129,7 @@
 		slack:     tolerance.Slack * slackShare,
 		limits:    make(map[Key]Limit),
 		buckets:   make(map[Key]*bucket),
-		seen:      make(map[string]observed),
+		seen:      make(sources),
 	}
 }
 
@@ -236,42 +235,18 @@
 	b.at = now
 }
 
-// observed is what an entry has reported so far.
-type observed struct {
-	incarnation uint64
-	counts      map[Key]Count
-}
-
 // Report says what the counts of another entry hold.
 type Report struct {
 	Whole bool // of all customers that it ever admitted
 	Young bool // it started with this entry or later: all that it admitted counts
 }
 
-// Observe takes what another entry has admitted since its last report. Of an
-// entry that is new here all counts if it is young; if not, its first whole
-// report is what later ones are compared with. An entry that has started again
-// began at zero.
+// Observe takes what another entry has admitted since its last report; see
+// sources.take.
 func (t *Table) Observe(now time.Duration, id string, incarnation uint64, counts map[Key]Count, r Report) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	before, known := t.seen[id]
-	if !known && !r.Young {
-		if r.Whole {
-			t.seen[id] = observed{incarnation: incarnation, counts: maps.Clone(counts)}
-		}
-		return
-	}
-	if !known || before.incarnation != incarnation {
-		before = observed{incarnation: incarnation, counts: make(map[Key]Count)}
-		t.seen[id] = before
-	}
-	for key, count := range counts {
-		used := int32(count - before.counts[key])
-		before.counts[key] = count
-		if used == 0 {
-			continue
-		}
+	for key, used := range t.seen.take(id, incarnation, counts, r) {
 		b := t.bucket(key)
 		if l := t.limits[key]; l.Rate > 0 {
 			t.refill(now, key, b, l)
@@ -282,6 +257,13 @@
 	}
 }
 
+// Forget drops what the entry id has reported; what it admitted stays counted.
+func (t *Table) Forget(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.seen, id)
+}
+
 // Own returns this entry's counts.
 func (t *Table) Own() map[Key]Count {
 	t.mu.Lock()
