--- /dev/null
+++ b/gossip/duties.go
@@ -0,0 +1,83 @@
+package gossip
+
+// review notes who has fallen silent and works out this entry's share, once it
+// knows how many entries there are.
+func (n *Node) review() {
+	if !n.registry.Loaded() {
+		return
+	}
+	members := n.registry.Members()
+	var silent []string
+	n.mu.Lock()
+	n.refreshCells()
+	now := n.clock()
+	gone := append(n.ended, n.followRelay(now)...)
+	n.ended = nil
+	mutual := n.mutualMates(now) + n.outsideKnown(now)
+	for name, p := range n.peers {
+		if now-p.last >= silentPeer && !p.silent {
+			p.silent = true
+			silent = append(silent, name)
+		}
+	}
+	known := max(mutual, len(members))
+	share := float64(mutual) / float64(known)
+	changed := share != n.share
+	n.share = share
+	relay := n.following
+	n.mu.Unlock()
+	n.forget(gone)
+	n.listener.Share(Share{Part: share, Alone: 1 / float64(known), Until: now + heardFor})
+	for _, name := range silent {
+		n.log.Warn().Str("peer", name).Msg("entry not heard any more")
+		n.listener.PeerSilent(name)
+	}
+	if changed {
+		n.log.Info().Float64("share", share).Int("heard", mutual).Int("known", known).Str("relay", relay).Msg("share of limits changed")
+	}
+}
+
+// Alive reports whether the incarnation of an entry still does its duties, as
+// far as this entry can tell.
+func (n *Node) Alive(name string, incarnation uint64) bool {
+	if name == n.self.Name {
+		return incarnation == n.self.Incarnation
+	}
+	member, silence, ok := n.registry.find(name)
+	if ok && member.Incarnation != incarnation {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p := n.peers[name]
+	if p != nil && p.incarnation != incarnation && n.clock()-p.last < silentPeer {
+		return false
+	}
+	if p != nil && p.incarnation == incarnation && n.clock()-p.last < silentPeer {
+		return !p.leaving && p.logLost < maxLogLost
+	}
+	if !n.mate(name) {
+		return ok && silence < 2*silentFor // its own cell sees to it first
+	}
+	return ok && silence < silentFor
+}
+
+// mate reports whether another entry belongs to this one's cell. The caller holds
+// the lock.
+func (n *Node) mate(name string) bool {
+	return n.cells == nil || n.cells.single() || n.cells.of[name] == n.cells.of[n.self.Name]
+}
+
+// Candidates returns the entries that can take over duties, this one included.
+func (n *Node) Candidates() []string {
+	names := []string{n.self.Name}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.clock()
+	for name, p := range n.peers {
+		if now-p.last < heardFor && !p.leaving && p.logLost == 0 {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -231,3 +232,34 @@
 	m.Counts = n.cellCounts.pick(counts, n.clock(), n.young(n.clock()), true)
 	return m.append(make([]byte, 0, 512))
 }
+
+// refreshCells takes the present members into account. The caller holds the lock.
+func (n *Node) refreshCells() {
+	members := n.registry.Members()
+	changes := n.registry.Changes()
+	if n.cells != nil && len(members) == n.members && changes == n.changes {
+		return
+	}
+	n.members, n.changes = len(members), changes
+	if !slices.ContainsFunc(members, func(m Member) bool { return m.Name == n.self.Name }) {
+		members = append(members, n.self)
+	}
+	next := newCells(members)
+	if next.equal(n.cells) {
+		n.cells.members = next.members // addresses may have changed
+		return
+	}
+	n.cells = next
+	n.ended = append(n.ended, n.dropOthers()...)
+	go n.listener.CellsChanged()
+}
+
+// Serves reports whether this entry's cell uses an endpoint of a data centre.
+func (n *Node) Serves(endpoint, dataCentre string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cells == nil || n.cells.single() {
+		return true
+	}
+	return n.cells.serving(endpoint, dataCentre) == n.cells.of[n.self.Name]
+}
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -148,6 +148,18 @@
 	return most
 }
 
+// waves has customers ask for a time in waves from start on, crest and trough in
+// parts of the rate; asked is called for each request.
+func waves(now time.Duration, owed *float64, trough, crest float64, asked func()) {
+	level := trough
+	if now%(5200*time.Millisecond) >= 3*time.Second {
+		level = crest
+	}
+	for *owed += level * rate * tick.Seconds(); *owed >= 1; *owed-- {
+		asked()
+	}
+}
+
 // A customer within its rate is served by most entries for a while; then its
 // first request at one that only heard of it must be admitted.
 func TestAnEntryThatOnlyHeardOfACustomerAdmitsIt(t *testing.T) {
@@ -171,16 +183,12 @@
 	owed := 0.0
 	for now := lead; now < 30*time.Second; now += tick {
 		f.step(now)
-		level := 0.378
-		if now%(5200*time.Millisecond) >= 3*time.Second {
-			level = 1.85
-		}
-		for owed += level * rate / 1.6 * tick.Seconds(); owed >= 1; owed-- {
+		waves(now, &owed, 0.378/1.6, 1.85/1.6, func() {
 			n++
 			if !f.ask(now, (n*n)%7) {
 				refused++
 			}
-		}
+		})
 	}
 	g.Expect(refused).To(gomega.BeZero())
 }
@@ -198,22 +206,18 @@
 			for now := lead; now < 40*time.Second; now += tick {
 				f.step(now)
 				exact = min(burst, exact+rate*tick.Seconds())
-				level := 0.5
-				if now%(5200*time.Millisecond) >= 3*time.Second {
-					level = 1.43
-				}
-				for owed += level * rate * tick.Seconds(); owed >= 1; owed-- {
+				waves(now, &owed, 0.5, 1.43, func() {
 					n++
 					admitted := f.ask(now, n*n%entries)
 					if exact < 1 {
-						continue
+						return
 					}
 					exact--
 					inside++
 					if !admitted {
 						refused++
 					}
-				}
+				})
 			}
 			g.Expect(float64(refused)).To(gomega.BeNumerically("<=", 0.001*float64(inside)), "of %d", inside)
 			g.Expect(f.most()).To(gomega.BeNumerically("<=", bound))
@@ -241,16 +245,12 @@
 				if now < lead || now > 13700*time.Millisecond && now < 13900*time.Millisecond {
 					continue // before traffic, and until the entries are back
 				}
-				level := 0.378
-				if now%(5200*time.Millisecond) >= 3*time.Second {
-					level = 1.85
-				}
-				for owed += level * rate / 1.6 * tick.Seconds(); owed >= 1; owed-- {
+				waves(now, &owed, 0.378/1.6, 1.85/1.6, func() {
 					n++
 					if !f.ask(now, (n*n)%7) {
 						refused++
 					}
-				}
+				})
 			}
 			g.Expect(refused).To(gomega.BeZero())
 			g.Expect(f.most()).To(gomega.BeNumerically("<=", bound))
