gossip: an outage of the store for all makes no entry's jobs orphans

Cause: an entry that reports 2.5 s without the store counted as gone for its jobs. After an outage for all, the first entry to reach the store took over the jobs of those that had not yet said that they reach it too. Their finished items, whose results had waited for the store, ran again from the last checkpoint, or from the start where checkpoints could not be read yet.

Change: others' loss of the store counts only once this entry has reached it for 2.5 s itself. Test failed first: TestEntriesAreAliveWhenTheLogWasAwayForAll.

--- a/gossip/duties.go
+++ b/gossip/duties.go
@@ -49,12 +49,14 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	now := n.clock()
 	p := n.peers[name]
-	if p != nil && p.incarnation != incarnation && n.clock()-p.last < silentPeer {
+	if p != nil && p.incarnation != incarnation && now-p.last < silentPeer {
 		return false
 	}
-	if p != nil && p.incarnation == incarnation && n.clock()-p.last < silentPeer {
-		return !p.leaving && p.logLost < maxLogLost
+	if p != nil && p.incarnation == incarnation && now-p.last < silentPeer {
+		reached := now-n.logAway >= maxLogLost // else the log may have been away for all
+		return !p.leaving && (p.logLost < maxLogLost || !reached)
 	}
 	if !n.mate(name) {
 		return ok && silence < 2*silentFor // its own cell sees to it first
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -63,6 +63,7 @@
 	shares   []Share
 	silent   []string
 	reports  int
+	logLost  time.Duration // of the node itself
 }
 
 func (w *world) PeerReport(string, uint64, Report) { w.reports++ }
@@ -73,7 +74,7 @@
 func (w *world) OutsideReport(string, uint64, Report)  {}
 func (w *world) SourceGone(string)                     {}
 func (w *world) CellsChanged()                         {}
-func (w *world) Report() Report                        { return Report{} }
+func (w *world) Report() Report                        { return Report{LogLost: w.logLost} }
 func (w *world) CellCounts() map[quota.Key]quota.Count { return nil }
 
 func newWorld(members ...string) *world {
@@ -192,6 +193,24 @@
 	received.Wait()
 }
 
+// The log was away for all: the first entry that reaches it again does not take the
+// others, which still report the loss, for gone.
+func TestEntriesAreAliveWhenTheLogWasAwayForAll(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld("b")
+	lost := func(m *message) { m.LogLost = 2 * maxLogLost }
+	w.logLost = 2 * maxLogLost
+	w.node.datagram(true)
+	w.now += time.Second
+	w.logLost = 0
+	w.node.datagram(true)
+	w.hear("b", 1, true, lost)
+	g.Expect(w.node.Alive("b", 1)).To(gomega.BeTrue())
+	w.now += maxLogLost
+	w.hear("b", 2, true, lost)
+	g.Expect(w.node.Alive("b", 1)).To(gomega.BeFalse(), "this entry has reached it for long")
+}
+
 func TestSilenceIsToldOnce(t *testing.T) {
 	g := gomega.NewWithT(t)
 	w := newWorld("b")
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -29,8 +29,8 @@
 	youngFor = 5 * time.Second
 	// silentPeer is when the load that an entry reported is forgotten.
 	silentPeer = 1500 * time.Millisecond
-	// maxLogLost is for how long an entry may be without the log before others
-	// take over what it owns.
+	// maxLogLost is for how long an entry may be without the log, while others
+	// reach it, before they take over what it owns.
 	maxLogLost = 2500 * time.Millisecond
 )
 
@@ -117,7 +117,8 @@
 	peers    map[string]*peer
 	share    float64
 	leaving  bool
-	counts   *countLog // of this entry
+	logAway  time.Duration // clock at which this entry last reported that it does not reach the log
+	counts   *countLog     // of this entry
 
 	cells       *cells // nil before the first look
 	members     int    // of which cells was made
@@ -146,6 +147,7 @@
 		changed:  make(chan struct{}, 1),
 		started:  clock(),
 		peers:    make(map[string]*peer),
+		logAway:  -maxLogLost,
 		others:   make(map[cellID]*otherCell),
 
 		counts:     newCountLog(),
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -114,6 +114,9 @@
 	defer n.mu.Unlock()
 	now := n.clock()
 	n.leaving = report.Leaving
+	if report.LogLost > 0 {
+		n.logAway = now
+	}
 	m := n.message()
 	report.Uptime = m.Uptime
 	report.Counts = n.counts.pick(report.Counts.ByCustomer, now, n.young(now), toAll)
