gateway: who waits for the store, and when callers of an outage return

Cause 1: an owner that did not reach the store lost its jobs after 2.5 s, while most outages of single entries last 4 to 9 s. A shorter or no bound would leave the jobs of an entry that is cut off for good.

Cause 2: a caller refused for the store was told to return after 300 to 400 ms whatever the cause. Where another entry reaches the store, it may return at once, as it meets another one; in an outage for all, which lasts for seconds, it should not spend its one retry so soon. Now 100 ms and 1.2 s, by what the others report.

Tests: gossip TestWhetherOthersReachTheLog, gateway TestCallersReturnAfterAnOutage; TestWhoIsAlive uses the new bound.

--- a/gateway/filters.go
+++ b/gateway/filters.go
@@ -19,6 +19,12 @@
 	// startRetryAfter is when a caller returns after an entry had no
 	// configuration.
 	startRetryAfter = 300 * time.Millisecond
+	// otherEntryRetryAfter is when a caller returns whom another entry may serve,
+	// as that one reaches the store.
+	otherEntryRetryAfter = 100 * time.Millisecond
+	// outageRetryAfter is when a caller returns while no entry reaches the store:
+	// outages last for seconds, and callers do not return often.
+	outageRetryAfter = 1200 * time.Millisecond
 	// judgeAge is the age of a configuration up to which an unknown route or
 	// key is taken for wrong rather than for news that have not come yet.
 	judgeAge = 1500 * time.Millisecond
@@ -27,6 +33,15 @@
 	minRetryAfter = 50 * time.Millisecond
 )
 
+// StoreRetryAfter is when a caller returns whose call needs the store, which this
+// entry does not reach.
+func (g *Gateway) StoreRetryAfter() time.Duration {
+	if g.node.OthersReachLog() {
+		return otherEntryRetryAfter
+	}
+	return outageRetryAfter
+}
+
 // configured returns the filter that refuses calls while there is no
 // configuration, or no word of the other entries with which limits are shared.
 func (g *Gateway) configured(next pipeline.Handler) pipeline.Handler {
@@ -94,7 +109,7 @@
 // configuration is certain to be the newest.
 func (g *Gateway) unknown(status int, code api.Code, message string) *api.Error {
 	if age, ok := g.ConfigFeed.Age(); !ok || age > judgeAge || g.ConfigFeed.LostFor() > 0 {
-		return notRun(http.StatusServiceUnavailable, api.CodeConfigStale, "the configuration here may be old: "+message, startRetryAfter)
+		return notRun(http.StatusServiceUnavailable, api.CodeConfigStale, "the configuration here may be old: "+message, g.StoreRetryAfter())
 	}
 	return api.NewError(status, code, message)
 }
@@ -127,7 +142,7 @@
 func (g *Gateway) fresh(next pipeline.Handler) pipeline.Handler {
 	return func(ctx context.Context, c *pipeline.Call) *api.Error {
 		if !g.certain(c) {
-			return notRun(http.StatusServiceUnavailable, api.CodeConfigStale, "keys were not confirmed of late", startRetryAfter)
+			return notRun(http.StatusServiceUnavailable, api.CodeConfigStale, "keys were not confirmed of late", g.StoreRetryAfter())
 		}
 		return next(ctx, c)
 	}
--- a/gateway/filters_test.go
+++ b/gateway/filters_test.go
@@ -134,6 +134,15 @@
 	r.Expect(r.ask("/keyed/x", "key").Code).To(gomega.Equal(api.CodeConfigStale), "never confirmed")
 }
 
+// In an outage for all a caller returns later than to an entry that has just
+// started.
+func TestCallersReturnAfterAnOutage(t *testing.T) {
+	r := newRig(t)
+	r.configure()
+	r.feed.age = bound
+	r.Expect(r.ask("/keyed/x", "key").RetryAfter).To(gomega.Equal(outageRetryAfter))
+}
+
 // Calls over the rate get 429; a call that was not run gives its token back.
 func TestTheRateIsUsedByWhatRuns(t *testing.T) {
 	r := newRig(t)
--- a/gossip/duties.go
+++ b/gossip/duties.go
@@ -70,6 +70,9 @@
 	return n.cells == nil || n.cells.single() || n.cells.of[name] == n.cells.of[n.self.Name]
 }
 
+// OthersReachLog reports whether some other entry that is heard reaches the log.
+func (n *Node) OthersReachLog() bool { return len(n.Candidates()) > 1 }
+
 // Candidates returns the entries that can take over duties, this one included.
 func (n *Node) Candidates() []string {
 	names := []string{n.self.Name}
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -211,6 +211,16 @@
 	g.Expect(w.node.Alive("b", 1)).To(gomega.BeFalse(), "this entry has reached it for long")
 }
 
+func TestWhetherOthersReachTheLog(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld("b")
+	g.Expect(w.node.OthersReachLog()).To(gomega.BeFalse())
+	w.hear("b", 1, true, func(m *message) { m.LogLost = time.Second })
+	g.Expect(w.node.OthersReachLog()).To(gomega.BeFalse())
+	w.hear("b", 2, true, nil)
+	g.Expect(w.node.OthersReachLog()).To(gomega.BeTrue())
+}
+
 func TestSilenceIsToldOnce(t *testing.T) {
 	g := gomega.NewWithT(t)
 	w := newWorld("b")
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -30,8 +30,9 @@
 	// silentPeer is when the load that an entry reported is forgotten.
 	silentPeer = 1500 * time.Millisecond
 	// maxLogLost is for how long an entry may be without the log, while others
-	// reach it, before they take over what it owns.
-	maxLogLost = 2500 * time.Millisecond
+	// reach it, before they take over what it owns: what it runs would begin
+	// again elsewhere, and most items end within this time.
+	maxLogLost = 6 * time.Second
 )
 
 // Source tells what an entry reports.
