gossip: an entry that starts sends to all as soon as it knows them

Cause: the first round of datagrams came before the other entries were known and went to nobody, but the next one to other data centres still waited 200 ms.

Change: the pace of datagrams is a decision of its own (pacer), and a round to nobody does not count. Tests: TestTheFirstDatagramsGoToAll (failed first), TestThePaceOfDatagrams.

--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -221,6 +221,51 @@
 	g.Expect(w.node.OthersReachLog()).To(gomega.BeTrue())
 }
 
+// An entry that starts sends to all as soon as it knows them.
+func TestTheFirstDatagramsGoToAll(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(1, 0)
+	p := pacer{nearDue: true, farDue: true}
+	near, far := p.due(now, false)
+	g.Expect(near || far).To(gomega.BeFalse())
+	g.Expect(p.next()).To(gomega.BeTemporally(">", now))
+	now = now.Add(10 * time.Millisecond)
+	p.changed()
+	near, far = p.due(now, true)
+	g.Expect(near && far).To(gomega.BeTrue())
+}
+
+func TestThePaceOfDatagrams(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(1, 0)
+	p := pacer{nearDue: true, farDue: true}
+	p.due(now, true)
+	count := func(news bool) (nears, fars int) {
+		for end := now.Add(3 * time.Second); now.Before(end); now = now.Add(time.Millisecond) {
+			if news {
+				p.changed()
+			}
+			if now.Before(p.next()) {
+				continue
+			}
+			near, far := p.due(now, true)
+			if near {
+				nears++
+			}
+			if far {
+				fars++
+			}
+		}
+		return nears, fars
+	}
+	nears, fars := count(true)
+	g.Expect(nears).To(gomega.BeNumerically("<=", 3*time.Second/nearPace+15), "near, with news all the time")
+	g.Expect(fars).To(gomega.BeNumerically("<=", 3*time.Second/farPace))
+	nears, fars = count(false)
+	g.Expect(nears).To(gomega.BeNumerically("~", 3*time.Second/idlePace, 1))
+	g.Expect(fars).To(gomega.BeNumerically("~", 3*time.Second/idlePace, 1))
+}
+
 func TestSilenceIsToldOnce(t *testing.T) {
 	g := gomega.NewWithT(t)
 	w := newWorld("b")
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -12,45 +12,65 @@
 func (n *Node) send(ctx context.Context, socket *net.UDPConn) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	var near, far time.Time // of the newest datagrams
-	nearDue, farDue := true, true
+	p := pacer{nearDue: true, farDue: true}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-n.changed:
-			nearDue, farDue = true, true
+			p.changed()
 		case <-timer.C:
 		}
 		now := time.Now()
-		nearNow := nearDue && now.Sub(near) >= nearPace || now.Sub(near) >= idlePace
-		farNow := farDue && now.Sub(far) >= farPace || now.Sub(far) >= idlePace
-		if nearNow || farNow {
-			n.broadcast(socket, farNow)
+		if near, far := p.due(now, n.registry.Loaded()); near || far {
+			n.broadcast(socket, far)
 			n.review()
-			near, nearDue = now, false
 		}
-		if farNow {
-			far, farDue = now, false
-		}
-		timer.Reset(time.Until(nextSend(near, far, nearDue, farDue)))
+		timer.Reset(time.Until(p.next()))
+	}
+}
+
+// pacer decides when datagrams go to the entries of this data centre and to all.
+type pacer struct {
+	near, far       time.Time // of the newest datagrams
+	nearDue, farDue bool      // there is news
+}
+
+// changed notes that there is news.
+func (p *pacer) changed() { p.nearDue, p.farDue = true, true }
+
+// due reports who gets a datagram now. As long as the others are not known there
+// is nobody to send to, and nothing is due the sooner afterwards.
+func (p *pacer) due(now time.Time, known bool) (near, far bool) {
+	far = p.farDue && now.Sub(p.far) >= farPace || now.Sub(p.far) >= idlePace
+	near = far || p.nearDue && now.Sub(p.near) >= nearPace || now.Sub(p.near) >= idlePace
+	if !known {
+		p.near = now
+		return false, false
+	}
+	if near {
+		p.near, p.nearDue = now, false
+	}
+	if far {
+		p.far, p.farDue = now, false
 	}
+	return near, far
 }
 
-// nextSend returns when the next datagram is due without a further change.
-func nextSend(near, far time.Time, nearDue, farDue bool) time.Time {
-	next := near.Add(idlePace)
-	if nearDue {
-		next = near.Add(nearPace)
+// next returns when the next datagram is due without further news.
+func (p *pacer) next() time.Time {
+	near := p.near.Add(idlePace)
+	if p.nearDue {
+		near = p.near.Add(nearPace)
 	}
-	other := far.Add(idlePace)
-	if farDue {
-		other = far.Add(farPace)
+	far := p.far.Add(idlePace)
+	if p.farDue {
+		far = p.far.Add(farPace)
 	}
-	if other.Before(next) {
-		return other
+	if far.Before(near) && !p.far.IsZero() {
+		return far
 	}
-	return next
+	return near
 }
 
 // broadcast sends the present report to the entries of this cell in this data
