placement: specs of endpoints that fail and of other cells, in ginkgo

The house style names ginkgo, which was in no file. Specs where no fake time is needed are the place for it; tests in synctest bubbles stay plain. One spec is new: of the entries that saw an endpoint fail, the first by name alone tries it.

--- a/placement/outlier_test.go
+++ b/placement/outlier_test.go
@@ -3,9 +3,9 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"testing"
 	"time"
 
+	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 )
 
@@ -74,78 +74,110 @@
 	return float64(failed) / float64(asked)
 }
 
-// Endpoints that fail at once look idle, but draw less than half of their part of
-// the requests, whatever the number of entries.
-func TestEndpointsThatFailAtOnceDrawFewRequests(t *testing.T) {
-	for _, c := range []struct {
-		entries, endpoints, failing int
-		perSecond                   float64
-	}{{7, 12, 1, 56}, {7, 12, 2, 56}, {34, 48, 3, 226}} {
-		g := gomega.NewWithT(t)
-		share := failures(c.entries, c.endpoints, c.failing, c.perSecond, 10*time.Second)
-		g.Expect(share).To(gomega.BeNumerically("<", 0.5*float64(c.failing)/float64(c.endpoints)), "%+v", c)
-	}
-}
-
-// One failure may be the request's own fault.
-func TestAnEndpointIsNotPassedOverForOneFailure(t *testing.T) {
-	g := gomega.NewWithT(t)
-	tab := table("self", at("x", "a"))
-	grant, _ := tab.Place(0, ask())
-	grant.End(0, Erred, 0)
-	g.Expect(tab.Erring()).To(gomega.BeEmpty())
-	g.Expect(tab.Idle(0, ask())).To(gomega.BeTrue())
-}
+var _ = ginkgo.Describe("endpoints whose answers fail", func() {
+	ginkgo.DescribeTable("draw less than half of their part of the requests, though they look idle",
+		func(entries, endpoints, failing int, perSecond float64) {
+			share := failures(entries, endpoints, failing, perSecond, 10*time.Second)
+			gomega.Expect(share).To(gomega.BeNumerically("<", 0.5*float64(failing)/float64(endpoints)))
+		},
+		ginkgo.Entry("one of twelve", 7, 12, 1, 56.0),
+		ginkgo.Entry("two of twelve", 7, 12, 2, 56.0),
+		ginkgo.Entry("three of forty-eight, with many entries", 34, 48, 3, 226.0),
+	)
 
-// An endpoint that fails is tried again by the entry that saw it, with one
-// request that may be repeated, and is back once that has ended well.
-func TestAnEndpointThatFailedIsTriedAgain(t *testing.T) {
-	g := gomega.NewWithT(t)
-	x, y := at("x", "a"), at("y", "a")
-	tab, other := table("self", x, y), table("other", x, y)
-	for len(tab.Erring()) == 0 {
+	ginkgo.It("are not passed over for one failure, which may be the request's own fault", func() {
+		tab := table("self", at("x", "a"))
 		grant, _ := tab.Place(0, ask())
-		result := Done
-		if grant.Endpoint.ID == "x" {
-			result = Erred
+		grant.End(0, Erred, 0)
+		gomega.Expect(tab.Erring()).To(gomega.BeEmpty())
+		gomega.Expect(tab.Idle(0, ask())).To(gomega.BeTrue())
+	})
+
+	ginkgo.It("are tried by the entry that saw it, with one request that may be repeated, and are back once that ends well", func() {
+		x, y := at("x", "a"), at("y", "a")
+		tab, other := table("self", x, y), table("other", x, y)
+		for len(tab.Erring()) == 0 {
+			grant, _ := tab.Place(0, ask())
+			result := Done
+			if grant.Endpoint.ID == "x" {
+				result = Erred
+			}
+			grant.End(0, result, 0)
 		}
-		grant.End(0, result, 0)
-	}
-	other.SetPeer("self", Report{Erring: tab.Erring()})
-	placed := func(now time.Duration, tab *Table, a Ask) map[string]int {
+		other.SetPeer("self", Report{Erring: tab.Erring()})
+		placed := func(now time.Duration, tab *Table, a Ask) map[string]int {
+			count := make(map[string]int)
+			for range 4 {
+				grant, _ := tab.Place(now, a)
+				count[grant.Endpoint.ID]++
+				defer grant.End(now, Yielded, 0)
+			}
+			return count
+		}
+		after := minSuspension + time.Millisecond
+		once := ask()
+		once.Once = true
+		gomega.Expect(placed(0, tab, ask())).To(gomega.Equal(map[string]int{"y": 4}))
+		gomega.Expect(placed(after, tab, once)).To(gomega.Equal(map[string]int{"y": 4}))
+		gomega.Expect(placed(after, other, ask())).To(gomega.Equal(map[string]int{"y": 4}))
+		gomega.Expect(placed(after, tab, ask())).To(gomega.Equal(map[string]int{"x": 1, "y": 3}))
+		var trial *Grant
+		for trial == nil || trial.Endpoint.ID != "x" {
+			trial, _ = tab.Place(after, ask())
+		}
+		trial.End(after, Done, 0)
+		gomega.Expect(tab.Erring()).To(gomega.BeEmpty())
+	})
+
+	ginkgo.It("are all used where most of them fail", func() {
+		x, y, z := at("x", "a"), at("y", "a"), at("z", "a")
+		tab := table("self", x, y, z)
+		tab.SetPeer("other", Report{Erring: []Key{x.Key(), y.Key()}})
 		count := make(map[string]int)
-		for range 4 {
-			grant, _ := tab.Place(now, a)
+		for range 9 {
+			grant, _ := tab.Place(0, ask())
 			count[grant.Endpoint.ID]++
-			defer grant.End(now, Yielded, 0)
 		}
-		return count
-	}
-	after := minSuspension + time.Millisecond
-	once := ask()
-	once.Once = true
-	g.Expect(placed(0, tab, ask())).To(gomega.Equal(map[string]int{"y": 4}))
-	g.Expect(placed(after, tab, once)).To(gomega.Equal(map[string]int{"y": 4}))
-	g.Expect(placed(after, other, ask())).To(gomega.Equal(map[string]int{"y": 4}))
-	g.Expect(placed(after, tab, ask())).To(gomega.Equal(map[string]int{"x": 1, "y": 3}))
-	var trial *Grant
-	for trial == nil || trial.Endpoint.ID != "x" {
-		trial, _ = tab.Place(after, ask())
-	}
-	trial.End(after, Done, 0)
-	g.Expect(tab.Erring()).To(gomega.BeEmpty())
-}
+		gomega.Expect(count).To(gomega.HaveLen(3))
+	})
 
-// Where most endpoints fail none is passed over.
-func TestWhereMostEndpointsFailAllAreUsed(t *testing.T) {
-	g := gomega.NewWithT(t)
-	x, y, z := at("x", "a"), at("y", "a"), at("z", "a")
-	tab := table("self", x, y, z)
-	tab.SetPeer("other", Report{Erring: []Key{x.Key(), y.Key()}})
-	count := make(map[string]int)
-	for range 9 {
-		grant, _ := tab.Place(0, ask())
-		count[grant.Endpoint.ID]++
-	}
-	g.Expect(count).To(gomega.HaveLen(3))
-}
+	ginkgo.It("are left to the first by name of the entries that saw it", func() {
+		x, y := at("x", "a"), at("y", "a")
+		first, second := table("1", x, y), table("2", x, y)
+		for _, tab := range []*Table{first, second} {
+			for len(tab.Erring()) == 0 {
+				grant, _ := tab.Place(0, ask())
+				if grant.Endpoint.ID == "x" {
+					grant.End(0, Erred, 0)
+				} else {
+					grant.End(0, Done, 0)
+				}
+			}
+		}
+		first.SetPeer("2", Report{Erring: second.Erring()})
+		second.SetPeer("1", Report{Erring: first.Erring()})
+		gomega.Expect(first.Erring()).To(gomega.HaveLen(1))
+		gomega.Expect(second.Erring()).To(gomega.BeEmpty())
+	})
+})
+
+var _ = ginkgo.Describe("endpoints of other cells", func() {
+	foreign := at("foreign", "a")
+	foreign.Foreign = true
+
+	ginkgo.It("are a last resort", func() {
+		own := at("own", "a")
+		tab := table("self", own, foreign)
+		for range 8 {
+			grant, _ := tab.Place(0, ask())
+			gomega.Expect(grant.Endpoint.ID).To(gomega.Equal("own"))
+		}
+		grant, _ := tab.Place(0, Ask{Deployment: model, Avoid: map[Key]bool{own.Key(): true}})
+		gomega.Expect(grant.Endpoint.ID).To(gomega.Equal("foreign"))
+	})
+
+	ginkgo.It("are used by batch where there are no others", func() {
+		tab := table("self", foreign)
+		gomega.Expect(tab.PlaceBatch(0, ask(), func() {})).NotTo(gomega.BeNil())
+	})
+})
