online: requests wait up to 0.65 of the goal for their begin

Of those that wait 135 to 195 ms most get their first event within the goal: in a slot it takes 30 to 45 ms. Refused, they come back 0.3 to 0.9 s later and are late, or are refused once more.

--- a/online/attempt.go
+++ b/online/attempt.go
@@ -22,7 +22,7 @@
 const (
 	// patienceShare is the part of a route's goal that a request may wait for
 	// its begin; the rest is for the endpoint's first step and the way back.
-	patienceShare = 0.45
+	patienceShare = 0.65
 	// maxAsked bounds the endpoints that are asked for one request, counting
 	// those that did not run it.
 	maxAsked = 5
