gateway: reads of the quarantine's partition wait 5 s

Cause: both incidents' logs show "store lost" for the partition of suspects alone, 10.9 s after each start, and its return 60 ms later. The store was reached all the while, so the lines told something false; nothing else depends on them.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -102,7 +102,7 @@
 const (
 	membersWait  = 5 * time.Second
 	membersPace  = 1500 * time.Millisecond
-	suspectsWait = 10 * time.Second
+	suspectsWait = 5 * time.Second
 	suspectsPace = 500 * time.Millisecond
 	jobsWait     = 1500 * time.Millisecond
 	jobsPace     = 250 * time.Millisecond
