--- a/quarantine/shared_test.go
+++ b/quarantine/shared_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"testing"
@@ -65,6 +66,15 @@
 	})
 }
 
+// The line of a death has the id of the request, by which its lines are found.
+func TestTheLineOfADeathHasTheRequestsID(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var logs bytes.Buffer
+	s := NewShared(&keyed.Handle{Log: keyed.NewLog(1)}, zerolog.New(&logs), nil)
+	s.Died(Death{Digest: DigestOf("garden", "/x", nil), Customer: "garden", Attempt: "the/id/e-1", Endpoint: "e-1", Crash: api.CrashLost})
+	g.Expect(logs.String()).To(gomega.ContainSubstring(`"request":"the/id"`))
+}
+
 // Events that the store did not take are stored when it is back.
 func TestDeathsAreStoredWhenTheStoreIsBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -42,7 +42,7 @@
 type Death struct {
 	Digest   Digest
 	Customer string
-	Attempt  string // id of the attempt
+	Attempt  string // id of the attempt; may be the request's id, a slash and the endpoint's
 	Endpoint string // instance id
 	Crash    api.Crash
 }
