One comparison of each report, one list of members a review, one id of a death

Found on reading the whole change again; behaviour is kept.

- Each report of another entry was compared with the one before twice, once for the rates and once for the sums that relays pass on, also in fleets without relays.
Table.Observe returns what has grown, and a Tally adds that up; its own copy of all counts and its Forget are gone.
- A review of the shares listed all members again that the look at the cells had just listed.
- The id of a death's attempt was made by its callers and taken apart again for the log line.
Death has the request's id, and Blame makes the attempt's.

The test of that line goes through Blame now; its assertion is the same.

--- a/batch/item.go
+++ b/batch/item.go
@@ -137,7 +137,7 @@
 	return quarantine.Death{
 		Digest:   r.digest(c),
 		Customer: c.job.Customer,
-		Attempt:  c.job.Items[c.id.item].ID + "/" + grant.Endpoint.ID,
+		Request:  c.job.Items[c.id.item].ID,
 		Endpoint: grant.Endpoint.ID,
 	}
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -30,31 +30,29 @@
 // PeerReport implements gossip.Listener.
 func (g *Gateway) PeerReport(name string, incarnation uint64, r gossip.Report) {
 	g.table.SetPeer(name, r.Endpoints)
-	g.limits.Observe(g.Clock(), name, incarnation, r.Counts.ByCustomer, g.quotaReport(r, r.Counts))
-	g.cellMates.Observe(name, incarnation, r.Counts.ByCustomer, g.quotaReport(r, r.Counts))
+	g.cellMates.Add(g.observe(name, incarnation, r, r.Counts))
 	g.table.Yield()
 	g.jobs.Wake()
 }
 
 // CellReport implements gossip.Listener.
 func (g *Gateway) CellReport(source string, incarnation uint64, r gossip.Report) {
-	g.limits.Observe(g.Clock(), source, incarnation, r.Counts.ByCustomer, g.quotaReport(r, r.Counts))
-	g.otherCells.Observe(source, incarnation, r.Counts.ByCustomer, g.quotaReport(r, r.Counts))
+	g.otherCells.Add(g.observe(source, incarnation, r, r.Counts))
 }
 
 // OutsideReport implements gossip.Listener.
 func (g *Gateway) OutsideReport(source string, incarnation uint64, r gossip.Report) {
-	g.limits.Observe(g.Clock(), source, incarnation, r.Outside.ByCustomer, g.quotaReport(r, r.Outside))
+	g.observe(source, incarnation, r, r.Outside)
 }
 
 // SourceGone implements gossip.Listener.
-func (g *Gateway) SourceGone(source string) {
-	g.limits.Forget(source)
-	g.otherCells.Forget(source)
-}
+func (g *Gateway) SourceGone(source string) { g.limits.Forget(source) }
 
-func (g *Gateway) quotaReport(r gossip.Report, c gossip.Counts) quota.Report {
-	return quota.Report{Whole: c.Whole, Young: r.Uptime < g.Clock()-g.started+meeting}
+// observe takes counts of a report off the rates. It returns by how much they have
+// grown.
+func (g *Gateway) observe(source string, incarnation uint64, r gossip.Report, c gossip.Counts) map[quota.Key]int32 {
+	now := g.Clock()
+	return g.limits.Observe(now, source, incarnation, c.ByCustomer, quota.Report{Whole: c.Whole, Young: r.Uptime < now-g.started+meeting})
 }
 
 // PeerSilent implements gossip.Listener.
--- a/gossip/cells_test.go
+++ b/gossip/cells_test.go
@@ -42,17 +42,15 @@
 }
 func (m *member) CellCounts() map[quota.Key]quota.Count { return m.mates.Sum(m.limits.Own()) }
 func (m *member) PeerReport(name string, incarnation uint64, r Report) {
-	m.limits.Observe(m.fleet.now, name, incarnation, r.Counts.ByCustomer, m.report(r, r.Counts))
-	m.mates.Observe(name, incarnation, r.Counts.ByCustomer, m.report(r, r.Counts))
+	m.mates.Add(m.limits.Observe(m.fleet.now, name, incarnation, r.Counts.ByCustomer, m.report(r, r.Counts)))
 }
 func (m *member) CellReport(source string, incarnation uint64, r Report) {
-	m.limits.Observe(m.fleet.now, source, incarnation, r.Counts.ByCustomer, m.report(r, r.Counts))
-	m.others.Observe(source, incarnation, r.Counts.ByCustomer, m.report(r, r.Counts))
+	m.others.Add(m.limits.Observe(m.fleet.now, source, incarnation, r.Counts.ByCustomer, m.report(r, r.Counts)))
 }
 func (m *member) OutsideReport(source string, incarnation uint64, r Report) {
 	m.limits.Observe(m.fleet.now, source, incarnation, r.Outside.ByCustomer, m.report(r, r.Outside))
 }
-func (m *member) SourceGone(source string) { m.limits.Forget(source); m.others.Forget(source) }
+func (m *member) SourceGone(source string) { m.limits.Forget(source) }
 func (m *member) PeerSilent(string)        {}
 func (m *member) CellsChanged()            {}
 func (m *member) Share(s Share) {
--- a/gossip/duties.go
+++ b/gossip/duties.go
@@ -6,7 +6,6 @@
 	if !n.registry.Loaded() {
 		return
 	}
-	members := n.registry.Members()
 	var silent []string
 	n.mu.Lock()
 	n.refreshCells()
@@ -20,7 +19,7 @@
 			silent = append(silent, name)
 		}
 	}
-	known := max(mutual, len(members))
+	known := max(mutual, n.members)
 	share := float64(mutual) / float64(known)
 	changed := share != n.share
 	n.share = share
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -122,7 +122,7 @@
 	counts   *countLog     // of this entry
 
 	cells       *cells // nil before the first look
-	members     int    // of which cells was made
+	members     int    // registered at the last look
 	changes     int    // of the registry, then
 	others      map[cellID]*otherCell
 	outside     *countLog // of other cells, for this one
--- a/online/attempt.go
+++ b/online/attempt.go
@@ -98,7 +98,7 @@
 	death := quarantine.Death{
 		Digest:   quarantine.Of(a.call),
 		Customer: a.call.Customer,
-		Attempt:  a.call.ID + "/" + a.endpoint.ID,
+		Request:  a.call.ID,
 		Endpoint: a.endpoint.ID,
 	}
 	go quarantine.Blame(a.Suspects, a.Pool, death, a.endpoint.Address)
--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -17,7 +17,7 @@
 	Reachable(ctx context.Context, addr string) bool
 }
 
-// Blame holds a death against the request of x if its endpoint at addr, which
+// Blame holds a death against x.Request if its endpoint at addr, which
 // has ended the connection, takes no new one either: it has crashed. What else ran
 // there is not known, so a single death says little.
 func Blame(s Suspects, p Prober, x Death, addr string) {
@@ -26,6 +26,7 @@
 	if p.Reachable(ctx, addr) {
 		return
 	}
+	x.Attempt = x.Request + "/" + x.Endpoint
 	x.Crash = api.CrashLost
 	s.Died(x)
 }
--- a/quarantine/shared.go
+++ b/quarantine/shared.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
-	"strings"
 	"sync"
 	"time"
 
@@ -67,8 +66,7 @@
 // Died implements Suspects.
 func (s *Shared) Died(x Death) {
 	e, held := s.table.Died(x, time.Now())
-	request := strings.TrimSuffix(x.Attempt, "/"+x.Endpoint)
-	s.log.Warn().Str("request", request).Str("customer", x.Customer).Str("endpoint", x.Endpoint).Stringer("digest", x.Digest).
+	s.log.Warn().Str("request", x.Request).Str("customer", x.Customer).Str("endpoint", x.Endpoint).Stringer("digest", x.Digest).
 		Bool("held", held).Bool("quarantined", s.Verdict(x.Digest, x.Customer) == Quarantined).Msg("endpoint died with a request in flight")
 	if held {
 		s.share([]Event{e})
--- a/quarantine/shared_test.go
+++ b/quarantine/shared_test.go
@@ -66,12 +66,17 @@
 	})
 }
 
+// unreachable is a Prober of endpoints that are down.
+type unreachable struct{}
+
+func (unreachable) Reachable(context.Context, string) bool { return false }
+
 // The line of a death has the id of the request, by which its lines are found.
 func TestTheLineOfADeathHasTheRequestsID(t *testing.T) {
 	g := gomega.NewWithT(t)
 	var logs bytes.Buffer
 	s := NewShared(&keyed.Handle{Log: keyed.NewLog(1)}, zerolog.New(&logs), nil)
-	s.Died(Death{Digest: DigestOf("garden", "/x", nil), Customer: "garden", Attempt: "the/id/e-1", Endpoint: "e-1", Crash: api.CrashLost})
+	Blame(s, unreachable{}, Death{Digest: DigestOf("garden", "/x", nil), Customer: "garden", Request: "the/id", Endpoint: "e-1"}, "e-1:1")
 	g.Expect(logs.String()).To(gomega.ContainSubstring(`"request":"the/id"`))
 }
 
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -42,7 +42,8 @@
 type Death struct {
 	Digest   Digest
 	Customer string
-	Attempt  string // id of the attempt; may be the request's id, a slash and the endpoint's
+	Request  string // id of the request, for logs; may be empty
+	Attempt  string // id of the attempt
 	Endpoint string // instance id
 	Crash    api.Crash
 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -241,12 +241,13 @@
 	Young bool // it started with this entry or later: all that it admitted counts
 }
 
-// Observe takes what another entry has admitted since its last report; see
-// sources.take.
-func (t *Table) Observe(now time.Duration, id string, incarnation uint64, counts map[Key]Count, r Report) {
+// Observe takes what another entry has admitted since its last report, and returns
+// it by customer; see sources.take.
+func (t *Table) Observe(now time.Duration, id string, incarnation uint64, counts map[Key]Count, r Report) map[Key]int32 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for key, used := range t.seen.take(id, incarnation, counts, r) {
+	grown := t.seen.take(id, incarnation, counts, r)
+	for key, used := range grown {
 		b := t.bucket(key)
 		if l := t.limits[key]; l.Rate > 0 {
 			t.refill(now, key, b, l)
@@ -255,6 +256,7 @@
 		b.otherRecent.add(now, float64(used), reportLag)
 		b.otherLong.add(now, float64(used), usageMemory)
 	}
+	return grown
 }
 
 // Forget drops what the entry id has reported; what it admitted stays counted.
