online, quarantine: the log of a death names the parts of the prompt

Both stand in the lines now, as do the parts in the lines about the end and the refusal of a request. No decision changes.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -252,7 +252,7 @@
 // logRefusal logs a call that a filter has refused.
 func (g *Gateway) logRefusal(c *pipeline.Call, err *api.Error) {
 	age, _ := g.ConfigFeed.Age()
-	g.Log.Info().Str("request", c.ID).Str("customer", c.Customer).Str("route", c.RouteID).
+	g.Log.Info().Str("request", c.ID).Str("customer", c.Customer).Str("route", c.RouteID).Strs("parts", c.PromptParts).
 		Str("outcome", string(err.Code)).Str("reason", err.Message).Int("refused_with", err.Status).Dur("retry_after_ms", err.RetryAfter).
 		Uint64("config", c.Snapshot.Version).Dur("config_age_ms", age).Msg("request refused")
 }
--- a/online/execution.go
+++ b/online/execution.go
@@ -63,6 +63,8 @@
 	cause      error              // the last failure
 	refusal    *placement.Refusal
 	intervals  eventstream.IntervalMeter // of the last endpoint's response
+
+	headerReceived bool // the last endpoint has sent a response header
 }
 
 // nextStep says what follows an attempt at one endpoint.
@@ -104,6 +106,10 @@
 		Customer: ex.call.Customer,
 		Request:  ex.call.ID,
 		Endpoint: ex.endpoint.ID,
+
+		PromptParts:    ex.call.PromptParts,
+		HeaderReceived: ex.headerReceived,
+		Events:         ex.response.events,
 	}
 	go quarantine.RecordIfUnreachable(ex.Suspects, ex.Pool, crash, ex.endpoint.Address)
 }
@@ -206,11 +212,13 @@
 // tryEndpoint sends the request to one endpoint and relays its response.
 func (ex *execution) tryEndpoint(ctx context.Context, grant *placement.Grant) (nextStep, placement.Result) {
 	ex.attempts++
+	ex.headerReceived = false
 	ex.intervals = eventstream.IntervalMeter{}
 	x, err := ex.Pool.Do(ctx, grant.Endpoint.Address, ex.buildRequest(grant), ex.waitDeadline(ex.firstEventTimeout()))
 	if err != nil {
 		return ex.afterNoResponse(ctx, grant, err)
 	}
+	ex.headerReceived = true
 	r := x.Response
 	switch {
 	case ex.Dialect.Misdirected(r):
--- a/online/online.go
+++ b/online/online.go
@@ -71,7 +71,7 @@
 	took := time.Since(c.Received)
 	ex.Metrics.observe(outcome, took, ex.response.firstByte)
 	// The keys asked and began hold attempts and mayHaveRun.
-	event := ex.Log.Info().Str("request", c.ID).Str("customer", c.Customer).Str("route", c.RouteID).
+	event := ex.Log.Info().Str("request", c.ID).Str("customer", c.Customer).Str("route", c.RouteID).Strs("parts", c.PromptParts).
 		Str("outcome", outcome).Uint64("config", c.Snapshot.Version).Dur("config_age_ms", ex.ConfigAge()).
 		Str("endpoint", ex.endpoint.ID).Int("at_endpoint_online", ex.load.Online).Int("at_endpoint_batch", ex.load.Batch).
 		Int("asked", ex.attempts).Int("began", ex.mayHaveRun).Int("status", ex.response.status).
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -20,6 +20,9 @@
 	Received time.Time // time at which the entry had read the request
 	Deadline time.Time // time after which the caller needs no response; set or limited by the route filter
 	Body     []byte    // whole body, bounded in size; nil if the handler streams it
+	// PromptParts holds the IDs of the parts of the prompt that other requests may share,
+	// in the order of the prompt.
+	PromptParts []string
 
 	Snapshot   *config.Snapshot  // in force when the call was received
 	KeyID      string            // ID of the caller's key; set by the authentication filter; empty without a key
--- a/quarantine/shared.go
+++ b/quarantine/shared.go
@@ -69,6 +69,7 @@
 func (s *SharedTable) RecordCrash(c Crash) {
 	e, recorded := s.table.RecordCrash(c, time.Now())
 	s.logger.Warn().Str("request", c.Request).Str("customer", c.Customer).Str("endpoint", c.Endpoint).Stringer("digest", c.Digest).
+		Strs("parts", c.PromptParts).Bool("header_received", c.HeaderReceived).Int64("events", c.Events).
 		Bool("held", recorded).Bool("quarantined", s.Verdict(c.Digest, c.Customer) == Quarantined).Msg("quarantine: endpoint died with the request in flight")
 	if recorded {
 		s.enqueue([]Event{e})
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -49,6 +49,13 @@
 	Attempt  string // ID of the attempt
 	Endpoint string // instance ID of the endpoint
 	Kind     api.Crash
+	// PromptParts holds the IDs of the parts of the prompt that other requests may
+	// share; empty if they are unknown.
+	PromptParts []string
+	// HeaderReceived says that the endpoint had sent the response header of the attempt.
+	HeaderReceived bool
+	// Events counts the events of the response received so far from all endpoints.
+	Events int64
 }
 
 // Table holds the crashes recorded against requests. It does no I/O: the
