--- a/standin/streams/streams.go
+++ b/standin/streams/streams.go
@@ -58,6 +58,9 @@
 	Unsigned   bool // leave out HeaderSigned
 	AbortAfter int  // abort the connection after this number of events; 0: never
 	Crash      bool // close the server and all its connections
+	// CrashAfter, if not 0, sends the header, and then closes the server and all its
+	// connections after this time.
+	CrashAfter time.Duration
 	StallAfter int  // send nothing more after this number of events; 0: never
 }
 
@@ -198,6 +201,13 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
+	if b.CrashAfter > 0 {
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(b.CrashAfter)
+		_ = e.server.Close() // errors of closing sockets are irrelevant here
+		return
+	}
 	e.stream(w, r, id, last, b)
 }
 
