standin/keyed: a fault holds for reads that wait too

Cause: the entry's waiting read had begun before the connection was made to hang, and still brought the results, so the entry answered with them, which is right. A connection that hangs brings nothing: the stand-in asks for the fault again when a waiting read wakes.

--- a/standin/keyed/keyed.go
+++ b/standin/keyed/keyed.go
@@ -138,6 +138,10 @@
 		}
 		select {
 		case <-changed:
+			// A fault holds for reads that wait too.
+			if _, err := h.injectFault(ctx); err != nil {
+				return keyedlog.Page{}, err
+			}
 		case <-timer.C:
 			return page, nil
 		case <-ctx.Done():
