quarantine: crashes are held against parts of prompts too

Cause: a crash was held against the digest of customer, path and body only. Each such request has a digest of its own, so none gathered the four crashes that quarantine it. Class: evidence is gathered under an identity that is finer than the cause.

Change: a crash accuses the shared parts of the prompts of the requests in flight whose responses had fewer than three events. A part is quarantined once crashes that no deeper quarantined part explains weigh 6, where one with a response that had begun weighs 2 and another 1. One request counts at two crashes at most, crashes within 50 ms count as one, and a response of three events clears its parts everywhere. So the first part, which sound requests share, is spared. Events travel as those of requests do.

--- a/online/execution.go
+++ b/online/execution.go
@@ -107,6 +107,7 @@
 		Request:  ex.call.ID,
 		Endpoint: ex.endpoint.ID,
 
+		Incarnation:    ex.endpoint.StartMs,
 		PromptParts:    ex.call.PromptParts,
 		HeaderReceived: ex.headerReceived,
 		Events:         ex.response.events,
@@ -114,6 +115,15 @@
 	go quarantine.RecordIfUnreachable(ex.Suspects, ex.Pool, crash, ex.endpoint.Address)
 }
 
+// recordSoundParts records that the parts of the prompt are sound if the response shows it:
+// it is complete, or long enough.
+func (ex *execution) recordSoundParts(complete bool) {
+	answered := complete && ex.response.status == http.StatusOK
+	if answered || ex.response.events >= quarantine.MinSoundEvents {
+		ex.Suspects.RecordSoundParts(ex.call.PromptParts)
+	}
+}
+
 // clearSuspicion removes the crashes recorded against a request that has
 // completed.
 func (ex *execution) clearSuspicion() {
@@ -122,12 +132,6 @@
 	}
 }
 
-// quarantined reports whether the request is quarantined, because endpoints crashed
-// while running it.
-func (ex *execution) quarantined() bool {
-	return !ex.Suspects.Empty() && ex.Suspects.Verdict(quarantine.DigestOfCall(ex.call), ex.call.Customer) == quarantine.Quarantined
-}
-
 // place reserves a slot, or a place in the queue, at the next endpoint. It returns
 // the error for the caller if the request can't be sent to any endpoint.
 func (ex *execution) place(ctx context.Context) (*placement.Grant, *api.Error) {
@@ -138,7 +142,7 @@
 	if !ex.ConfigFresh(ex.call) {
 		return nil, ex.configStale()
 	}
-	if ex.mayHaveRun > 0 && ex.quarantined() {
+	if ex.mayHaveRun > 0 && quarantine.Blocked(ex.Suspects, ex.call) {
 		return nil, ex.failure()
 	}
 	maxWait := time.Duration(maxWaitShare * float64(ex.route.Goal))
--- a/online/online.go
+++ b/online/online.go
@@ -54,6 +54,7 @@
 	}
 	err := ex.run(ctx)
 	ex.response.end()
+	ex.recordSoundParts(err == nil && ctx.Err() == nil)
 	ex.report(ctx, err)
 	return err
 }
--- a/online/prompt_parts_test.go
+++ b/online/prompt_parts_test.go
@@ -257,6 +257,7 @@
 	}
 	wg.Wait()
 	known := f.knownAt()
+	t.Logf("%d endpoints crashed, %d requests were sent late; %d of %d sound requests served", len(f.crashes), f.sendsAfter(known), served, late)
 	f.Expect(known).NotTo(gomega.BeZero(), "endpoints crash")
 	f.Expect(f.sendsAfter(known)).To(gomega.BeNumerically("<=", toleratedSends), "%d endpoints crashed in all", len(f.crashes))
 	f.Expect(late).To(gomega.BeNumerically(">", 100))
--- a/quarantine/digest.go
+++ b/quarantine/digest.go
@@ -9,6 +9,10 @@
 // act on Quarantined only. A request is quarantined after SoloCrashThreshold
 // crashes if the endpoint ran nothing else in at least one of them, and after
 // CrashThreshold crashes otherwise. A suspect that completes is cleared.
+//
+// Requests that are all different may share the part of their prompts that crashes
+// endpoints. Crashes are therefore held against the parts of prompts as well, and requests
+// with a quarantined part are rejected; see partTable.
 package quarantine
 
 import (
--- a/quarantine/filter.go
+++ b/quarantine/filter.go
@@ -8,11 +8,12 @@
 	"dandelionrelay/pipeline"
 )
 
-// Filter returns a filter that rejects the requests that t has quarantined.
+// Filter returns a filter that rejects the requests that t has quarantined, and those with
+// a part of the prompt that it has quarantined.
 func Filter(t Tracker) pipeline.Filter {
 	return func(next pipeline.Handler) pipeline.Handler {
 		return func(ctx context.Context, c *pipeline.Call) *api.Error {
-			if !t.Empty() && t.Verdict(DigestOfCall(c), c.Customer) == Quarantined {
+			if Blocked(t, c) {
 				return Refusal()
 			}
 			return next(ctx, c)
@@ -24,5 +25,5 @@
 // not retry.
 func Refusal() *api.Error {
 	return api.NewError(http.StatusUnprocessableEntity, api.CodeQuarantined,
-		"endpoints crashed running this request; it is not run again")
+		"endpoints crashed running this request or others with a part of its prompt; it is not run")
 }
--- a/quarantine/node.go
+++ b/quarantine/node.go
@@ -71,10 +71,20 @@
 }
 
 // RecordCrash records a crash and replicates it, unless it is part of a mass
-// loss.
+// loss and accuses no prompt part.
 func (n *Node) RecordCrash(c Crash) {
-	if e, ok := n.table.RecordCrash(c, time.Now()); ok {
-		n.enqueue([]Event{e}, true)
+	if events := n.table.recordAll(c, time.Now()); len(events) > 0 {
+		n.enqueue(events, true)
+	}
+}
+
+// PartsQuarantined implements Tracker.
+func (n *Node) PartsQuarantined(parts []string) bool { return n.table.PartsQuarantined(parts) }
+
+// RecordSoundParts implements Tracker.
+func (n *Node) RecordSoundParts(parts []string) {
+	if cleared := n.table.RecordSoundParts(parts, time.Now()); len(cleared) > 0 {
+		n.enqueue(cleared, true)
 	}
 }
 
--- /dev/null
+++ b/quarantine/parts.go
@@ -0,0 +1,359 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dandelionrelay/lru"
+)
+
+// Parameters of the attribution of crashes to prompt parts.
+const (
+	// MinSoundEvents is the number of events of a response that show that the parts of
+	// its prompt do not crash endpoints: a part that does so does it as the answer begins.
+	MinSoundEvents = 3
+	// partThreshold is the sum of weights at which a part is quarantined.
+	partThreshold = 6
+	// weightBegun and weightQueued are the weights of a crash with a request in flight
+	// whose response had begun, and had not.
+	weightBegun, weightQueued = 2, 1
+	// maxCrashesPerRequest is the number of crashes that count with the same request in
+	// flight, so that retries of one request do not quarantine the parts of its prompt.
+	maxCrashesPerRequest = 2
+	// momentDuration is the time within which crashes count as one: power or a network
+	// that fails stops many endpoints at once, and no request does.
+	momentDuration = 50 * time.Millisecond
+	// soundDuration is how long a part is not accused after it was shown to be sound.
+	soundDuration = 2 * time.Second
+	// maxAccusations is the number of events with parts that are held.
+	maxAccusations = 1024
+	// soundPartsBytes bounds the memory for the times at which parts were shown to be
+	// sound; soundPartBytes is what one of them takes.
+	soundPartsBytes = 512 << 10
+	soundPartBytes  = 128
+)
+
+// partTable attributes crashes to parts of prompts. A part is accused by each event of a
+// crash with a request in flight that contains it and whose response had fewer than
+// MinSoundEvents events. It is quarantined once the crashes that accuse it and that no
+// deeper quarantined part explains reach partThreshold: requests that crash endpoints
+// share their first parts with sound requests. A response with MinSoundEvents events
+// clears the parts of its prompt. It is safe for concurrent use.
+type partTable struct {
+	sound *lru.Cache[string, *atomic.Int64] // when parts were last shown to be sound, in Unix nanoseconds
+
+	mu          sync.Mutex
+	accusations map[accusationKey]Event
+	newest      map[string]time.Time // time of the newest accusation of each part
+	stale       bool                 // accusations have changed since quarantined was computed
+	// quarantined holds the quarantined parts. accused also holds those that this entry
+	// knows to be sound, and that others quarantine as long as they do not know it.
+	quarantined, accused map[string]bool
+}
+
+// accusationKey identifies the event of one crash with one request in flight.
+type accusationKey struct {
+	digest  Digest
+	attempt string
+}
+
+func newPartTable() *partTable {
+	return &partTable{
+		sound:       lru.New[string, *atomic.Int64](soundPartsBytes),
+		accusations: make(map[accusationKey]Event),
+		newest:      make(map[string]time.Time),
+	}
+}
+
+// accusedParts returns the parts of the prompt that a crash accuses.
+func (p *partTable) accusedParts(c Crash, now time.Time) []string {
+	if c.Events >= MinSoundEvents {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(c.PromptParts), func(part string) bool {
+		return now.Sub(p.lastSound(part)) < soundDuration
+	})
+}
+
+// lastSound returns when a part was last shown to be sound; the zero time if it never was.
+func (p *partTable) lastSound(part string) time.Time {
+	if at, ok := p.sound.Get(part); ok {
+		return time.Unix(0, at.Load())
+	}
+	return time.Time{}
+}
+
+func (p *partTable) empty() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.accusations) == 0
+}
+
+// merge adds an event with parts, and reports whether it changed the table.
+func (p *partTable) merge(e Event, now time.Time) bool {
+	if now.Sub(e.At) >= SuspectDuration {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key := accusationKey{e.Digest, e.Attempt}
+	old, held := p.accusations[key]
+	if !held {
+		p.evict()
+		p.accusations[key] = e
+		p.noteNewest(e)
+		p.stale = true
+		return true
+	}
+	sound := union(old.Sound, e.Sound)
+	if len(sound) == len(old.Sound) {
+		return false
+	}
+	old.Sound = sound
+	p.accusations[key] = old
+	p.stale = true
+	return true
+}
+
+// noteNewest updates the times of the newest accusations by e. The caller holds the lock.
+func (p *partTable) noteNewest(e Event) {
+	for _, part := range e.Parts {
+		if e.At.After(p.newest[part]) {
+			p.newest[part] = e.At
+		}
+	}
+}
+
+// union returns the sorted elements of a and b, each once.
+func union(a, b []string) []string {
+	all := slices.Concat(a, b)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+// evict drops the oldest accusation if the table is full. The caller holds the lock.
+func (p *partTable) evict() {
+	if len(p.accusations) < maxAccusations {
+		return
+	}
+	var oldest accusationKey
+	var at time.Time
+	for key, e := range p.accusations {
+		if at.IsZero() || e.At.Before(at) {
+			oldest, at = key, e.At
+		}
+	}
+	delete(p.accusations, oldest)
+}
+
+// expire drops accusations older than SuspectDuration.
+func (p *partTable) expire(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	clear(p.newest)
+	for key, e := range p.accusations {
+		if now.Sub(e.At) >= SuspectDuration {
+			delete(p.accusations, key)
+			p.stale = true
+			continue
+		}
+		p.noteNewest(e)
+	}
+}
+
+// events returns all accusations.
+func (p *partTable) events() []Event {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []Event
+	for _, e := range p.accusations {
+		out = append(out, e)
+	}
+	return out
+}
+
+// anyQuarantined reports whether one of the parts is quarantined.
+func (p *partTable) anyQuarantined(parts []string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refresh()
+	return slices.ContainsFunc(parts, func(part string) bool { return p.quarantined[part] })
+}
+
+// allQuarantined returns the quarantined parts in order.
+func (p *partTable) allQuarantined() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refresh()
+	var out []string
+	for part := range p.quarantined {
+		out = append(out, part)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// recordSound records that parts were shown to be sound. It returns the events to
+// replicate: the accusations of those parts that other entries quarantine, cleared of
+// them.
+func (p *partTable) recordSound(parts []string, now time.Time) []Event {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, part := range parts {
+		// A part that was shown to be sound since its newest accusation stays so.
+		p.stale = p.stale || p.newest[part].After(p.lastSound(part))
+		p.storeSound(part, now)
+	}
+	p.refresh()
+	var cleared []Event
+	for _, part := range parts {
+		if p.accused[part] {
+			cleared = append(cleared, p.clearPart(part)...)
+		}
+	}
+	return cleared
+}
+
+// storeSound stores the time at which a part was shown to be sound.
+func (p *partTable) storeSound(part string, now time.Time) {
+	if at, ok := p.sound.Get(part); ok {
+		at.Store(now.UnixNano())
+		return
+	}
+	at := new(atomic.Int64)
+	at.Store(now.UnixNano())
+	p.sound.Add(part, at, soundPartBytes)
+}
+
+// clearPart clears all accusations of a part and returns them. The caller holds the lock.
+func (p *partTable) clearPart(part string) []Event {
+	var cleared []Event
+	for key, e := range p.accusations {
+		if !slices.Contains(e.Parts, part) || slices.Contains(e.Sound, part) {
+			continue
+		}
+		e.Sound = union(e.Sound, []string{part})
+		p.accusations[key] = e
+		cleared = append(cleared, e)
+	}
+	p.stale = true
+	return cleared
+}
+
+// refresh computes the quarantined parts if accusations have changed. The caller holds the
+// lock.
+func (p *partTable) refresh() {
+	if !p.stale {
+		return
+	}
+	p.stale = false
+	events := make([]Event, 0, len(p.accusations))
+	for _, e := range p.accusations {
+		events = append(events, e)
+	}
+	slices.SortFunc(events, func(a, b Event) int {
+		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Attempt, b.Attempt))
+	})
+	p.accused = quarantinedParts(events, func(string) time.Time { return time.Time{} })
+	p.quarantined = quarantinedParts(events, p.lastSound)
+}
+
+// partCrash is a crash that accuses a part.
+type partCrash struct {
+	endpoint string // incarnation of the endpoint
+	at       time.Time
+	weight   int
+}
+
+// partRecord holds what speaks against a part.
+type partRecord struct {
+	part    string
+	depth   int         // its index in the prompt, the largest of all
+	crashes []partCrash // in order of time, one of each endpoint
+}
+
+// quarantinedParts returns the parts to quarantine by events, the oldest first. Events
+// that are not newer than the time that lastSound returns do not speak against a part.
+func quarantinedParts(events []Event, lastSound func(part string) time.Time) map[string]bool {
+	records := collectRecords(events, lastSound)
+	slices.SortFunc(records, func(a, b *partRecord) int {
+		return cmp.Or(cmp.Compare(b.depth, a.depth), cmp.Compare(weigh(b.crashes), weigh(a.crashes)), cmp.Compare(a.part, b.part))
+	})
+	quarantined := make(map[string]bool)
+	explained := make(map[string]bool) // endpoints
+	for _, r := range records {
+		unexplained := slices.DeleteFunc(slices.Clone(r.crashes), func(c partCrash) bool { return explained[c.endpoint] })
+		if weigh(unexplained) < partThreshold {
+			continue
+		}
+		quarantined[r.part] = true
+		for _, c := range r.crashes {
+			explained[c.endpoint] = true
+		}
+	}
+	return quarantined
+}
+
+// collectRecords returns the records of all parts that the events accuse.
+func collectRecords(events []Event, lastSound func(part string) time.Time) []*partRecord {
+	type partRequest struct {
+		part   string
+		digest Digest
+	}
+	byPart := make(map[string]*partRecord)
+	perRequest := make(map[partRequest]int)
+	var records []*partRecord
+	for _, e := range events {
+		for depth, part := range e.Parts {
+			request := partRequest{part, e.Digest}
+			if slices.Contains(e.Sound, part) || !e.At.After(lastSound(part)) || perRequest[request] >= maxCrashesPerRequest {
+				continue
+			}
+			perRequest[request]++
+			r := byPart[part]
+			if r == nil {
+				r = &partRecord{part: part}
+				byPart[part] = r
+				records = append(records, r)
+			}
+			r.depth = max(r.depth, depth)
+			r.add(e)
+		}
+	}
+	return records
+}
+
+// add adds the crash of an event, which is not older than those added before.
+func (r *partRecord) add(e Event) {
+	weight := weightQueued
+	if e.Begun {
+		weight = weightBegun
+	}
+	for i, c := range r.crashes {
+		if c.endpoint == e.Endpoint {
+			r.crashes[i].weight = max(c.weight, weight)
+			return
+		}
+	}
+	r.crashes = append(r.crashes, partCrash{endpoint: e.Endpoint, at: e.At, weight: weight})
+}
+
+// weigh returns the sum of the weights of crashes, the oldest first. Of the crashes within
+// momentDuration the one with the greatest weight counts.
+func weigh(crashes []partCrash) int {
+	sum, greatest := 0, 0
+	var moment time.Time
+	for i, c := range crashes {
+		if i == 0 || c.at.Sub(moment) >= momentDuration {
+			moment, greatest = c.at, 0
+		}
+		if c.weight > greatest {
+			sum += c.weight - greatest
+			greatest = c.weight
+		}
+	}
+	return sum
+}
--- a/quarantine/service.go
+++ b/quarantine/service.go
@@ -58,6 +58,12 @@
 		if e.Cleared {
 			_, _ = h.WriteString("cleared")
 		}
+		if len(e.Parts) > 0 {
+			_, _ = h.WriteString("parts")
+		}
+		for _, part := range e.Sound {
+			_, _ = h.WriteString(part)
+		}
 		sum ^= h.Sum64()
 	}
 	return sum
--- a/quarantine/shared.go
+++ b/quarantine/shared.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -39,6 +41,8 @@
 	wake        chan struct{}
 	pruneDelay  time.Duration // random delay before this entry deletes a record that has expired
 
+	loggedParts atomic.Pointer[[]string] // prompt parts that the log names as quarantined; nil: none yet
+
 	mu          sync.Mutex
 	recordTimes map[string]time.Time // times of the stored events by record key
 }
@@ -67,12 +71,40 @@
 
 // RecordCrash implements Tracker.
 func (s *SharedTable) RecordCrash(c Crash) {
-	e, recorded := s.table.RecordCrash(c, time.Now())
+	events := s.table.recordAll(c, time.Now())
 	s.logger.Warn().Str("request", c.Request).Str("customer", c.Customer).Str("endpoint", c.Endpoint).Stringer("digest", c.Digest).
 		Strs("parts", c.PromptParts).Bool("header_received", c.HeaderReceived).Int64("events", c.Events).
-		Bool("held", recorded).Bool("quarantined", s.Verdict(c.Digest, c.Customer) == Quarantined).Msg("quarantine: endpoint died with the request in flight")
-	if recorded {
-		s.enqueue([]Event{e})
+		Int("recorded", len(events)).Bool("quarantined", s.Verdict(c.Digest, c.Customer) == Quarantined).Msg("quarantine: endpoint died with the request in flight")
+	if len(events) > 0 {
+		s.enqueue(events)
+	}
+	s.logParts()
+}
+
+// PartsQuarantined implements Tracker.
+func (s *SharedTable) PartsQuarantined(parts []string) bool { return s.table.PartsQuarantined(parts) }
+
+// RecordSoundParts implements Tracker.
+func (s *SharedTable) RecordSoundParts(parts []string) {
+	if cleared := s.table.RecordSoundParts(parts, time.Now()); len(cleared) > 0 {
+		s.enqueue(cleared)
+	}
+	s.logParts()
+}
+
+// logParts logs the prompt parts that were quarantined or cleared since the last call.
+func (s *SharedTable) logParts() {
+	if s.table.Empty() && s.loggedParts.Load() == nil {
+		return
+	}
+	now := s.table.parts.allQuarantined()
+	before := s.loggedParts.Swap(&now)
+	var old []string
+	if before != nil {
+		old = *before
+	}
+	if !slices.Equal(old, now) {
+		s.logger.Warn().Strs("parts", now).Strs("before", old).Msg("quarantined prompt parts changed")
 	}
 }
 
@@ -121,10 +153,11 @@
 			continue
 		}
 		s.recordTimes[r.Key] = e.At
-		if s.table.Merge(e, now) && s.table.Verdict(e.Digest, e.Customer, now) == Quarantined {
+		if s.table.Merge(e, now) && len(e.Parts) == 0 && s.table.Verdict(e.Digest, e.Customer, now) == Quarantined {
 			s.logger.Warn().Str("customer", e.Customer).Stringer("digest", e.Digest).Int64("offset", r.Offset).Msg("request quarantined")
 		}
 	}
+	s.logParts()
 }
 
 // eventKey returns the key of the record of e. The attempt ID is hashed, since it
@@ -132,7 +165,11 @@
 func eventKey(e Event) string {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(e.Attempt))
-	return fmt.Sprintf("%s.%016x", e.Digest, h.Sum64())
+	facet := "request"
+	if len(e.Parts) > 0 {
+		facet = "parts"
+	}
+	return fmt.Sprintf("%s.%016x.%s", e.Digest, h.Sum64(), facet)
 }
 
 // Run stores queued events and deletes expired records until ctx is cancelled.
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -26,8 +27,8 @@
 
 const tableShards = 16
 
-// Event is one crash recorded against a request, or, with Cleared, the fact that
-// the request has been cleared of that crash. Events may be merged in any order
+// Event is one crash recorded against a request or against parts of its prompt, or, with
+// Cleared, the fact that the request has been cleared of that crash. Events may be merged in any order
 // and any number of times.
 type Event struct {
 	Digest  Digest    `json:"digest"`
@@ -39,6 +40,15 @@
 	// else.
 	Alone   bool `json:"alone,omitempty"`
 	Cleared bool `json:"cleared,omitempty"`
+
+	// An event with Parts counts against these parts of the prompt, in their order, and
+	// not against the request. Sound holds those that were shown to be sound since.
+	Parts []string `json:"parts,omitempty"`
+	Sound []string `json:"sound,omitempty"`
+	// Endpoint is the incarnation of the endpoint that crashed, and Begun says that it had
+	// begun its response; set in events with Parts.
+	Endpoint string `json:"endpoint,omitempty"`
+	Begun    bool   `json:"begun,omitempty"`
 }
 
 // Crash is the crash or loss of an endpoint with an attempt in flight.
@@ -48,7 +58,9 @@
 	Request  string // ID of the request, for logs; may be empty
 	Attempt  string // ID of the attempt
 	Endpoint string // instance ID of the endpoint
-	Kind     api.Crash
+	// Incarnation distinguishes the starts of the endpoint, if its instance ID does not.
+	Incarnation int64
+	Kind        api.Crash
 	// PromptParts holds the IDs of the parts of the prompt that other requests may
 	// share; empty if they are unknown.
 	PromptParts []string
@@ -67,6 +79,7 @@
 	massLoss massLossDetector
 
 	customers customerTracker
+	parts     *partTable
 }
 
 type tableShard struct {
@@ -76,7 +89,7 @@
 
 // NewTable returns an empty Table.
 func NewTable() *Table {
-	t := &Table{}
+	t := &Table{parts: newPartTable()}
 	for i := range t.shards {
 		t.shards[i].digests = make(map[Digest][]Event)
 	}
@@ -85,13 +98,24 @@
 
 func (t *Table) shard(d Digest) *tableShard { return &t.shards[d[0]%tableShards] }
 
-// Empty reports whether no request has crashes recorded against it.
-func (t *Table) Empty() bool { return t.size.Load() == 0 }
+// Empty reports whether no request and no prompt part has crashes recorded against it.
+func (t *Table) Empty() bool { return t.size.Load() == 0 && t.parts.empty() }
+
+// PartsQuarantined reports whether one of the parts of a prompt is quarantined.
+func (t *Table) PartsQuarantined(parts []string) bool {
+	return len(parts) > 0 && t.parts.anyQuarantined(parts)
+}
+
+// RecordSoundParts records that a response was long enough to show that the parts of its
+// prompt do not crash endpoints; see MinSoundEvents. It returns the events to replicate.
+func (t *Table) RecordSoundParts(parts []string, now time.Time) []Event {
+	return t.parts.recordSound(parts, now)
+}
 
 // Verdict returns the verdict on request d of customer. A request without a
 // verdict of its own is a suspect while its customer is isolated.
 func (t *Table) Verdict(d Digest, customer string, now time.Time) Verdict {
-	if t.Empty() {
+	if t.size.Load() == 0 {
 		return Clear
 	}
 	s := t.shard(d)
@@ -114,10 +138,42 @@
 	return e, t.Merge(e, now)
 }
 
+// RecordPartCrash records a crash against the parts of the prompt that it accuses. It
+// returns the event to replicate, and false if there is none.
+func (t *Table) RecordPartCrash(c Crash, now time.Time) (Event, bool) {
+	parts := t.parts.accusedParts(c, now)
+	if len(parts) == 0 {
+		return Event{}, false
+	}
+	e := Event{
+		Digest:   c.Digest,
+		Attempt:  c.Attempt,
+		At:       now,
+		Customer: c.Customer,
+		Parts:    parts,
+		Endpoint: fmt.Sprintf("%s@%d", c.Endpoint, c.Incarnation),
+		Begun:    c.HeaderReceived,
+	}
+	return e, t.Merge(e, now)
+}
+
+// recordAll records a crash against the request and against the parts of its prompt. It
+// returns the events to replicate.
+func (t *Table) recordAll(c Crash, now time.Time) []Event {
+	var events []Event
+	if e, ok := t.RecordCrash(c, now); ok {
+		events = append(events, e)
+	}
+	if e, ok := t.RecordPartCrash(c, now); ok {
+		events = append(events, e)
+	}
+	return events
+}
+
 // RecordSuccess records that d completed, which clears it of all crashes. It
 // returns the events to replicate.
 func (t *Table) RecordSuccess(d Digest, _ time.Time) []Event {
-	if t.Empty() {
+	if t.size.Load() == 0 {
 		return nil
 	}
 	t.customers.remove(d)
@@ -142,6 +198,9 @@
 	if now.Sub(e.At) >= QuarantineDuration {
 		return false
 	}
+	if len(e.Parts) > 0 {
+		return t.parts.merge(e, now)
+	}
 	changed, v := t.merge(e, now)
 	if changed && v == Quarantined {
 		t.customers.add(e.Customer, e.Digest, e.At)
@@ -222,8 +281,9 @@
 }
 
 // Expire drops the requests whose verdict is Clear and whose last crash is older
-// than SuspectDuration.
+// than SuspectDuration, and accusations of prompt parts that are as old.
 func (t *Table) Expire(now time.Time) {
+	t.parts.expire(now)
 	for i := range t.shards {
 		s := &t.shards[i]
 		s.mu.Lock()
@@ -234,7 +294,7 @@
 
 // Events returns all events held, to be merged into another table.
 func (t *Table) Events() []Event {
-	var out []Event
+	out := t.parts.events()
 	for i := range t.shards {
 		s := &t.shards[i]
 		s.mu.Lock()
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -1,5 +1,7 @@
 package quarantine
 
+import "dandelionrelay/pipeline"
+
 // Tracker tracks the requests, online requests and batch items alike, that were
 // in flight at endpoints that crashed. Node and SharedTable implement it.
 type Tracker interface {
@@ -12,6 +14,19 @@
 	// RecordSuccess records that a request completed, which clears it of its
 	// crashes.
 	RecordSuccess(Digest)
+	// PartsQuarantined reports whether one of the parts of a prompt is quarantined.
+	PartsQuarantined(parts []string) bool
+	// RecordSoundParts records that a response had MinSoundEvents events, which shows
+	// that the parts of its prompt do not crash endpoints.
+	RecordSoundParts(parts []string)
+}
+
+// Blocked reports whether t has quarantined the request of c or a part of its prompt.
+func Blocked(t Tracker, c *pipeline.Call) bool {
+	if t.Empty() {
+		return false
+	}
+	return t.PartsQuarantined(c.PromptParts) || t.Verdict(DigestOfCall(c), c.Customer) == Quarantined
 }
 
 // NopTracker is a Tracker that records nothing.
@@ -28,3 +43,9 @@
 
 // RecordSuccess implements Tracker.
 func (NopTracker) RecordSuccess(Digest) {}
+
+// PartsQuarantined implements Tracker.
+func (NopTracker) PartsQuarantined([]string) bool { return false }
+
+// RecordSoundParts implements Tracker.
+func (NopTracker) RecordSoundParts([]string) {}
--- a/standin/streams/streams.go
+++ b/standin/streams/streams.go
@@ -61,7 +61,7 @@
 	// CrashAfter, if not 0, sends the header, and then closes the server and all its
 	// connections after this time.
 	CrashAfter time.Duration
-	StallAfter int  // send nothing more after this number of events; 0: never
+	StallAfter int // send nothing more after this number of events; 0: never
 }
 
 // Run is one request that the endpoint started to run.
