quarantine: parts that were sound before explain crashes last

Change: parts that this entry knows to have been sound come last when crashes are explained. TestParts_LaterPartThatWasSoundBeforeIsSpared failed before ([sound] instead of [bad]).

--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -38,9 +38,9 @@
 
 // partTable attributes crashes to parts of prompts. A part is accused by each event of a
 // crash with a request in flight that contains it and whose response had fewer than
-// MinSoundEvents events. It is quarantined once the crashes that accuse it and that no
-// deeper quarantined part explains reach partThreshold: requests that crash endpoints
-// share their first parts with sound requests. A response with MinSoundEvents events
+// MinSoundEvents events. It is quarantined once the crashes that accuse it, and that no
+// other quarantined part explains, reach partThreshold: requests that crash endpoints
+// share parts with sound ones. See compareRecords for which part explains crashes first. A response with MinSoundEvents events
 // clears the parts of its prompt. It is safe for concurrent use.
 type partTable struct {
 	sound *lru.Cache[string, *atomic.Int64] // when parts were last shown to be sound, in Unix nanoseconds
@@ -270,18 +270,30 @@
 
 // partRecord holds what speaks against a part.
 type partRecord struct {
-	part    string
-	depth   int         // its index in the prompt, the largest of all
-	crashes []partCrash // in order of time, one of each endpoint
+	part     string
+	wasSound bool        // it was shown to be sound before
+	depth    int         // its index in the prompt, the largest of all
+	crashes  []partCrash // in order of time, one of each endpoint
+}
+
+// compareRecords orders parts by how well they explain the crashes that they share with
+// others: those that were never sound come first, then the deeper ones, then those with
+// more crashes.
+func compareRecords(a, b *partRecord) int {
+	if a.wasSound != b.wasSound {
+		if a.wasSound {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(cmp.Compare(b.depth, a.depth), cmp.Compare(weigh(b.crashes), weigh(a.crashes)), cmp.Compare(a.part, b.part))
 }
 
 // quarantinedParts returns the parts to quarantine by events, the oldest first. Events
 // that are not newer than the time that lastSound returns do not speak against a part.
 func quarantinedParts(events []Event, lastSound func(part string) time.Time) map[string]bool {
 	records := collectRecords(events, lastSound)
-	slices.SortFunc(records, func(a, b *partRecord) int {
-		return cmp.Or(cmp.Compare(b.depth, a.depth), cmp.Compare(weigh(b.crashes), weigh(a.crashes)), cmp.Compare(a.part, b.part))
-	})
+	slices.SortFunc(records, compareRecords)
 	quarantined := make(map[string]bool)
 	explained := make(map[string]bool) // endpoints
 	for _, r := range records {
@@ -315,7 +327,7 @@
 			perRequest[request]++
 			r := byPart[part]
 			if r == nil {
-				r = &partRecord{part: part}
+				r = &partRecord{part: part, wasSound: !lastSound(part).IsZero()}
 				byPart[part] = r
 				records = append(records, r)
 			}
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -50,6 +50,18 @@
 	g.Expect(tab.PartsQuarantined([]string{"bad", "new"})).To(gomega.BeTrue())
 }
 
+// Requests with the part that crashes endpoints share a later part with sound requests.
+// While no request is served, that part is accused as often.
+func TestParts_LaterPartThatWasSoundBeforeIsSpared(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tab := NewTable()
+	tab.RecordSoundParts([]string{"sound"}, start.Add(-2*soundDuration))
+	for n := range 2 * crashesToQuarantine {
+		_, _ = tab.RecordPartCrash(partCrashOf(n, "bad", "sound"), at(n))
+	}
+	g.Expect(tab.parts.allQuarantined()).To(gomega.Equal([]string{"bad"}))
+}
+
 // Each of these leaves the parts of sound requests alone.
 func TestParts_SoundOnesNotQuarantined(t *testing.T) {
 	for name, record := range map[string]func(tab *Table){
