--- a/test/system/suspects_test.go
+++ b/test/system/suspects_test.go
@@ -187,10 +187,7 @@
 // the first crash is known. With faults the higher threshold applies, as the loss
 // of an entry or a sidecar may lose the record of a crash.
 func (sim *simulation) checkCrashes(set []fault) {
-	crashed := 0
-	for _, e := range sim.engines {
-		crashed += int(e.Stats().Crashes)
-	}
+	crashed := sim.crashes()
 	bound := crashingRequests * (quarantine.SoloCrashThreshold + 1)
 	if len(set) > 0 {
 		bound = crashingRequests * (quarantine.CrashThreshold + 1)
@@ -200,3 +197,114 @@
 		sim.t.Errorf("%d crashes of engines, the bound is %d", crashed, bound)
 	}
 }
+
+// Requests of one customer that are all different share a message that crashes engines.
+// Other requests of the customer share all their other messages.
+const (
+	sharedMessage  = "You help the visitors of a museum."
+	harmlessExtra  = "The exhibition of clocks."
+	crashesToKnow  = 5               // crashes of engines after which the message must become known
+	spreadTime     = 3 * time.Second // from the last of them until all entries must know it
+	lateCrashBound = 3
+)
+
+// TestQuarantine_CrashingMessageSharedByDifferentRequests checks that engines stop
+// crashing once the message is known, and that the other requests are served.
+func TestQuarantine_CrashingMessageSharedByDifferentRequests(t *testing.T) {
+	for seed := range *seeds {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { runCrashingMessage(t, uint64(seed)) })
+		})
+	}
+}
+
+func runCrashingMessage(t *testing.T, seed uint64) {
+	sim := newSimulation(t, seed, nil)
+	defer sim.fleet.Close()
+	for range 5 {
+		sim.addEndpoint()
+	}
+	time.Sleep(startupDelay)
+	sim.start = time.Now()
+	stop := make(chan struct{})
+	var background, wg sync.WaitGroup
+	background.Go(func() { sim.restartEngines(stop) })
+	var late int
+	background.Go(func() { late = sim.countLateCrashes(stop) })
+	wg.Go(func() {
+		sim.every(300*time.Millisecond, func(n int) { sim.sendMessages(sharedMessage, crashMarker, fmt.Sprint("question ", n)) })
+	})
+	var mu sync.Mutex
+	served, sent := 0, 0
+	wg.Go(func() {
+		sim.every(300*time.Millisecond, func(n int) {
+			result := sim.sendMessages(sharedMessage, harmlessExtra, fmt.Sprint("question ", n))
+			mu.Lock()
+			defer mu.Unlock()
+			sent++
+			if result.err == nil && !result.incomplete {
+				served++
+			} else if result.err != nil && result.err.Code == api.CodeQuarantined {
+				sim.t.Errorf("a harmless request was refused as quarantined")
+			}
+		})
+	})
+	wg.Wait()
+	close(stop)
+	background.Wait()
+	t.Logf("%d engines crashed late, %d of %d harmless requests were served", late, served, sent)
+	if late > lateCrashBound {
+		t.Errorf("%d engines crashed later than %v after crash %d, the bound is %d", late, spreadTime, crashesToKnow, lateCrashBound)
+	}
+	if served < sent*9/10 {
+		t.Errorf("%d of %d harmless requests were served", served, sent)
+	}
+}
+
+// sendMessages sends a chat of user messages to a random entry.
+func (sim *simulation) sendMessages(contents ...string) callResult {
+	r := api.ChatRequest{Model: model, MaxTokens: 16}
+	for _, content := range contents {
+		r.Messages = append(r.Messages, api.Message{Role: "user", Content: content})
+	}
+	body, err := json.Marshal(r)
+	sim.must(err)
+	return sim.send("museum", http.MethodPost, "/v1/chat/completions", "application/json", "", body)
+}
+
+// countLateCrashes returns the number of crashes of engines later than spreadTime after
+// crash crashesToKnow, until stop is closed.
+func (sim *simulation) countLateCrashes(stop chan struct{}) int {
+	var known time.Time
+	before, crashed := 0, 0
+	for {
+		select {
+		case <-stop:
+			if known.IsZero() {
+				return 0
+			}
+			return crashed - before
+		case <-time.After(50 * time.Millisecond):
+		}
+		crashed = sim.crashes()
+		if known.IsZero() && crashed >= crashesToKnow {
+			known = time.Now().Add(spreadTime)
+		}
+		if !known.IsZero() && time.Now().Before(known) {
+			before = crashed
+		}
+	}
+}
+
+// crashes returns the number of crashes of engines so far.
+func (sim *simulation) crashes() int {
+	sim.mu.Lock()
+	engines := sim.engines
+	sim.mu.Unlock()
+	n := 0
+	for _, e := range engines {
+		n += int(e.Stats().Crashes)
+	}
+	return n
+}
