dispatch, quarantine: messages that several requests share are prompt parts

Change: the messages of a chat but the last are its prompt parts. They are hashed only while a crash is recorded, so requests pay nothing otherwise. The refusal stands once, in quarantine.

--- a/dispatch/forwarder.go
+++ b/dispatch/forwarder.go
@@ -53,7 +53,7 @@
 	last := noEndpointError()
 	for {
 		if f.checkQuarantine() {
-			return f.fail(quarantinedError())
+			return f.fail(quarantine.Refusal())
 		}
 		endpoint, ok := f.pick()
 		if !ok {
@@ -99,7 +99,7 @@
 	}
 	v := f.dispatcher.suspects.Verdict(f.digest(), f.call.Customer)
 	f.suspect = v == quarantine.Suspect
-	return v == quarantine.Quarantined
+	return v == quarantine.Quarantined || f.dispatcher.suspects.PartsQuarantined(quarantine.PromptParts(f.call))
 }
 
 func (f *forwarder) digest() quarantine.Digest { return quarantine.DigestOfCall(f.call) }
@@ -221,14 +221,19 @@
 		Attempt:  a.id,
 		Endpoint: a.endpoint.ID,
 		Kind:     crash,
+
+		PromptParts:    quarantine.PromptParts(f.call),
+		HeaderReceived: crash == api.CrashAlone,
+		Events:         f.stream.events,
 	})
 }
 
-// clearCrashes clears the crashes recorded against the request, as it has
-// succeeded.
+// clearCrashes clears the crashes recorded against the request and the parts of its
+// prompt, as it has succeeded.
 func (f *forwarder) clearCrashes() {
 	if !f.dispatcher.suspects.Empty() {
 		f.dispatcher.suspects.RecordSuccess(f.digest())
+		f.dispatcher.suspects.RecordSoundParts(quarantine.PromptParts(f.call))
 	}
 }
 
@@ -269,8 +274,3 @@
 	e := api.NewError(http.StatusServiceUnavailable, api.CodeNoEndpoint, "no endpoint can take the call")
 	return e.WithRetryAfter(RetryAfter)
 }
-
-func quarantinedError() *api.Error {
-	return api.NewError(http.StatusUnprocessableEntity, api.CodeQuarantined,
-		"endpoints crashed running this request; it is not run again")
-}
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -30,6 +30,7 @@
 // stream is the state of a stream of events, as delivered to the caller.
 type stream struct {
 	delivered    bool            // an event was delivered
+	events       int64           // number of events delivered
 	done         bool            // the event [DONE] was received
 	notResumable bool            // it has content that a resume position can't describe
 	completionID string          // ID of the first attempt's completion
@@ -105,6 +106,7 @@
 		return false
 	}
 	s.delivered = true
+	s.events++
 	return out.Flush() == nil
 }
 
--- a/quarantine/digest.go
+++ b/quarantine/digest.go
@@ -20,6 +20,7 @@
 	"encoding/hex"
 	"fmt"
 
+	"dandelionrelay/api"
 	"dandelionrelay/pipeline"
 )
 
@@ -59,3 +60,26 @@
 func DigestOfCall(c *pipeline.Call) Digest {
 	return DigestOf(c.Customer, c.R.URL.RequestURI(), c.Body)
 }
+
+// maxMessageParts is the number of messages of a chat that count as prompt parts.
+const maxMessageParts = 16
+
+// PromptParts returns the IDs of the parts of the prompt of c that other requests may
+// share. If they are not set, they are derived from the messages of the chat, without the
+// last one.
+func PromptParts(c *pipeline.Call) []string {
+	if c.PromptParts == nil && c.Chat != nil {
+		c.PromptParts = messageParts(c.Chat.Messages)
+	}
+	return c.PromptParts
+}
+
+// messageParts returns an ID of each of the first messages but the last, up to
+// maxMessageParts.
+func messageParts(messages []api.Message) []string {
+	ids := []string{}
+	for i := 0; i < min(len(messages)-1, maxMessageParts); i++ {
+		ids = append(ids, DigestOf("", messages[i].Role, []byte(messages[i].Content)).String())
+	}
+	return ids
+}
--- a/quarantine/filter.go
+++ b/quarantine/filter.go
@@ -25,5 +25,5 @@
 // not retry.
 func Refusal() *api.Error {
 	return api.NewError(http.StatusUnprocessableEntity, api.CodeQuarantined,
-		"endpoints crashed running this request or others with a part of its prompt; it is not run")
+		"endpoints crashed running this request or others with a part of its prompt; it is not sent to another")
 }
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -26,7 +26,7 @@
 	if t.Empty() {
 		return false
 	}
-	return t.PartsQuarantined(c.PromptParts) || t.Verdict(DigestOfCall(c), c.Customer) == Quarantined
+	return t.PartsQuarantined(PromptParts(c)) || t.Verdict(DigestOfCall(c), c.Customer) == Quarantined
 }
 
 // NopTracker is a Tracker that records nothing.
