batch: items run again soon after endpoints crashed under them

What callers saw: an item that was in flight at four endpoints that crashed counted as a request that crashes endpoints and ran every 15 s at most, also once all was calm and slots were free.

Cause: the evidence against requests was applied to items, for which it can't hold. Class: a guard against one kind of request that also holds up another kind.

Change: items accuse no one and are accused of nothing; after a loss they run again with the delay of every loss, which doubles from 50 ms to 2 s.

--- a/batch/item.go
+++ b/batch/item.go
@@ -11,7 +11,6 @@
 	"dandelionrelay/config"
 	"dandelionrelay/eventstream"
 	"dandelionrelay/placement"
-	"dandelionrelay/quarantine"
 	"dandelionrelay/upstream"
 )
 
@@ -35,10 +34,6 @@
 	// avoidDuration is how long an item is not placed at the endpoint where it
 	// failed: by then it has run at another one if there is any.
 	avoidDuration = 3 * time.Second
-	// quarantineRetryDelay is the delay between runs of a quarantined item, which
-	// crashed endpoints: it may not be failed before BatchPolicy.Retain has passed
-	// since its submission, and the delay limits the endpoints lost to it.
-	quarantineRetryDelay = 15 * time.Second
 	// contentTimeout bounds one read of a request body and one write of contents.
 	contentTimeout = 2 * time.Second
 )
@@ -79,12 +74,6 @@
 		event = event.AnErr("cause", err)
 	}
 	event.Msg("batch item run ended")
-	if end == runLost && upstream.ClosedByEndpoint(err) {
-		quarantine.RecordIfUnreachable(r.Suspects, r.Pool, r.crash(it, grant), grant.Endpoint.Address)
-	}
-	if end == runCompleted && !r.Suspects.Empty() {
-		r.Suspects.RecordSuccess(r.digest(it))
-	}
 	if end == runLost && upstream.TimedOut(err) {
 		p.timeouts = min(p.timeouts+1, maxTimeoutDoublings)
 	}
@@ -123,7 +112,7 @@
 			p.result = Result{State: Errored, Reason: "all attempts failed"}
 		}
 	case runLost:
-		p.notBefore = r.Clock() + r.lossRetryDelay(it)
+		p.notBefore = r.Clock() + min(minRetryDelay<<min(it.losses, 6), maxRetryDelay)
 		p.losses++
 	case runNotExecuted:
 		p.notBefore = r.Clock() + minRetryDelay
@@ -133,33 +122,6 @@
 	}
 }
 
-// lossRetryDelay returns the delay before an item whose endpoint was lost runs
-// again.
-func (r *runner) lossRetryDelay(it runnableItem) time.Duration {
-	if !r.Suspects.Empty() && r.Suspects.Verdict(r.digest(it), it.job.Customer) == quarantine.Quarantined {
-		return quarantineRetryDelay
-	}
-	return min(minRetryDelay<<min(it.losses, 6), maxRetryDelay)
-}
-
-// digest returns the quarantine digest of an item. It is derived from the customer
-// and the IDs of job and item instead of path and body, as IDs of items are never
-// reused.
-func (r *runner) digest(it runnableItem) quarantine.Digest {
-	item := it.job.Items[it.id.item]
-	return quarantine.DigestOf(it.job.Customer, it.job.ID, []byte(item.ID))
-}
-
-// crash returns the report that the endpoint of grant crashed while it ran an item.
-func (r *runner) crash(it runnableItem, grant *placement.Grant) quarantine.Crash {
-	return quarantine.Crash{
-		Digest:   r.digest(it),
-		Customer: it.job.Customer,
-		Request:  it.job.Items[it.id.item].ID,
-		Endpoint: grant.Endpoint.ID,
-	}
-}
-
 // exchange sends an item to the endpoint of grant and collects its output. It returns
 // the outcome, the result to report for the endpoint and, as the error, the cause of
 // an outcome other than runCompleted.
--- a/batch/service.go
+++ b/batch/service.go
@@ -13,7 +13,6 @@
 	"dandelionrelay/config"
 	"dandelionrelay/keyedlog"
 	"dandelionrelay/placement"
-	"dandelionrelay/quarantine"
 	"dandelionrelay/upstream"
 )
 
@@ -27,19 +26,18 @@
 
 // Deps are the dependencies and settings of a Service.
 type Deps struct {
-	Self     Owner
-	Index    *Index
-	Stores   []Store
-	Limits   Limits // at the start; see SetLimits
-	Config   config.Source
-	Table    *placement.Table
-	Pool     *upstream.Pool
-	Dialect  upstream.Dialect
-	Peers    Peers
-	Suspects quarantine.Tracker // requests and items that may have crashed endpoints
-	Clock    boottime.Clock
-	Log      zerolog.Logger
-	Metrics  *Metrics
+	Self    Owner
+	Index   *Index
+	Stores  []Store
+	Limits  Limits // at the start; see SetLimits
+	Config  config.Source
+	Table   *placement.Table
+	Pool    *upstream.Pool
+	Dialect upstream.Dialect
+	Peers   Peers
+	Clock   boottime.Clock
+	Log     zerolog.Logger
+	Metrics *Metrics
 }
 
 // Limits are the sizes and the retention that a Service observes.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -170,19 +170,18 @@
 	})
 	g.jobsFollower = g.follow("jobs", g.Jobs, state, jobsReadWait, jobsMinInterval)
 	g.jobs = batch.New(batch.Deps{
-		Self:     batch.Owner{Entry: g.Settings.ID, Incarnation: g.Incarnation},
-		Index:    batch.NewIndex(g.Jobs, g.jobsFollower, state),
-		Stores:   g.Contents,
-		Limits:   batchLimits(g.Settings),
-		Config:   g.Config,
-		Table:    g.table,
-		Pool:     g.pool,
-		Dialect:  g.Dialect,
-		Peers:    g.node,
-		Suspects: g.suspects,
-		Clock:    g.Clock,
-		Log:      g.Log,
-		Metrics:  batch.NewMetrics(g.Registry),
+		Self:    batch.Owner{Entry: g.Settings.ID, Incarnation: g.Incarnation},
+		Index:   batch.NewIndex(g.Jobs, g.jobsFollower, state),
+		Stores:  g.Contents,
+		Limits:  batchLimits(g.Settings),
+		Config:  g.Config,
+		Table:   g.table,
+		Pool:    g.pool,
+		Dialect: g.Dialect,
+		Peers:   g.node,
+		Clock:   g.Clock,
+		Log:     g.Log,
+		Metrics: batch.NewMetrics(g.Registry),
 	})
 }
 
--- a/quarantine/digest.go
+++ b/quarantine/digest.go
@@ -5,8 +5,8 @@
 // endpoint crashes, the requests in flight there become suspects. A caller that
 // isolates suspects (packages dispatch and jobs) runs each alone at one of the
 // IsolationEndpoints, so that the next crash can be attributed to it; these take
-// other requests while no suspect runs or waits there. Packages online and batch
-// act on Quarantined only. A request is quarantined after SoloCrashThreshold
+// other requests while no suspect runs or waits there. Package online
+// acts on Quarantined only. A request is quarantined after SoloCrashThreshold
 // crashes if the endpoint ran nothing else in at least one of them, and after
 // CrashThreshold crashes otherwise. A suspect that completes is cleared.
 //
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -2,8 +2,8 @@
 
 import "dandelionrelay/pipeline"
 
-// Tracker tracks the requests, online requests and batch items alike, that were
-// in flight at endpoints that crashed. Node and SharedTable implement it.
+// Tracker tracks the requests that were in flight at endpoints that crashed: online
+// requests, and in package jobs batch items too. Node and SharedTable implement it.
 type Tracker interface {
 	// Verdict returns the verdict on request d of customer.
 	Verdict(d Digest, customer string) Verdict
