--- a/online/online_test.go
+++ b/online/online_test.go
@@ -64,6 +64,17 @@
 	return r
 }
 
+// newFleetEntry returns the Service of entry i of a fleet whose endpoints are on a network
+// that all its entries share. It has no endpoints yet.
+func newFleetEntry(t *testing.T, n *network.Network, i int) *Service {
+	r := newTestService(t)
+	r.Table = placement.NewTable(fmt.Sprint("entry-", i), "a", rand.New(rand.NewPCG(uint64(i), 2)), nil)
+	r.Pool = upstream.NewPool(streams.HeaderID, func(ctx context.Context, addr string) (net.Conn, error) {
+		return n.DialContext(ctx, "tcp", addr)
+	}, func() {})
+	return r.Service
+}
+
 // callerRecorder is an http.ResponseWriter that records the response and its timing.
 type callerRecorder struct {
 	header       http.Header
--- a/online/prompt_parts_test.go
+++ b/online/prompt_parts_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -22,7 +21,6 @@
 	"dandelionrelay/standin/keyed"
 	"dandelionrelay/standin/network"
 	"dandelionrelay/standin/streams"
-	"dandelionrelay/upstream"
 )
 
 // Bounds of the users on requests whose prompts share a part that crashes endpoints.
@@ -88,18 +86,14 @@
 }
 
 func (f *crashFleet) newEntry(t *testing.T, i int, log *keyed.Log) *crashEntry {
-	r := newTestService(t)
-	r.Table = placement.NewTable(fmt.Sprint("entry-", i), "a", rand.New(rand.NewPCG(uint64(i), 2)), nil)
-	r.Pool = upstream.NewPool(streams.HeaderID, func(ctx context.Context, addr string) (net.Conn, error) {
-		return f.network.DialContext(ctx, "tcp", addr)
-	}, func() {})
+	service := newFleetEntry(t, f.network, i)
 	handle := &keyed.Handle{Log: log}
 	suspects := quarantine.NewSharedTable(handle, zerolog.Nop(), func(key string, err error) { t.Errorf("record %s: %v", key, err) })
-	follower := keyedlog.NewFollower(handle, suspects, keyedlog.Options{Name: "suspects", MaxWait: 5 * time.Second, MinInterval: 500 * time.Millisecond, Clock: r.Clock})
+	follower := keyedlog.NewFollower(handle, suspects, keyedlog.Options{Name: "suspects", MaxWait: 5 * time.Second, MinInterval: 500 * time.Millisecond, Clock: service.Clock})
 	f.running.Go(func() { follower.Run(f.ctx) })
 	f.running.Go(func() { suspects.Run(f.ctx) })
-	r.Suspects = suspects
-	return &crashEntry{Service: r.Service, handle: pipeline.Chain(r.Handle, quarantine.Filter(suspects))}
+	service.Suspects = suspects
+	return &crashEntry{Service: service, handle: pipeline.Chain(service.Handle, quarantine.Filter(suspects))}
 }
 
 // start starts a new incarnation of the endpoint at a place.
--- a/standin/streams/streams.go
+++ b/standin/streams/streams.go
@@ -21,6 +21,7 @@
 	HeaderEndpoint  = "X-Endpoint"
 	HeaderCustomer  = "X-Customer"
 	HeaderRemaining = "X-Remaining-Ms"
+	HeaderLimit     = "X-Limit"
 )
 
 // Dialect implements upstream.Dialect with the header fields above.
@@ -81,6 +82,9 @@
 	FirstEventDelay time.Duration // until the first event
 	EventInterval   time.Duration // between events
 	Slots           int           // maximum number of concurrent requests (0: 1); others wait in order of arrival
+	// Limit, if not 0, is named in all responses as the number of requests a second that
+	// the endpoint takes from all callers.
+	Limit float64
 	// BehaviourFor returns the behaviour for r, the nth request, counted from 1. If it
 	// is nil, all responses are complete.
 	BehaviourFor func(r *http.Request, n int) Behaviour
@@ -156,6 +160,9 @@
 	}
 	id := r.Header.Get(HeaderID)
 	w.Header().Set(HeaderID, id)
+	if e.Limit > 0 {
+		w.Header().Set(HeaderLimit, strconv.FormatFloat(e.Limit, 'f', -1, 64))
+	}
 	if b.NotRun {
 		w.Header().Set(HeaderNotRun, "1")
 		w.WriteHeader(b.Status)
