placement: endpoints that name a limit get no more than it

Cause: nothing read what endpoints say of themselves; they were chosen by their places alone. Class: a protocol field that is passed on to callers and not acted upon.

At most limit + 3 entries, chosen by rendezvous hashing among those that share the endpoint, use it, each with an equal part of the limit as a token bucket that keeps 1.5 s and 3 requests in sum. That needs no exchange, so the sum holds under any cut, and lies below what the users tolerate (5.5 limit + 3 in 4 s of 6 limit + 5). Requests that only limits hold back are refused at once with the time to the next token. Without an answer for 20 s one entry after the other asks again, 4 s apart. Batch items leave such endpoints to online requests while others have no limit.

Evidence: TestRequests_WithinLimitThatEndpointsName failed before (35 of 24.8, 24 of 8, 18 of 11), passes now; TestLimit_* hold the sum with 1 to 34 entries and limits of 0 to 40.

--- a/batch/item.go
+++ b/batch/item.go
@@ -138,6 +138,7 @@
 	if err != nil {
 		return runLost, placement.Failed, err
 	}
+	upstream.Observe(r.Dialect, x.Response, grant, r.Clock(), r.Log)
 	switch resp := x.Response; {
 	case r.Dialect.Misdirected(resp):
 		return r.readRejection(x, runNotExecuted, placement.Replaced)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -85,6 +85,7 @@
 		}
 	}
 	own := g.node.OwnEndpoints(available)
+	g.table.SetEntries(g.node.CellMembers())
 	list := make([]placement.Endpoint, len(g.endpoints))
 	for i, e := range g.endpoints {
 		e.OtherCell = !e.Draining && !own[e.ID]
--- a/gossip/endpoints.go
+++ b/gossip/endpoints.go
@@ -106,3 +106,15 @@
 	}
 	return quotas
 }
+
+// CellMembers returns the names of the entries of this entry's cell, this entry included.
+func (n *Node) CellMembers() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.refreshCells()
+	var names []string
+	for _, m := range n.cellMembers() {
+		names = append(names, m.Name)
+	}
+	return names
+}
--- a/online/execution.go
+++ b/online/execution.go
@@ -157,6 +157,9 @@
 		AtMostOnce: !ex.route.Resumable && !ex.call.Route.Idempotent,
 	})
 	ex.refusal = refused
+	if refused != nil && ex.mayHaveRun == 0 && refused.Limited {
+		return nil, notRunError(api.CodeOverloaded, "the endpoints take no more requests yet", refused.RetryAfter)
+	}
 	if refused != nil && ex.mayHaveRun == 0 && refused.Endpoint == "" {
 		return nil, notRunError(api.CodeNoEndpoint, "no endpoint of the deployment takes requests", refused.RetryAfter)
 	}
@@ -224,6 +227,7 @@
 	}
 	ex.headerReceived = true
 	r := x.Response
+	upstream.Observe(ex.Dialect, r, grant, ex.Clock(), ex.Log)
 	switch {
 	case ex.Dialect.Misdirected(r):
 		ex.discard(x)
--- a/placement/batch.go
+++ b/placement/batch.go
@@ -16,8 +16,13 @@
 	var highest float64
 	group := t.group(req.Deployment)
 	includeFailing := group.tooManyFailing()
+	// The limits that endpoints name are left to online requests while others have none.
+	includeLimited := allLimited(group.preferred())
 	for _, e := range group.preferred() {
-		if !e.eligible(req) || now < e.suspendedUntil || now < e.fullUntil || !includeFailing && e.excluded(req) {
+		if e.limit != nil && !includeLimited {
+			continue
+		}
+		if !e.eligible(now, req) || now < e.suspendedUntil || now < e.fullUntil || !includeFailing && e.excluded(req) {
 			continue
 		}
 		free := e.Slots - reservedSlots - e.online() - e.batch()
--- a/placement/grant.go
+++ b/placement/grant.go
@@ -25,6 +25,7 @@
 		start:    now,
 		preempt:  preempt,
 	}
+	t.takeToken(e, now)
 	if kind == Online {
 		e.local.Online++
 	} else {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -120,6 +120,7 @@
 	suspendedUntil      time.Duration       // until then it is suspended
 	fullUntil           time.Duration       // until then it counts as full
 	replaced            bool                // another incarnation runs at its address
+	limit               *requestLimit       // nil: it names none
 }
 
 // online and batch return the requests of each kind at e over all entries.
@@ -127,8 +128,13 @@
 
 func (e *endpoint) batch() int { return e.local.Batch + e.peers.Batch }
 
-// eligible reports whether e may be chosen for a request at all.
-func (e *endpoint) eligible(req Request) bool { return !e.Draining && !e.replaced && !req.Avoid[e.key] }
+// eligible reports whether e may be chosen for a request at now.
+func (e *endpoint) eligible(now time.Duration, req Request) bool {
+	return e.usable(req) && e.limitWait(now) == 0
+}
+
+// usable reports whether e may be chosen for a request as far as its limit allows.
+func (e *endpoint) usable(req Request) bool { return !e.Draining && !e.replaced && !req.Avoid[e.key] }
 
 // Table holds an entry's view of all endpoints and their loads. It is safe for
 // concurrent use.
@@ -139,6 +145,7 @@
 
 	mu             sync.Mutex // guards the fields below; held by the callers of unexported methods
 	random         *rand.Rand
+	entries        []string // names of the entries that use the same endpoints, this entry included
 	endpoints      map[Key]*endpoint
 	groups         map[string]*group // by deployment
 	peers          map[string]Report
@@ -253,6 +260,7 @@
 	Load       Load          // over all entries
 	Slowness   float64       // relative to the median of its deployment, at least 1
 	Full       bool          // it refused a request for lack of a free slot less than fullTTL ago
+	Limited    bool          // endpoints are only held back by the limits that they name
 }
 
 // Request describes the request or batch item to place.
@@ -272,7 +280,7 @@
 	t.recordRequest(now)
 	best, wait := t.selectEndpoint(now, req)
 	if best == nil {
-		return nil, &Refusal{RetryAfter: minSuspension}
+		return nil, t.refuseAll(now, req)
 	}
 	if best.online() >= best.Slots && wait <= req.MaxWait {
 		wait += t.queueDelay(now, req, best)
@@ -290,6 +298,14 @@
 	return t.newGrant(best, Online, now, nil), nil
 }
 
+// refuseAll returns the refusal of a request for which no endpoint is eligible.
+func (t *Table) refuseAll(now time.Duration, req Request) *Refusal {
+	if wait := t.limitRetryAfter(now, req); wait > 0 {
+		return &Refusal{RetryAfter: t.retryAfter(wait), Wait: wait, Limited: true}
+	}
+	return &Refusal{RetryAfter: minSuspension}
+}
+
 // movingAverage returns the exponential moving average after one more observation. An
 // old value of 0 means that nothing was observed before.
 func movingAverage(old, observed time.Duration) time.Duration {
--- a/placement/wait.go
+++ b/placement/wait.go
@@ -32,7 +32,7 @@
 	n := 0
 	group := t.group(req.Deployment)
 	for _, e := range group.endpoints {
-		if !e.eligible(req) || now < e.suspendedUntil {
+		if !e.eligible(now, req) || now < e.suspendedUntil {
 			continue
 		}
 		if t.estimateWait(e, now, group.slowness(e)) <= req.MaxWait {
@@ -86,7 +86,7 @@
 	group := t.group(req.Deployment)
 	includeFailing := group.tooManyFailing()
 	for _, e := range candidates {
-		if !e.eligible(req) || healthyOnly && (now < e.suspendedUntil || !includeFailing && e.excluded(req)) {
+		if !e.eligible(now, req) || healthyOnly && (now < e.suspendedUntil || !includeFailing && e.excluded(req)) {
 			continue
 		}
 		w := t.estimateWait(e, now, group.slowness(e))
--- a/standin/streams/streams.go
+++ b/standin/streams/streams.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"dandelionrelay/placement"
 	"dandelionrelay/upstream"
 )
 
@@ -48,6 +49,15 @@
 	return r.StatusCode == http.StatusMisdirectedRequest
 }
 
+// Notice implements upstream.Dialect.
+func (Dialect) Notice(r *http.Response) (placement.Notice, error) {
+	limit, err := strconv.ParseFloat(r.Header.Get(HeaderLimit), 64)
+	if err != nil {
+		return placement.Notice{}, nil
+	}
+	return placement.Notice{Limited: true, Limit: limit}, nil
+}
+
 // Signed implements upstream.Dialect.
 func (Dialect) Signed(r *http.Response) bool { return r.Header.Get(HeaderSigned) != "" }
 
--- a/upstream/dialect.go
+++ b/upstream/dialect.go
@@ -5,6 +5,10 @@
 	"net/textproto"
 	"strings"
 	"time"
+
+	"github.com/rs/zerolog"
+
+	"dandelionrelay/placement"
 )
 
 // RequestMetadata is sent to an endpoint in the header, in addition to the caller's
@@ -29,6 +33,9 @@
 	// Misdirected reports whether the request reached an endpoint other than
 	// RequestMetadata.Endpoint, which has taken over its address.
 	Misdirected(r *http.Response) bool
+	// Notice returns what the endpoint says of itself in a response. A malformed field is
+	// returned as an error, and the notice is as without it.
+	Notice(r *http.Response) (placement.Notice, error)
 	// Signed reports whether the response carries the endpoint's signature.
 	Signed(r *http.Response) bool
 }
@@ -66,3 +73,20 @@
 	d.Write(h, m)
 	return h
 }
+
+// Observe applies what an endpoint says of itself in the response to a request under
+// grant, received at now by the entry's clock. Responses of another endpoint at its address
+// are ignored.
+func Observe(d Dialect, r *http.Response, grant *placement.Grant, now time.Duration, log zerolog.Logger) {
+	if d.Misdirected(r) {
+		return
+	}
+	n, err := d.Notice(r)
+	if err != nil {
+		log.Warn().Err(err).Str("endpoint", grant.Endpoint.ID).Msg("malformed notice of an endpoint ignored")
+	}
+	if grant.Observe(now, n) {
+		log.Info().Str("endpoint", grant.Endpoint.ID).Bool("limited", n.Limited).Float64("limit", n.Limit).
+			Float64("own_part", grant.LimitShare()).Msg("limit of an endpoint changed")
+	}
+}
