upstream: heads and bodies that never end end the exchange

What callers would see: an endpoint that sends bytes without end, in a head or a body, filled the memory of the entry until the deadline of the request, some 600 MB at the link of an entry that may use 304, so the entry was killed with all its requests.

Cause: the head was read by net/http without a bound, as were informational responses and the body of a response that is read whole.

Change: a connection counts what it reads. A head, with the informational responses before it, has 64 KiB, a late response 1 MiB as before, a body that is read whole 8 MiB. Streams are bounded by the event.

TestExchange_ReadsLongHead reads a head of half the bound, on one connection.

--- a/batch/item.go
+++ b/batch/item.go
@@ -201,6 +201,7 @@
 // response ends. Events that an earlier run delivered are skipped; a missing
 // event ends the run.
 func (r *runner) collect(p *progress, x *upstream.Exchange) (outcome, placement.Result, error) {
+	x.StreamBody()
 	reader := eventstream.NewReader(x.Response.Body)
 	for n := 0; ; n++ {
 		timeout := eventTimeout
--- a/online/stream.go
+++ b/online/stream.go
@@ -47,6 +47,7 @@
 // relayEvents relays the events of a stream, except those that the caller was already
 // sent. Incomplete events are dropped.
 func (ex *execution) relayEvents(ctx context.Context, x *upstream.Exchange) (nextStep, placement.Result) {
+	x.StreamBody()
 	reader := eventstream.NewReader(x.Response.Body)
 	relayed := 0
 	for {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -56,6 +56,11 @@
 	// maxLateResponseBytes is the maximum size of the body of a late response that
 	// is skipped.
 	maxLateResponseBytes = 1 << 20
+	// maxHeadBytes is the maximum size of the head of a response, informational responses
+	// before it included.
+	maxHeadBytes = 64 << 10
+	// maxResponseBytes is the maximum size of the body of a response that is read whole.
+	maxResponseBytes = 8 << 20
 )
 
 // Request is one request to an endpoint.
@@ -100,6 +105,7 @@
 		x.Close()
 		return nil, err
 	}
+	x.conn.limitReads(maxHeadBytes)
 	if x.abandoned(r) {
 		x.Close()
 		return nil, Abandoned.New("request abandoned: no response from %s yet", addr)
@@ -189,16 +195,18 @@
 		echoed := response.Header.Get(x.pool.idHeader)
 		if r.ID == "" || echoed == "" || echoed == r.ID {
 			x.Response = response
+			x.conn.limitReads(maxResponseBytes)
 			return nil
 		}
 		late++
 		if late > maxLateResponses || response.Close || response.ContentLength < 0 && !chunked(response) {
 			return errorx.IllegalState.New("late response to request %q can't be skipped: more than %d late responses, or it ends with the connection", echoed, maxLateResponses)
 		}
-		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxLateResponseBytes+1))
-		if err != nil || n > maxLateResponseBytes {
+		x.conn.limitReads(maxLateResponseBytes)
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return errorx.IllegalState.New("could not skip late response to request %q: incomplete or longer than %d bytes", echoed, maxLateResponseBytes)
 		}
+		x.conn.limitReads(maxHeadBytes)
 	}
 }
 
@@ -245,8 +253,12 @@
 	}
 }
 
+// StreamBody lifts the limit on the size of the response body, which the caller reads from
+// Response piece by piece.
+func (x *Exchange) StreamBody() { x.conn.limitReads(unlimitedReads) }
+
 // ReadAll reads the rest of the response body until deadline and finishes the
-// exchange.
+// exchange. It fails with Broken for a body of more than maxResponseBytes.
 func (x *Exchange) ReadAll(deadline time.Time) ([]byte, error) {
 	x.SetReadDeadline(deadline)
 	var body bytes.Buffer
@@ -264,11 +276,36 @@
 	addr    string
 	reader  *bufio.Reader
 	expires time.Time // from then on the idle connection must not be used
+	left    int       // bytes that may still be read; unlimitedReads: any number
 }
 
-// Read reads data that is already in the socket buffer even if the deadline has
-// passed: this process may have been delayed rather than the endpoint.
+// unlimitedReads lifts the limit on the bytes that are read from a connection.
+const unlimitedReads = -1
+
+// errTooLong is returned by reads from an endpoint that sends more than is accepted.
+var errTooLong = errors.New("response longer than accepted")
+
+// limitReads sets the number of bytes that may be read from now on, beyond those that are
+// buffered.
+func (c *conn) limitReads(n int) { c.left = n }
+
+// Read implements net.Conn. It fails with errTooLong once the limit of limitReads is
+// reached.
 func (c *conn) Read(b []byte) (int, error) {
+	if c.left == unlimitedReads {
+		return c.read(b)
+	}
+	if c.left == 0 {
+		return 0, errTooLong
+	}
+	n, err := c.read(b[:min(len(b), c.left)])
+	c.left -= n
+	return n, err
+}
+
+// read reads data that is already in the socket buffer even if the deadline has
+// passed: this process may have been delayed rather than the endpoint.
+func (c *conn) read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 		return n, err
