batch: a run without an event does not complete an item

Looked for in all paths: streams and bodies of online requests pass on as before (TestStream_UnframedIsComplete, TestStream_UnframedBrokenOff passed on the code before). An item that had got events and was resumed at an endpoint that closed the connection right after the header counted as completed, with a part of its output.

Cause: the end of a resumed run was taken for the end of the item, though without framing it is also how a crash looks. Change: an unframed end without a new event is a loss; after three in a row the item begins again, as only its end may be missing.

TestRunner_UnframedResponses failed before (2 of 5 events listed as the whole output).

--- a/batch/item.go
+++ b/batch/item.go
@@ -203,6 +203,7 @@
 func (r *runner) collect(p *progress, x *upstream.Exchange) (outcome, placement.Result, error) {
 	x.StreamBody()
 	reader := eventstream.NewReader(x.Response.Body)
+	from := p.events
 	for n := 0; ; n++ {
 		timeout := eventTimeout
 		if n == 0 {
@@ -210,6 +211,11 @@
 		}
 		x.SetReadDeadline(time.Now().Add(p.scaledTimeout(timeout)))
 		e, err := reader.Next()
+		if err == io.EOF && x.Unframed() && p.events == from {
+			x.Close()
+			p.restartIfStuck()
+			return runLost, placement.Failed, errorx.ExternalError.New("the connection ended without an event")
+		}
 		if err == io.EOF && p.events > 0 {
 			x.Finish()
 			return runCompleted, placement.Done, nil
@@ -229,6 +235,17 @@
 	}
 }
 
+// maxEmptyRuns is the number of successive runs without a new event after which an item
+// begins again: its output may be complete, and all that is missing is its end.
+const maxEmptyRuns = 3
+
+// restartIfStuck makes the item begin again if its latest runs brought no event.
+func (p *progress) restartIfStuck() {
+	if p.losses+1 >= maxEmptyRuns {
+		p.reset()
+	}
+}
+
 // scaledTimeout returns a timeout that has doubled with each run that timed out.
 func (p *progress) scaledTimeout(timeout time.Duration) time.Duration { return timeout << p.timeouts }
 
--- a/standin/streams/streams.go
+++ b/standin/streams/streams.go
@@ -73,6 +73,11 @@
 	// connections after this time.
 	CrashAfter time.Duration
 	StallAfter int // send nothing more after this number of events; 0: never
+	// Unframed sends the response with neither a length nor chunks and ends it with the
+	// connection. With EndAfter > 0 it ends inside the event after this number of events;
+	// with EndAfter < 0 after the header.
+	Unframed bool
+	EndAfter int
 }
 
 // Run is one request that the endpoint started to run.
@@ -225,9 +230,38 @@
 		_ = e.server.Close() // errors of closing sockets are irrelevant here
 		return
 	}
+	if b.Unframed {
+		e.streamUnframed(w, id, last, b)
+		return
+	}
 	e.stream(w, r, id, last, b)
 }
 
+// streamUnframed sends a response that ends with its connection.
+func (e *Endpoint) streamUnframed(w http.ResponseWriter, id string, last int, b Behaviour) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\n")
+	_ = w.Header().Write(c) // write errors mean that the caller has left
+	_, _ = fmt.Fprint(c, "\r\n")
+	delay := e.FirstEventDelay
+	for n := last + 1; n <= e.Events && b.EndAfter >= 0; n++ {
+		time.Sleep(delay)
+		delay = e.EventInterval
+		text := event(id, n)
+		if b.EndAfter > 0 && n-last > b.EndAfter {
+			_, _ = fmt.Fprint(c, text[:len(text)-3])
+			return
+		}
+		if _, err := fmt.Fprint(c, text); err != nil {
+			return
+		}
+	}
+}
+
 func (e *Endpoint) stream(w http.ResponseWriter, r *http.Request, id string, last int, b Behaviour) {
 	delay := e.FirstEventDelay
 	for n := last + 1; n <= e.Events; n++ {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -199,7 +199,7 @@
 			return nil
 		}
 		late++
-		if late > maxLateResponses || response.Close || response.ContentLength < 0 && !chunked(response) {
+		if late > maxLateResponses || response.Close || unframed(response) {
 			return errorx.IllegalState.New("late response to request %q can't be skipped: more than %d late responses, or it ends with the connection", echoed, maxLateResponses)
 		}
 		x.conn.limitReads(maxLateResponseBytes)
@@ -210,10 +210,17 @@
 	}
 }
 
-func chunked(r *http.Response) bool {
-	return len(r.TransferEncoding) > 0 && r.TransferEncoding[0] == "chunked"
+// unframed reports whether r has neither a length nor chunks, so that its body ends with
+// the connection.
+func unframed(r *http.Response) bool {
+	chunked := len(r.TransferEncoding) > 0 && r.TransferEncoding[0] == "chunked"
+	return r.ContentLength < 0 && !chunked
 }
 
+// Unframed reports whether the response has neither a length nor chunks. The end of its
+// body may then be that of an endpoint that crashed.
+func (x *Exchange) Unframed() bool { return unframed(x.Response) }
+
 // SetReadDeadline sets the deadline for reads of the response body.
 func (x *Exchange) SetReadDeadline(t time.Time) {
 	// SetReadDeadline fails only on a closed connection, and then reads fail too.
