batch: an item whose output never ends does not fill the memory

Looked for beside heads and bodies that never end: an endpoint that sent whole events without end was read for as long as it sent, as only the pause between events was bounded, and the output was kept in memory. Change: a run ends once its output exceeds what can be stored. The item begins again at another endpoint; the second time it is listed as errored, as such an output was before.

--- a/batch/item.go
+++ b/batch/item.go
@@ -232,7 +232,24 @@
 			return runLost, placement.Done, errorx.IllegalState.New("event stream has a gap: event %d follows event %d", e.ID, p.cursor.LastID)
 		}
 		p.appendEvent(e)
+		if limit := r.limits.Load().RecordBytes; len(p.output) > limit {
+			x.Close()
+			return r.endOversized(p, limit)
+		}
+	}
+}
+
+// endOversized returns the outcome of a run whose output exceeds the limit on stored
+// outputs. The first time the endpoint may be faulty and the item begins again; the second
+// time it ends, to be listed as errored.
+func (r *runner) endOversized(p *progress, limit int) (outcome, placement.Result, error) {
+	err := errorx.IllegalState.New("the output exceeds the limit of %d bytes", limit)
+	p.oversizedRuns++
+	if p.oversizedRuns > 1 {
+		return runCompleted, placement.Done, err
 	}
+	p.reset()
+	return runLost, placement.Failed, err
 }
 
 // maxEmptyRuns is the number of successive runs without a new event after which an item
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -54,14 +54,15 @@
 	cursor             eventstream.Cursor
 	checkpointedEvents int // events in the newest checkpoint
 
-	failures  int                       // failed attempts
-	avoid     avoidedEndpoint           // endpoint of the last failed attempt
-	losses    int                       // lost runs since the last new event
-	timeouts  int                       // runs that timed out, up to maxTimeoutDoublings
-	notBefore time.Duration             // time of Clock before which the item does not run again
-	intervals eventstream.IntervalMeter // of the current run
-	cancel    context.CancelFunc
-	result    Result // set in phaseFinished
+	failures      int                       // failed attempts
+	avoid         avoidedEndpoint           // endpoint of the last failed attempt
+	losses        int                       // lost runs since the last new event
+	timeouts      int                       // runs that timed out, up to maxTimeoutDoublings
+	oversizedRuns int                       // runs whose output exceeded the limit on stored outputs
+	notBefore     time.Duration             // time of Clock before which the item does not run again
+	intervals     eventstream.IntervalMeter // of the current run
+	cancel        context.CancelFunc
+	result        Result // set in phaseFinished
 }
 
 // avoidedEndpoint is an endpoint at which an item is not placed until a time.
--- a/batch/unframed_test.go
+++ b/batch/unframed_test.go
@@ -38,3 +38,17 @@
 		})
 	}
 }
+
+// An endpoint sends events without end. The item does not fill the memory: the run ends,
+// and the item begins again at another endpoint.
+func TestRunner_EndlessEvents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ep := newEndpoint("w", 5, 8)
+		ep.BehaviourFor = func(_ *http.Request, n int) streams.Behaviour { return streams.Behaviour{Endless: n == 1} }
+		f := newTestFleet(t, 1, ep)
+		f.Expect(f.entries[0].Submit(f.ctx, submission("j", 1, 10))).To(gomega.Succeed())
+		page := f.awaitResults(f.entries[0], "j", 20*time.Minute)
+		f.Expect(string(page.Results[0].Output)).To(gomega.Equal(ep.Output(page.Results[0].Item)))
+		f.Expect(ep.Runs()).To(gomega.HaveLen(2))
+	})
+}
--- a/standin/streams/streams.go
+++ b/standin/streams/streams.go
@@ -78,6 +78,7 @@
 	// with EndAfter < 0 after the header.
 	Unframed bool
 	EndAfter int
+	Endless  bool // send events until the connection is closed
 }
 
 // Run is one request that the endpoint started to run.
@@ -264,7 +265,7 @@
 
 func (e *Endpoint) stream(w http.ResponseWriter, r *http.Request, id string, last int, b Behaviour) {
 	delay := e.FirstEventDelay
-	for n := last + 1; n <= e.Events; n++ {
+	for n := last + 1; n <= e.Events || b.Endless; n++ {
 		select {
 		case <-time.After(delay):
 		case <-r.Context().Done():
