placement: endpoints that say in an answer that they leave get no further requests

Cause here: only registrations in the store were read, so an entry that does not reach the store went on with its old list.

Change: the field is decoded into placement.Notice, beside the limit, and holds for the incarnation: no registration that is older or read later revokes it, and it is remembered for 10 min also if the endpoint is not listed meanwhile. Another instance at the address, or another start of the endpoint, is not held to it. All kinds of work are placed by this table: online, resumed and repeated requests, and items.

--- a/placement/limit.go
+++ b/placement/limit.go
@@ -12,12 +12,6 @@
 // takes an equal part of the limit. No exchange between entries is needed, so the sum
 // stays within the limit under any partition.
 
-// Notice is what an endpoint says of itself in a response.
-type Notice struct {
-	Limited bool    // it takes no more than Limit
-	Limit   float64 // requests a second from all entries together
-}
-
 const (
 	// extraUsers is the number of users of a limited endpoint beyond its limit in requests
 	// a second.
@@ -109,12 +103,9 @@
 	return ahead
 }
 
-// Observe applies what the endpoint of the grant says of itself in a response at now. It
-// reports whether that begins or ends a limit.
-func (g *Grant) Observe(now time.Duration, n Notice) bool {
-	t, e := g.table, g.state
-	t.mu.Lock()
-	defer t.mu.Unlock()
+// observeLimit applies what e says of its limit in a response at now, and reports whether
+// that begins or ends a limit.
+func (t *Table) observeLimit(e *endpoint, now time.Duration, n Notice) bool {
 	if !n.Limited {
 		ended := e.limit != nil
 		e.limit = nil
--- /dev/null
+++ b/placement/notice.go
@@ -0,0 +1,43 @@
+package placement
+
+import "time"
+
+// Notice is what an endpoint says of itself in a response.
+type Notice struct {
+	Limited bool    // it takes no more than Limit
+	Limit   float64 // requests a second from all entries together
+	Leaving bool    // it shuts down
+}
+
+// NoticeChange says what a notice has changed.
+type NoticeChange struct {
+	Limit   bool // a limit has begun or ended
+	Leaving bool // the endpoint gets no further requests from this entry
+}
+
+// leavingTTL is how long a notice of leaving is remembered after it was last given. By
+// then the endpoint is gone.
+const leavingTTL = 10 * time.Minute
+
+// Observe applies what the endpoint of the grant says of itself in a response at now.
+func (g *Grant) Observe(now time.Duration, n Notice) NoticeChange {
+	t, e := g.table, g.state
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return NoticeChange{Limit: t.observeLimit(e, now, n), Leaving: n.Leaving && t.observeLeaving(e, now)}
+}
+
+// observeLeaving records that e says at now that it is leaving. It is not revoked, as an
+// incarnation that leaves does not come back, whatever a registration says that is older
+// or that this entry reads later. It reports whether that is new.
+func (t *Table) observeLeaving(e *endpoint, now time.Duration) bool {
+	for key, at := range t.leaving {
+		if now-at > leavingTTL {
+			delete(t.leaving, key)
+		}
+	}
+	t.leaving[e.key] = now
+	known := e.leaving
+	e.leaving = true
+	return !known
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -121,6 +121,7 @@
 	fullUntil           time.Duration       // until then it counts as full
 	replaced            bool                // another incarnation runs at its address
 	limit               *requestLimit       // nil: it names none
+	leaving             bool                // it has said in a response that it is leaving
 }
 
 // online and batch return the requests of each kind at e over all entries.
@@ -134,7 +135,9 @@
 }
 
 // usable reports whether e may be chosen for a request as far as its limit allows.
-func (e *endpoint) usable(req Request) bool { return !e.Draining && !e.replaced && !req.Avoid[e.key] }
+func (e *endpoint) usable(req Request) bool {
+	return !e.Draining && !e.leaving && !e.replaced && !req.Avoid[e.key]
+}
 
 // Table holds an entry's view of all endpoints and their loads. It is safe for
 // concurrent use.
@@ -147,7 +150,8 @@
 	random         *rand.Rand
 	entries        []string // names of the entries that use the same endpoints, this entry included
 	endpoints      map[Key]*endpoint
-	groups         map[string]*group // by deployment
+	leaving        map[Key]time.Duration // endpoints that have said that they are leaving, and the time of the last notice
+	groups         map[string]*group     // by deployment
 	peers          map[string]Report
 	serviceTime    time.Duration // moving average of the time of an online request at an endpoint
 	recentRequests float64       // online requests at this entry, as a sum that decays with the time constant reportLag
@@ -164,6 +168,7 @@
 		onChange:    onChange,
 		random:      random,
 		endpoints:   make(map[Key]*endpoint),
+		leaving:     make(map[Key]time.Duration),
 		groups:      make(map[string]*group),
 		peers:       make(map[string]Report),
 		serviceTime: initialServiceTime,
@@ -185,6 +190,7 @@
 			e = &endpoint{key: key, grants: make(map[*Grant]struct{})}
 		}
 		e.Endpoint = item
+		_, e.leaving = t.leaving[key]
 		e.peers, e.failingReports = Load{}, 0
 		t.endpoints[key] = e
 		t.group(item.Deployment).add(e)
--- a/standin/streams/streams.go
+++ b/standin/streams/streams.go
@@ -23,6 +23,7 @@
 	HeaderCustomer  = "X-Customer"
 	HeaderRemaining = "X-Remaining-Ms"
 	HeaderLimit     = "X-Limit"
+	HeaderLeaving   = "X-Leaving"
 )
 
 // Dialect implements upstream.Dialect with the header fields above.
@@ -52,10 +53,7 @@
 // Notice implements upstream.Dialect.
 func (Dialect) Notice(r *http.Response) (placement.Notice, error) {
 	limit, err := strconv.ParseFloat(r.Header.Get(HeaderLimit), 64)
-	if err != nil {
-		return placement.Notice{}, nil
-	}
-	return placement.Notice{Limited: true, Limit: limit}, nil
+	return placement.Notice{Limited: err == nil, Limit: limit, Leaving: r.Header.Get(HeaderLeaving) != ""}, nil
 }
 
 // Signed implements upstream.Dialect.
@@ -101,6 +99,8 @@
 	// Limit, if not 0, is named in all responses as the number of requests a second that
 	// the endpoint takes from all callers.
 	Limit float64
+	// Leaving, if it returns true, is named in a response. nil: it never is.
+	Leaving func() bool
 	// BehaviourFor returns the behaviour for r, the nth request, counted from 1. If it
 	// is nil, all responses are complete.
 	BehaviourFor func(r *http.Request, n int) Behaviour
@@ -122,6 +122,14 @@
 	return append([]Run(nil), e.runs...)
 }
 
+// Received returns the number of requests received so far, those that did not run
+// included.
+func (e *Endpoint) Received() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.received
+}
+
 // MaxConcurrent returns the maximum number of requests that ran concurrently so far.
 func (e *Endpoint) MaxConcurrent() int {
 	e.mu.Lock()
@@ -179,6 +187,9 @@
 	if e.Limit > 0 {
 		w.Header().Set(HeaderLimit, strconv.FormatFloat(e.Limit, 'f', -1, 64))
 	}
+	if e.Leaving != nil && e.Leaving() {
+		w.Header().Set(HeaderLeaving, "1")
+	}
 	if b.NotRun {
 		w.Header().Set(HeaderNotRun, "1")
 		w.WriteHeader(b.Status)
--- a/upstream/dialect.go
+++ b/upstream/dialect.go
@@ -85,7 +85,11 @@
 	if err != nil {
 		log.Warn().Err(err).Str("endpoint", grant.Endpoint.ID).Msg("malformed notice of an endpoint ignored")
 	}
-	if grant.Observe(now, n) {
+	change := grant.Observe(now, n)
+	if change.Leaving {
+		log.Info().Str("endpoint", grant.Endpoint.ID).Int64("born", grant.Endpoint.StartMs).Msg("endpoint says that it is leaving")
+	}
+	if change.Limit {
 		log.Info().Str("endpoint", grant.Endpoint.ID).Bool("limited", n.Limited).Float64("limit", n.Limit).
 			Float64("own_part", grant.LimitShare()).Msg("limit of an endpoint changed")
 	}
