--- a/dispatch/forwarder.go
+++ b/dispatch/forwarder.go
@@ -220,7 +220,7 @@
 		Customer: f.call.Customer,
 		Attempt:  a.id,
 		Endpoint: a.endpoint.ID,
-		Kind:     crash,
+		Kind:     quarantine.CrashKind(crash, f.stream.events),
 
 		PromptParts:    quarantine.PromptParts(f.call),
 		HeaderReceived: crash == api.CrashAlone,
--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -17,6 +17,17 @@
 	Reachable(ctx context.Context, addr string) bool
 }
 
+// CrashKind returns the kind of a crash of which kind was seen, for a request whose run had
+// brought the given number of events or tokens. A request that crashes endpoints does so as
+// its response begins. If it had begun well, the endpoint crashed by chance, though it may
+// have run nothing else.
+func CrashKind(kind api.Crash, events int64) api.Crash {
+	if kind == api.CrashAlone && events >= MinSoundEvents {
+		return api.CrashWithOthers
+	}
+	return kind
+}
+
 // RecordIfUnreachable records c as a crash of kind api.CrashLost if the endpoint
 // at addr, which has closed the connection of the request, accepts no new
 // connection either. The recorded attempt ID consists of the IDs of the request
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -149,3 +149,13 @@
 	}
 	g.Expect(tab.Verdict(digest(1), "c", start)).To(gomega.Equal(Quarantined))
 }
+
+// A response that had begun well shows that the request does not crash endpoints, also if
+// it was the only one at the endpoint that crashed.
+func TestCrashKind_NotAloneAfterAGoodBeginning(t *testing.T) {
+	g := gomega.NewWithT(t)
+	g.Expect(CrashKind(api.CrashAlone, MinSoundEvents-1)).To(gomega.Equal(api.CrashAlone))
+	g.Expect(CrashKind(api.CrashAlone, MinSoundEvents)).To(gomega.Equal(api.CrashWithOthers))
+	g.Expect(CrashKind(api.CrashLost, MinSoundEvents)).To(gomega.Equal(api.CrashLost))
+	g.Expect(CrashKind(api.NoCrash, MinSoundEvents)).To(gomega.Equal(api.NoCrash))
+}
