quarantine: sound parts outlive crashes by chance in any number

It had been accused three times within 6 s by requests with no or few events. Another entry had served it in between, but told no one as the part was not yet quarantined; and with no request under way it would have stayed refused for 10 min.

Change: entries tell one another that a part is sound once two crashes accuse it. Parts that were sound before need twice the evidence, which expires after a minute. Only a request with a header and no event counts in full.

TestParts_OthersToldThatAccusedPartIsSound, TestParts_SoundBeforeQuarantinedForAShortTime.

--- a/dispatch/fleet_test.go
+++ b/dispatch/fleet_test.go
@@ -461,6 +461,10 @@
 
 func (s sharedSuspects) RecordCrash(x quarantine.Crash) { s.Table.RecordCrash(x, time.Now()) }
 
+func (s sharedSuspects) PartsQuarantined(parts []string) bool {
+	return s.Table.PartsQuarantined(parts, time.Now())
+}
+
 func (s sharedSuspects) RecordSoundParts(parts []string) { s.Table.RecordSoundParts(parts, time.Now()) }
 
 func (s sharedSuspects) RecordSuccess(d quarantine.Digest) { s.Table.RecordSuccess(d, time.Now()) }
--- a/quarantine/node.go
+++ b/quarantine/node.go
@@ -79,7 +79,9 @@
 }
 
 // PartsQuarantined implements Tracker.
-func (n *Node) PartsQuarantined(parts []string) bool { return n.table.PartsQuarantined(parts) }
+func (n *Node) PartsQuarantined(parts []string) bool {
+	return n.table.PartsQuarantined(parts, time.Now())
+}
 
 // RecordSoundParts implements Tracker.
 func (n *Node) RecordSoundParts(parts []string) {
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -15,11 +15,17 @@
 	// MinSoundEvents is the number of events of a response that show that the parts of
 	// its prompt do not crash endpoints: a part that does so does it as the answer begins.
 	MinSoundEvents = 3
-	// partThreshold is the sum of weights at which a part is quarantined.
-	partThreshold = 6
-	// weightBegun and weightQueued are the weights of a crash with a request in flight
-	// whose response had begun, and had not.
-	weightBegun, weightQueued = 2, 1
+	// partThreshold is the sum of weights at which a part is quarantined that was never
+	// shown to be sound, and soundPartThreshold that at which another one is.
+	partThreshold      = 6
+	soundPartThreshold = 2 * partThreshold
+	// clearThreshold is the sum of weights from which the other entries are told that a
+	// part is sound.
+	clearThreshold = partThreshold / 2
+	// weightBegun is the weight of a crash with a request in flight whose response header
+	// had come, but no event, as the requests that crash endpoints have it; weightOther is
+	// that of another crash.
+	weightBegun, weightOther = 2, 1
 	// maxCrashesPerRequest is the number of crashes that count with the same request in
 	// flight, so that retries of one request do not quarantine the parts of its prompt.
 	maxCrashesPerRequest = 2
@@ -28,6 +34,11 @@
 	momentDuration = 50 * time.Millisecond
 	// soundDuration is how long a part is not accused after it was shown to be sound.
 	soundDuration = 2 * time.Second
+	// soundPartMemory is how long an accusation counts against a part that was shown to
+	// be sound before. While it is quarantined no request can show that it still is.
+	soundPartMemory = time.Minute
+	// refreshInterval is the maximum age of the quarantined parts, as accusations expire.
+	refreshInterval = 5 * time.Second
 	// maxAccusations is the number of events with parts that are held.
 	maxAccusations = 1024
 	// soundPartsBytes bounds the memory for the times at which parts were shown to be
@@ -39,8 +50,8 @@
 // partTable attributes crashes to parts of prompts. A part is accused by each event of a
 // crash with a request in flight that contains it and whose response had fewer than
 // MinSoundEvents events. It is quarantined once the crashes that accuse it, and that no
-// other quarantined part explains, reach partThreshold: requests that crash endpoints
-// share parts with sound ones. See compareRecords for which part explains crashes first. A response with MinSoundEvents events
+// other quarantined part explains, reach a threshold: requests that crash endpoints share
+// parts with sound ones. See compareRecords for which part explains crashes first. A response with MinSoundEvents events
 // clears the parts of its prompt. It is safe for concurrent use.
 type partTable struct {
 	sound *lru.Cache[string, *atomic.Int64] // when parts were last shown to be sound, in Unix nanoseconds
@@ -49,8 +60,9 @@
 	accusations map[accusationKey]Event
 	newest      map[string]time.Time // time of the newest accusation of each part
 	stale       bool                 // accusations have changed since quarantined was computed
-	// quarantined holds the quarantined parts. accused also holds those that this entry
-	// knows to be sound, and that others quarantine as long as they do not know it.
+	refreshedAt time.Time
+	// quarantined holds the quarantined parts. accused holds those whose accusations reach
+	// clearThreshold for an entry that does not know that they are sound.
 	quarantined, accused map[string]bool
 }
 
@@ -176,18 +188,18 @@
 }
 
 // anyQuarantined reports whether one of the parts is quarantined.
-func (p *partTable) anyQuarantined(parts []string) bool {
+func (p *partTable) anyQuarantined(parts []string, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.refresh()
+	p.refresh(now)
 	return slices.ContainsFunc(parts, func(part string) bool { return p.quarantined[part] })
 }
 
 // allQuarantined returns the quarantined parts in order.
-func (p *partTable) allQuarantined() []string {
+func (p *partTable) allQuarantined(now time.Time) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.refresh()
+	p.refresh(now)
 	var out []string
 	for part := range p.quarantined {
 		out = append(out, part)
@@ -197,7 +209,7 @@
 }
 
 // recordSound records that parts were shown to be sound. It returns the events to
-// replicate: the accusations of those parts that other entries quarantine, cleared of
+// replicate: the accusations of those parts that other entries may quarantine, cleared of
 // them.
 func (p *partTable) recordSound(parts []string, now time.Time) []Event {
 	p.mu.Lock()
@@ -207,7 +219,7 @@
 		p.stale = p.stale || p.newest[part].After(p.lastSound(part))
 		p.storeSound(part, now)
 	}
-	p.refresh()
+	p.refresh(now)
 	var cleared []Event
 	for _, part := range parts {
 		if p.accused[part] {
@@ -243,13 +255,18 @@
 	return cleared
 }
 
-// refresh computes the quarantined parts if accusations have changed. The caller holds the
-// lock.
-func (p *partTable) refresh() {
-	if !p.stale {
+// refresh computes the quarantined and the accused parts if accusations have changed, and
+// every refreshInterval. The caller holds the lock.
+func (p *partTable) refresh(now time.Time) {
+	if len(p.accusations) == 0 {
+		p.quarantined, p.accused = nil, nil
+		return
+	}
+	if !p.stale && now.Sub(p.refreshedAt) < refreshInterval {
 		return
 	}
 	p.stale = false
+	p.refreshedAt = now
 	events := make([]Event, 0, len(p.accusations))
 	for _, e := range p.accusations {
 		events = append(events, e)
@@ -257,8 +274,11 @@
 	slices.SortFunc(events, func(a, b Event) int {
 		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Attempt, b.Attempt))
 	})
-	p.accused = quarantinedParts(events, func(string) time.Time { return time.Time{} })
-	p.quarantined = quarantinedParts(events, p.lastSound)
+	p.accused = make(map[string]bool)
+	for _, r := range collectRecords(events, func(string) time.Time { return time.Time{} }, now) {
+		p.accused[r.part] = weigh(r.crashes) >= clearThreshold
+	}
+	p.quarantined = quarantinedParts(collectRecords(events, p.lastSound, now))
 }
 
 // partCrash is a crash that accuses a part.
@@ -289,16 +309,22 @@
 	return cmp.Or(cmp.Compare(b.depth, a.depth), cmp.Compare(weigh(b.crashes), weigh(a.crashes)), cmp.Compare(a.part, b.part))
 }
 
-// quarantinedParts returns the parts to quarantine by events, the oldest first. Events
-// that are not newer than the time that lastSound returns do not speak against a part.
-func quarantinedParts(events []Event, lastSound func(part string) time.Time) map[string]bool {
-	records := collectRecords(events, lastSound)
+// threshold returns the sum of weights at which the part is quarantined.
+func (r *partRecord) threshold() int {
+	if r.wasSound {
+		return soundPartThreshold
+	}
+	return partThreshold
+}
+
+// quarantinedParts returns the parts to quarantine.
+func quarantinedParts(records []*partRecord) map[string]bool {
 	slices.SortFunc(records, compareRecords)
 	quarantined := make(map[string]bool)
 	explained := make(map[string]bool) // endpoints
 	for _, r := range records {
 		unexplained := slices.DeleteFunc(slices.Clone(r.crashes), func(c partCrash) bool { return explained[c.endpoint] })
-		if weigh(unexplained) < partThreshold {
+		if weigh(unexplained) < r.threshold() {
 			continue
 		}
 		quarantined[r.part] = true
@@ -309,8 +335,10 @@
 	return quarantined
 }
 
-// collectRecords returns the records of all parts that the events accuse.
-func collectRecords(events []Event, lastSound func(part string) time.Time) []*partRecord {
+// collectRecords returns the records of all parts that events, the oldest first, accuse at
+// now. Events that are not newer than the time that lastSound returns do not speak against
+// a part.
+func collectRecords(events []Event, lastSound func(part string) time.Time, now time.Time) []*partRecord {
 	type partRequest struct {
 		part   string
 		digest Digest
@@ -321,13 +349,15 @@
 	for _, e := range events {
 		for depth, part := range e.Parts {
 			request := partRequest{part, e.Digest}
-			if slices.Contains(e.Sound, part) || !e.At.After(lastSound(part)) || perRequest[request] >= maxCrashesPerRequest {
+			soundAt := lastSound(part)
+			expired := !soundAt.IsZero() && now.Sub(e.At) >= soundPartMemory
+			if slices.Contains(e.Sound, part) || !e.At.After(soundAt) || expired || perRequest[request] >= maxCrashesPerRequest {
 				continue
 			}
 			perRequest[request]++
 			r := byPart[part]
 			if r == nil {
-				r = &partRecord{part: part, wasSound: !lastSound(part).IsZero()}
+				r = &partRecord{part: part, wasSound: !soundAt.IsZero()}
 				byPart[part] = r
 				records = append(records, r)
 			}
@@ -340,7 +370,7 @@
 
 // add adds the crash of an event, which is not older than those added before.
 func (r *partRecord) add(e Event) {
-	weight := weightQueued
+	weight := weightOther
 	if e.Begun {
 		weight = weightBegun
 	}
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -28,16 +28,16 @@
 	g := gomega.NewWithT(t)
 	tab := NewTable()
 	for n := range crashesToQuarantine {
-		g.Expect(tab.PartsQuarantined([]string{"first", "bad"})).To(gomega.BeFalse())
+		g.Expect(tab.PartsQuarantined([]string{"first", "bad"}, at(20))).To(gomega.BeFalse())
 		_, recorded := tab.RecordPartCrash(partCrashOf(n, "first", "bad"), at(n))
 		g.Expect(recorded).To(gomega.BeTrue())
 	}
-	g.Expect(tab.PartsQuarantined([]string{"other", "bad"})).To(gomega.BeTrue())
+	g.Expect(tab.PartsQuarantined([]string{"other", "bad"}, at(20))).To(gomega.BeTrue())
 	// Sound requests share the first part, which the deeper one explains.
-	g.Expect(tab.PartsQuarantined([]string{"first", "other"})).To(gomega.BeFalse())
+	g.Expect(tab.PartsQuarantined([]string{"first", "other"}, at(20))).To(gomega.BeFalse())
 	tab.Expire(at(0).Add(2 * SuspectDuration))
 	g.Expect(tab.Empty()).To(gomega.BeTrue())
-	g.Expect(tab.PartsQuarantined([]string{"bad"})).To(gomega.BeFalse())
+	g.Expect(tab.PartsQuarantined([]string{"bad"}, at(0).Add(2*SuspectDuration))).To(gomega.BeFalse())
 }
 
 // The first part crashes endpoints, whatever follows it.
@@ -47,7 +47,7 @@
 	for n := range crashesToQuarantine {
 		_, _ = tab.RecordPartCrash(partCrashOf(n, "bad", fmt.Sprint("deeper-", n)), at(n))
 	}
-	g.Expect(tab.PartsQuarantined([]string{"bad", "new"})).To(gomega.BeTrue())
+	g.Expect(tab.PartsQuarantined([]string{"bad", "new"}, at(20))).To(gomega.BeTrue())
 }
 
 // Requests with the part that crashes endpoints share a later part with sound requests.
@@ -59,7 +59,39 @@
 	for n := range 2 * crashesToQuarantine {
 		_, _ = tab.RecordPartCrash(partCrashOf(n, "bad", "sound"), at(n))
 	}
-	g.Expect(tab.parts.allQuarantined()).To(gomega.Equal([]string{"bad"}))
+	g.Expect(tab.parts.allQuarantined(at(20))).To(gomega.Equal([]string{"bad"}))
+}
+
+// A part that was sound is not refused for long: while it is, no request can show that it
+// still is.
+func TestParts_SoundBeforeQuarantinedForAShortTime(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tab := NewTable()
+	tab.RecordSoundParts([]string{"sound"}, start.Add(-time.Minute))
+	for n := range 2 * crashesToQuarantine {
+		g.Expect(tab.PartsQuarantined([]string{"sound"}, at(n))).To(gomega.BeFalse(), "%d crashes", n)
+		_, _ = tab.RecordPartCrash(partCrashOf(n, "sound"), at(n))
+	}
+	last := at(2*crashesToQuarantine - 1)
+	g.Expect(tab.PartsQuarantined([]string{"sound"}, last)).To(gomega.BeTrue())
+	g.Expect(tab.PartsQuarantined([]string{"sound"}, last.Add(soundPartMemory))).To(gomega.BeFalse())
+}
+
+// An entry sees a part to be sound between two crashes. The others do not count the first
+// one any more.
+func TestParts_OthersToldThatAccusedPartIsSound(t *testing.T) {
+	g := gomega.NewWithT(t)
+	one, two := NewTable(), NewTable()
+	for n := range 2 * crashesToQuarantine {
+		e, _ := two.RecordPartCrash(partCrashOf(n, "sound"), at(n))
+		one.Merge(e, at(n))
+		if n%2 == 1 {
+			for _, e := range one.RecordSoundParts([]string{"sound"}, at(n).Add(time.Millisecond)) {
+				two.Merge(e, at(n))
+			}
+		}
+		g.Expect(two.PartsQuarantined([]string{"sound"}, at(n))).To(gomega.BeFalse(), "%d crashes", n+1)
+	}
 }
 
 // Each of these leaves the parts of sound requests alone.
@@ -102,7 +134,7 @@
 		t.Run(name, func(t *testing.T) {
 			tab := NewTable()
 			record(tab)
-			gomega.NewWithT(t).Expect(tab.PartsQuarantined([]string{"sound"})).To(gomega.BeFalse())
+			gomega.NewWithT(t).Expect(tab.PartsQuarantined([]string{"sound"}, at(20))).To(gomega.BeFalse())
 		})
 	}
 }
@@ -116,12 +148,12 @@
 		e, _ := one.RecordPartCrash(partCrashOf(n, "sound"), at(n))
 		two.Merge(e, at(n))
 	}
-	g.Expect(two.PartsQuarantined([]string{"sound"})).To(gomega.BeTrue())
+	g.Expect(two.PartsQuarantined([]string{"sound"}, at(20))).To(gomega.BeTrue())
 	for _, e := range one.RecordSoundParts([]string{"sound"}, at(crashesToQuarantine)) {
 		two.Merge(e, at(crashesToQuarantine))
 	}
-	g.Expect(one.PartsQuarantined([]string{"sound"})).To(gomega.BeFalse())
-	g.Expect(two.PartsQuarantined([]string{"sound"})).To(gomega.BeFalse())
+	g.Expect(one.PartsQuarantined([]string{"sound"}, at(20))).To(gomega.BeFalse())
+	g.Expect(two.PartsQuarantined([]string{"sound"}, at(20))).To(gomega.BeFalse())
 	g.Expect(one.Checksum()).To(gomega.Equal(two.Checksum()))
 }
 
@@ -133,7 +165,7 @@
 	for n := range 20 {
 		_, _ = tab.RecordPartCrash(partCrashOf(n, "bad"), at(n))
 	}
-	g.Expect(tab.PartsQuarantined([]string{"bad"})).To(gomega.BeTrue())
+	g.Expect(tab.PartsQuarantined([]string{"bad"}, at(20))).To(gomega.BeTrue())
 }
 
 func TestParts_TableIsBounded(t *testing.T) {
@@ -174,7 +206,7 @@
 				other.Merge(e, at(6))
 			}
 			for _, tab := range []*Table{tab, other} {
-				g.Expect(tab.parts.allQuarantined()).To(gomega.Equal([]string{"bad"}))
+				g.Expect(tab.parts.allQuarantined(at(20))).To(gomega.Equal([]string{"bad"}))
 			}
 		})
 	}
--- a/quarantine/shared.go
+++ b/quarantine/shared.go
@@ -82,7 +82,9 @@
 }
 
 // PartsQuarantined implements Tracker.
-func (s *SharedTable) PartsQuarantined(parts []string) bool { return s.table.PartsQuarantined(parts) }
+func (s *SharedTable) PartsQuarantined(parts []string) bool {
+	return s.table.PartsQuarantined(parts, time.Now())
+}
 
 // RecordSoundParts implements Tracker.
 func (s *SharedTable) RecordSoundParts(parts []string) {
@@ -97,7 +99,7 @@
 	if s.table.Empty() && s.loggedParts.Load() == nil {
 		return
 	}
-	now := s.table.parts.allQuarantined()
+	now := s.table.parts.allQuarantined(time.Now())
 	before := s.loggedParts.Swap(&now)
 	var old []string
 	if before != nil {
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -46,7 +46,7 @@
 	Parts []string `json:"parts,omitempty"`
 	Sound []string `json:"sound,omitempty"`
 	// Endpoint is the incarnation of the endpoint that crashed, and Begun says that it had
-	// begun its response; set in events with Parts.
+	// sent the header of its response and no event; set in events with Parts.
 	Endpoint string `json:"endpoint,omitempty"`
 	Begun    bool   `json:"begun,omitempty"`
 }
@@ -102,8 +102,8 @@
 func (t *Table) Empty() bool { return t.size.Load() == 0 && t.parts.empty() }
 
 // PartsQuarantined reports whether one of the parts of a prompt is quarantined.
-func (t *Table) PartsQuarantined(parts []string) bool {
-	return len(parts) > 0 && t.parts.anyQuarantined(parts)
+func (t *Table) PartsQuarantined(parts []string, now time.Time) bool {
+	return len(parts) > 0 && t.parts.anyQuarantined(parts, now)
 }
 
 // RecordSoundParts records that a response was long enough to show that the parts of its
@@ -152,7 +152,7 @@
 		Customer: c.Customer,
 		Parts:    parts,
 		Endpoint: fmt.Sprintf("%s@%d", c.Endpoint, c.Incarnation),
-		Begun:    c.HeaderReceived,
+		Begun:    c.HeaderReceived && c.Events == 0,
 	}
 	return e, t.Merge(e, now)
 }
