--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -51,8 +51,9 @@
 // crash with a request in flight that contains it and whose response had fewer than
 // MinSoundEvents events. It is quarantined once the crashes that accuse it, and that no
 // other quarantined part explains, reach a threshold: requests that crash endpoints share
-// parts with sound ones. See compareRecords for which part explains crashes first. A response with MinSoundEvents events
-// clears the parts of its prompt. It is safe for concurrent use.
+// parts with sound ones. See compareRecords for which part explains crashes first. A
+// response with MinSoundEvents events clears the parts of its prompt. It is safe for
+// concurrent use.
 type partTable struct {
 	sound *lru.Cache[string, *atomic.Int64] // when parts were last shown to be sound, in Unix nanoseconds
 
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -28,8 +28,8 @@
 const tableShards = 16
 
 // Event is one crash recorded against a request or against parts of its prompt, or, with
-// Cleared, the fact that the request has been cleared of that crash. Events may be merged in any order
-// and any number of times.
+// Cleared, the fact that the request has been cleared of that crash. Events may be merged
+// in any order and any number of times.
 type Event struct {
 	Digest  Digest    `json:"digest"`
 	Attempt string    `json:"attempt"` // ID of the attempt that was in flight
