batch: items whose endpoints always crash are not failed, as a test

The test that gave way to TestRunner_ItemRunsAgainAfterCrashesOfItsEndpoints also asked that an item under permanent crashes is not listed as errored. Nothing asked for that any more. The new test does, until the end of the retention, and bounds the pace of the runs by the delay after a loss. It passes on the code as it is.

--- a/batch/service_test.go
+++ b/batch/service_test.go
@@ -221,6 +221,34 @@
 	})
 }
 
+// Endpoints crash whenever they run an item. It must not be failed before the end of its
+// retention, and the delay between its runs bounds how fast it meets endpoints.
+func TestRunner_ItemWhoseEndpointsAlwaysCrashIsNotFailed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var endpoints []*streams.Endpoint
+		for i := range 9 {
+			ep := newEndpoint(fmt.Sprint("w", i), 3, 8)
+			ep.BehaviourFor = func(*http.Request, int) streams.Behaviour { return streams.Behaviour{Crash: true} }
+			endpoints = append(endpoints, ep)
+		}
+		f := newTestFleet(t, 1, endpoints...)
+		f.Expect(f.entries[0].Submit(f.ctx, submission("j", 1, 10))).To(gomega.Succeed())
+		time.Sleep(testPolicy.Retain - time.Second)
+		var runs []time.Time
+		for _, ep := range endpoints {
+			for _, r := range ep.Runs() {
+				runs = append(runs, r.At)
+			}
+		}
+		slices.SortFunc(runs, time.Time.Compare)
+		f.Expect(runs).NotTo(gomega.BeEmpty())
+		for i := range len(runs) - 1 {
+			f.Expect(runs[i+1].Sub(runs[i])).To(gomega.BeNumerically(">=", min(minRetryDelay<<i, maxRetryDelay)))
+		}
+		f.Expect(f.results(f.entries[0], "j").Results).To(gomega.BeEmpty())
+	})
+}
+
 // One of two endpoints responds to every request with status 500: items that
 // failed there run at the other one, and none is errored.
 func TestRunner_AvoidsEndpointAfterFailure(t *testing.T) {
