--- /dev/null
+++ b/upstream/conn.go
@@ -0,0 +1,57 @@
+package upstream
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"os"
+	"time"
+)
+
+// conn is one connection to an endpoint.
+type conn struct {
+	net.Conn
+	addr    string
+	reader  *bufio.Reader
+	expires time.Time // from then on the idle connection must not be used
+	left    int       // bytes that may still be read; unlimitedReads: any number
+}
+
+// unlimitedReads lifts the limit on the bytes that are read from a connection.
+const unlimitedReads = -1
+
+// errTooLong is returned by reads from an endpoint that sends more than is accepted.
+var errTooLong = errors.New("response longer than accepted")
+
+// limitReads sets the number of bytes that may be read from now on, beyond those that are
+// buffered.
+func (c *conn) limitReads(n int) { c.left = n }
+
+// Read implements net.Conn. It fails with errTooLong once the limit of limitReads is
+// reached.
+func (c *conn) Read(b []byte) (int, error) {
+	if c.left == unlimitedReads {
+		return c.read(b)
+	}
+	if c.left == 0 {
+		return 0, errTooLong
+	}
+	n, err := c.read(b[:min(len(b), c.left)])
+	c.left -= n
+	return n, err
+}
+
+// read reads data that is already in the socket buffer even if the deadline has
+// passed: this process may have been delayed rather than the endpoint.
+func (c *conn) read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
+	}
+	if err := c.Conn.SetReadDeadline(time.Now().Add(lateReadTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(b)
+}
+
+func (c *conn) close() { _ = c.Conn.Close() }
