online, platform: the log says which versions a stream came from and which stream a caller takes up

The line about the end of a request named only the last endpoint and not whether the caller took a stream up, and the version of endpoints' software was not decoded at all, so the hypotheses on the incident could not be counted apart. Now: 'version' of endpoints in 'endpoint listed', 'request ended' and 'batch item run ended'; 'sources' of a stream that went on at another endpoint; 'resumes' and 'after_event' of one that a caller takes up; metric relay_online_continuations_total{version}. Malformed fields are a typed finding. No decision reads any of it yet.

--- a/online/execution.go
+++ b/online/execution.go
@@ -64,7 +64,8 @@
 	refusal    *placement.Refusal
 	intervals  eventstream.IntervalMeter // of the last endpoint's response
 
-	headerReceived bool // the last endpoint has sent a response header
+	headerReceived bool          // the last endpoint has sent a response header
+	sources        []eventSource // of the events sent to the caller, in their order
 }
 
 // nextStep says what follows an attempt at one endpoint.
--- a/online/metrics.go
+++ b/online/metrics.go
@@ -13,6 +13,10 @@
 	requests  *prometheus.CounterVec
 	firstByte prometheus.Histogram // metric relay_online_first_event_seconds
 	duration  prometheus.Histogram
+
+	// continuations counts streams that went on at another endpoint within a response, by
+	// whether the version of its software is the same as before.
+	continuations *prometheus.CounterVec
 }
 
 // latencyBuckets, in seconds, range from a fast first event to a request that ends
@@ -37,7 +41,14 @@
 			Buckets: latencyBuckets,
 		}),
 	}
-	reg.MustRegister(m.requests, m.firstByte, m.duration)
+	m.continuations = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "relay_online_continuations_total",
+		Help: "Streams that went on at another endpoint within a response, by the version of its software: same, other or unknown.",
+	}, []string{"version"})
+	for _, version := range []string{versionSame, versionOther, versionUnknown} {
+		m.continuations.WithLabelValues(version)
+	}
+	reg.MustRegister(m.requests, m.firstByte, m.duration, m.continuations)
 	for _, outcome := range []string{outcomeAnswered, outcomeCallerLeft, string(api.CodeOverloaded), string(api.CodeConfigStale),
 		string(api.CodeNoEndpoint), string(api.CodeEndpointLost), string(api.CodeDeadline)} {
 		m.requests.WithLabelValues(outcome)
@@ -58,3 +69,23 @@
 		m.firstByte.Observe(first.Seconds())
 	}
 }
+
+// Values of the label of continuations.
+const (
+	versionSame    = "same"
+	versionOther   = "other"
+	versionUnknown = "unknown"
+)
+
+// observeContinuation counts a stream that went on at another endpoint. before and after
+// are the versions of the two endpoints; empty: unknown.
+func (m *Metrics) observeContinuation(before, after string) {
+	label := versionOther
+	switch {
+	case before == "" || after == "":
+		label = versionUnknown
+	case before == after:
+		label = versionSame
+	}
+	m.continuations.WithLabelValues(label).Inc()
+}
--- a/online/online.go
+++ b/online/online.go
@@ -78,6 +78,7 @@
 		Int("asked", ex.attempts).Int("began", ex.mayHaveRun).Int("status", ex.response.status).
 		Int64("events", ex.response.events).Dur("first_ms", ex.response.firstByte).Dur("took_ms", took).
 		Dur("left_ms", time.Until(c.Deadline))
+	event = ex.logStream(event)
 	if ex.cause != nil {
 		event = event.AnErr("cause", ex.cause)
 	}
--- a/online/stream.go
+++ b/online/stream.go
@@ -73,6 +73,7 @@
 			return abort, placement.Aborted
 		}
 		relayed++
+		ex.recordEvent()
 		ex.intervals.Observe()
 	}
 }
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -23,6 +23,8 @@
 	// PromptParts holds the IDs of the parts of the prompt that other requests may share,
 	// in the order of the prompt.
 	PromptParts []string
+	// Resumption is nil unless the caller takes up a stream.
+	Resumption *Resumption
 
 	Snapshot   *config.Snapshot  // in force when the call was received
 	KeyID      string            // ID of the caller's key; set by the authentication filter; empty without a key
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -24,8 +24,9 @@
 	Address    string
 	Deployment string
 	DataCentre string
-	Slots      int  // requests that it runs concurrently
-	Draining   bool // it shuts down: it gets no new requests
+	Version    string // of its software; empty: unknown
+	Slots      int    // requests that it runs concurrently
+	Draining   bool   // it shuts down: it gets no new requests
 	// OtherCell says that only entries of other cells use the endpoint, whose loads
 	// this entry does not know. This entry places an online request there only if all
 	// endpoints of its own cell are suspended, excluded as failing or not eligible, and
