--- /dev/null
+++ b/batch/versions_test.go
@@ -0,0 +1,69 @@
+package batch
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"dandelionrelay/standin/streams"
+)
+
+// newVersionedEndpoints returns one endpoint of version v1 and three of v2, each of which
+// breaks off what it begins with a probability of a half.
+func newVersionedEndpoints(events, slots int) []*streams.Endpoint {
+	var list []*streams.Endpoint
+	for i, version := range []string{"v1/", "v2/", "v2/", "v2/"} {
+		ep := newEndpoint(fmt.Sprint("w", i), events, slots)
+		ep.Version = version
+		ep.BehaviourFor = func(_ *http.Request, n int) streams.Behaviour {
+			if n%2 == 1 {
+				return streams.Behaviour{AbortAfter: 5}
+			}
+			return streams.Behaviour{}
+		}
+		list = append(list, ep)
+	}
+	return list
+}
+
+// expectOneVersion checks that all outputs of a job are whole and of one version each.
+func (f *testFleet) expectOneVersion(p Page) {
+	joined := 0
+	for _, result := range p.Results {
+		f.Expect(result.State).To(gomega.Equal(Completed))
+		output := string(result.Output)
+		if output != f.endpoints[0].Output(result.Item) && output != f.endpoints[1].Output(result.Item) {
+			joined++
+		}
+	}
+	f.Expect(joined).To(gomega.BeZero(), "of %d outputs hold events of two versions", len(p.Results))
+}
+
+// Endpoints of two versions break runs off, and the items go on.
+func TestRunner_OutputsOfOneVersionAfterAbortedStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 1, newVersionedEndpoints(20, 4)...)
+		f.Expect(f.entries[0].Submit(f.ctx, submission("j", 20, 10))).To(gomega.Succeed())
+		f.expectOneVersion(f.awaitResults(f.entries[0], "j", 18*time.Second))
+	})
+}
+
+// The owner is killed, and the entry that takes over resumes the items from their
+// checkpoints.
+func TestTakeOver_OutputsOfOneVersionFromCheckpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		endpoints := newVersionedEndpoints(240, 4)
+		for _, ep := range endpoints {
+			ep.BehaviourFor = nil
+		}
+		f := newTestFleet(t, 3, endpoints...)
+		f.Expect(f.entries[0].Submit(f.ctx, submission("j", 10, 10))).To(gomega.Succeed())
+		time.Sleep(4 * time.Second)
+		f.kill(f.entries[0])
+		f.expectOneVersion(f.awaitResults(f.entries[1], "j", 18*time.Second))
+	})
+}
--- a/online/online_test.go
+++ b/online/online_test.go
@@ -43,7 +43,7 @@
 	for _, e := range endpoints {
 		server := e.Serve(r.network.Listen(e.ID + ":1"))
 		t.Cleanup(func() { _ = server.Close() })
-		list = append(list, placement.Endpoint{ID: e.ID, Address: e.ID + ":1", Deployment: "lm", DataCentre: "a", Slots: e.Slots})
+		list = append(list, placement.Endpoint{ID: e.ID, Address: e.ID + ":1", Deployment: "lm", DataCentre: "a", Version: e.Version, Slots: e.Slots})
 	}
 	table := placement.NewTable("self", "a", rand.New(rand.NewPCG(1, 1)), nil)
 	table.SetEndpoints(list)
--- a/standin/streams/streams.go
+++ b/standin/streams/streams.go
@@ -92,6 +92,7 @@
 // request.
 type Endpoint struct {
 	ID              string
+	Version         string        // of its software; the data of its events begins with it
 	Events          int           // in a complete response
 	FirstEventDelay time.Duration // until the first event
 	EventInterval   time.Duration // between events
@@ -139,29 +140,32 @@
 
 // Output returns the data of all events of the response to a request, joined by line
 // feeds.
-func (e *Endpoint) Output(id string) string { return text(id, 1, e.Events) }
-
-func text(id string, from, to int) string {
+func (e *Endpoint) Output(id string) string {
 	out := ""
-	for n := from; n <= to; n++ {
-		if n > from {
+	for n := 1; n <= e.Events; n++ {
+		if n > 1 {
 			out += "\n"
 		}
-		out += fmt.Sprintf("%s-%d", id, n)
+		out += e.data(id, n)
 	}
 	return out
 }
 
+// data returns the data of event n of the response to a request.
+func (e *Endpoint) data(id string, n int) string { return fmt.Sprintf("%s%s-%d", e.Version, id, n) }
+
 // ResponseBody returns the body of the complete response to a request: its encoded events.
 func (e *Endpoint) ResponseBody(id string) string {
 	out := ""
 	for n := 1; n <= e.Events; n++ {
-		out += event(id, n)
+		out += e.event(id, n)
 	}
 	return out
 }
 
-func event(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s-%d\n\n", n, id, n) }
+func (e *Endpoint) event(id string, n int) string {
+	return fmt.Sprintf("id: %d\ndata: %s\n\n", n, e.data(id, n))
+}
 
 // Serve serves requests on l until the returned server is closed.
 func (e *Endpoint) Serve(l net.Listener) *http.Server {
@@ -263,7 +267,7 @@
 	for n := last + 1; n <= e.Events && b.EndAfter >= 0; n++ {
 		time.Sleep(delay)
 		delay = e.EventInterval
-		text := event(id, n)
+		text := e.event(id, n)
 		if b.EndAfter > 0 && n-last > b.EndAfter {
 			_, _ = fmt.Fprint(c, text[:len(text)-3])
 			return
@@ -283,7 +287,7 @@
 			return
 		}
 		delay = e.EventInterval
-		_, _ = w.Write([]byte(event(id, n)))
+		_, _ = w.Write([]byte(e.event(id, n)))
 		_ = http.NewResponseController(w).Flush()
 		if b.AbortAfter == n-last {
 			panic(http.ErrAbortHandler)
