online, placement: an entry continues a stream only at the version that began it

Fix: placement.Request.Version; the table offers only endpoints of that version once an event was sent to the caller. If none is left, the stream breaks off at once, and a stream that only pauses is no longer cut for an attempt elsewhere that can't be (gapTimeout). Before the first event any version may take over. Ruled out: comparing at the endpoint (they don't check), cutting every stream (refusing all is no mend).

--- a/online/execution.go
+++ b/online/execution.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"net/http"
 	"time"
 
@@ -54,7 +53,7 @@
 	*Service
 	call       *pipeline.Call
 	route      *config.ProvidedRoute
-	tried      map[placement.Key]bool // endpoints tried
+	tried      map[placement.Key]bool // endpoints tried, the present one included
 	attempts   int                    // number of endpoints tried
 	mayHaveRun int                    // number of these that may have run the request
 	response   callerResponse
@@ -84,13 +83,13 @@
 		if err != nil {
 			return err
 		}
+		ex.tried[grant.Key()] = true
 		step, result := ex.tryEndpoint(ctx, grant)
 		grant.Release(ex.Clock(), result, ex.intervals.Mean(minIntervalEvents))
 		if step == responseComplete {
 			ex.clearSuspicion()
 			return nil
 		}
-		ex.tried[grant.Key()] = true
 		if step == abort {
 			break
 		}
@@ -116,12 +115,9 @@
 		// The request may have run already, so a late response is better than none.
 		maxWait = remaining
 	}
-	grant, refused := ex.Table.Place(ex.Clock(), placement.Request{
-		Deployment: ex.call.Route.Deployment,
-		Avoid:      ex.tried,
-		MaxWait:    maxWait,
-		AtMostOnce: !ex.route.Resumable && !ex.call.Route.Idempotent,
-	})
+	request := ex.placementRequest()
+	request.MaxWait = maxWait
+	grant, refused := ex.Table.Place(ex.Clock(), request)
 	ex.refusal = refused
 	if refused != nil && ex.mayHaveRun == 0 && refused.Limited {
 		return nil, notRunError(api.CodeOverloaded, "the endpoints take no more requests yet", refused.RetryAfter)
@@ -142,6 +138,16 @@
 	return grant, nil
 }
 
+// placementRequest returns the request for the table, without MaxWait.
+func (ex *execution) placementRequest() placement.Request {
+	return placement.Request{
+		Deployment: ex.call.Route.Deployment,
+		Version:    ex.version(),
+		Avoid:      ex.tried,
+		AtMostOnce: !ex.route.Resumable && !ex.call.Route.Idempotent,
+	}
+}
+
 // configStale returns the error for a request whose configuration is no longer
 // confirmed.
 func (ex *execution) configStale() *api.Error {
@@ -226,17 +232,15 @@
 	r := &upstream.Request{Method: c.R.Method, URI: c.R.RequestURI, Host: c.R.Host, Header: h, Body: c.Body, ID: c.ID}
 	if ex.route.Resumable && !ex.response.headerSent() && ex.mayHaveRun+1 < ex.route.MaxEndpoints {
 		r.AbandonCheck = time.Now().Add(time.Duration(abandonCheckShare * float64(ex.route.Goal)))
-		r.ShouldAbandon = func() bool { return ex.freeSlotElsewhere(grant) }
+		r.ShouldAbandon = ex.freeSlotElsewhere
 	}
 	return r
 }
 
 // freeSlotElsewhere reports whether the request would start at once at the best endpoint
-// of this cell other than that of grant that was not tried before.
-func (ex *execution) freeSlotElsewhere(grant *placement.Grant) bool {
-	avoid := maps.Clone(ex.tried)
-	avoid[grant.Key()] = true
-	return ex.Table.HasFreeSlot(ex.Clock(), placement.Request{Deployment: ex.call.Route.Deployment, Avoid: avoid})
+// of this cell that was not tried before.
+func (ex *execution) freeSlotElsewhere() bool {
+	return ex.Table.HasFreeSlot(ex.Clock(), ex.placementRequest())
 }
 
 // firstEventTimeout returns the timeout for the header and for the first event of a
--- a/online/source.go
+++ b/online/source.go
@@ -31,6 +31,15 @@
 	ex.sources = append(ex.sources, eventSource{endpoint: ex.endpoint, events: 1})
 }
 
+// version returns the version of the software that wrote the events that the caller has;
+// empty: the caller has none.
+func (ex *execution) version() string {
+	if len(ex.sources) == 0 {
+		return ""
+	}
+	return ex.sources[0].endpoint.Version
+}
+
 // logStream adds to a log line where the events of the stream came from, and which stream
 // the caller took up, if any.
 func (ex *execution) logStream(event *zerolog.Event) *zerolog.Event {
--- a/online/stream.go
+++ b/online/stream.go
@@ -90,9 +90,9 @@
 }
 
 // gapTimeout returns the timeout for the next event of a stream. 0 means until the
-// deadline.
+// deadline, as no other endpoint may continue the stream.
 func (ex *execution) gapTimeout() time.Duration {
-	if !ex.mayRetry() || ex.route.GapGoal == 0 {
+	if !ex.mayRetry() || ex.route.GapGoal == 0 || !ex.Table.Serves(ex.placementRequest()) {
 		return 0
 	}
 	return time.Duration(gapTimeoutShare * float64(ex.route.GapGoal))
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -8,6 +8,7 @@
 import (
 	"hash/fnv"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -24,7 +25,7 @@
 	Address    string
 	Deployment string
 	DataCentre string
-	Version    string // of its software; empty: unknown
+	Version    string // of its software
 	Slots      int    // requests that it runs concurrently
 	Draining   bool   // it shuts down: it gets no new requests
 	// OtherCell says that only entries of other cells use the endpoint, whose loads
@@ -137,7 +138,7 @@
 
 // usable reports whether e may be chosen for a request as far as its limit allows.
 func (e *endpoint) usable(req Request) bool {
-	return !e.Draining && !e.leaving && !e.replaced && !req.Avoid[e.key]
+	return !e.Draining && !e.leaving && !e.replaced && !req.Avoid[e.key] && req.versionAllows(e)
 }
 
 // Table holds an entry's view of all endpoints and their loads. It is safe for
@@ -273,11 +274,30 @@
 // Request describes the request or batch item to place.
 type Request struct {
 	Deployment string
+	Version    string        // of the software that wrote the part of the response that there is; empty: there is none
 	Avoid      map[Key]bool  // endpoints that were already tried for it
 	MaxWait    time.Duration // longest wait for its start that is useful to the caller
 	AtMostOnce bool          // it must not be repeated after a failure
 }
 
+// versionAllows reports whether e may continue the response as far as its software goes:
+// what two versions write does not fit together.
+func (r Request) versionAllows(e *endpoint) bool { return r.Version == "" || e.Version == r.Version }
+
+// Serves reports whether an endpoint is listed that can take a request, now or later.
+func (t *Table) Serves(req Request) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	g := t.group(req.Deployment)
+	return anyUsable(g.endpoints, req) || anyUsable(g.otherCell, req)
+}
+
+// anyUsable reports whether one of the endpoints may be chosen for a request as far as
+// limits allow.
+func anyUsable(endpoints []*endpoint, req Request) bool {
+	return slices.ContainsFunc(endpoints, func(e *endpoint) bool { return e.usable(req) })
+}
+
 // Place reserves a slot or a place in the queue for an online request at the endpoint
 // where it should start first, or refuses it if the expected wait there exceeds
 // MaxWait. now is the entry's clock.
