origin, gateway: a stream that a caller takes up goes on only at the version that began it

Cause: an entry that gets a stream taken up knew nothing of the entry that began it and chose any endpoint. Class: a continuation placed by an entry that lacks the state which the beginning has fixed. Fix: before the first event is passed on, the entry records where the stream began, by the attempt's ID, and tells three others chosen by rendezvous hashing. The entry at which it is taken up uses its own record, the certainty that only one origin was possible (list read again, history of two timeouts), or what the four first entries for the ID know. Otherwise it refuses as not run; nothing is guessed, and a resumed stream whose origin is known isn't refused. Ruled out: see docs/platform.md, Versions side by side. New tests of origin, gossip, gateway, platform. The tests of fleets share one fleet among their cases and wait until entries have read one another's registrations; their bounds are the same.

--- a/api/api.go
+++ b/api/api.go
@@ -85,9 +85,14 @@
 	CodeDeadline     Code = "deadline_exceeded"
 	CodeNoEndpoint   Code = "no_endpoint"
 	CodeEndpointLost Code = "endpoint_lost"
-	CodeLogDown      Code = "log_unavailable"
-	CodeConflict     Code = "conflict"
-	CodeInternal     Code = "internal"
+	// CodeVersionGone says that no endpoint is left that can continue the response: none
+	// runs the version of the software that began it.
+	CodeVersionGone Code = "version_gone"
+	// CodeVersionUnknown says that it can't be found out which version began the response.
+	CodeVersionUnknown Code = "version_unknown"
+	CodeLogDown        Code = "log_unavailable"
+	CodeConflict       Code = "conflict"
+	CodeInternal       Code = "internal"
 )
 
 // Error is a failure as reported to the caller. It implements error.
--- a/gateway/background.go
+++ b/gateway/background.go
@@ -21,7 +21,7 @@
 	defer func() {
 		_ = calls.Close()
 		g.peers.Close()
-		g.fetcher.pool.Close()
+		g.peerPool.Close()
 	}()
 	wg.Go(func() { g.ConfigFeed.Run(ctx) })
 	wg.Go(func() { g.EndpointFeed.Run(ctx) })
--- a/gateway/confirm.go
+++ b/gateway/confirm.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"dandelionrelay/keyedlog"
-	"dandelionrelay/peer"
 )
 
 // Names of the RPC service that entries call to get the configuration while they can't
@@ -54,7 +53,6 @@
 
 // configFetcher fetches the configuration from other entries, one call at a time.
 type configFetcher struct {
-	pool *peer.Pool
 	busy atomic.Bool
 }
 
@@ -75,7 +73,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), configCallTimeout)
 	defer cancel()
 	var reply NewestReply
-	if err := g.fetcher.pool.Call(ctx, address, methodNewest, NewestArgs{}, &reply); err != nil {
+	if err := g.peerPool.Call(ctx, address, methodNewest, NewestArgs{}, &reply); err != nil {
 		g.Log.Warn().Err(err).Str("peer", name).Msg("could not get the configuration from another entry")
 		return
 	}
--- a/gateway/filters_test.go
+++ b/gateway/filters_test.go
@@ -26,11 +26,18 @@
 
 // fakeFeed is a ConfigFeed whose Age and LostFor a test sets. A negative age means that
 // the state was never confirmed. Other entries confirm nothing.
-type fakeFeed struct{ age, lost time.Duration }
+type fakeFeed struct {
+	age, lost time.Duration
+	refreshed int // calls of Refresh
+}
 
 func (f *fakeFeed) Run(context.Context)        {}
 func (f *fakeFeed) Age() (time.Duration, bool) { return f.age, f.age >= 0 }
 func (f *fakeFeed) LostFor() time.Duration     { return f.lost }
+func (f *fakeFeed) Refresh(context.Context) error {
+	f.refreshed++
+	return nil
+}
 
 func (f *fakeFeed) NextOffset() (int64, bool)               { return 0, false }
 func (f *fakeFeed) ConfirmByPeer(int64, time.Duration) bool { return false }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"dandelionrelay/gossip"
 	"dandelionrelay/keyedlog"
 	"dandelionrelay/online"
+	"dandelionrelay/origin"
 	"dandelionrelay/peer"
 	"dandelionrelay/pipeline"
 	"dandelionrelay/placement"
@@ -44,6 +45,8 @@
 	// LostFor returns the time since the first failed read after the last one that
 	// confirmed the state; 0 if none has failed since.
 	LostFor() time.Duration
+	// Refresh reads the partition without waiting for new records.
+	Refresh(ctx context.Context) error
 }
 
 // Providers holds what the platform provides to an entry.
@@ -96,6 +99,11 @@
 	started           time.Duration // clock at the start
 	settings          atomic.Pointer[settings.Gateway]
 	peers             *peer.Server
+	peerPool          *peer.Pool
+	origins           *origin.Table
+	listed            *origin.History
+	confirming        chan struct{} // holds one value while confirmEndpoints reads
+	resumed           *prometheus.CounterVec
 	fetcher           configFetcher
 
 	// Admissions reported by the other entries of this cell, and by other cells. A
@@ -131,6 +139,10 @@
 		limits:        quota.NewTable(tolerance(d.Settings)),
 		random:        rand.New(rand.NewPCG(seed, 1)),
 		endpointAddrs: make(map[string]bool),
+		origins:       origin.NewTable(d.Clock),
+		listed:        origin.NewHistory(d.Clock),
+		confirming:    make(chan struct{}, 1),
+		resumed:       newResumedCounter(d.Registry),
 
 		ownCellCounts:   quota.NewTally(),
 		otherCellCounts: quota.NewTally(),
@@ -138,7 +150,8 @@
 	g.settings.Store(d.Settings)
 	g.peers = peer.NewServer()
 	g.peers.Register(configService, &configRPC{g})
-	g.fetcher.pool = peer.NewPool(peer.DialTCP)
+	g.peers.Register(streamService, &streamRPC{g})
+	g.peerPool = peer.NewPool(peer.DialTCP)
 	g.table = placement.NewTable(d.Settings.ID, d.Settings.DataCentre, rand.New(rand.NewPCG(seed, 2)), g.announceChange)
 	g.pool = upstream.NewPool(d.IDHeader, nil, g.dialCounter())
 	g.members = gossip.NewRegistry(d.Clock, g.badRecordLogger("members"), g.announceChange)
@@ -189,14 +202,15 @@
 // to last.
 func (g *Gateway) buildPipelines() {
 	service := online.New(online.Deps{
-		Table:       g.table,
-		Pool:        g.pool,
-		Dialect:     g.Dialect,
-		Clock:       g.Clock,
-		Log:         g.Log,
-		Metrics:     online.NewMetrics(g.Registry),
-		Suspects:    g.suspects,
-		ConfigFresh: g.keyConfirmed,
+		Table:        g.table,
+		Pool:         g.pool,
+		Dialect:      g.Dialect,
+		Clock:        g.Clock,
+		Log:          g.Log,
+		Metrics:      online.NewMetrics(g.Registry),
+		Suspects:     g.suspects,
+		ConfigFresh:  g.keyConfirmed,
+		RecordOrigin: g.recordOrigin,
 		ConfigAge: func() time.Duration {
 			age, _ := g.ConfigFeed.Age()
 			return age
@@ -206,7 +220,7 @@
 		c.Admitted = true
 		return service.Handle(ctx, c)
 	}
-	g.onlineHandler = pipeline.Chain(serve, g.requireConfig, g.resolveRoute, g.authenticate, g.requireConfirmedKey, quarantine.Filter(g.suspects), g.limitRate)
+	g.onlineHandler = pipeline.Chain(serve, g.requireConfig, g.resolveRoute, g.authenticate, g.requireConfirmedKey, quarantine.Filter(g.suspects), g.resolveOrigin, g.limitRate)
 	accept := func(context.Context, *pipeline.Call) *api.Error { return nil }
 	g.submissionHandler = pipeline.Chain(accept, g.requireConfig, g.resolveRoute, g.authenticate, g.requireConfirmedKey, g.requireStore)
 	g.batchHandler = pipeline.Chain(accept, g.requireConfig, g.authenticate, g.requireStore)
@@ -322,17 +336,19 @@
 		limits[id] = quota.Limit{Rate: c.Rate, Burst: c.Burst}
 	}
 	g.limits.SetLimits(g.Clock(), limits)
+	g.listed.SetRoutes(routeTargets(s.State))
 	g.jobs.Wake()
 }
 
 // SetEndpoints replaces the list of endpoints.
-func (g *Gateway) SetEndpoints(list []placement.Endpoint) {
-	addrs := make(map[string]bool, len(list))
-	for _, e := range list {
+func (g *Gateway) SetEndpoints(l EndpointList) {
+	addrs := make(map[string]bool, len(l.Listed))
+	for _, e := range l.Listed {
 		addrs[e.Address] = true
 	}
+	g.listed.SetListed(l.listing())
 	g.mu.Lock()
-	g.endpoints = list
+	g.endpoints = l.Listed
 	g.endpointAddrs = addrs
 	g.mu.Unlock()
 	g.assignEndpoints()
--- a/gossip/cells_test.go
+++ b/gossip/cells_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"dandelionrelay/keyedlog"
+	"dandelionrelay/origin"
 	"dandelionrelay/quota"
 )
 
@@ -59,6 +60,8 @@
 func (m *simEntry) PeerConfirmed(string, int64, time.Duration) {}
 func (m *simEntry) PeerTimedOut(string)                        {}
 func (m *simEntry) CellsChanged()                              {}
+func (m *simEntry) StreamBegan(string, origin.Origin)          {}
+
 func (m *simEntry) ShareUpdate(s Share) {
 	m.share = s
 	m.limits.SetShare(quota.Share{Observed: s.Observed, Own: s.Own, ValidUntil: s.ValidUntil})
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"dandelionrelay/keyedlog"
+	"dandelionrelay/origin"
 	"dandelionrelay/placement"
 	"dandelionrelay/quota"
 )
@@ -68,6 +69,7 @@
 	logLostFor time.Duration // of the node itself
 	config     Confirmation  // of the node itself
 	confirmed  []confirmation
+	streams    []streamMessage
 }
 
 // confirmation holds the arguments of a call of PeerConfirmed.
@@ -78,7 +80,10 @@
 
 func (tn *testNode) PeerReport(string, uint64, Report) { tn.reports++ }
 func (tn *testNode) PeerTimedOut(name string)          { tn.timedOut = append(tn.timedOut, name) }
-func (tn *testNode) ShareUpdate(s Share)               { tn.shares = append(tn.shares, s) }
+func (tn *testNode) StreamBegan(id string, o origin.Origin) {
+	tn.streams = append(tn.streams, streamMessage{id, o})
+}
+func (tn *testNode) ShareUpdate(s Share) { tn.shares = append(tn.shares, s) }
 
 func (tn *testNode) CellReport(string, uint64, Report)       {}
 func (tn *testNode) OtherCellsReport(string, uint64, Report) {}
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -4,11 +4,13 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"dandelionrelay/boottime"
+	"dandelionrelay/origin"
 	"dandelionrelay/quota"
 )
 
@@ -72,6 +74,9 @@
 	CellsChanged()
 	// PeerTimedOut is called once when no datagram of a peer has arrived for peerTimeout.
 	PeerTimedOut(name string)
+	// StreamBegan is called when another entry tells this one where the stream of an attempt
+	// begins.
+	StreamBegan(id string, o origin.Origin)
 	// ShareUpdate is called several times a second with this entry's current share of
 	// the fleet's limits.
 	ShareUpdate(s Share)
@@ -125,8 +130,9 @@
 	listener Listener
 	clock    boottime.Clock
 	log      zerolog.Logger
-	changed  chan struct{} // signals send that the report has changed
-	started  time.Duration // clock at the call of NewNode
+	changed  chan struct{}               // signals send that the report has changed
+	started  time.Duration               // clock at the call of NewNode
+	socket   atomic.Pointer[net.UDPConn] // nil before Run
 
 	mu        sync.Mutex
 	sequence  uint32
@@ -188,6 +194,7 @@
 
 // Run exchanges datagrams over socket until ctx is done, then closes the socket.
 func (n *Node) Run(ctx context.Context, socket *net.UDPConn) {
+	n.socket.Store(socket)
 	var wg sync.WaitGroup
 	wg.Go(func() { n.receive(socket) })
 	n.send(ctx, socket)
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -18,6 +18,10 @@
 			n.log.Debug().Err(err).Msg("gossip datagram could not be received")
 			continue
 		}
+		if size > 0 && buffer[0] == streamFormat {
+			n.handleStream(buffer[:size], net.UDPAddrFromAddrPort(from))
+			continue
+		}
 		m, err := decode(buffer[:size])
 		if err != nil {
 			n.log.Warn().Err(err).Int("bytes", size).Msg("malformed gossip datagram dropped")
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -161,11 +161,16 @@
 
 // sendTo sends a datagram to another entry, with the receiverFields for that entry.
 func (n *Node) sendTo(socket *net.UDPConn, d datagram, name string, to netip.AddrPort) {
+	d.setReceiverFields(n.receiverFields(name, d.measuredAt))
+	n.write(socket, d.bytes, name, to)
+}
+
+// write sends an encoded datagram to another entry, unless its address is not valid.
+func (n *Node) write(socket *net.UDPConn, b []byte, name string, to netip.AddrPort) {
 	if !to.IsValid() {
 		return
 	}
-	d.setReceiverFields(n.receiverFields(name, d.measuredAt))
-	if _, err := socket.WriteToUDPAddrPort(d.bytes, to); err != nil && !errors.Is(err, net.ErrClosed) {
+	if _, err := socket.WriteToUDPAddrPort(b, to); err != nil && !errors.Is(err, net.ErrClosed) {
 		n.log.Debug().Err(err).Str("peer", name).Msg("gossip datagram could not be sent")
 	}
 }
--- a/online/execution.go
+++ b/online/execution.go
@@ -119,6 +119,9 @@
 	request.MaxWait = maxWait
 	grant, refused := ex.Table.Place(ex.Clock(), request)
 	ex.refusal = refused
+	if refused != nil && ex.mayHaveRun == 0 && ex.versionGone() {
+		return nil, notRunError(api.CodeVersionGone, "no endpoint of the version that began the stream is left", 0)
+	}
 	if refused != nil && ex.mayHaveRun == 0 && refused.Limited {
 		return nil, notRunError(api.CodeOverloaded, "the endpoints take no more requests yet", refused.RetryAfter)
 	}
--- a/online/online.go
+++ b/online/online.go
@@ -12,6 +12,7 @@
 
 	"dandelionrelay/api"
 	"dandelionrelay/boottime"
+	"dandelionrelay/origin"
 	"dandelionrelay/pipeline"
 	"dandelionrelay/placement"
 	"dandelionrelay/quarantine"
@@ -31,6 +32,9 @@
 	// ConfigFresh reports whether the configuration was confirmed recently enough
 	// for the call to run. It is called right before each attempt.
 	ConfigFresh func(c *pipeline.Call) bool
+	// RecordOrigin is called right before the caller of an attempt is sent the first event
+	// of a stream that may be resumed, with the endpoint's deployment and version.
+	RecordOrigin func(attempt string, o origin.Origin)
 	// ConfigAge returns the time since the configuration was last confirmed,
 	// for the log.
 	ConfigAge func() time.Duration
@@ -52,6 +56,9 @@
 		tried:    make(map[placement.Key]bool),
 		response: callerResponse{call: c},
 	}
+	if r := c.Resumption; r != nil {
+		ex.response.cursor = r.Cursor
+	}
 	err := ex.run(ctx)
 	ex.response.end()
 	ex.recordSoundParts(err == nil && ctx.Err() == nil)
--- a/online/online_test.go
+++ b/online/online_test.go
@@ -19,6 +19,7 @@
 	"dandelionrelay/api"
 	"dandelionrelay/boottime"
 	"dandelionrelay/config"
+	"dandelionrelay/origin"
 	"dandelionrelay/pipeline"
 	"dandelionrelay/placement"
 	"dandelionrelay/quarantine"
@@ -51,15 +52,16 @@
 		return r.network.DialContext(ctx, "tcp", addr)
 	}
 	r.Service = New(Deps{
-		Table:       table,
-		Pool:        upstream.NewPool(streams.HeaderID, dial, func() {}),
-		Dialect:     streams.Dialect{},
-		Clock:       boottime.Clock(func() time.Duration { return time.Duration(time.Now().UnixNano()) }),
-		Log:         zerolog.New(zerolog.SyncWriter(r.logs)),
-		Metrics:     NewMetrics(prometheus.NewRegistry()),
-		Suspects:    quarantine.NopTracker{},
-		ConfigFresh: func(*pipeline.Call) bool { return r.configFresh },
-		ConfigAge:   func() time.Duration { return 0 },
+		Table:        table,
+		Pool:         upstream.NewPool(streams.HeaderID, dial, func() {}),
+		Dialect:      streams.Dialect{},
+		Clock:        boottime.Clock(func() time.Duration { return time.Duration(time.Now().UnixNano()) }),
+		Log:          zerolog.New(zerolog.SyncWriter(r.logs)),
+		Metrics:      NewMetrics(prometheus.NewRegistry()),
+		Suspects:     quarantine.NopTracker{},
+		ConfigFresh:  func(*pipeline.Call) bool { return r.configFresh },
+		RecordOrigin: func(string, origin.Origin) {},
+		ConfigAge:    func() time.Duration { return 0 },
 	})
 	return r
 }
--- a/online/source.go
+++ b/online/source.go
@@ -5,6 +5,7 @@
 
 	"github.com/rs/zerolog"
 
+	"dandelionrelay/origin"
 	"dandelionrelay/placement"
 )
 
@@ -31,15 +32,32 @@
 	ex.sources = append(ex.sources, eventSource{endpoint: ex.endpoint, events: 1})
 }
 
-// version returns the version of the software that wrote the events that the caller has;
-// empty: the caller has none.
+// version returns the version of the software that wrote the events that the caller has,
+// also from earlier attempts; empty: the caller has none.
 func (ex *execution) version() string {
+	if r := ex.call.Resumption; r != nil {
+		return r.Version
+	}
 	if len(ex.sources) == 0 {
 		return ""
 	}
 	return ex.sources[0].endpoint.Version
 }
 
+// versionGone reports whether the caller takes up a stream that no endpoint can continue.
+func (ex *execution) versionGone() bool {
+	request := ex.placementRequest()
+	request.Avoid = nil
+	return request.Version != "" && !ex.Table.Serves(request)
+}
+
+// recordOrigin records where the stream begins, unless it has begun or can't be resumed.
+func (ex *execution) recordOrigin() {
+	if len(ex.sources) == 0 && ex.call.Resumption == nil && ex.route.Resumable {
+		ex.RecordOrigin(ex.call.ID, origin.Origin{Deployment: ex.endpoint.Deployment, Version: ex.endpoint.Version})
+	}
+}
+
 // logStream adds to a log line where the events of the stream came from, and which stream
 // the caller took up, if any.
 func (ex *execution) logStream(event *zerolog.Event) *zerolog.Event {
--- a/online/stream.go
+++ b/online/stream.go
@@ -67,6 +67,7 @@
 			x.Close()
 			return ex.afterEndpointLoss(errorx.IllegalState.New("event stream has a gap: event %d follows event %d", e.ID, ex.response.cursor.LastID)), placement.Failed
 		}
+		ex.recordOrigin()
 		if err := ex.response.writeEvent(x.Response, e); err != nil {
 			x.Close()
 			ex.cause = err
--- /dev/null
+++ b/origin/history.go
@@ -0,0 +1,118 @@
+package origin
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"dandelionrelay/boottime"
+)
+
+// History remembers which versions of each deployment could begin streams, and where each
+// route led. From it follows where a stream began that no one has recorded, if there was
+// only one possibility. It is safe for concurrent use.
+type History struct {
+	clock boottime.Clock
+
+	mu     sync.Mutex
+	since  time.Duration            // clock from which on all versions listed are known; 0: none
+	listed map[Origin]bool          // versions that are listed
+	ended  map[Origin]time.Duration // versions that are no longer listed, and when they last were
+	routes map[string]target        // by route ID
+}
+
+// target is where a route leads.
+type target struct {
+	deployments []string // sorted
+	since       time.Duration
+}
+
+// NewHistory returns an empty History.
+func NewHistory(clock boottime.Clock) *History {
+	return &History{clock: clock, listed: make(map[Origin]bool), ended: make(map[Origin]time.Duration), routes: make(map[string]target)}
+}
+
+// Listing is a change of the list of endpoints.
+type Listing struct {
+	Listed  []Origin // of the endpoints that are listed now
+	Removed []Origin // of endpoints that were listed since the last Listing, however briefly
+	Gap     bool     // endpoints may have been listed in between that are in neither
+}
+
+// SetListed applies a change of the list of endpoints.
+func (h *History) SetListed(l Listing) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.clock()
+	if h.since == 0 || l.Gap {
+		h.since = now
+	}
+	for o := range h.listed {
+		h.ended[o] = now
+	}
+	for _, o := range l.Removed {
+		h.ended[o] = now
+	}
+	h.listed = make(map[Origin]bool, len(l.Listed))
+	for _, o := range l.Listed {
+		h.listed[o] = true
+		delete(h.ended, o)
+	}
+	for o, at := range h.ended {
+		if now-at > memory {
+			delete(h.ended, o)
+		}
+	}
+}
+
+// Route says to which deployments a route leads.
+type Route struct {
+	ID          string
+	Deployments []string
+}
+
+// SetRoutes replaces the routes.
+func (h *History) SetRoutes(routes []Route) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.clock()
+	next := make(map[string]target, len(routes))
+	for _, r := range routes {
+		deployments := slices.Compact(slices.Sorted(slices.Values(r.Deployments)))
+		before, known := h.routes[r.ID]
+		if known && slices.Equal(before.deployments, deployments) {
+			next[r.ID] = before
+			continue
+		}
+		next[r.ID] = target{deployments: deployments, since: now}
+	}
+	h.routes = next
+}
+
+// Only returns the only origin that a stream on a route can have that began within age: the
+// route has led to one deployment, with one version, all that time. It returns false if
+// there were several or the history does not reach that far back.
+func (h *History) Only(route string, age time.Duration) (Origin, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	from := h.clock() - age
+	r, ok := h.routes[route]
+	if !ok || len(r.deployments) != 1 || r.since > from || h.since == 0 || h.since > from {
+		return Origin{}, false
+	}
+	var only []Origin
+	for o := range h.listed {
+		if o.Deployment == r.deployments[0] {
+			only = append(only, o)
+		}
+	}
+	for o, at := range h.ended {
+		if o.Deployment == r.deployments[0] && at >= from {
+			only = append(only, o)
+		}
+	}
+	if len(only) != 1 {
+		return Origin{}, false
+	}
+	return only[0], true
+}
--- /dev/null
+++ b/origin/origin_test.go
@@ -0,0 +1,168 @@
+package origin
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// fakeClock is a clock that a test sets.
+type fakeClock struct{ now time.Duration }
+
+func (c *fakeClock) read() time.Duration { return c.now }
+
+var (
+	v1 = Origin{Deployment: "lm", Version: "v1"}
+	v2 = Origin{Deployment: "lm", Version: "v2"}
+)
+
+func TestTable_FindsWhatWasRecorded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	clock := &fakeClock{now: time.Hour}
+	table := NewTable(clock.read)
+	table.Record("a", v1)
+	table.Record("a", v1)
+	o, ok := table.Find("a")
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(o).To(gomega.Equal(v1))
+	_, ok = table.Find("b")
+	g.Expect(ok).To(gomega.BeFalse())
+	clock.now += memory
+	_, ok = table.Find("a")
+	g.Expect(ok).To(gomega.BeFalse(), "expired")
+}
+
+// An ID that two streams share names neither.
+func TestTable_ConflictingOriginsAreUnknown(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := NewTable((&fakeClock{now: time.Hour}).read)
+	for _, o := range []Origin{v1, v2, v1} {
+		table.Record("a", o)
+	}
+	_, ok := table.Find("a")
+	g.Expect(ok).To(gomega.BeFalse())
+}
+
+func TestTable_IsBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := NewTable((&fakeClock{now: time.Hour}).read)
+	for i := range 3 * shardCount * maxShardRecords {
+		table.Record(fmt.Sprint(i), v1)
+	}
+	table.Record("", v1)
+	table.Record(strings.Repeat("a", MaxIDBytes+1), v1)
+	kept := 0
+	for i := range table.shards {
+		kept += len(table.shards[i].records)
+		g.Expect(table.shards[i].queue).To(gomega.HaveLen(len(table.shards[i].records)))
+	}
+	g.Expect(kept).To(gomega.BeNumerically("<=", shardCount*maxShardRecords))
+	_, ok := table.Find(fmt.Sprint(3*shardCount*maxShardRecords - 1))
+	g.Expect(ok).To(gomega.BeTrue(), "the newest is kept")
+}
+
+// age is the greatest age of streams in the tests of History.
+const age = 10 * time.Second
+
+// newTestHistory returns a history of a route and one version that is older than age.
+func newTestHistory() (*History, *fakeClock) {
+	clock := &fakeClock{now: time.Hour}
+	h := NewHistory(clock.read)
+	h.SetRoutes([]Route{{ID: "r", Deployments: []string{"lm"}}})
+	h.SetListed(Listing{Listed: []Origin{v1, v1, {Deployment: "other", Version: "v9"}}, Gap: true})
+	clock.now += age
+	return h, clock
+}
+
+// The only possible origin follows from the history as long as no other version of the
+// deployment was listed, however briefly.
+func TestHistory_OnlyOriginUnlessAnotherWasPossible(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(h *History, clock *fakeClock)
+		only   bool
+	}{
+		"nothing changed":              {change: func(*History, *fakeClock) {}, only: true},
+		"other deployment changed":     {change: func(h *History, _ *fakeClock) { h.SetListed(Listing{Listed: []Origin{v1}}) }, only: true},
+		"second version":               {change: func(h *History, _ *fakeClock) { h.SetListed(Listing{Listed: []Origin{v1, v2}}) }},
+		"second version came and went": {change: func(h *History, _ *fakeClock) { h.SetListed(Listing{Listed: []Origin{v1}, Removed: []Origin{v2}}) }},
+		"version replaced":             {change: func(h *History, _ *fakeClock) { h.SetListed(Listing{Listed: []Origin{v2}}) }},
+		"list had a gap":               {change: func(h *History, _ *fakeClock) { h.SetListed(Listing{Listed: []Origin{v1}, Gap: true}) }},
+		"no endpoint left":             {change: func(h *History, _ *fakeClock) { h.SetListed(Listing{}) }, only: true},
+		"route moved":                  {change: func(h *History, _ *fakeClock) { h.SetRoutes([]Route{{ID: "r", Deployments: []string{"other"}}}) }},
+		"route split":                  {change: func(h *History, _ *fakeClock) { h.SetRoutes([]Route{{ID: "r", Deployments: []string{"lm", "other"}}}) }},
+		"route gone":                   {change: func(h *History, _ *fakeClock) { h.SetRoutes(nil) }},
+		"route as before":              {change: func(h *History, _ *fakeClock) { h.SetRoutes([]Route{{ID: "r", Deployments: []string{"lm", "lm"}}}) }, only: true},
+		"second version, long ago": {change: func(h *History, c *fakeClock) {
+			h.SetListed(Listing{Listed: []Origin{v1, v2}})
+			h.SetListed(Listing{Listed: []Origin{v1}})
+			c.now += age + 1
+		}, only: true},
+		"second version, just in the age": {change: func(h *History, c *fakeClock) {
+			h.SetListed(Listing{Listed: []Origin{v1, v2}})
+			h.SetListed(Listing{Listed: []Origin{v1}})
+			c.now += age
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			h, clock := newTestHistory()
+			c.change(h, clock)
+			o, ok := h.Only("r", age)
+			g.Expect(ok).To(gomega.Equal(c.only))
+			if c.only {
+				g.Expect(o).To(gomega.Equal(v1))
+			}
+		})
+	}
+}
+
+// A history that does not reach back to the beginning of a stream proves nothing.
+func TestHistory_TooShort(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h, clock := newTestHistory()
+	clock.now--
+	_, ok := h.Only("r", age)
+	g.Expect(ok).To(gomega.BeFalse())
+	_, ok = NewHistory(clock.read).Only("r", age)
+	g.Expect(ok).To(gomega.BeFalse())
+}
+
+// Versions come and go at random. The history never names an origin if any stream that
+// began within the age can have another.
+func TestHistory_NeverNamesOneOfSeveral(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		clock := &fakeClock{now: time.Hour}
+		h := NewHistory(clock.read)
+		h.SetRoutes([]Route{{ID: "r", Deployments: []string{"lm"}}})
+		h.SetListed(Listing{Listed: []Origin{v1}, Gap: true})
+		lastListed := map[Origin]time.Duration{}
+		for range 200 {
+			clock.now += time.Duration(random.Int64N(int64(age / 2)))
+			l := Listing{}
+			for _, o := range []Origin{v1, v2} {
+				switch random.IntN(8) {
+				case 0:
+					l.Removed = append(l.Removed, o)
+					lastListed[o] = clock.now
+				case 1, 2, 3, 4:
+					l.Listed = append(l.Listed, o)
+					lastListed[o] = clock.now
+				}
+			}
+			h.SetListed(l)
+			clock.now += time.Duration(random.Int64N(int64(age)))
+			if o, ok := h.Only("r", age); ok {
+				for other, at := range lastListed {
+					if other != o && clock.now-at <= age {
+						t.Fatalf("seed %d: %v is named though %v was listed %v ago", seed, o, other, clock.now-at)
+					}
+				}
+			}
+		}
+	}
+}
