sidecar, dispatch: a text goes on only at the software version that began it

Fix: a sidecar knows the version of its endpoint's software (setting endpoint_version) and is the only one that talks to it, so it refuses, as not run, to continue a text of another version, and begins items of another one again. Resume positions name the version; answers carry it. The entry passes over endpoints known to have another version, so that retries aren't used up. Ruled out: the version in the platform's instance list (an engine is replaced beside a sidecar that stays); a check at entries alone (they hear of it late). Settings without a version: as before.

--- a/api/api.go
+++ b/api/api.go
@@ -45,6 +45,9 @@
 	HeaderIdempotent = "Relay-Idempotent"    // "1": the request may be run more than once
 	HeaderSuspect    = "Relay-Suspect"       // "1": an endpoint crashed running the request; run it alone
 	HeaderCrash      = "Relay-Crash"         // the Crash of the attempt, in responses to probes
+	// HeaderEndpointVersion is the version of the endpoint's software, in responses; not
+	// sent if the sidecar's settings name none.
+	HeaderEndpointVersion = "Relay-Endpoint-Version"
 
 	// HeaderBesideBatch is "1" on a response if batch items ran at the endpoint
 	// when the request arrived.
--- a/api/chat.go
+++ b/api/chat.go
@@ -27,6 +27,10 @@
 type Resume struct {
 	Text   string `json:"text"`
 	Tokens int    `json:"tokens"`
+	// Version is that of the software that generated the text, as in
+	// HeaderEndpointVersion of its response; empty: the response had none. Software of
+	// another version does not continue the text.
+	Version string `json:"version,omitempty"`
 }
 
 // ChatChoice is one choice of a chat completion.
--- a/dispatch/body.go
+++ b/dispatch/body.go
@@ -10,18 +10,29 @@
 // an interrupted stream, with the position to resume from. The sidecar adds the
 // salt of the customer's prompt cache.
 func (f *forwarder) body() ([]byte, error) {
-	c := f.call
-	if c.Chat == nil || !c.ResponseStarted {
-		return c.Body, nil
+	if f.call.Chat == nil || !f.call.ResponseStarted {
+		return f.call.Body, nil
 	}
-	return withResume(c.Body, f.stream.resumePosition(c.Chat.Resume))
+	return withResume(f.call.Body, f.resumePosition())
+}
+
+// resumePosition returns the position from which the next attempt goes on: that of the
+// stream or, if none was delivered, the one that the caller sent. nil: from the start.
+func (f *forwarder) resumePosition() *api.Resume {
+	if f.call.Chat == nil {
+		return nil
+	}
+	if !f.call.ResponseStarted {
+		return f.call.Chat.Resume
+	}
+	return f.stream.resumePosition(f.call.Chat.Resume)
 }
 
 // resumePosition returns the position to resume the stream from: the text and
 // tokens of before, the resume position that the caller sent, if any, followed by
 // those delivered since.
 func (s *stream) resumePosition(before *api.Resume) *api.Resume {
-	r := &api.Resume{Text: s.text.String(), Tokens: s.tokens}
+	r := &api.Resume{Text: s.text.String(), Tokens: s.tokens, Version: s.version}
 	if before != nil {
 		r.Text = before.Text + r.Text
 		r.Tokens += before.Tokens
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -108,10 +108,11 @@
 	return f.run(ctx)
 }
 
-// recordEndpointState records the queue wait and the leaving notice that the
-// headers of a response carry.
+// recordEndpointState records the software version, the queue wait and the leaving notice
+// that the headers of a response carry.
 func (d *Dispatcher) recordEndpointState(endpoint string, h http.Header) {
 	now := time.Now()
+	d.loads.RecordVersion(endpoint, h.Get(api.HeaderEndpointVersion))
 	if ms, err := strconv.ParseInt(h.Get(api.HeaderQueueWait), 10, 64); err == nil && ms >= 0 {
 		d.loads.RecordQueueWait(endpoint, time.Duration(ms)*time.Millisecond, now)
 	}
--- a/dispatch/fleet_test.go
+++ b/dispatch/fleet_test.go
@@ -71,6 +71,8 @@
 	crashByAttempt map[string]api.Crash       // crash of the endpoint, by ID of the attempt in flight
 	crashedIDs     map[string]bool            // IDs of the endpoints that are down, with a running sidecar
 	lateCalls      []string                   // requests that reached an endpoint over 5 s after it announced leaving
+	versions       map[string]string          // software versions, by endpoint ID
+	otherVersions  int                        // requests to continue a text of another version, which were refused
 	probes         int
 	members        membership.Static
 	invariants     *invariant.Set
@@ -252,6 +254,10 @@
 	_ = json.NewDecoder(q.Body).Decode(&body)
 	text := body.Messages[0].Content
 	f.setLeavingHeader(id, text, h)
+	if !f.continuesOwnVersion(id, &body, h) {
+		api.WriteError(w, api.NewError(http.StatusServiceUnavailable, api.CodeVersionGone, "another version"))
+		return
+	}
 	injected := f.drawFault()
 	switch injected {
 	case dropBefore:
@@ -296,6 +302,22 @@
 	writeResponse(w, &body, text, injected)
 }
 
+// continuesOwnVersion sets the version header, and reports whether the request does not ask
+// to continue a text of another version.
+func (f *testFleet) continuesOwnVersion(id string, body *api.ChatRequest, h http.Header) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	version := f.versions[id]
+	if version != "" {
+		h.Set(api.HeaderEndpointVersion, version)
+	}
+	if body.Resume == nil || body.Resume.Version == version {
+		return true
+	}
+	f.otherVersions++
+	return false
+}
+
 // startLeaving makes an endpoint announce that it is leaving, unless all but two
 // endpoints have done so.
 func (f *testFleet) startLeaving(id string, h http.Header) {
--- a/dispatch/forwarder.go
+++ b/dispatch/forwarder.go
@@ -114,6 +114,7 @@
 		Slots:          f.call.Deployment.Slots,
 		Suspect:        f.suspect,
 		Exclude:        f.failedIDs,
+		Resume:         f.resumePosition(),
 		PrefixEndpoint: prefixEndpoint,
 		PrefixSaving:   time.Duration(depth) * blockSaving,
 		Usable:         d.detector.Usable,
--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -37,6 +37,8 @@
 	inFlight    int
 	suspects    int           // suspect requests among those in flight
 	serviceTime time.Duration // exponential moving average of attempt durations
+	version     string        // of the endpoint's software, as last reported
+	responded   bool          // version was reported
 }
 
 // NewLoads returns an empty Loads.
@@ -104,6 +106,27 @@
 	}
 }
 
+// RecordVersion records the version of an endpoint's software that a response named; empty:
+// none. It does nothing for an endpoint whose load is not known.
+func (l *Loads) RecordVersion(id, version string) {
+	s := l.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e, ok := s.loads[id]; ok {
+		e.version, e.responded = version, true
+	}
+}
+
+// HasOtherVersion reports whether the software of an endpoint is known to have another
+// version.
+func (l *Loads) HasOtherVersion(id, version string) bool {
+	s := l.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.loads[id]
+	return ok && e.responded && e.version != version
+}
+
 // Instance returns the instance of an endpoint that an attempt was sent to, or
 // false if its load is not known or has expired.
 func (l *Loads) Instance(id string) (infra.Instance, bool) {
--- a/dispatch/picker.go
+++ b/dispatch/picker.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"dandelionrelay/api"
 	"dandelionrelay/infra"
 	"dandelionrelay/membership"
 )
@@ -40,6 +41,9 @@
 	Slots   int      // requests that one endpoint runs concurrently; 0 if unknown
 	Suspect bool     // the request may have crashed an endpoint, so it waits for other suspects there
 	Exclude []string // IDs of endpoints at which an attempt failed
+	// Resume is the position from which the response is to go on; nil: from the start.
+	// Endpoints of another version are passed over.
+	Resume *api.Resume
 	// PrefixEndpoint is the ID of the endpoint that probably caches a prefix of
 	// the prompt, or empty. PrefixSaving is the prefill time saved there.
 	PrefixEndpoint string
@@ -150,6 +154,9 @@
 	if i.State == infra.Leaving || slices.Contains(q.Exclude, i.ID) || !q.Usable(i.ID) {
 		return
 	}
+	if q.Resume != nil && p.loads.HasOtherVersion(i.ID, q.Resume.Version) {
+		return
+	}
 	l := p.loads.snapshot(i.ID, q.Slots, q.Now)
 	cost := l.cost + latency
 	if q.Suspect {
--- a/dispatch/response.go
+++ b/dispatch/response.go
@@ -108,7 +108,7 @@
 		// endpoint as failed keeps further calls away until a probe succeeds,
 		// so that they don't use up the retry budget.
 		return &attemptFailure{err: e, retryable: true, endpointFailed: true}
-	case api.CodeOverloaded:
+	case api.CodeOverloaded, api.CodeVersionGone:
 		return &attemptFailure{err: e, retryable: true}
 	}
 	return &attemptFailure{err: e}
@@ -184,6 +184,9 @@
 		}
 	}
 	h.Set(api.HeaderRequestID, f.call.ID)
+	if v := resp.Header.Get(api.HeaderEndpointVersion); v != "" {
+		h.Set(api.HeaderEndpointVersion, v)
+	}
 	if complete {
 		h.Set(api.HeaderOutcome, string(api.Done))
 	}
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -34,6 +34,7 @@
 	done         bool            // the event [DONE] was received
 	notResumable bool            // it has content that a resume position can't describe
 	completionID string          // ID of the first attempt's completion
+	version      string          // of the software of the endpoints that sent it
 	text         strings.Builder // delivered content
 	tokens       int             // delivered tokens
 	resumed      bool            // the events come from a resumed attempt
@@ -64,6 +65,8 @@
 	s.resumed = f.call.ResponseStarted
 	if s.resumed {
 		f.dispatcher.metrics.streamsResumed.Inc()
+	} else {
+		s.version = resp.Header.Get(api.HeaderEndpointVersion)
 	}
 	in := bufio.NewReaderSize(resp.Body, eventBufferBytes)
 	out := http.NewResponseController(f.call.W)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"dandelionrelay/api"
@@ -54,9 +55,13 @@
 // Sidecar holds the settings of a sidecar.
 type Sidecar struct {
 	Process
-	Deployment   string          `json:"deployment"`                            // of its endpoint
-	EndpointURL  string          `json:"endpoint_url"`                          // http://ip:port of the endpoint
-	DrainTimeout config.Duration `json:"drain_timeout,omitempty" reload:"true"` // maximum wait for streams in flight; default 5m
+	Deployment  string `json:"deployment"`   // of its endpoint
+	EndpointURL string `json:"endpoint_url"` // http://ip:port of the endpoint
+	// EndpointVersion is the version of the endpoint's software. Texts that one version has
+	// begun are not continued by another. Empty: the same as all endpoints of the deployment
+	// that name none.
+	EndpointVersion string          `json:"endpoint_version,omitempty"`
+	DrainTimeout    config.Duration `json:"drain_timeout,omitempty" reload:"true"` // maximum wait for streams in flight; default 5m
 }
 
 // Platform holds the settings of the stand-in platform.
@@ -126,6 +131,18 @@
 	}
 }
 
+// headerValue checks that value can be sent in a header: it consists of at most
+// maxHeaderValue visible ASCII characters.
+func (f *findings) headerValue(pointer, value string) {
+	invisible := strings.ContainsFunc(value, func(r rune) bool { return r <= ' ' || r > '~' })
+	if invisible || len(value) > maxHeaderValue {
+		f.add(pointer, fmt.Sprintf("must be at most %d visible ASCII characters", maxHeaderValue))
+	}
+}
+
+// maxHeaderValue is the largest length of a setting that is sent in a header, in bytes.
+const maxHeaderValue = 128
+
 func (f *findings) notNegative(pointer string, value float64) {
 	if value < 0 {
 		f.add(pointer, "must not be negative")
@@ -190,6 +207,7 @@
 	s.Process.check(f)
 	f.required("/deployment", s.Deployment)
 	f.url("/endpoint_url", s.EndpointURL)
+	f.headerValue("/endpoint_version", s.EndpointVersion)
 	f.notNegative("/drain_timeout", float64(s.DrainTimeout))
 	setDefault(&s.DrainTimeout, config.Duration(DefaultDrainTimeout))
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -71,3 +72,17 @@
 	_, err = settings.LoadPlatform(writeSettings(t, `{"http_addr":"127.0.0.1:1"} {}`))
 	g.Expect(err).To(MatchError(ContainSubstring("more than one document")))
 }
+
+// TestLoadSidecar_EndpointVersion loads versions that can and can't be sent in a header.
+func TestLoadSidecar_EndpointVersion(t *testing.T) {
+	for version, valid := range map[string]bool{"": true, "v1.2+cuda": true, "v 1": false, "v\u00e9": false, strings.Repeat("v", 129): false} {
+		g := NewWithT(t)
+		_, err := settings.LoadSidecar(writeSettings(t, `{"id":"s1","data_centre":"a","http_addr":"127.0.0.1:1","rpc_addr":"127.0.0.1:2",
+			"ops_addr":"127.0.0.1:3","platform_url":"http://127.0.0.1:4","deployment":"d","endpoint_url":"http://127.0.0.1:5","endpoint_version":"`+version+`"}`))
+		if valid {
+			g.Expect(err).NotTo(HaveOccurred(), version)
+		} else {
+			g.Expect(err).To(MatchError(ContainSubstring("/endpoint_version")), version)
+		}
+	}
+}
--- a/sidecar/body.go
+++ b/sidecar/body.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"net/http"
 	"strings"
 
 	"dandelionrelay/api"
@@ -97,6 +98,17 @@
 	}
 }
 
+// checkResume refuses to continue a text that software of another version has generated.
+func (s *Sidecar) checkResume(from *api.Resume) *api.Error {
+	switch {
+	case from == nil || from.Version == s.settings.EndpointVersion:
+		return nil
+	case from.Version == "":
+		return api.NewError(http.StatusServiceUnavailable, api.CodeVersionUnknown, "resume.version is missing: it names the version of the software that generated the text")
+	}
+	return api.NewError(http.StatusServiceUnavailable, api.CodeVersionGone, "the endpoint's software has another version than the one that generated the text")
+}
+
 // prepareBody sets the cache salt in the body of an online request to a model
 // engine and estimates its cost in tokens. A request to a plain service or without
 // a body costs 1.
@@ -105,11 +117,15 @@
 		return 1, nil
 	}
 	var head struct {
-		MaxTokens int `json:"max_tokens"`
+		MaxTokens int         `json:"max_tokens"`
+		Resume    *api.Resume `json:"resume"`
 	}
 	if err := json.Unmarshal(req.Body, &head); err != nil {
 		return 0, api.NewError(400, api.CodeBadRequest, "request body is not a valid JSON object")
 	}
+	if failure := s.checkResume(head.Resume); failure != nil {
+		return 0, failure
+	}
 	cost = estimateCost(len(req.Body), head.MaxTokens)
 	if salted, ok := spliceCacheSalt(req.Body, req.Customer); ok {
 		req.Body = salted
--- a/sidecar/item.go
+++ b/sidecar/item.go
@@ -46,6 +46,10 @@
 	if err != nil {
 		return r // the endpoint responds with an error
 	}
+	if e := b.checkResume(w.Resume); e != nil {
+		b.deps.Logger.Info().Str("request", r.id).Str("version", w.Resume.Version).Int("tokens", w.Resume.Tokens).Msg("batch item begins again at another software version")
+		r.Resume = nil
+	}
 	body.setCacheSalt(w.Customer)
 	r.modelBody = body
 	r.streamed = d.CanResume && w.Idempotent && w.Path == chatPath && body.mergeable()
--- a/sidecar/itemcall.go
+++ b/sidecar/itemcall.go
@@ -39,7 +39,7 @@
 	if err := a.read(resp.Body); err != nil {
 		result, ended := r.endWithoutResponse(parent, ctx, api.Unknown)
 		result.Crash = quarantine.CrashKind(result.Crash, int64(a.tokens-r.resumedTokens()))
-		r.Resume = a.resumePosition()
+		r.Resume = a.resumePosition(r.runner.settings.EndpointVersion)
 		result.Resume = r.Resume
 		return result, ended
 	}
--- a/sidecar/process.go
+++ b/sidecar/process.go
@@ -92,8 +92,10 @@
 			ID:          s.ID,
 			Deployment:  s.Deployment,
 			EndpointURL: s.EndpointURL,
-			Policy:      d.Policy,
-			BatchLimit:  d.BatchLimit,
+
+			EndpointVersion: s.EndpointVersion,
+			Policy:          d.Policy,
+			BatchLimit:      d.BatchLimit,
 		},
 		Deps{
 			Config:     &p.holder,
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -38,13 +38,16 @@
 	}
 }
 
-// setStateHeaders sets the headers with the expected queue wait in milliseconds
-// and, if the endpoint drains, with its leaving state.
+// setStateHeaders sets the headers with the version of the endpoint's software, the
+// expected queue wait in milliseconds and, if the endpoint drains, with its leaving state.
 func (s *Sidecar) setStateHeaders(h http.Header) {
 	wait := s.QueueWait()
 	if s.gate.hasSuspects() {
 		wait += suspectRetryAfter // so that entries prefer other endpoints
 	}
+	if v := s.settings.EndpointVersion; v != "" {
+		h.Set(api.HeaderEndpointVersion, v)
+	}
 	h.Set(api.HeaderQueueWait, strconv.FormatInt(wait.Milliseconds(), 10))
 	if s.drain.isDraining() {
 		h.Set(api.HeaderLeaving, "1")
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -33,8 +33,11 @@
 	Deployment   string // deployment of the endpoint
 	EndpointURL  string // base URL of the endpoint, with an IP address
 	MaxBodyBytes int64  // largest request body; 0 means DefaultMaxBodyBytes
-	BatchLimit   lane.BatchLimit
-	Policy       lane.Policy
+	// EndpointVersion is the version of the endpoint's software; empty: all endpoints of
+	// the deployment that name none have the same.
+	EndpointVersion string
+	BatchLimit      lane.BatchLimit
+	Policy          lane.Policy
 }
 
 // Deps holds the dependencies of a sidecar.
