gateway, origin: entries that start inherit which versions were listed

Fix: the writer of the levels stores the history of versions in the same append (no further call), with the offset up to which the endpoints' partition was read. An entry that starts reads the registrations from there on and adds both to its own history; whatever was listed then counts as listed until it starts. Ruled out: reading the endpoints' log back for the time in question (records bear no time); going on where one version is listed now (a guess). TestHistory_InheritedNeverNamesOneOfSeveral, 3,000 seeds.

--- a/gateway/confirm.go
+++ b/gateway/confirm.go
@@ -21,9 +21,6 @@
 // ConfigFeed follows the partition of the configuration.
 type ConfigFeed interface {
 	Feed
-	// NextOffset returns the offset after the newest applied record. It returns false
-	// before the first one.
-	NextOffset() (int64, bool)
 	// ConfirmByPeer records that the records before next are all that were appended
 	// before at. It returns false if newer records are missing here.
 	ConfirmByPeer(next int64, at time.Duration) bool
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,6 +45,9 @@
 	// LostFor returns the time since the first failed read after the last one that
 	// confirmed the state; 0 if none has failed since.
 	LostFor() time.Duration
+	// NextOffset returns the offset after the newest applied record. It returns false
+	// before the first one.
+	NextOffset() (int64, bool)
 	// Refresh reads the partition without waiting for new records.
 	Refresh(ctx context.Context) error
 }
@@ -60,13 +63,16 @@
 	ConfigRecords func() []keyedlog.Record
 	// EndpointFeed calls Gateway.SetEndpoints with each new list of endpoints.
 	EndpointFeed Feed
-	Members      keyedlog.Partition // registrations of entries
-	Suspects     keyedlog.Partition // requests during which endpoints crashed
-	Levels       keyedlog.Partition // token-bucket levels of customers, read by entries at startup
-	Jobs         keyedlog.Partition // index of batch jobs
-	Contents     []batch.Store
-	Dialect      upstream.Dialect
-	IDHeader     string // header in which endpoints echo the ID of a request
+	// EndpointsSince returns the endpoints that registered at offset from of EndpointFeed
+	// or after it. It fails if the records are no longer retained or too many.
+	EndpointsSince func(ctx context.Context, from int64) ([]placement.Endpoint, error)
+	Members        keyedlog.Partition // registrations of entries
+	Suspects       keyedlog.Partition // requests during which endpoints crashed
+	Levels         keyedlog.Partition // token-bucket levels of customers, read by entries at startup
+	Jobs           keyedlog.Partition // index of batch jobs
+	Contents       []batch.Store
+	Dialect        upstream.Dialect
+	IDHeader       string // header in which endpoints echo the ID of a request
 }
 
 // Deps holds the dependencies of a Gateway.
--- a/gateway/levels.go
+++ b/gateway/levels.go
@@ -77,6 +77,9 @@
 		return false
 	}
 	for _, r := range page.Records {
+		if r.Key == originsKey {
+			go g.inheritOrigins(context.WithoutCancel(ctx), r)
+		}
 		if r.Key != levelsKey {
 			continue
 		}
@@ -91,13 +94,18 @@
 	return true
 }
 
+// storeLevels stores the levels and what is known of the versions of endpoints.
 func (g *Gateway) storeLevels(ctx context.Context, levels map[quota.Key]int) error {
 	value, err := json.Marshal(levelsRecord{Tokens: levels})
 	if err != nil {
 		return errorx.Decorate(err, "encode token-bucket levels")
 	}
+	records := []keyedlog.Record{{Key: levelsKey, Value: value}}
+	if r, ok := g.originsRecord(); ok {
+		records = append(records, r)
+	}
 	ctx, cancel := context.WithTimeout(ctx, gossip.RegistrationInterval)
 	defer cancel()
-	_, err = g.Levels.Append(ctx, keyedlog.AnyOffset, []keyedlog.Record{{Key: levelsKey, Value: value}})
+	_, err = g.Levels.Append(ctx, keyedlog.AnyOffset, records)
 	return err
 }
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -42,14 +42,6 @@
 	return origin.Listing{Listed: origins(l.Listed), Removed: origins(l.Removed), Gap: l.Gap}
 }
 
-func origins(endpoints []placement.Endpoint) []origin.Origin {
-	list := make([]origin.Origin, len(endpoints))
-	for i, e := range endpoints {
-		list[i] = origin.Origin{Deployment: e.Deployment, Version: e.Version}
-	}
-	return list
-}
-
 // routeTargets returns the deployments to which the online routes of a configuration lead.
 func routeTargets(s *config.State) []origin.Route {
 	var list []origin.Route
--- a/origin/history.go
+++ b/origin/history.go
@@ -116,3 +116,76 @@
 	}
 	return only[0], true
 }
+
+// Stored is a History as an entry stores it for entries that start.
+type Stored struct {
+	Age      time.Duration   `json:"age"` // all versions listed since then are known
+	Versions []StoredVersion `json:"versions"`
+	Routes   []StoredRoute   `json:"routes"`
+}
+
+// StoredVersion is a version that is listed or was.
+type StoredVersion struct {
+	Origin
+	Ended time.Duration `json:"ended"` // time since it was last listed; 0: it is
+}
+
+// StoredRoute is where a route leads, and for how long it has.
+type StoredRoute struct {
+	ID          string        `json:"id"`
+	Deployments []string      `json:"deployments"`
+	Age         time.Duration `json:"age"`
+}
+
+// Stored returns the history to store; false if the list of endpoints is not known yet.
+func (h *History) Stored() (Stored, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.since == 0 {
+		return Stored{}, false
+	}
+	now := h.clock()
+	s := Stored{Age: now - h.since}
+	for o := range h.listed {
+		s.Versions = append(s.Versions, StoredVersion{Origin: o})
+	}
+	for o, at := range h.ended {
+		s.Versions = append(s.Versions, StoredVersion{Origin: o, Ended: max(now-at, 1)})
+	}
+	for id, r := range h.routes {
+		s.Routes = append(s.Routes, StoredRoute{ID: id, Deployments: r.deployments, Age: now - r.since})
+	}
+	return s, true
+}
+
+// Inherit adds what another entry has stored, at any time before, and the versions that were
+// listed since then. What was listed then counts as listed until now.
+func (h *History) Inherit(s Stored, since []Origin) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.clock()
+	if h.since == 0 || h.since <= now-s.Age {
+		return
+	}
+	h.since = now - s.Age
+	for _, v := range s.Versions {
+		h.addEnded(v.Origin, now-v.Ended)
+	}
+	for _, o := range since {
+		h.addEnded(o, now)
+	}
+	for _, stored := range s.Routes {
+		r, ok := h.routes[stored.ID]
+		if ok && slices.Equal(r.deployments, stored.Deployments) {
+			r.since = min(r.since, now-stored.Age)
+			h.routes[stored.ID] = r
+		}
+	}
+}
+
+// addEnded records that a version was listed until at. The caller holds the lock.
+func (h *History) addEnded(o Origin, at time.Duration) {
+	if !h.listed[o] {
+		h.ended[o] = max(h.ended[o], at)
+	}
+}
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -166,3 +166,91 @@
 		}
 	}
 }
+
+// fleetList is a list of versions that changes at random, and when each was last listed.
+type fleetList struct {
+	random *rand.Rand
+	clock  *fakeClock
+	listed []Origin
+	last   map[Origin]time.Duration
+}
+
+// change changes the list, and returns it with what was listed only briefly.
+func (f *fleetList) change() Listing {
+	l := Listing{}
+	for _, o := range []Origin{v1, v2} {
+		switch f.random.IntN(6) {
+		case 0:
+			l.Removed = append(l.Removed, o)
+			f.last[o] = f.clock.now
+		case 1, 2, 3:
+			l.Listed = append(l.Listed, o)
+		}
+	}
+	for _, o := range append(f.listed, l.Listed...) {
+		f.last[o] = f.clock.now
+	}
+	f.listed = l.Listed
+	return l
+}
+
+// An entry stores its history, others change the list, and another entry starts and
+// inherits. It never names an origin if any stream that began within the age can have
+// another, and it does name one.
+func TestHistory_InheritedNeverNamesOneOfSeveral(t *testing.T) {
+	named := 0
+	for seed := range uint64(3000) {
+		clock := &fakeClock{now: time.Hour}
+		f := &fleetList{random: rand.New(rand.NewPCG(seed, 2)), clock: clock, last: make(map[Origin]time.Duration)}
+		pass := func(most time.Duration) { clock.now += time.Duration(f.random.Int64N(int64(most))) }
+		writer := NewHistory(clock.read)
+		writer.SetRoutes([]Route{{ID: "r", Deployments: []string{"lm"}}})
+		for range 1 + f.random.IntN(4) {
+			writer.SetListed(f.change())
+			pass(age)
+		}
+		stored, _ := writer.Stored()
+		var since []Origin
+		for range f.random.IntN(3) {
+			pass(age / 4)
+			l := f.change()
+			since = append(since, append(l.Listed, l.Removed...)...)
+		}
+		pass(age / 4)
+		// What is listed stays so: it registers again and again, or is listed when the entry starts.
+		starter := NewHistory(clock.read)
+		starter.SetRoutes([]Route{{ID: "r", Deployments: []string{"lm"}}})
+		starter.SetListed(Listing{Listed: f.listed, Gap: true})
+		starter.Inherit(stored, since)
+		for _, o := range f.listed {
+			f.last[o] = clock.now
+		}
+		o, ok := starter.Only("r", age)
+		if !ok {
+			continue
+		}
+		named++
+		for other, at := range f.last {
+			if other != o && clock.now-at <= age {
+				t.Fatalf("seed %d: %v is named though %v was listed %v ago", seed, o, other, clock.now-at)
+			}
+		}
+	}
+	gomega.NewWithT(t).Expect(named).To(gomega.BeNumerically(">", 50))
+}
+
+// A route that leads elsewhere than when the history was stored is not inherited.
+func TestHistory_InheritsOnlyRoutesThatLeadTheSameWay(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h, clock := newTestHistory()
+	stored, ok := h.Stored()
+	g.Expect(ok).To(gomega.BeTrue())
+	for deployment, known := range map[string]bool{"lm": true, "other": false} {
+		starter := NewHistory(clock.read)
+		starter.SetRoutes([]Route{{ID: "r", Deployments: []string{deployment}}})
+		starter.SetListed(Listing{Listed: []Origin{v1}, Gap: true})
+		starter.Inherit(stored, nil)
+		_, ok := starter.Only("r", age)
+		g.Expect(ok).To(gomega.Equal(known), deployment)
+	}
+}
