--- /dev/null
+++ b/batch/start.go
@@ -0,0 +1,88 @@
+package batch
+
+import (
+	"context"
+	"time"
+
+	"dandelionrelay/config"
+	"dandelionrelay/placement"
+)
+
+// startItem starts an item if a slot is free, or fails it if it may not run any
+// more. It returns false if the item continues to wait. If no endpoint of the
+// deployment has a free slot, it sets the deployment in full, unless the item
+// avoids an endpoint or a version, where others may find a slot.
+func (r *runner) startItem(ctx context.Context, snapshot *config.Snapshot, it runnableItem, full map[string]bool) bool {
+	route, ok := snapshot.State.Routes[it.job.Route]
+	if !ok || route.Provided == nil || route.Provided.Batch == nil {
+		return r.failItem(it, "its route is gone")
+	}
+	if time.Since(it.job.Submitted) > route.Provided.Batch.Retain+failGrace {
+		return r.failItem(it, "it is too old")
+	}
+	if full[route.Deployment] {
+		return false
+	}
+	itemCtx, cancel := context.WithCancel(ctx)
+	request := placement.Request{Deployment: route.Deployment, Version: it.version, Avoid: it.avoid.avoidSet(r.Clock())}
+	grant := r.Table.PlaceBatch(r.Clock(), request, cancel)
+	if grant == nil && r.versionMissing(it, request) {
+		request.Version = ""
+		grant = r.Table.PlaceBatch(r.Clock(), request, cancel)
+	}
+	if grant == nil {
+		cancel()
+		full[route.Deployment] = len(request.Avoid) == 0 && request.Version == ""
+		return false
+	}
+	if grant.Endpoint.Version != it.version {
+		r.beginAgain(it, grant)
+	}
+	it.missing = 0
+	r.mu.Lock()
+	it.phase = phaseRunning
+	it.cancel = cancel
+	r.mu.Unlock()
+	go r.runItem(itemCtx, cancel, it, route, grant)
+	return true
+}
+
+// maxVersionWait is how long an item with output waits for a slot at an endpoint of the
+// version that wrote it, before it begins again at any other.
+const maxVersionWait = time.Second
+
+// versionMissing reports whether an item with output, for which no slot is free at an
+// endpoint of the version that wrote it, is to begin again where one is.
+func (r *runner) versionMissing(it runnableItem, request placement.Request) bool {
+	if request.Version == "" {
+		return false
+	}
+	now := r.Clock()
+	if it.missing == 0 {
+		it.missing = now
+	}
+	request.Avoid = nil
+	return now-it.missing >= maxVersionWait || !r.Table.ServesBatch(request)
+}
+
+// beginAgain discards the output of an item, if it has any, that runs at an endpoint of
+// another version next.
+func (r *runner) beginAgain(it runnableItem, grant *placement.Grant) {
+	if it.events == 0 {
+		return
+	}
+	r.Log.Info().Str("job", it.job.ID).Str("request", it.job.Items[it.id.item].ID).Str("version", it.version).Int("events", it.events).
+		Str("endpoint", grant.Endpoint.ID).Str("next_version", grant.Endpoint.Version).Msg("batch item begins again at another software version")
+	it.reset()
+}
+
+// failItem finishes an item as errored, with a reason. It returns true.
+func (r *runner) failItem(it runnableItem, reason string) bool {
+	r.mu.Lock()
+	it.phase = phaseFinished
+	it.result = Result{State: Errored, Reason: reason}
+	r.mu.Unlock()
+	r.Log.Warn().Str("job", it.job.ID).Str("item", it.job.Items[it.id.item].ID).Str("reason", reason).Msg("batch item marked as errored")
+	signal(r.finished)
+	return true
+}
--- a/online/versions_test.go
+++ b/online/versions_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/onsi/gomega"
 
+	"dandelionrelay/eventstream"
+	"dandelionrelay/pipeline"
 	"dandelionrelay/standin/streams"
 )
 
@@ -49,3 +52,18 @@
 		r.Expect(begun).To(gomega.BeNumerically(">", 0))
 	})
 }
+
+// An endpoint begins again instead of going on. The caller that takes the stream up gets no
+// event twice.
+func TestStream_TakenUpWithoutDuplicates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEndpoint("e", always(streams.Behaviour{Restart: true}))
+		r := newTestService(t, e)
+		c, w := newCall("q", true)
+		c.R.Header.Set("Last-Event-Id", "5")
+		c.Resumption = &pipeline.Resumption{Attempt: "first", Cursor: eventstream.Cursor{LastID: 5, HasID: true}}
+		r.Expect(r.Handle(t.Context(), c)).To(gomega.BeNil())
+		whole := e.ResponseBody("q")
+		r.Expect(w.body.String()).To(gomega.Equal(whole[strings.Index(whole, "id: 6\n"):]))
+	})
+}
--- a/standin/streams/streams.go
+++ b/standin/streams/streams.go
@@ -77,6 +77,7 @@
 	Unframed bool
 	EndAfter int
 	Endless  bool // send events until the connection is closed
+	Restart  bool // begin with the first event, whatever the request says
 }
 
 // Run is one request that the endpoint started to run.
@@ -215,6 +216,9 @@
 // run runs a request. The caller holds a slot.
 func (e *Endpoint) run(w http.ResponseWriter, r *http.Request, id string, b Behaviour) {
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // absent: 0
+	if b.Restart {
+		last = 0
+	}
 	body := make([]byte, 1<<16)
 	size, _ := r.Body.Read(body)
 	e.mu.Lock()
