--- a/batch/checkpoint.go
+++ b/batch/checkpoint.go
@@ -8,6 +8,7 @@
 
 	"dandelionrelay/eventstream"
 	"dandelionrelay/keyedlog"
+	"dandelionrelay/origin"
 )
 
 // Limits and key of checkpoints. The output of unfinished items is stored periodically,
@@ -31,9 +32,9 @@
 	Events int   `json:"events"`  // number of events in the output
 	LastID int64 `json:"last_id"` // ID of the last event that has one
 	HasID  bool  `json:"has_id"`  // an event with an ID was received
-	// Version is that of the software that wrote the output. Checkpoints without it, of
-	// earlier releases, are not used.
-	Version string `json:"version"`
+	// Origin is that of the output. Checkpoints without it, of earlier releases, are not
+	// used.
+	Origin origin.Origin `json:"origin"`
 }
 
 // checkpointRecord returns the progress of an item as a record to store. It
@@ -45,7 +46,7 @@
 	if p.events < p.checkpointedEvents+minCheckpointEvents {
 		return keyedlog.Record{}, false, nil
 	}
-	value, err := encodeContent(checkpoint{Events: p.events, LastID: p.cursor.LastID, HasID: p.cursor.HasID, Version: p.version}, p.output)
+	value, err := encodeContent(checkpoint{Events: p.events, LastID: p.cursor.LastID, HasID: p.cursor.HasID, Origin: p.origin}, p.output)
 	if err != nil {
 		return keyedlog.Record{}, false, err
 	}
@@ -63,11 +64,11 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.Events <= p.events || c.Version == "" {
+	if c.Events <= p.events || c.Origin == (origin.Origin{}) {
 		return nil
 	}
 	p.output = bytes.Clone(output)
-	p.version = c.Version
+	p.origin = c.Origin
 	p.events, p.checkpointedEvents = c.Events, c.Events
 	p.cursor = eventstream.Cursor{LastID: c.LastID, HasID: c.HasID}
 	return nil
@@ -189,5 +190,5 @@
 func (p *progress) reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.output, p.version, p.events, p.checkpointedEvents, p.cursor = nil, "", 0, 0, eventstream.Cursor{}
+	p.output, p.origin, p.events, p.checkpointedEvents, p.cursor = nil, origin.Origin{}, 0, 0, eventstream.Cursor{}
 }
--- a/batch/fleet_test.go
+++ b/batch/fleet_test.go
@@ -77,10 +77,7 @@
 		endpoints: endpoints,
 		notAlive:  make(map[string]bool),
 	}
-	policy := testPolicy
-	f.config.Set(config.NewSnapshot(1, &config.State{Routes: map[string]config.Route{
-		testRoute: {PathPrefix: "/digests/", Deployment: testModel, Provided: &config.ProvidedRoute{Host: "h", Batch: &policy}},
-	}}))
+	f.routeTo(testModel)
 	for _, e := range endpoints {
 		listener := f.network.Listen(e.ID + ":1")
 		server := e.Serve(listener)
@@ -92,6 +89,14 @@
 	return f
 }
 
+// routeTo makes testRoute lead to a deployment.
+func (f *testFleet) routeTo(deployment string) {
+	policy := testPolicy
+	f.config.Set(config.NewSnapshot(f.config.Current().Version+1, &config.State{Routes: map[string]config.Route{
+		testRoute: {PathPrefix: "/digests/", Deployment: deployment, Provided: &config.ProvidedRoute{Host: "h", Batch: &policy}},
+	}}))
+}
+
 // Alive implements Peers.
 func (f *testFleet) Alive(name string, incarnation uint64) bool {
 	f.mu.Lock()
--- a/batch/item.go
+++ b/batch/item.go
@@ -10,6 +10,7 @@
 
 	"dandelionrelay/config"
 	"dandelionrelay/eventstream"
+	"dandelionrelay/origin"
 	"dandelionrelay/placement"
 	"dandelionrelay/upstream"
 )
@@ -152,7 +153,7 @@
 		x.Close()
 		return runLost, placement.ErrorResponse, errorx.ExternalError.New("endpoint responded with status %d, signed: %t", resp.StatusCode, r.Dialect.Signed(resp))
 	}
-	return r.collect(it.progress, x, grant.Endpoint.Version)
+	return r.collect(it.progress, x, grant.Endpoint.Origin())
 }
 
 // readRejection reads a response that carries no output to its end, so that its
@@ -197,10 +198,10 @@
 	}, nil
 }
 
-// collect appends the events of a response, written by software of the given version, to
-// the item's output until the response ends. Events that an earlier run delivered are skipped; a missing
-// event ends the run.
-func (r *runner) collect(p *progress, x *upstream.Exchange, version string) (outcome, placement.Result, error) {
+// collect appends the events of a response to the item's output until the response ends.
+// source is the origin of the endpoint. Events that an earlier run delivered are skipped; a
+// missing event ends the run.
+func (r *runner) collect(p *progress, x *upstream.Exchange, source origin.Origin) (outcome, placement.Result, error) {
 	x.StreamBody()
 	reader := eventstream.NewReader(x.Response.Body)
 	from := p.events
@@ -231,7 +232,7 @@
 			x.Close()
 			return runLost, placement.Done, errorx.IllegalState.New("event stream has a gap: event %d follows event %d", e.ID, p.cursor.LastID)
 		}
-		p.appendEvent(e, version)
+		p.appendEvent(e, source)
 		if limit := r.limits.Load().RecordBytes; len(p.output) > limit {
 			x.Close()
 			return r.endOversized(p, limit)
@@ -266,12 +267,12 @@
 // scaledTimeout returns a timeout that has doubled with each run that timed out.
 func (p *progress) scaledTimeout(timeout time.Duration) time.Duration { return timeout << p.timeouts }
 
-// appendEvent appends the data of an event, written by software of the given version, to
-// the output and advances the cursor.
-func (p *progress) appendEvent(e eventstream.Event, version string) {
+// appendEvent appends the data of an event, whose origin is source, to the output and
+// advances the cursor.
+func (p *progress) appendEvent(e eventstream.Event, source origin.Origin) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.version = version
+	p.origin = source
 	if p.events > 0 {
 		p.output = append(p.output, '\n')
 	}
--- a/batch/list_test.go
+++ b/batch/list_test.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"dandelionrelay/eventstream"
+	"dandelionrelay/origin"
 )
 
 // newFinishedItem returns a runner with one finished item whose output is larger than
@@ -17,7 +18,7 @@
 	r := New(Deps{Limits: Limits{RecordBytes: 100}, Log: zerolog.Nop()}).runner
 	p := r.item(itemID{job: "j"})
 	for n := range int64(2 * minCheckpointEvents) {
-		p.appendEvent(eventstream.Event{ID: n, HasID: true, Raw: []byte("data: " + strings.Repeat("x", 10) + "\n\n")}, "v1")
+		p.appendEvent(eventstream.Event{ID: n, HasID: true, Raw: []byte("data: " + strings.Repeat("x", 10) + "\n\n")}, origin.Origin{Deployment: testModel, Version: "v1"})
 	}
 	p.phase = phaseFinished
 	p.result = Result{State: Completed}
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -9,6 +9,7 @@
 
 	"dandelionrelay/config"
 	"dandelionrelay/eventstream"
+	"dandelionrelay/origin"
 	"dandelionrelay/placement"
 	"dandelionrelay/sleep"
 )
@@ -48,9 +49,9 @@
 	id    itemID
 	phase phase
 
-	mu                 sync.Mutex // guards the fields up to checkpointedEvents while the item runs
-	output             []byte     // data of the events so far, separated by line feeds
-	version            string     // of the software that wrote the output; empty: there is none
+	mu                 sync.Mutex    // guards the fields up to checkpointedEvents while the item runs
+	output             []byte        // data of the events so far, separated by line feeds
+	origin             origin.Origin // of the output; zero: there is none
 	events             int
 	cursor             eventstream.Cursor
 	checkpointedEvents int // events in the newest checkpoint
@@ -60,7 +61,7 @@
 	losses        int                       // lost runs since the last new event
 	timeouts      int                       // runs that timed out, up to maxTimeoutDoublings
 	oversizedRuns int                       // runs whose output exceeded the limit on stored outputs
-	missing       time.Duration             // time of Clock since which no slot is free at an endpoint of version; 0: one was
+	missing       time.Duration             // time of Clock since which no slot is free at an endpoint of origin; 0: one was
 	notBefore     time.Duration             // time of Clock before which the item does not run again
 	intervals     eventstream.IntervalMeter // of the current run
 	cancel        context.CancelFunc
--- a/batch/start.go
+++ b/batch/start.go
@@ -24,7 +24,10 @@
 		return false
 	}
 	itemCtx, cancel := context.WithCancel(ctx)
-	request := placement.Request{Deployment: route.Deployment, Version: it.version, Avoid: it.avoid.avoidSet(r.Clock())}
+	request := placement.Request{Deployment: route.Deployment, Avoid: it.avoid.avoidSet(r.Clock())}
+	if it.origin.Deployment == route.Deployment {
+		request.Version = it.origin.Version
+	}
 	grant := r.Table.PlaceBatch(r.Clock(), request, cancel)
 	if grant == nil && r.versionMissing(it, request) {
 		request.Version = ""
@@ -35,7 +38,7 @@
 		full[route.Deployment] = len(request.Avoid) == 0 && request.Version == ""
 		return false
 	}
-	if grant.Endpoint.Version != it.version {
+	if grant.Endpoint.Origin() != it.origin {
 		r.beginAgain(it, grant)
 	}
 	it.missing = 0
@@ -66,13 +69,14 @@
 }
 
 // beginAgain discards the output of an item, if it has any, that runs at an endpoint of
-// another version next.
+// another version or deployment next.
 func (r *runner) beginAgain(it runnableItem, grant *placement.Grant) {
 	if it.events == 0 {
 		return
 	}
-	r.Log.Info().Str("job", it.job.ID).Str("request", it.job.Items[it.id.item].ID).Str("version", it.version).Int("events", it.events).
-		Str("endpoint", grant.Endpoint.ID).Str("next_version", grant.Endpoint.Version).Msg("batch item begins again at another software version")
+	r.Log.Info().Str("job", it.job.ID).Str("request", it.job.Items[it.id.item].ID).Str("deployment", it.origin.Deployment).Str("version", it.origin.Version).
+		Int("events", it.events).Str("endpoint", grant.Endpoint.ID).Str("next_deployment", grant.Endpoint.Deployment).Str("next_version", grant.Endpoint.Version).
+		Msg("batch item begins again at another software version")
 	it.reset()
 }
 
--- a/batch/versions_test.go
+++ b/batch/versions_test.go
@@ -99,3 +99,23 @@
 		})
 	}
 }
+
+// The route moves to another deployment, whose endpoints happen to have a version of the
+// same name, while items run. They begin again there.
+func TestRunner_ItemsBeginAgainOnceTheirRouteMoves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		old, next := newEndpoint("old", 100, 8), newEndpoint("next", 100, 8)
+		old.Version, next.Version = "old/", "next/"
+		old.BehaviourFor = func(*http.Request, int) streams.Behaviour { return streams.Behaviour{AbortAfter: 40} }
+		f := newTestFleet(t, 1, old, next)
+		f.entries[0].Table.SetEndpoints([]placement.Endpoint{
+			{ID: "old", Address: "old:1", Deployment: testModel, DataCentre: "a", Version: "v1", Slots: 8},
+			{ID: "next", Address: "next:1", Deployment: "other", DataCentre: "a", Version: "v1", Slots: 8},
+		})
+		f.Expect(f.entries[0].Submit(f.ctx, submission("j", 8, 10))).To(gomega.Succeed())
+		time.Sleep(500 * time.Millisecond)
+		f.Expect(old.Runs()).NotTo(gomega.BeEmpty())
+		f.routeTo("other")
+		f.expectOneVersion(f.awaitResults(f.entries[0], "j", 6*time.Second))
+	})
+}
--- a/gateway/inherit.go
+++ b/gateway/inherit.go
@@ -79,7 +79,7 @@
 func origins(endpoints []placement.Endpoint) []origin.Origin {
 	list := make([]origin.Origin, len(endpoints))
 	for i, e := range endpoints {
-		list[i] = origin.Origin{Deployment: e.Deployment, Version: e.Version}
+		list[i] = e.Origin()
 	}
 	return list
 }
--- a/gateway/streams_test.go
+++ b/gateway/streams_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/onsi/gomega"
@@ -45,6 +46,7 @@
 		l.Listed = append(l.Listed, placement.Endpoint{ID: "e-" + v, Deployment: "lm", Version: v, Slots: 1, Draining: true})
 	}
 	r.SetEndpoints(l)
+	synctest.Wait() // until the change of cells is applied, which reads the clock
 }
 
 // takeUp serves a call that takes a stream up and returns the call and its error.
@@ -83,37 +85,43 @@
 		"route moved":                       {prepare: func(r *testGateway) { r.routeTo("other"); r.routeTo("lm") }},
 	} {
 		t.Run(name, func(t *testing.T) {
-			r := newStreamGateway(t)
-			c.prepare(r)
-			call, err := r.takeUp("a")
-			r.Expect(err.Outcome).To(gomega.Equal(api.NotRun))
-			r.Expect(call.Resumption.Version).To(gomega.Equal(c.version))
-			if c.version == "" {
-				r.Expect(err.Code).To(gomega.Equal(api.CodeVersionUnknown))
-				return
-			}
-			r.Expect(err.Code).To(gomega.Equal(api.CodeVersionGone))
-			r.Expect(err.RetryAfter).To(gomega.BeZero(), "there will be no room")
-			r.Expect(call.Route.Deployment).To(gomega.Equal("lm"))
+			synctest.Test(t, func(t *testing.T) {
+				r := newStreamGateway(t)
+				c.prepare(r)
+				call, err := r.takeUp("a")
+				r.Expect(err.Outcome).To(gomega.Equal(api.NotRun))
+				r.Expect(call.Resumption.Version).To(gomega.Equal(c.version))
+				if c.version == "" {
+					r.Expect(err.Code).To(gomega.Equal(api.CodeVersionUnknown))
+					return
+				}
+				r.Expect(err.Code).To(gomega.Equal(api.CodeVersionGone))
+				r.Expect(err.RetryAfter).To(gomega.BeZero(), "there will be no room")
+				r.Expect(call.Route.Deployment).To(gomega.Equal("lm"))
+			})
 		})
 	}
 }
 
 // A route that no longer leads to the deployment that began a stream does not continue it.
 func TestResumedStream_RefusedOnceItsRouteHasMoved(t *testing.T) {
-	r := newStreamGateway(t)
-	r.StreamBegan("a", origin.Origin{Deployment: "lm", Version: "v1"})
-	r.routeTo("other")
-	_, err := r.takeUp("a")
-	r.Expect(err.Code).To(gomega.Equal(api.CodeVersionGone))
+	synctest.Test(t, func(t *testing.T) {
+		r := newStreamGateway(t)
+		r.StreamBegan("a", origin.Origin{Deployment: "lm", Version: "v1"})
+		r.routeTo("other")
+		_, err := r.takeUp("a")
+		r.Expect(err.Code).To(gomega.Equal(api.CodeVersionGone))
+	})
 }
 
 // While the store is out of reach, callers are not kept waiting for it, and are told when to
 // come back.
 func TestResumedStream_RefusedAtOnceWithoutStore(t *testing.T) {
-	r := newStreamGateway(t)
-	r.feed.age, r.feed.lost = time.Second, time.Second
-	_, err := r.takeUp("")
-	r.Expect(r.feed.refreshed).To(gomega.BeZero())
-	r.Expect(err.RetryAfter).To(gomega.Equal(r.StoreRetryAfter()))
+	synctest.Test(t, func(t *testing.T) {
+		r := newStreamGateway(t)
+		r.feed.age, r.feed.lost = time.Second, time.Second
+		_, err := r.takeUp("")
+		r.Expect(r.feed.refreshed).To(gomega.BeZero())
+		r.Expect(err.RetryAfter).To(gomega.Equal(r.StoreRetryAfter()))
+	})
 }
--- a/online/source.go
+++ b/online/source.go
@@ -5,7 +5,6 @@
 
 	"github.com/rs/zerolog"
 
-	"dandelionrelay/origin"
 	"dandelionrelay/placement"
 )
 
@@ -54,7 +53,7 @@
 // recordOrigin records where the stream begins, unless it has begun or can't be resumed.
 func (ex *execution) recordOrigin() {
 	if len(ex.sources) == 0 && ex.call.Resumption == nil && ex.route.Resumable {
-		ex.RecordOrigin(ex.call.ID, origin.Origin{Deployment: ex.endpoint.Deployment, Version: ex.endpoint.Version})
+		ex.RecordOrigin(ex.call.ID, ex.endpoint.Origin())
 	}
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -12,6 +12,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"dandelionrelay/origin"
 )
 
 // Key is the hash of an endpoint's ID and start time. Entries exchange it in place of
@@ -43,6 +45,11 @@
 	return Key(h.Sum32())
 }
 
+// Origin returns the origin of streams that begin at the endpoint.
+func (e Endpoint) Origin() origin.Origin {
+	return origin.Origin{Deployment: e.Deployment, Version: e.Version}
+}
+
 // Load counts the requests that run or wait at an endpoint.
 type Load struct {
 	Online int
