gateway: a resumed stream may come back to an entry that is about to know its origin

An entry that has just started refused streams that callers take up without a Retry-After in the 50 to 100 ms before it has inherited the history of versions. It names the time after a start now, as for other calls. Test: TestResumedStream_RetryAfterUntilHistoryIsInherited.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -108,6 +108,7 @@
 	listed            *origin.History
 	confirming        chan struct{} // holds one value while confirmEndpoints reads
 	resumed           *prometheus.CounterVec
+	originsInherited  atomic.Bool // the history of versions that others have stored was inherited, or can't be
 	fetcher           configFetcher
 
 	// Admissions reported by the other entries of this cell, and by other cells. A
--- a/gateway/inherit.go
+++ b/gateway/inherit.go
@@ -42,12 +42,23 @@
 	return keyedlog.Record{Key: originsKey, Value: value}, true
 }
 
-// inheritOrigins adds the stored history to that of this entry, once it has loaded the
-// configuration and the list of endpoints itself. The endpoints that registered between the
-// two are read from the log.
-func (g *Gateway) inheritOrigins(ctx context.Context, r keyedlog.Record) {
+// inheritOrigins inherits the history that is stored in one of the records, if any, and
+// sets originsInherited.
+func (g *Gateway) inheritOrigins(ctx context.Context, records []keyedlog.Record) {
+	defer g.originsInherited.Store(true)
 	ctx, cancel := context.WithTimeout(ctx, inheritTimeout)
 	defer cancel()
+	for _, r := range records {
+		if r.Key == originsKey {
+			g.inheritHistory(ctx, r)
+		}
+	}
+}
+
+// inheritHistory adds the stored history to that of this entry, once it has loaded the
+// configuration and the list of endpoints itself. The endpoints that registered between the
+// two are read from the log.
+func (g *Gateway) inheritHistory(ctx context.Context, r keyedlog.Record) {
 	var stored originsRecord
 	if err := json.Unmarshal(r.Value, &stored); err != nil {
 		g.badRecordLogger("levels")(r.Key, err)
--- a/gateway/levels.go
+++ b/gateway/levels.go
@@ -76,10 +76,8 @@
 		g.Log.Debug().Err(err).Msg("could not read token-bucket levels")
 		return false
 	}
+	go g.inheritOrigins(context.WithoutCancel(ctx), page.Records)
 	for _, r := range page.Records {
-		if r.Key == originsKey {
-			go g.inheritOrigins(context.WithoutCancel(ctx), r)
-		}
 		if r.Key != levelsKey {
 			continue
 		}
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -97,12 +97,15 @@
 	}
 }
 
-// originUnknownError returns the error for a stream whose origin can't be known. Another
-// entry may know it if this one doesn't reach the store.
+// originUnknownError returns the error for a stream whose origin can't be known. It is worth
+// another try if this entry has just started or doesn't reach the store.
 func (g *Gateway) originUnknownError() *api.Error {
 	var retryAfter time.Duration
-	if g.EndpointFeed.LostFor() > 0 {
+	switch {
+	case g.EndpointFeed.LostFor() > 0:
 		retryAfter = g.StoreRetryAfter()
+	case !g.originsInherited.Load():
+		retryAfter = startupRetryAfter
 	}
 	return notRunError(http.StatusServiceUnavailable, api.CodeVersionUnknown, "it is not known which version of the software began the stream", retryAfter)
 }
--- a/gateway/streams_test.go
+++ b/gateway/streams_test.go
@@ -125,3 +125,17 @@
 		r.Expect(err.RetryAfter).To(gomega.Equal(r.StoreRetryAfter()))
 	})
 }
+
+// An entry that has not inherited yet what others have stored asks the caller to come back.
+func TestResumedStream_RetryAfterUntilHistoryIsInherited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newStreamGateway(t)
+		r.list("v1", "v2")
+		_, err := r.takeUp("")
+		r.Expect(err.RetryAfter).To(gomega.Equal(startupRetryAfter))
+		r.inheritOrigins(t.Context(), nil)
+		_, err = r.takeUp("")
+		r.Expect(err.Code).To(gomega.Equal(api.CodeVersionUnknown))
+		r.Expect(err.RetryAfter).To(gomega.BeZero())
+	})
+}
