--- a/gossip/liveness.go
+++ b/gossip/liveness.go
@@ -90,3 +90,14 @@
 	}
 	return names
 }
+
+// MembersReachingLog returns the other entries among Candidates.
+func (n *Node) MembersReachingLog() []Member {
+	var list []Member
+	for _, name := range n.Candidates() {
+		if m, _, ok := n.registry.find(name); ok && name != n.self.Name {
+			list = append(list, m)
+		}
+	}
+	return list
+}
