--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -218,20 +218,6 @@
 	g.jobs.Wake()
 }
 
-// SetEndpoints replaces the list of endpoints.
-func (g *Gateway) SetEndpoints(l EndpointList) {
-	addrs := make(map[string]bool, len(l.Listed))
-	for _, e := range l.Listed {
-		addrs[e.Address] = true
-	}
-	g.listed.SetListed(l.listing())
-	g.mu.Lock()
-	g.endpoints = l.Listed
-	g.endpointAddrs = addrs
-	g.mu.Unlock()
-	g.assignEndpoints()
-}
-
 func (g *Gateway) randomN(n int) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/gateway/inherit.go
+++ b/gateway/inherit.go
@@ -7,7 +7,6 @@
 
 	"dandelionrelay/keyedlog"
 	"dandelionrelay/origin"
-	"dandelionrelay/placement"
 	"dandelionrelay/sleep"
 )
 
@@ -85,12 +84,3 @@
 	_, loaded := g.EndpointFeed.NextOffset()
 	return loaded && g.Config.Current().Version > 0
 }
-
-// origins returns the origins that streams at the endpoints have.
-func origins(endpoints []placement.Endpoint) []origin.Origin {
-	list := make([]origin.Origin, len(endpoints))
-	for i, e := range endpoints {
-		list[i] = e.Origin()
-	}
-	return list
-}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -72,25 +72,3 @@
 
 // CellsChanged implements gossip.Listener.
 func (g *Gateway) CellsChanged() { g.assignEndpoints() }
-
-// assignEndpoints replaces the endpoints in the placement table and sets OtherCell on
-// those that this entry's cell does not use.
-func (g *Gateway) assignEndpoints() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var available []gossip.Endpoint
-	for _, e := range g.endpoints {
-		if !e.Draining {
-			available = append(available, gossip.Endpoint{ID: e.ID, DataCentre: e.DataCentre})
-		}
-	}
-	own := g.node.OwnEndpoints(available)
-	g.table.SetEntries(g.node.CellMembers())
-	list := make([]placement.Endpoint, len(g.endpoints))
-	for i, e := range g.endpoints {
-		e.OtherCell = !e.Draining && !own[e.ID]
-		list[i] = e
-	}
-	g.table.SetEndpoints(list)
-	g.jobs.Wake()
-}
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -13,7 +13,6 @@
 	"dandelionrelay/gossip"
 	"dandelionrelay/origin"
 	"dandelionrelay/pipeline"
-	"dandelionrelay/placement"
 )
 
 // Names of the RPC service that entries ask where a stream began.
@@ -30,24 +29,12 @@
 	streamAges = 2
 )
 
-// EndpointList is a change of the endpoints that discovery lists.
-type EndpointList struct {
-	Listed  []placement.Endpoint
-	Removed []placement.Endpoint // listed since the last change, however briefly, or with another version
-	Gap     bool                 // others may have been listed in between
-}
-
-// listing returns the versions in a list of endpoints.
-func (l EndpointList) listing() origin.Listing {
-	return origin.Listing{Listed: origins(l.Listed), Removed: origins(l.Removed), Gap: l.Gap}
-}
-
 // routeTargets returns the deployments to which the online routes of a configuration lead.
 func routeTargets(s *config.State) []origin.Route {
 	var list []origin.Route
 	for id, r := range s.Routes {
 		if r.Provided != nil && r.Provided.Stream {
-			list = append(list, origin.Route{ID: id, Deployments: deployments(r)})
+			list = append(list, origin.Route{ID: id, Deployments: deployments(r), MaxAge: streamAges * time.Duration(r.Timeout)})
 		}
 	}
 	return list
@@ -117,7 +104,7 @@
 	began := g.Clock()
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
-	question := OriginArgs{Attempt: c.Resumption.Attempt, Route: c.RouteID, MaxAge: streamAges * time.Duration(c.Route.Timeout)}
+	question := OriginArgs{Attempt: c.Resumption.Attempt, Route: c.RouteID}
 	answer := g.knownOrigin(ctx, question)
 	by := g.Settings.ID
 	if answer.Evidence == originUnknown {
@@ -162,9 +149,8 @@
 
 // OriginArgs asks where a stream began.
 type OriginArgs struct {
-	Attempt string        // that brought its first event; empty: not known
-	Route   string        // ID
-	MaxAge  time.Duration // the stream began within this time
+	Attempt string // that brought its first event; empty: not known
+	Route   string // ID
 }
 
 // OriginReply is the answer to OriginArgs.
@@ -178,44 +164,18 @@
 	if o, ok := g.origins.Find(args.Attempt); ok {
 		return OriginReply{Evidence: originRecorded, Origin: o}
 	}
-	if _, ok := g.listed.Only(args.Route, args.MaxAge); !ok || !g.confirmEndpoints(ctx) {
+	if _, ok := g.listed.Only(args.Route); !ok || !g.confirmEndpoints(ctx) {
 		return OriginReply{Evidence: originUnknown}
 	}
 	// The list has been confirmed after the stream began, so it holds the endpoint that
 	// began it if the endpoint is still listed.
-	o, ok := g.listed.Only(args.Route, args.MaxAge)
+	o, ok := g.listed.Only(args.Route)
 	if !ok {
 		return OriginReply{Evidence: originUnknown}
 	}
 	return OriginReply{Evidence: originOnly, Origin: o}
 }
 
-// confirmEndpoints reads the list of endpoints unless it was read since the call began. It
-// returns false if the store can't be reached.
-func (g *Gateway) confirmEndpoints(ctx context.Context) bool {
-	asked := g.Clock()
-	select {
-	case g.confirming <- struct{}{}:
-		defer func() { <-g.confirming }()
-	case <-ctx.Done():
-		return false
-	}
-	if g.endpointsConfirmedSince(asked) {
-		return true
-	}
-	if g.EndpointFeed.LostFor() > 0 {
-		return false
-	}
-	return g.EndpointFeed.Refresh(ctx) == nil && g.endpointsConfirmedSince(asked)
-}
-
-// endpointsConfirmedSince reports whether the list of endpoints is known to be that of at,
-// a time of the clock, or a later one.
-func (g *Gateway) endpointsConfirmedSince(at time.Duration) bool {
-	age, ok := g.EndpointFeed.Age()
-	return ok && g.Clock()-age >= at
-}
-
 // askForOrigin asks the entries that may know the origin of a stream at the same time. It
 // returns the first answer that knows it, and the name of the entry.
 func (g *Gateway) askForOrigin(ctx context.Context, c *pipeline.Call, args OriginArgs) (OriginReply, string) {
--- a/origin/history.go
+++ b/origin/history.go
@@ -25,6 +25,7 @@
 type target struct {
 	deployments []string // sorted
 	since       time.Duration
+	maxAge      time.Duration // the longest that any configuration has allowed
 }
 
 // NewHistory returns an empty History.
@@ -69,6 +70,7 @@
 type Route struct {
 	ID          string
 	Deployments []string
+	MaxAge      time.Duration // streams are taken up no later than this after they began
 }
 
 // SetRoutes replaces the routes.
@@ -80,24 +82,24 @@
 	for _, r := range routes {
 		deployments := slices.Compact(slices.Sorted(slices.Values(r.Deployments)))
 		before, known := h.routes[r.ID]
+		t := target{deployments: deployments, since: now, maxAge: max(before.maxAge, r.MaxAge)}
 		if known && slices.Equal(before.deployments, deployments) {
-			next[r.ID] = before
-			continue
+			t.since = before.since
 		}
-		next[r.ID] = target{deployments: deployments, since: now}
+		next[r.ID] = t
 	}
 	h.routes = next
 }
 
-// Only returns the only origin that a stream on a route can have that began within age: the
-// route has led to one deployment, with one version, all that time. It returns false if
+// Only returns the only origin that a stream on a route can have that is taken up now: the
+// route has led to one deployment, with one version, for its MaxAge. It returns false if
 // there were several or the history does not reach that far back.
-func (h *History) Only(route string, age time.Duration) (Origin, bool) {
+func (h *History) Only(route string) (Origin, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	from := h.clock() - age
 	r, ok := h.routes[route]
-	if !ok || len(r.deployments) != 1 || r.since > from || h.since == 0 || h.since > from {
+	from := h.clock() - r.maxAge
+	if !ok || r.maxAge <= 0 || len(r.deployments) != 1 || r.since > from || h.since == 0 || h.since > from {
 		return Origin{}, false
 	}
 	var only []Origin
@@ -135,6 +137,7 @@
 	ID          string        `json:"id"`
 	Deployments []string      `json:"deployments"`
 	Age         time.Duration `json:"age"`
+	MaxAge      time.Duration `json:"max_age"`
 }
 
 // Stored returns the history to store; false if the list of endpoints is not known yet.
@@ -153,7 +156,7 @@
 		s.Versions = append(s.Versions, StoredVersion{Origin: o, Ended: max(now-at, 1)})
 	}
 	for id, r := range h.routes {
-		s.Routes = append(s.Routes, StoredRoute{ID: id, Deployments: r.deployments, Age: now - r.since})
+		s.Routes = append(s.Routes, StoredRoute{ID: id, Deployments: r.deployments, Age: now - r.since, MaxAge: r.maxAge})
 	}
 	return s, true
 }
@@ -176,10 +179,14 @@
 	}
 	for _, stored := range s.Routes {
 		r, ok := h.routes[stored.ID]
-		if ok && slices.Equal(r.deployments, stored.Deployments) {
+		if !ok {
+			continue
+		}
+		r.maxAge = max(r.maxAge, stored.MaxAge)
+		if slices.Equal(r.deployments, stored.Deployments) {
 			r.since = min(r.since, now-stored.Age)
-			h.routes[stored.ID] = r
 		}
+		h.routes[stored.ID] = r
 	}
 }
 
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -72,7 +72,7 @@
 func newTestHistory() (*History, *fakeClock) {
 	clock := &fakeClock{now: time.Hour}
 	h := NewHistory(clock.read)
-	h.SetRoutes([]Route{{ID: "r", Deployments: []string{"lm"}}})
+	h.SetRoutes([]Route{{ID: "r", Deployments: []string{"lm"}, MaxAge: age}})
 	h.SetListed(Listing{Listed: []Origin{v1, v1, {Deployment: "other", Version: "v9"}}, Gap: true})
 	clock.now += age
 	return h, clock
@@ -92,15 +92,27 @@
 		"version replaced":             {change: func(h *History, _ *fakeClock) { h.SetListed(Listing{Listed: []Origin{v2}}) }},
 		"list had a gap":               {change: func(h *History, _ *fakeClock) { h.SetListed(Listing{Listed: []Origin{v1}, Gap: true}) }},
 		"no endpoint left":             {change: func(h *History, _ *fakeClock) { h.SetListed(Listing{}) }, only: true},
-		"route moved":                  {change: func(h *History, _ *fakeClock) { h.SetRoutes([]Route{{ID: "r", Deployments: []string{"other"}}}) }},
-		"route split":                  {change: func(h *History, _ *fakeClock) { h.SetRoutes([]Route{{ID: "r", Deployments: []string{"lm", "other"}}}) }},
-		"route gone":                   {change: func(h *History, _ *fakeClock) { h.SetRoutes(nil) }},
-		"route as before":              {change: func(h *History, _ *fakeClock) { h.SetRoutes([]Route{{ID: "r", Deployments: []string{"lm", "lm"}}}) }, only: true},
+		"route moved": {change: func(h *History, _ *fakeClock) {
+			h.SetRoutes([]Route{{ID: "r", Deployments: []string{"other"}, MaxAge: age}})
+		}},
+		"route split": {change: func(h *History, _ *fakeClock) {
+			h.SetRoutes([]Route{{ID: "r", Deployments: []string{"lm", "other"}, MaxAge: age}})
+		}},
+		"route gone": {change: func(h *History, _ *fakeClock) { h.SetRoutes(nil) }},
+		"route as before": {change: func(h *History, _ *fakeClock) {
+			h.SetRoutes([]Route{{ID: "r", Deployments: []string{"lm", "lm"}, MaxAge: age}})
+		}, only: true},
 		"second version, long ago": {change: func(h *History, c *fakeClock) {
 			h.SetListed(Listing{Listed: []Origin{v1, v2}})
 			h.SetListed(Listing{Listed: []Origin{v1}})
 			c.now += age + 1
 		}, only: true},
+		"second version, before the route's timeout was cut": {change: func(h *History, c *fakeClock) {
+			h.SetListed(Listing{Listed: []Origin{v1, v2}})
+			h.SetListed(Listing{Listed: []Origin{v1}})
+			h.SetRoutes([]Route{{ID: "r", Deployments: []string{"lm"}, MaxAge: age / 5}})
+			c.now += age / 2
+		}},
 		"second version, just in the age": {change: func(h *History, c *fakeClock) {
 			h.SetListed(Listing{Listed: []Origin{v1, v2}})
 			h.SetListed(Listing{Listed: []Origin{v1}})
@@ -111,7 +123,7 @@
 			g := gomega.NewWithT(t)
 			h, clock := newTestHistory()
 			c.change(h, clock)
-			o, ok := h.Only("r", age)
+			o, ok := h.Only("r")
 			g.Expect(ok).To(gomega.Equal(c.only))
 			if c.only {
 				g.Expect(o).To(gomega.Equal(v1))
@@ -120,14 +132,23 @@
 	}
 }
 
+// A route without a known age proves nothing.
+func TestHistory_AgeNotKnown(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h, _ := newTestHistory()
+	h.SetRoutes([]Route{{ID: "other", Deployments: []string{"lm"}}})
+	_, ok := h.Only("other")
+	g.Expect(ok).To(gomega.BeFalse())
+}
+
 // A history that does not reach back to the beginning of a stream proves nothing.
 func TestHistory_TooShort(t *testing.T) {
 	g := gomega.NewWithT(t)
 	h, clock := newTestHistory()
 	clock.now--
-	_, ok := h.Only("r", age)
+	_, ok := h.Only("r")
 	g.Expect(ok).To(gomega.BeFalse())
-	_, ok = NewHistory(clock.read).Only("r", age)
+	_, ok = NewHistory(clock.read).Only("r")
 	g.Expect(ok).To(gomega.BeFalse())
 }
 
@@ -138,7 +159,7 @@
 		random := rand.New(rand.NewPCG(seed, 1))
 		clock := &fakeClock{now: time.Hour}
 		h := NewHistory(clock.read)
-		h.SetRoutes([]Route{{ID: "r", Deployments: []string{"lm"}}})
+		h.SetRoutes([]Route{{ID: "r", Deployments: []string{"lm"}, MaxAge: age}})
 		h.SetListed(Listing{Listed: []Origin{v1}, Gap: true})
 		lastListed := map[Origin]time.Duration{}
 		for range 200 {
@@ -156,7 +177,7 @@
 			}
 			h.SetListed(l)
 			clock.now += time.Duration(random.Int64N(int64(age)))
-			if o, ok := h.Only("r", age); ok {
+			if o, ok := h.Only("r"); ok {
 				for other, at := range lastListed {
 					if other != o && clock.now-at <= age {
 						t.Fatalf("seed %d: %v is named though %v was listed %v ago", seed, o, other, clock.now-at)
@@ -204,7 +225,7 @@
 		f := &fleetList{random: rand.New(rand.NewPCG(seed, 2)), clock: clock, last: make(map[Origin]time.Duration)}
 		pass := func(most time.Duration) { clock.now += time.Duration(f.random.Int64N(int64(most))) }
 		writer := NewHistory(clock.read)
-		writer.SetRoutes([]Route{{ID: "r", Deployments: []string{"lm"}}})
+		writer.SetRoutes([]Route{{ID: "r", Deployments: []string{"lm"}, MaxAge: age}})
 		for range 1 + f.random.IntN(4) {
 			writer.SetListed(f.change())
 			pass(age)
@@ -219,13 +240,13 @@
 		pass(age / 4)
 		// What is listed stays so: it registers again and again, or is listed when the entry starts.
 		starter := NewHistory(clock.read)
-		starter.SetRoutes([]Route{{ID: "r", Deployments: []string{"lm"}}})
+		starter.SetRoutes([]Route{{ID: "r", Deployments: []string{"lm"}, MaxAge: age}})
 		starter.SetListed(Listing{Listed: f.listed, Gap: true})
 		starter.Inherit(stored, since)
 		for _, o := range f.listed {
 			f.last[o] = clock.now
 		}
-		o, ok := starter.Only("r", age)
+		o, ok := starter.Only("r")
 		if !ok {
 			continue
 		}
@@ -247,10 +268,10 @@
 	g.Expect(ok).To(gomega.BeTrue())
 	for deployment, known := range map[string]bool{"lm": true, "other": false} {
 		starter := NewHistory(clock.read)
-		starter.SetRoutes([]Route{{ID: "r", Deployments: []string{deployment}}})
+		starter.SetRoutes([]Route{{ID: "r", Deployments: []string{deployment}, MaxAge: age}})
 		starter.SetListed(Listing{Listed: []Origin{v1}, Gap: true})
 		starter.Inherit(stored, nil)
-		_, ok := starter.Only("r", age)
+		_, ok := starter.Only("r")
 		g.Expect(ok).To(gomega.Equal(known), deployment)
 	}
 }
