gateway: no calls on jobs are handed over in an outage of the store for all

What callers saw: in the first seconds of an outage for all, the other entries had not noticed it yet, and a call on a job was handed to two of them, for 1.0 to 2.5 s, before it was refused; lots that had been refused at once ended without an answer instead. Fix: only entries that have read the store after this one first failed to are asked; datagrams already say so. None has in an outage for all, so the call is refused at once again.

--- a/gateway/confirm.go
+++ b/gateway/confirm.go
@@ -56,6 +56,7 @@
 // PeerConfirmed implements gossip.Listener. An entry that can't reach the store goes on
 // with keys that another entry has confirmed.
 func (g *Gateway) PeerConfirmed(name string, next int64, confirmed time.Duration) {
+	g.storeReads.record(name, confirmed)
 	if g.ConfigFeed.ConfirmByPeer(next, confirmed) || g.ConfigFeed.LostFor() == 0 {
 		return
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -104,6 +104,7 @@
 	settings          atomic.Pointer[settings.Gateway]
 	peers             *peer.Server
 	peerPool          *peer.Pool
+	storeReads        storeReads
 	origins           *origin.Table
 	listed            *origin.History
 	confirming        chan struct{} // holds one value while confirmEndpoints reads
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
+	"time"
 
 	"dandelionrelay/gossip"
 )
@@ -12,10 +14,15 @@
 const maxHandovers = 2
 
 // HandoverTargets returns the entries that can serve a call on a job which this entry can't
-// serve, as they reach the store: those of this data centre first.
+// serve: they have read the store since this one last failed to, and so in an outage for
+// all there is none. Those of this data centre come first.
 func (g *Gateway) HandoverTargets() []gossip.Member {
+	lostFor := g.jobsFollower.LostFor()
+	if lostFor == 0 {
+		return nil
+	}
 	var local, remote []gossip.Member
-	for _, m := range g.node.MembersReachingLog() {
+	for _, m := range g.storeReads.since(g.Clock()-lostFor, g.node.MembersReachingLog()) {
 		if m.DataCentre == g.Settings.DataCentre {
 			local = append(local, m)
 		} else {
@@ -37,3 +44,40 @@
 func (g *Gateway) CallPeer(ctx context.Context, address, method string, args, reply any) error {
 	return g.peerPool.Call(ctx, address, method, args, reply)
 }
+
+// storeReads holds when other entries have last read the store.
+type storeReads struct {
+	mu     sync.Mutex
+	byName map[string]time.Duration // times of this entry's clock, by entry
+}
+
+// record records that an entry read the store at a time of this entry's clock.
+func (s *storeReads) record(name string, at time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.byName == nil {
+		s.byName = make(map[string]time.Duration)
+	}
+	s.byName[name] = max(s.byName[name], at)
+}
+
+// forget forgets an entry.
+func (s *storeReads) forget(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.byName, name)
+}
+
+// since returns those of the entries that have read the store after at, a time of this
+// entry's clock.
+func (s *storeReads) since(at time.Duration, members []gossip.Member) []gossip.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []gossip.Member
+	for _, m := range members {
+		if s.byName[m.Name] > at {
+			list = append(list, m)
+		}
+	}
+	return list
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -67,6 +67,7 @@
 // PeerTimedOut implements gossip.Listener.
 func (g *Gateway) PeerTimedOut(name string) {
 	g.table.ForgetPeer(name)
+	g.storeReads.forget(name)
 	g.jobs.Wake()
 }
 
