origin: routes whose streams may be older than the history holds have no only origin

Such a route gets no answer now; recorded streams go on as before. Test: TestHistory_AgeBeyondMemory, failed before.

--- a/origin/history.go
+++ b/origin/history.go
@@ -99,7 +99,8 @@
 	defer h.mu.Unlock()
 	r, ok := h.routes[route]
 	from := h.clock() - r.maxAge
-	if !ok || r.maxAge <= 0 || len(r.deployments) != 1 || r.since > from || h.since == 0 || h.since > from {
+	ageKnown := ok && r.maxAge > 0 && r.maxAge <= memory
+	if !ageKnown || len(r.deployments) != 1 || r.since > from || h.since == 0 || h.since > from {
 		return Origin{}, false
 	}
 	var only []Origin
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -141,6 +141,20 @@
 	g.Expect(ok).To(gomega.BeFalse())
 }
 
+// Streams on a route may be older than what the history holds.
+func TestHistory_AgeBeyondMemory(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h, clock := newTestHistory()
+	h.SetRoutes([]Route{{ID: "slow", Deployments: []string{"lm"}, MaxAge: 2 * memory}})
+	h.SetListed(Listing{Listed: []Origin{v1, v2}})
+	h.SetListed(Listing{Listed: []Origin{v1}})
+	clock.now += memory + time.Second
+	h.SetListed(Listing{Listed: []Origin{v1}}) // forgets v2
+	clock.now += memory - time.Second
+	_, ok := h.Only("slow")
+	g.Expect(ok).To(gomega.BeFalse())
+}
+
 // A history that does not reach back to the beginning of a stream proves nothing.
 func TestHistory_TooShort(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/origin/table.go
+++ b/origin/table.go
@@ -10,8 +10,8 @@
 
 // Bounds of a Table.
 const (
-	// memory is the time for which the origin of a stream is kept: longer than callers
-	// wait for one.
+	// memory is the time for which the origin of a stream, and a version that is no longer
+	// listed, are kept: longer than callers wait for a stream.
 	memory = 2 * time.Minute
 	// MaxIDBytes is the length of an attempt's ID above which no origin is kept.
 	MaxIDBytes = 128
