dispatch, sidecar: callers hear why a text is not continued

Found by reading the change: once an entry knew the versions of all endpoints, a caller that sent 'resume' without a version, or with one that no endpoint has, got no_endpoint with a Retry-After, although docs/API.md promises version_unknown and version_gone, and coming back is of no use. Fix: if endpoints were passed over for their version alone, the error says so; the two errors stand once, at api.Resume. Test: TestDispatcher_SaysWhyATextIsNotContinued, two of its three cases failed before (no_endpoint).

--- a/api/chat.go
+++ b/api/chat.go
@@ -1,6 +1,9 @@
 package api
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"net/http"
+)
 
 // Message is one turn of a chat.
 type Message struct {
@@ -33,6 +36,15 @@
 	Version string `json:"version,omitempty"`
 }
 
+// VersionError returns the error for a text that is not continued, as no endpoint that was
+// considered has the version of the software that generated it.
+func (r *Resume) VersionError() *Error {
+	if r.Version == "" {
+		return NewError(http.StatusServiceUnavailable, CodeVersionUnknown, "resume.version is missing: it names the version of the software that generated the text")
+	}
+	return NewError(http.StatusServiceUnavailable, CodeVersionGone, "the endpoint's software has another version than the one that generated the text")
+}
+
 // ChatChoice is one choice of a chat completion.
 type ChatChoice struct {
 	Index        int      `json:"index"`
--- a/dispatch/fleet_test.go
+++ b/dispatch/fleet_test.go
@@ -255,7 +255,11 @@
 	text := body.Messages[0].Content
 	f.setLeavingHeader(id, text, h)
 	if !f.continuesOwnVersion(id, &body, h) {
-		api.WriteError(w, api.NewError(http.StatusServiceUnavailable, api.CodeVersionGone, "another version"))
+		code := api.CodeVersionGone
+		if body.Resume.Version == "" {
+			code = api.CodeVersionUnknown
+		}
+		api.WriteError(w, api.NewError(http.StatusServiceUnavailable, code, "another version"))
 		return
 	}
 	injected := f.drawFault()
@@ -417,6 +421,7 @@
 	id, text           string
 	stream, idempotent bool
 	resume             bool
+	from               *api.Resume // that the caller sends; nil: none
 }
 
 // callResult is the result of a call as its caller sees it.
@@ -449,7 +454,7 @@
 
 // send sends a call to entry d and returns its result.
 func (f *testFleet) send(d *Dispatcher, q testCall) (out callResult) {
-	chat := &api.ChatRequest{Model: "m", Stream: q.stream, Messages: []api.Message{{Role: "user", Content: q.text}}}
+	chat := &api.ChatRequest{Model: "m", Stream: q.stream, Messages: []api.Message{{Role: "user", Content: q.text}}, Resume: q.from}
 	body, _ := json.Marshal(chat)
 	w := httptest.NewRecorder()
 	began := time.Now()
--- a/dispatch/forwarder.go
+++ b/dispatch/forwarder.go
@@ -50,12 +50,15 @@
 func (f *forwarder) run(ctx context.Context) *api.Error {
 	budget := f.dispatcher.budgets.get(f.call.Route.Deployment)
 	budget.Deposit()
-	last := noEndpointError()
+	var last *api.Error
 	for {
 		if f.checkQuarantine() {
 			return f.fail(quarantine.Refusal())
 		}
 		endpoint, ok := f.pick()
+		if !ok && last == nil {
+			last = f.noEndpointError()
+		}
 		if !ok {
 			return f.fail(last)
 		}
@@ -105,7 +108,10 @@
 func (f *forwarder) digest() quarantine.Digest { return quarantine.DigestOfCall(f.call) }
 
 // pick chooses the endpoint of the next attempt.
-func (f *forwarder) pick() (infra.Instance, bool) {
+func (f *forwarder) pick() (infra.Instance, bool) { return f.pickFor(f.resumePosition()) }
+
+// pickFor chooses an endpoint that can go on from a position; nil: from the start.
+func (f *forwarder) pickFor(from *api.Resume) (infra.Instance, bool) {
 	d := f.dispatcher
 	prefixEndpoint, depth := f.lookupPrefix()
 	q := Query{
@@ -114,7 +120,7 @@
 		Slots:          f.call.Deployment.Slots,
 		Suspect:        f.suspect,
 		Exclude:        f.failedIDs,
-		Resume:         f.resumePosition(),
+		Resume:         from,
 		PrefixEndpoint: prefixEndpoint,
 		PrefixSaving:   time.Duration(depth) * blockSaving,
 		Usable:         d.detector.Usable,
@@ -271,7 +277,13 @@
 	panic(http.ErrAbortHandler)
 }
 
-func noEndpointError() *api.Error {
+// noEndpointError returns the error for a call for which no endpoint was picked.
+func (f *forwarder) noEndpointError() *api.Error {
+	if from := f.resumePosition(); from != nil {
+		if _, ok := f.pickFor(nil); ok {
+			return from.VersionError()
+		}
+	}
 	e := api.NewError(http.StatusServiceUnavailable, api.CodeNoEndpoint, "no endpoint can take the call")
 	return e.WithRetryAfter(RetryAfter)
 }
--- a/dispatch/versions_test.go
+++ b/dispatch/versions_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/onsi/gomega"
 
+	"dandelionrelay/api"
 	"dandelionrelay/quarantine"
 )
 
@@ -50,3 +52,38 @@
 		})
 	}
 }
+
+// A caller sends a text to go on with. Without its version, or with one that no endpoint
+// has, the error says so, also once the entry knows the versions of all endpoints.
+func TestDispatcher_SaysWhyATextIsNotContinued(t *testing.T) {
+	for version, want := range map[string]api.Code{"": api.CodeVersionUnknown, "v9": api.CodeVersionGone, "v1": ""} {
+		t.Run("version "+version, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				fleet := newTestFleet(t, 1, 4)
+				fleet.faultRate = 0
+				fleet.versions = make(map[string]string)
+				for i, m := range fleet.members {
+					fleet.versions[m.ID] = fmt.Sprint("v", i%2)
+				}
+				d := fleet.entry("e", sharedSuspects{quarantine.NewTable()})
+				var calls sync.WaitGroup
+				for i := range 100 { // at the same time, so that all endpoints get some
+					calls.Go(func() {
+						fleet.send(d, testCall{id: fmt.Sprint("r", i), text: fmt.Sprint("text", i), stream: true, idempotent: true, resume: true})
+					})
+				}
+				calls.Wait()
+				from := &api.Resume{Text: "text-0 ", Tokens: 1, Version: version}
+				result := fleet.send(d, testCall{id: "last", text: "text", stream: true, idempotent: true, resume: true, from: from})
+				if want == "" {
+					g.Expect(result.err).To(gomega.BeNil())
+					return
+				}
+				g.Expect(result.err).NotTo(gomega.BeNil())
+				g.Expect(result.err.Code).To(gomega.Equal(want))
+				g.Expect(result.err.Outcome).To(gomega.Equal(api.NotRun))
+			})
+		})
+	}
+}
--- a/sidecar/body.go
+++ b/sidecar/body.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"net/http"
 	"strings"
 
 	"dandelionrelay/api"
@@ -100,13 +99,10 @@
 
 // checkResume refuses to continue a text that software of another version has generated.
 func (s *Sidecar) checkResume(from *api.Resume) *api.Error {
-	switch {
-	case from == nil || from.Version == s.settings.EndpointVersion:
+	if from == nil || from.Version == s.settings.EndpointVersion {
 		return nil
-	case from.Version == "":
-		return api.NewError(http.StatusServiceUnavailable, api.CodeVersionUnknown, "resume.version is missing: it names the version of the software that generated the text")
 	}
-	return api.NewError(http.StatusServiceUnavailable, api.CodeVersionGone, "the endpoint's software has another version than the one that generated the text")
+	return from.VersionError()
 }
 
 // prepareBody sets the cache salt in the body of an online request to a model
