--- a/batch/runner.go
+++ b/batch/runner.go
@@ -61,7 +61,7 @@
 	losses        int                       // lost runs since the last new event
 	timeouts      int                       // runs that timed out, up to maxTimeoutDoublings
 	oversizedRuns int                       // runs whose output exceeded the limit on stored outputs
-	missing       time.Duration             // time of Clock since which no slot is free at an endpoint of origin; 0: one was
+	missingSince  time.Duration             // time of Clock since which no slot is free at an endpoint of origin; 0: one was
 	notBefore     time.Duration             // time of Clock before which the item does not run again
 	intervals     eventstream.IntervalMeter // of the current run
 	cancel        context.CancelFunc
--- a/batch/start.go
+++ b/batch/start.go
@@ -41,7 +41,7 @@
 	if grant.Endpoint.Origin() != it.origin {
 		r.beginAgain(it, grant)
 	}
-	it.missing = 0
+	it.missingSince = 0
 	r.mu.Lock()
 	it.phase = phaseRunning
 	it.cancel = cancel
@@ -55,17 +55,18 @@
 const maxVersionWait = time.Second
 
 // versionMissing reports whether an item with output, for which no slot is free at an
-// endpoint of the version that wrote it, is to begin again where one is.
+// endpoint of the version that wrote it, is to begin again where one is. It notes since when
+// none is.
 func (r *runner) versionMissing(it runnableItem, request placement.Request) bool {
 	if request.Version == "" {
 		return false
 	}
 	now := r.Clock()
-	if it.missing == 0 {
-		it.missing = now
+	if it.missingSince == 0 {
+		it.missingSince = now
 	}
 	request.Avoid = nil
-	return now-it.missing >= maxVersionWait || !r.Table.ServesBatch(request)
+	return now-it.missingSince >= maxVersionWait || !r.Table.ServesBatch(request)
 }
 
 // beginAgain discards the output of an item, if it has any, that runs at an endpoint of
--- a/gateway/inherit.go
+++ b/gateway/inherit.go
@@ -15,8 +15,8 @@
 // isn't recorded could go on for a while after a start of all entries.
 const originsKey = "origins"
 
-// inheritTimeout bounds how long an entry that starts tries to use the record. By then its
-// own history will do soon.
+// inheritTimeout bounds how long an entry that starts tries to use the record. Callers whose
+// streams broke off before the start have mostly given up by then.
 const inheritTimeout = 5 * time.Second
 
 // originsRecord is the value of the record under originsKey.
