--- a/online/online.go
+++ b/online/online.go
@@ -83,7 +83,7 @@
 		Str("outcome", outcome).Uint64("config", c.Snapshot.Version).Dur("config_age_ms", ex.ConfigAge()).
 		Str("endpoint", ex.endpoint.ID).Int("at_endpoint_online", ex.load.Online).Int("at_endpoint_batch", ex.load.Batch).
 		Int("asked", ex.attempts).Int("began", ex.mayHaveRun).Int("status", ex.response.status).
-		Int64("events", ex.response.events).Dur("first_ms", ex.response.firstByte).Dur("took_ms", took).
+		Int64("events", ex.response.events).Dur("first_ms", ex.response.firstByte).Dur("longest_gap_ms", ex.response.longest).Dur("took_ms", took).
 		Dur("left_ms", time.Until(c.Deadline))
 	event = ex.logStream(event)
 	if ex.cause != nil {
--- a/online/response.go
+++ b/online/response.go
@@ -18,6 +18,8 @@
 	events    int64              // sent
 	cursor    eventstream.Cursor // position after the last event sent
 	firstByte time.Duration      // from the receipt of the request to the first byte; 0: none sent
+	lastEvent time.Time          // when the last event was sent
+	longest   time.Duration      // longest time between two events sent, over all endpoints
 }
 
 func (cr *callerResponse) headerSent() bool { return cr.call.ResponseStarted }
@@ -71,7 +73,17 @@
 	if err := cr.write(e.Raw); err != nil {
 		return err
 	}
+	cr.recordGap()
 	cr.events++
 	cr.cursor.Advance(e)
 	return http.NewResponseController(cr.call.W).Flush()
 }
+
+// recordGap updates the longest time between two events with the one that is sent now.
+func (cr *callerResponse) recordGap() {
+	now := time.Now()
+	if cr.events > 0 {
+		cr.longest = max(cr.longest, now.Sub(cr.lastEvent))
+	}
+	cr.lastEvent = now
+}
