config: rate and time of cold endpoints of a deployment

Cause: the desired state has no place for what an endpoint tolerates while it is cold, so no decision can read it. Ruled out: durations in seconds as in the platform's records; the product's files write durations as strings. A rate without a time, or the reverse, is a finding, as it would never apply. Change: Deployment.ColdRate, ColdTime and HasColdRate, with checks and their place.

--- a/config/state.go
+++ b/config/state.go
@@ -95,6 +95,11 @@
 	// as a multiple of the 99th percentile without batch load. The bound is met
 	// as far as preempting batch items allows; 0 means DefaultFirstTokenRatio.
 	FirstTokenRatio float64 `json:"first_token_ratio,omitempty"`
+	// ColdRate is the number of requests a second that one endpoint tolerates while it is
+	// cold, and ColdTime how long it is cold after its start. If either is 0, endpoints are
+	// never cold.
+	ColdRate float64  `json:"cold_rate,omitempty"`
+	ColdTime Duration `json:"cold_time,omitempty"`
 }
 
 // Default and limits of Deployment.FirstTokenRatio. At the maximum batch items
@@ -113,6 +118,12 @@
 	return d.FirstTokenRatio
 }
 
+// HasColdRate reports whether endpoints of the deployment are limited while they are cold.
+func (d Deployment) HasColdRate() bool { return d.ColdRate > 0 && d.ColdTime > 0 }
+
+// MaxColdTime is the maximum of Deployment.ColdTime.
+const MaxColdTime = Duration(3600e9)
+
 // DefaultTimeout is the timeout of a request on a route that sets none.
 const DefaultTimeout = 60 * time.Second
 
--- a/config/validate.go
+++ b/config/validate.go
@@ -149,6 +149,20 @@
 		if r := d.FirstTokenRatio; r != 0 && (r < MinFirstTokenRatio || r > MaxFirstTokenRatio) {
 			v.addFinding("deployments", id, "first_token_ratio", "must be between %g and %g, is %g", MinFirstTokenRatio, float64(MaxFirstTokenRatio), r)
 		}
+		v.checkCold(id, d)
+	}
+}
+
+// checkCold checks the limits of cold endpoints.
+func (v *validator) checkCold(id string, d Deployment) {
+	if isNotFinite(d.ColdRate) || d.ColdRate < 0 {
+		v.addFinding("deployments", id, "cold_rate", "must not be negative, is %g", d.ColdRate)
+	}
+	if d.ColdTime < 0 || d.ColdTime > MaxColdTime {
+		v.addFinding("deployments", id, "cold_time", "must be between 0s and 1h")
+	}
+	if (d.ColdRate == 0) != (d.ColdTime == 0) {
+		v.addFinding("deployments", id, "cold_rate", "cold_rate and cold_time need each other")
 	}
 }
 
