placement, platform, gateway: requests to cold endpoints stay within their rate

An idle endpoint attracts the requests of all entries, so one that has just started gets more in a second than it takes.

Ruled out: the shared rate of package quota alone. An equal part for all entries: 33 bursts of one request already use most of the bound. Taking the tokens at the grant alone: requests that are held up, for example items whose contents are read slowly, arrive together.

Change: two limits for each request to a cold endpoint. The shared rate is a second quota.Table, whose counts travel among those of customers; old entries take them for customers that they don't know. The own part bounds the sum without any contact: up to 12 users (of a rate of 23), chosen by rendezvous hashing, each with a token bucket. Statements come from registrations, responses and, without any, count as cold for the whole time. Bad values are findings. Settings cold_excess and cold_slack.

--- a/batch/item.go
+++ b/batch/item.go
@@ -131,6 +131,10 @@
 	if err != nil {
 		return runNotExecuted, placement.Aborted, err
 	}
+	// Reading the contents may have taken long.
+	if !grant.MaySend(r.Clock()) {
+		return runNotExecuted, placement.Aborted, errorx.RejectedOperation.New("the endpoint is cold and takes no more requests yet")
+	}
 	x, err := r.Pool.Do(ctx, grant.Endpoint.Address, request, time.Now().Add(it.scaledTimeout(firstEventTimeout)))
 	if errorx.IsOfType(err, upstream.NotSent) {
 		r.Pool.CloseIdle(grant.Endpoint.Address)
--- /dev/null
+++ b/gateway/cold.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"dandelionrelay/config"
+	"dandelionrelay/placement"
+	"dandelionrelay/quota"
+	"dandelionrelay/settings"
+)
+
+func coldTolerance(s *settings.Gateway) placement.ColdTolerance {
+	return placement.ColdTolerance{Excess: s.ColdExcess, Slack: s.ColdSlack}
+}
+
+// setColdRates applies the cold rates of a configuration and the settings in force. Without
+// a deployment that has, or had, a cold rate, it does nothing.
+func (g *Gateway) setColdRates(s *config.Snapshot) {
+	rates := make(map[string]placement.ColdRate)
+	for id, d := range s.State.Deployments {
+		if d.HasColdRate() {
+			rates[id] = placement.ColdRate{Rate: d.ColdRate, Time: time.Duration(d.ColdTime)}
+		}
+	}
+	if len(rates) == 0 && !g.coldInUse.Load() {
+		return
+	}
+	g.table.SetColdRates(g.Clock(), g.coldLimits, rates, coldTolerance(g.settings.Load()))
+	g.coldInUse.Store(true)
+	g.stateCold(nil) // endpoints that are listed and count as cold from now on
+}
+
+// stateCold applies what registrations say of how long endpoints remain cold.
+func (g *Gateway) stateCold(statements map[placement.Key]placement.ColdNotice) {
+	for _, c := range g.table.StateCold(g.Clock(), statements) {
+		by := "registration"
+		if !c.Stated {
+			by = "nothing"
+		}
+		g.Log.Info().Str("endpoint", c.Endpoint.ID).Int64("born", c.Endpoint.StartMs).Str("by", by).Bool("cold", c.Cold).
+			Dur("left_ms", c.Left).Bool("malformed", c.Malformed).Msg("endpoint has become cold or is no longer cold")
+	}
+}
+
+// localCounts returns the counts of this entry that others need: of customers, and of
+// requests to cold endpoints. With the latter, counts of 0 are left out, as one entry uses
+// few of the cold endpoints that others report.
+func (g *Gateway) localCounts() map[quota.Key]quota.Count {
+	counts := g.limits.LocalCounts()
+	if !g.coldInUse.Load() {
+		return counts
+	}
+	for key, count := range g.coldLimits.LocalCounts() {
+		counts[key] += count
+		if counts[key] == 0 {
+			delete(counts, key)
+		}
+	}
+	return counts
+}
+
+// registerColdMetrics registers the metrics of cold endpoints.
+func (g *Gateway) registerColdMetrics() {
+	counter := func(name, help string, value func(placement.ColdStats) uint64) {
+		g.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help},
+			func() float64 { return float64(value(g.table.ColdStats())) }))
+	}
+	counter("relay_cold_tokens_total", "Tokens taken for requests and batch items to cold endpoints.",
+		func(s placement.ColdStats) uint64 { return s.Granted })
+	counter("relay_cold_passed_over_total", "Times that a cold endpoint was passed over as its shared rate had no token.",
+		func(s placement.ColdStats) uint64 { return s.Refused })
+	counter("relay_cold_malformed_total", "Statements of endpoints about how long they remain cold that could not be used.",
+		func(s placement.ColdStats) uint64 { return s.Malformed })
+	g.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "relay_cold_endpoints",
+		Help: "Listed endpoints that count as cold.",
+	}, func() float64 { return float64(g.table.ColdEndpoints(g.Clock())) }))
+}
--- a/gateway/endpoints.go
+++ b/gateway/endpoints.go
@@ -14,6 +14,8 @@
 	Listed  []placement.Endpoint
 	Removed []placement.Endpoint // listed since the last change, however briefly, or with another version
 	Gap     bool                 // others may have been listed in between
+
+	Cold map[placement.Key]placement.ColdNotice // how long endpoints remain cold, where they say so anew
 }
 
 // listing returns the versions in a list of endpoints.
@@ -42,6 +44,7 @@
 	g.endpointAddrs = addrs
 	g.mu.Unlock()
 	g.assignEndpoints()
+	g.stateCold(l.Cold)
 }
 
 // assignEndpoints replaces the endpoints in the placement table and sets OtherCell on
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -94,6 +94,8 @@
 	table             *placement.Table
 	pool              *upstream.Pool
 	limits            *quota.Table
+	coldLimits        *quota.Table // requests to cold endpoints
+	coldInUse         atomic.Bool  // a deployment has, or had, a cold rate
 	suspects          *quarantine.SharedTable
 	members           *gossip.Registry
 	node              *gossip.Node
@@ -143,6 +145,7 @@
 		Deps:          d,
 		started:       d.Clock(),
 		limits:        quota.NewTable(tolerance(d.Settings)),
+		coldLimits:    quota.NewTable(quota.Tolerance{}),
 		random:        rand.New(rand.NewPCG(seed, 1)),
 		endpointAddrs: make(map[string]bool),
 		origins:       origin.NewTable(d.Clock),
@@ -165,6 +168,7 @@
 	g.node = gossip.NewNode(g.self(), g.members, g, g, d.Clock, d.Log)
 	g.suspects = quarantine.NewSharedTable(d.Suspects, d.Log, g.badRecordLogger("suspects"))
 	g.follow("suspects", d.Suspects, g.suspects, suspectsReadWait, suspectsMinInterval)
+	g.registerColdMetrics()
 	g.setUpBatch()
 	g.buildPipelines()
 	return g
@@ -215,6 +219,7 @@
 		limits[id] = quota.Limit{Rate: c.Rate, Burst: c.Burst}
 	}
 	g.limits.SetLimits(g.Clock(), limits)
+	g.setColdRates(s)
 	g.listed.SetRoutes(routeTargets(s.State))
 	g.jobs.Wake()
 }
@@ -235,7 +240,9 @@
 
 // ShareUpdate implements gossip.Listener.
 func (g *Gateway) ShareUpdate(s gossip.Share) {
-	g.limits.SetShare(quota.Share{Observed: s.Observed, Own: s.Own, ValidUntil: s.ValidUntil})
+	share := quota.Share{Observed: s.Observed, Own: s.Own, ValidUntil: s.ValidUntil}
+	g.limits.SetShare(share)
+	g.table.SetColdShare(share)
 }
 
 func (g *Gateway) badRecordLogger(partition string) func(key string, err error) {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -24,7 +24,7 @@
 	return gossip.Report{
 		Config:     gossip.Confirmation{Next: next, Age: age},
 		Endpoints:  placement.Report{Loads: g.table.LocalLoads(), Failing: g.table.FailingEndpoints()},
-		Counts:     gossip.Counts{ByCustomer: g.limits.LocalCounts()},
+		Counts:     gossip.Counts{ByCustomer: g.localCounts()},
 		OtherCells: gossip.Counts{ByCustomer: g.otherCellCounts.Sum(nil)},
 		LogLostFor: g.jobsFollower.LostFor(),
 		Leaving:    g.Leaving(),
@@ -33,7 +33,7 @@
 
 // CellCounts implements gossip.Reporter.
 func (g *Gateway) CellCounts() map[quota.Key]quota.Count {
-	return g.ownCellCounts.Sum(g.limits.LocalCounts())
+	return g.ownCellCounts.Sum(g.localCounts())
 }
 
 // PeerReport implements gossip.Listener.
@@ -55,13 +55,20 @@
 }
 
 // SourceEnded implements gossip.Listener.
-func (g *Gateway) SourceEnded(source string) { g.limits.Forget(source) }
+func (g *Gateway) SourceEnded(source string) {
+	g.limits.Forget(source)
+	g.coldLimits.Forget(source)
+}
 
 // countAdmissions charges the token buckets with the admissions in c, which is a part of
 // report r. It returns by how much each count has grown since the last report of source.
 func (g *Gateway) countAdmissions(source string, incarnation uint64, r gossip.Report, c gossip.Counts) map[quota.Key]int32 {
 	now := g.Clock()
-	return g.limits.Observe(now, source, incarnation, c.ByCustomer, quota.Report{Full: c.Full, FromZero: r.Uncounted && r.Uptime < now-g.started+startupSkew})
+	report := quota.Report{Full: c.Full, FromZero: r.Uncounted && r.Uptime < now-g.started+startupSkew}
+	if g.coldInUse.Load() {
+		g.coldLimits.Observe(now, source, incarnation, c.ByCustomer, report)
+	}
+	return g.limits.Observe(now, source, incarnation, c.ByCustomer, report)
 }
 
 // PeerTimedOut implements gossip.Listener.
--- a/online/execution.go
+++ b/online/execution.go
@@ -125,6 +125,9 @@
 	if refused != nil && ex.mayHaveRun == 0 && refused.Limited {
 		return nil, notRunError(api.CodeOverloaded, "the endpoints take no more requests yet", refused.RetryAfter)
 	}
+	if refused != nil && ex.mayHaveRun == 0 && refused.Cold {
+		return nil, notRunError(api.CodeOverloaded, "the endpoints that are left are cold and take no more requests yet", refused.RetryAfter)
+	}
 	if refused != nil && ex.mayHaveRun == 0 && refused.Endpoint == "" {
 		return nil, notRunError(api.CodeNoEndpoint, "no endpoint of the deployment takes requests", refused.RetryAfter)
 	}
@@ -196,6 +199,9 @@
 	ex.attempts++
 	ex.headerReceived = false
 	ex.intervals = eventstream.IntervalMeter{}
+	if !grant.MaySend(ex.Clock()) {
+		return tryNext, placement.Aborted // the endpoint has become cold since, or the process was held up
+	}
 	x, err := ex.Pool.Do(ctx, grant.Endpoint.Address, ex.buildRequest(grant), ex.waitDeadline(ex.firstEventTimeout()))
 	if err != nil {
 		return ex.afterNoResponse(ctx, grant, err)
--- a/online/online.go
+++ b/online/online.go
@@ -91,7 +91,7 @@
 	}
 	if r := ex.refusal; r != nil {
 		event = event.Dur("wait_ms", r.Wait).Str("soonest", r.Endpoint).Int("soonest_online", r.Load.Online).
-			Int("soonest_batch", r.Load.Batch).Float64("soonest_slowness", r.Slowness).Bool("soonest_full", r.Full)
+			Int("soonest_batch", r.Load.Batch).Float64("soonest_slowness", r.Slowness).Bool("soonest_full", r.Full).Bool("cold", r.Cold)
 	}
 	if err != nil {
 		event = event.Int("refused_with", err.Status).Dur("retry_after_ms", err.RetryAfter)
--- a/placement/batch.go
+++ b/placement/batch.go
@@ -12,6 +12,21 @@
 func (t *Table) PlaceBatch(now time.Duration, req Request, preempt func()) *Grant {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	// Cold endpoints are left to online requests while others are listed.
+	req.warmOnly = !allCold(now, t.group(req.Deployment).preferred(), req)
+	for {
+		best := t.selectForBatch(now, req)
+		if best == nil {
+			return nil
+		}
+		if t.takeColdToken(now, best) {
+			return t.newGrant(best, Batch, now, preempt)
+		}
+	}
+}
+
+// selectForBatch returns the endpoint to use for a batch item, or nil if there is none.
+func (t *Table) selectForBatch(now time.Duration, req Request) *endpoint {
 	var best *endpoint
 	var highest float64
 	group := t.group(req.Deployment)
@@ -38,10 +53,7 @@
 			best, highest = e, score
 		}
 	}
-	if best == nil {
-		return nil
-	}
-	return t.newGrant(best, Batch, now, preempt)
+	return best
 }
 
 // PreemptBatch preempts batch items of this entry at endpoints that have more requests
--- a/placement/grant.go
+++ b/placement/grant.go
@@ -12,6 +12,9 @@
 	start      time.Duration // clock at the grant
 	preempt    func()        // nil for online requests
 	preempting bool          // preempt was called or is about to be
+
+	coldLimited bool // the endpoint has a limit while it is cold
+	coldToken   bool // a token was taken at the grant, as it is cold
 }
 
 // newGrant adds a request to this entry's load at e and returns its grant.
@@ -24,6 +27,9 @@
 		state:    e,
 		start:    now,
 		preempt:  preempt,
+
+		coldLimited: e.cold != nil,
+		coldToken:   e.isCold(now),
 	}
 	t.takeToken(e, now)
 	if kind == Online {
--- a/placement/limit.go
+++ b/placement/limit.go
@@ -70,6 +70,9 @@
 		if e.limit != nil {
 			t.shareLimit(e)
 		}
+		if e.cold != nil {
+			t.shareCold(e)
+		}
 	}
 }
 
--- a/placement/notice.go
+++ b/placement/notice.go
@@ -7,12 +7,14 @@
 	Limited bool    // it takes no more than Limit
 	Limit   float64 // requests a second from all entries together
 	Leaving bool    // it shuts down
+	Cold    ColdNotice
 }
 
 // NoticeChange says what a notice has changed.
 type NoticeChange struct {
 	Limit   bool // a limit has begun or ended
 	Leaving bool // the endpoint gets no further requests from this entry
+	Cold    bool // the endpoint has become cold or is no longer cold
 }
 
 // leavingTTL is how long a notice of leaving is remembered after it was last given. By
@@ -24,7 +26,7 @@
 	t, e := g.table, g.state
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return NoticeChange{Limit: t.observeLimit(e, now, n), Leaving: n.Leaving && t.observeLeaving(e, now)}
+	return NoticeChange{Limit: t.observeLimit(e, now, n), Leaving: n.Leaving && t.observeLeaving(e, now), Cold: t.observeCold(e, now, n.Cold)}
 }
 
 // observeLeaving records that e says at now that it is leaving. It is not revoked, as an
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -131,6 +131,8 @@
 	replaced            bool                // another incarnation runs at its address
 	limit               *requestLimit       // nil: it names none
 	leaving             bool                // it has said in a response that it is leaving
+	coldStated          coldStatement       // of its registration
+	cold                *coldState          // nil: its deployment has no cold rate
 }
 
 // online and batch return the requests of each kind at e over all entries.
@@ -140,10 +142,10 @@
 
 // eligible reports whether e may be chosen for a request at now.
 func (e *endpoint) eligible(now time.Duration, req Request) bool {
-	return e.usable(req) && e.limitWait(now) == 0
+	return e.usable(req) && e.limitWait(now) == 0 && e.coldWait(now) == 0 && !(req.warmOnly && e.isCold(now))
 }
 
-// usable reports whether e may be chosen for a request as far as its limit allows.
+// usable reports whether e may be chosen for a request as far as its limits allow.
 func (e *endpoint) usable(req Request) bool {
 	return !e.Draining && !e.leaving && !e.replaced && !req.Avoid[e.key] && req.versionAllows(e)
 }
@@ -162,6 +164,7 @@
 	leaving        map[Key]time.Duration // endpoints that have said that they are leaving, and the time of the last notice
 	groups         map[string]*group     // by deployment
 	peers          map[string]Report
+	cold           coldLimits
 	serviceTime    time.Duration // moving average of the time of an online request at an endpoint
 	recentRequests float64       // online requests at this entry, as a sum that decays with the time constant reportLag
 	lastRequestAt  time.Duration // clock at the last online request
@@ -203,7 +206,9 @@
 		e.peers, e.failingReports = Load{}, 0
 		t.endpoints[key] = e
 		t.group(item.Deployment).add(e)
+		t.setUpCold(e)
 	}
+	t.cold.stale = t.cold.quota != nil
 	for _, r := range t.peers {
 		t.applyReport(r, 1)
 	}
@@ -219,6 +224,7 @@
 	Slowness   float64       // relative to the median of its deployment, at least 1
 	Full       bool          // it refused a request for lack of a free slot less than fullTTL ago
 	Limited    bool          // endpoints are only held back by the limits that they name
+	Cold       bool          // endpoints are only held back as they are cold
 }
 
 // Request describes the request or batch item to place.
@@ -228,6 +234,8 @@
 	Avoid      map[Key]bool  // endpoints that were already tried for it
 	MaxWait    time.Duration // longest wait for its start that is useful to the caller
 	AtMostOnce bool          // it must not be repeated after a failure
+
+	warmOnly bool // no cold endpoint may be chosen
 }
 
 // versionAllows reports whether e may continue the response as far as its software goes:
@@ -263,29 +271,46 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.recordRequest(now)
-	best, wait := t.selectEndpoint(now, req)
-	if best == nil {
-		return nil, t.refuseAll(now, req)
+	for {
+		best, wait := t.selectEndpoint(now, req)
+		if best == nil {
+			return nil, t.refuseAll(now, req)
+		}
+		if refusal := t.refuseLate(now, req, best, wait); refusal != nil {
+			return nil, refusal
+		}
+		if t.takeColdToken(now, best) {
+			return t.newGrant(best, Online, now, nil), nil
+		}
 	}
+}
+
+// refuseLate returns the refusal of a request whose expected wait at best, beyond the given
+// one, exceeds MaxWait; nil if it does not.
+func (t *Table) refuseLate(now time.Duration, req Request, best *endpoint, wait time.Duration) *Refusal {
 	if best.online() >= best.Slots && wait <= req.MaxWait {
 		wait += t.queueDelay(now, req, best)
 	}
-	if wait > req.MaxWait {
-		return nil, &Refusal{
-			RetryAfter: t.retryAfter(wait - req.MaxWait),
-			Wait:       wait,
-			Endpoint:   best.ID,
-			Load:       Load{Online: best.online(), Batch: best.batch()},
-			Slowness:   t.group(req.Deployment).slowness(best),
-			Full:       now < best.fullUntil,
-		}
+	if wait <= req.MaxWait {
+		return nil
+	}
+	return &Refusal{
+		RetryAfter: t.retryAfter(wait - req.MaxWait),
+		Wait:       wait,
+		Endpoint:   best.ID,
+		Load:       Load{Online: best.online(), Batch: best.batch()},
+		Slowness:   t.group(req.Deployment).slowness(best),
+		Full:       now < best.fullUntil,
 	}
-	return t.newGrant(best, Online, now, nil), nil
 }
 
 // refuseAll returns the refusal of a request for which no endpoint is eligible.
 func (t *Table) refuseAll(now time.Duration, req Request) *Refusal {
-	if wait := t.limitRetryAfter(now, req); wait > 0 {
+	limited := t.limitRetryAfter(now, req)
+	if wait, ok := t.coldRetryAfter(now, req); ok && (limited == 0 || wait < limited) {
+		return &Refusal{RetryAfter: t.retryAfter(wait), Wait: wait, Cold: true}
+	}
+	if wait := limited; wait > 0 {
 		return &Refusal{RetryAfter: t.retryAfter(wait), Wait: wait, Limited: true}
 	}
 	return &Refusal{RetryAfter: minSuspension}
--- a/placement/wait.go
+++ b/placement/wait.go
@@ -48,6 +48,7 @@
 func (t *Table) HasFreeSlot(now time.Duration, req Request) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	req.warmOnly = true // a token is not certain
 	best, _ := t.earliestStart(now, req, t.group(req.Deployment).endpoints, true)
 	return best != nil && best.online()+best.batch() < best.Slots && now >= best.fullUntil
 }
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -26,6 +26,8 @@
 	LimitWindow     config.Duration `json:"limit_window,omitempty" reload:"true"`     // length of the time windows to which limit_excess and limit_slack apply
 	LimitExcess     float64         `json:"limit_excess,omitempty" reload:"true"`     // tolerated excess in a window, as a fraction of the requests that rate and burst allow in it
 	LimitSlack      float64         `json:"limit_slack,omitempty" reload:"true"`      // tolerated excess in a window in requests, added to limit_excess
+	ColdExcess      float64         `json:"cold_excess,omitempty" reload:"true"`      // factor by which a cold endpoint may get more than its cold rate in any second; default 1
+	ColdSlack       float64         `json:"cold_slack,omitempty" reload:"true"`       // requests that a cold endpoint may get in any second beyond that
 	EndGrace        config.Duration `json:"end_grace,omitempty" reload:"true"`        // time between SIGTERM and SIGKILL, within which the entry drains; default 8s
 	KeepJobs        config.Duration `json:"keep_jobs,omitempty" reload:"true"`        // retention time of finished batch jobs, counted from their submission; default 1h
 	GoneAfter       config.Duration `json:"gone_after,omitempty" reload:"true"`       // time after an outage of the store for which endpoints are kept whose registration expired because of it; default 2s
@@ -61,6 +63,8 @@
 	f.notNegative("/limit_window", float64(g.LimitWindow))
 	f.notNegative("/limit_excess", g.LimitExcess)
 	f.notNegative("/limit_slack", g.LimitSlack)
+	f.coldExcess("/cold_excess", &g.ColdExcess)
+	f.finiteNotNegative("/cold_slack", g.ColdSlack)
 	f.notNegative("/end_grace", float64(g.EndGrace))
 	f.notNegative("/keep_jobs", float64(g.KeepJobs))
 	f.notNegative("/gone_after", float64(g.GoneAfter))
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -86,3 +86,20 @@
 		}
 	}
 }
+
+// TestLoadGateway_ColdBounds loads bounds on cold endpoints: without them exactly the cold
+// rate is allowed, and bounds below it are findings.
+func TestLoadGateway_ColdBounds(t *testing.T) {
+	load := func(extra string) (*settings.Gateway, error) {
+		return settings.LoadGateway(writeSettings(t, `{"id":"e1","data_centre":"a","callers_addr":"127.0.0.1:1","ready_addr":"127.0.0.1:2",
+			"metrics_addr":"127.0.0.1:3","peers_addr":"127.0.0.1:4","store_addr":"127.0.0.1:5"`+extra+`}`))
+	}
+	for extra, want := range map[string][2]float64{"": {1, 0}, `,"cold_excess":1.5,"cold_slack":5`: {1.5, 5}, `,"cold_slack":2`: {1, 2}} {
+		g := NewWithT(t)
+		s, err := load(extra)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect([2]float64{s.ColdExcess, s.ColdSlack}).To(Equal(want), extra)
+	}
+	_, err := load(`,"cold_excess":0.9,"cold_slack":-1`)
+	NewWithT(t).Expect(err).To(MatchError(And(ContainSubstring("/cold_excess"), ContainSubstring("/cold_slack"))))
+}
--- a/upstream/dialect.go
+++ b/upstream/dialect.go
@@ -34,7 +34,8 @@
 	// RequestMetadata.Endpoint, which has taken over its address.
 	Misdirected(r *http.Response) bool
 	// Notice returns what the endpoint says of itself in a response. A malformed field is
-	// returned as an error, and the notice is as without it.
+	// returned as an error, and the notice is as without it; Notice.Cold says that it is
+	// malformed.
 	Notice(r *http.Response) (placement.Notice, error)
 	// Signed reports whether the response carries the endpoint's signature.
 	Signed(r *http.Response) bool
@@ -89,6 +90,10 @@
 	if change.Leaving {
 		log.Info().Str("endpoint", grant.Endpoint.ID).Int64("born", grant.Endpoint.StartMs).Msg("endpoint says that it is leaving")
 	}
+	if change.Cold {
+		log.Info().Str("endpoint", grant.Endpoint.ID).Int64("born", grant.Endpoint.StartMs).Str("by", "response").
+			Dur("left_ms", n.Cold.Left).Bool("malformed", n.Cold.Malformed).Msg("endpoint has become cold or is no longer cold")
+	}
 	if change.Limit {
 		log.Info().Str("endpoint", grant.Endpoint.ID).Bool("limited", n.Limited).Float64("limit", n.Limit).
 			Float64("own_part", grant.LimitShare()).Msg("limit of an endpoint changed")
