--- /dev/null
+++ b/online/cold_test.go
@@ -0,0 +1,165 @@
+package online
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"dandelionrelay/api"
+	"dandelionrelay/placement"
+	"dandelionrelay/quota"
+	"dandelionrelay/standin/network"
+	"dandelionrelay/standin/streams"
+)
+
+// Bounds on requests to a cold endpoint.
+const (
+	coldRate  = 23
+	coldTime  = 20 * time.Second
+	coldBound = coldRate*1.5 + 5
+)
+
+// limitCold applies the rate of cold endpoints to a table. What is known of the endpoints
+// is that they are cold for left.
+func limitCold(s *Service, list []placement.Endpoint, entries int, left time.Duration) {
+	now := s.Clock()
+	s.Table.SetColdRates(now-time.Minute, quota.NewTable(quota.Tolerance{}), map[string]placement.ColdRate{"lm": {Rate: coldRate, Time: coldTime}},
+		placement.ColdTolerance{Excess: 1.5, Slack: 5})
+	s.Table.SetColdShare(quota.Share{Observed: 1, Own: 1 / float64(entries), ValidUntil: now + time.Hour})
+	statements := make(map[placement.Key]placement.ColdNotice)
+	for _, e := range list {
+		statements[e.Key()] = placement.ColdNotice{Given: true, Left: left}
+	}
+	s.Table.StateCold(now, statements)
+}
+
+// Callers send more than cold endpoints take. Streams also break off at some of them, so
+// that they are retried and resumed at others. No endpoint gets more than the bound in a
+// second, all attempts counted, and each other request is refused at once as not run.
+func TestRequests_ColdEndpointsWithinBound(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { testCold(t, seed) })
+		})
+	}
+}
+
+func testCold(t *testing.T, seed uint64) {
+	const entries, perSecond, length = 7, 250, 12 * time.Second
+	g := gomega.NewWithT(t)
+	net := network.New()
+	random := rand.New(rand.NewPCG(seed, 9))
+	var mu sync.Mutex
+	var endpoints []*streams.Endpoint
+	var list []placement.Endpoint
+	for i := range 3 {
+		e := newEndpoint(fmt.Sprint("e", i), func(*http.Request, int) streams.Behaviour {
+			mu.Lock()
+			defer mu.Unlock()
+			if random.IntN(4) == 0 {
+				return streams.Behaviour{AbortAfter: 1 + random.IntN(3)}
+			}
+			return streams.Behaviour{}
+		})
+		e.Slots = 100
+		server := e.Serve(net.Listen(e.ID + ":1"))
+		t.Cleanup(func() { _ = server.Close() })
+		endpoints = append(endpoints, e)
+		list = append(list, placement.Endpoint{ID: e.ID, Address: e.ID + ":1", Deployment: "lm", DataCentre: "a", Slots: e.Slots})
+	}
+	var services []*Service
+	var names []string
+	for i := range entries {
+		names = append(names, fmt.Sprint("entry-", i))
+	}
+	for i := range entries {
+		s := newFleetEntry(t, net, i)
+		s.Table.SetEndpoints(list)
+		s.Table.SetEntries(names)
+		limitCold(s, list, entries, coldTime)
+		services = append(services, s)
+	}
+	served, refused := 0, 0
+	var wg sync.WaitGroup
+	for n := range int(length.Seconds()) * perSecond {
+		wg.Go(func() {
+			c, _ := newCall(fmt.Sprint("call-", n), true)
+			began := time.Now()
+			err := services[n%entries].Handle(t.Context(), c)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case err == nil:
+				served++
+			case err.Code == api.CodeOverloaded:
+				refused++
+				g.Expect(err.Outcome).To(gomega.Equal(api.NotRun))
+				g.Expect(err.RetryAfter).To(gomega.BeNumerically(">", 0))
+				g.Expect(time.Since(began)).To(gomega.BeNumerically("<", 10*time.Millisecond))
+			}
+		})
+		time.Sleep(time.Second / perSecond)
+	}
+	wg.Wait()
+	for _, e := range endpoints {
+		g.Expect(mostInASecond(e.Runs())).To(gomega.BeNumerically("<=", coldBound), e.ID)
+	}
+	g.Expect(served).To(gomega.BeNumerically(">=", 100))
+	g.Expect(refused).To(gomega.BeNumerically(">=", 100))
+}
+
+// mostInASecond returns the largest number of runs that began within a second.
+func mostInASecond(runs []streams.Run) int {
+	most := 0
+	for i, r := range runs {
+		end, _ := slices.BinarySearchFunc(runs, r.At.Add(time.Second), func(r streams.Run, at time.Time) int { return r.At.Compare(at) })
+		most = max(most, end-i)
+	}
+	return most
+}
+
+// An endpoint names in its responses that it has become cold, while its registration says
+// nothing: the entry keeps the rate from the first such response on, and uses the endpoint
+// freely once it names that it is warm.
+func TestRequests_EndpointNamesItselfAsCold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		endpoint := newEndpoint("e0", nil)
+		endpoint.Slots = 1000
+		left := time.Duration(0)
+		endpoint.ColdLeft = func() time.Duration { return left }
+		r := newTestService(t, endpoint)
+		list := []placement.Endpoint{{ID: "e0", Address: "e0:1", Deployment: "lm", DataCentre: "a", Slots: 1000}}
+		r.Table.SetEndpoints(list)
+		limitCold(r.Service, list, 1, 0)
+		flood := func() int {
+			before := len(endpoint.Runs())
+			var wg sync.WaitGroup
+			for n := range 60 {
+				wg.Go(func() {
+					c, _ := newCall(fmt.Sprint("call-", time.Now().UnixNano(), "-", n), true)
+					r.Handle(t.Context(), c)
+				})
+			}
+			wg.Wait()
+			time.Sleep(time.Second)
+			return len(endpoint.Runs()) - before
+		}
+		r.Expect(flood()).To(gomega.Equal(60), "it is warm")
+		left = 5 * time.Second
+		c, _ := newCall("tells", true)
+		r.Expect(r.Handle(t.Context(), c)).To(gomega.BeNil())
+		r.Expect(flood()).To(gomega.BeNumerically("<=", coldBound))
+		left = 0
+		c, _ = newCall("tells too", true)
+		r.Expect(r.Handle(t.Context(), c)).To(gomega.BeNil())
+		r.Expect(flood()).To(gomega.Equal(60), "it is warm again")
+		r.Expect(r.logs.String()).To(gomega.ContainSubstring("endpoint has become cold or is no longer cold"))
+	})
+}
--- a/standin/streams/streams.go
+++ b/standin/streams/streams.go
@@ -24,6 +24,7 @@
 	HeaderRemaining = "X-Remaining-Ms"
 	HeaderLimit     = "X-Limit"
 	HeaderLeaving   = "X-Leaving"
+	HeaderCold      = "X-Cold-Ms"
 )
 
 // Dialect implements upstream.Dialect with the header fields above.
@@ -53,7 +54,11 @@
 // Notice implements upstream.Dialect.
 func (Dialect) Notice(r *http.Response) (placement.Notice, error) {
 	limit, err := strconv.ParseFloat(r.Header.Get(HeaderLimit), 64)
-	return placement.Notice{Limited: err == nil, Limit: limit, Leaving: r.Header.Get(HeaderLeaving) != ""}, nil
+	n := placement.Notice{Limited: err == nil, Limit: limit, Leaving: r.Header.Get(HeaderLeaving) != ""}
+	if ms, err := strconv.ParseInt(r.Header.Get(HeaderCold), 10, 64); err == nil {
+		n.Cold = placement.ColdNotice{Given: true, Left: time.Duration(ms) * time.Millisecond}
+	}
+	return n, nil
 }
 
 // Signed implements upstream.Dialect.
@@ -103,6 +108,9 @@
 	Limit float64
 	// Leaving, if it returns true, is named in a response. nil: it never is.
 	Leaving func() bool
+	// ColdLeft returns the time for which the endpoint remains cold, which is named in a
+	// response. nil: none is named.
+	ColdLeft func() time.Duration
 	// BehaviourFor returns the behaviour for r, the nth request, counted from 1. If it
 	// is nil, all responses are complete.
 	BehaviourFor func(r *http.Request, n int) Behaviour
@@ -195,6 +203,9 @@
 	if e.Leaving != nil && e.Leaving() {
 		w.Header().Set(HeaderLeaving, "1")
 	}
+	if e.ColdLeft != nil {
+		w.Header().Set(HeaderCold, strconv.FormatInt(e.ColdLeft().Milliseconds(), 10))
+	}
 	if b.NotRun {
 		w.Header().Set(HeaderNotRun, "1")
 		w.WriteHeader(b.Status)
