placement: tests of other cold rates, and of endpoints that become cold under load

A rate below one request a second would have meant none without maxSlowRate, and nothing showed it; the burst that an endpoint under load doesn't get when it becomes cold was not tested. Change: TestCold_BoundHoldsForOtherRates, which takes the place of the test of the defaults with the same bound, and TestCold_EndpointsBecomeColdAgain, with up to 350 ms until entries know.

--- a/placement/cold_test.go
+++ b/placement/cold_test.go
@@ -214,20 +214,65 @@
 	g.Expect(sent).To(gomega.BeNumerically(">", 0))
 }
 
-// A reload or the default of the settings allows exactly the cold rate.
-func TestCold_ExactlyTheRateByDefault(t *testing.T) {
+// Rates other than the usual one, and the defaults of the settings, which allow exactly the
+// rate: the sum of the parts must not exceed the bound by rounding, and a rate below one
+// request a second must not mean none.
+func TestCold_BoundHoldsForOtherRates(t *testing.T) {
+	for name, c := range map[string]struct {
+		rate      float64
+		tolerance ColdTolerance
+		bound     float64
+		atLeast   float64 // requests a second
+	}{
+		"defaults":          {23, ColdTolerance{}, 23, 8},
+		"defaults, 1":       {1, ColdTolerance{}, 1, 0.3},
+		"below one":         {0.5, ColdTolerance{}, 1, 0.3},
+		"below one, slack":  {0.5, coldTolerance, 5.75, 0.3},
+		"three":             {3, ColdTolerance{Excess: 1.2, Slack: 1}, 4.6, 1},
+		"more than entries": {100, coldTolerance, 155, 35},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			f := newColdFleet(33, coldEndpoints(2)...)
+			f.serving = 50 * time.Millisecond
+			for _, e := range f.entries {
+				e.table.SetColdRates(0, e.quota, map[string]ColdRate{model: {Rate: c.rate, Time: coldTime}}, c.tolerance)
+			}
+			f.run(func(now time.Duration) {
+				if now == coldFrom {
+					f.restartEndpoints(now, 2)
+				}
+				f.load(now, 400)
+			})
+			g.Expect(f.most()).To(gomega.BeNumerically("<=", c.bound))
+			g.Expect(f.perSecond()).To(gomega.BeNumerically(">=", c.atLeast))
+		})
+	}
+}
+
+// Endpoints under full load become cold again, which entries learn from registrations up to
+// 350 ms apart. With what arrives before that, none gets more than the bound: it gets no
+// burst then. Endpoints that are warm take the load meanwhile.
+func TestCold_EndpointsBecomeColdAgain(t *testing.T) {
 	g := gomega.NewWithT(t)
-	f := newColdFleet(33, coldEndpoints(4)...)
+	f := newColdFleet(33, coldEndpoints(16)...)
 	f.serving = 50 * time.Millisecond
-	for _, e := range f.entries {
-		e.table.SetColdRates(0, e.quota, map[string]ColdRate{model: {Rate: coldPerSecond, Time: coldTime}}, ColdTolerance{Excess: 1})
-	}
+	const becomeCold = 4 * time.Second // at a crest
 	f.run(func(now time.Duration) {
-		if now == coldFrom {
-			f.restartEndpoints(now, 4)
+		if now == becomeCold {
+			f.statements = make(map[Key]ColdNotice)
+			for _, e := range f.list[:5] {
+				f.coldUntil[e.Key()] = now + coldTime
+				f.statements[e.Key()] = ColdNotice{Given: true, Left: coldTime}
+			}
+		}
+		for i, e := range f.entries {
+			if now == becomeCold+time.Duration(i%8)*50*time.Millisecond {
+				e.table.StateCold(now, f.statements)
+			}
 		}
 		f.load(now, 400)
 	})
-	g.Expect(f.most()).To(gomega.BeNumerically("<=", coldPerSecond))
-	g.Expect(f.perSecond()).To(gomega.BeNumerically(">=", 8))
+	g.Expect(f.most()).To(gomega.BeNumerically("<=", coldBound))
+	g.Expect(f.perSecond()).To(gomega.BeNumerically(">=", 2))
 }
