locality, config: the decision in which data centres work may run

Cause: evacuations and homes bind placement in both compositions (gateway and entry), so the decision and the fields of the desired state must exist once.

Ruled out: a decision in package placement (dispatch does not use it); sets of evacuated data centres as lists, which can name one twice; a struct for each evacuation, as nothing is stored beside the name.

--- a/config/state.go
+++ b/config/state.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"dandelionrelay/locality"
 )
 
 // State is the complete desired state. It is read-only once published.
@@ -16,6 +18,10 @@
 	Keys        map[string]Key        `json:"keys"`
 	Routes      map[string]Route      `json:"routes"`
 	Deployments map[string]Deployment `json:"deployments"`
+
+	// Evacuations is the set of evacuated data centres: nothing more may be sent to
+	// their endpoints.
+	Evacuations map[string]bool `json:"evacuations,omitempty"`
 }
 
 // Customer holds the limits and the weight of one customer of the system.
@@ -23,6 +29,8 @@
 	Rate   float64 `json:"rate"`             // requests per second over the whole fleet
 	Burst  float64 `json:"burst"`            // requests
 	Weight float64 `json:"weight,omitempty"` // fair share weight; 0 means 1
+
+	Homes locality.Homes `json:"homes,omitempty"` // regions in which its requests may run; empty means any
 }
 
 // Key is one credential of a customer. Only its digest is stored.
@@ -43,6 +51,8 @@
 	Timeout    Duration `json:"timeout,omitempty"`    // 0 means DefaultTimeout
 	Customers  []string `json:"customers,omitempty"`  // who may use it; empty means all
 
+	Homes locality.Homes `json:"homes,omitempty"` // regions in which its requests may run; empty means any
+
 	// Provided holds rules that only a provider of complete states sets; nil
 	// for routes from configuration files.
 	Provided *ProvidedRoute `json:"-"`
