gateway: evacuations and homes bind placement, batch items and handovers

Cause: nothing reads evacuation records, and no decision knows regions.

Ruled out: a follower of its own for evacuations (the partition is already followed and confirmed by peers, which would have to be done twice); a second version number for evacuations (offsets of each key decide already); a check of the policy's maps for each endpoint and request (region and evacuation are kept beside each endpoint instead, so that a request without homes costs one more comparison of a bool).

The RPC between entries gives all newest records, revocations included. placement.Table takes the policy: endpoints of evacuated data centres and outside the homes are not usable, running items there are preempted, and items use endpoints of other cells if none of the own cell is left. Requests and jobs for which no data centre is left are refused as not run (evacuated, outside_homes). Calls on jobs are handed over, and jobs taken over, only within the homes. Settings region, regions and evacuation_bound; with the last, an entry that was suspended sends nothing before it has read what it missed.

--- a/api/api.go
+++ b/api/api.go
@@ -93,9 +93,13 @@
 	CodeVersionGone Code = "version_gone"
 	// CodeVersionUnknown says that it can't be found out which version began the response.
 	CodeVersionUnknown Code = "version_unknown"
-	CodeLogDown        Code = "log_unavailable"
-	CodeConflict       Code = "conflict"
-	CodeInternal       Code = "internal"
+	// CodeEvacuated says that all data centres that may serve the request are evacuated.
+	CodeEvacuated Code = "evacuated"
+	// CodeOutsideHomes says that no endpoint is in a region in which the request may run.
+	CodeOutsideHomes Code = "outside_homes"
+	CodeLogDown      Code = "log_unavailable"
+	CodeConflict     Code = "conflict"
+	CodeInternal     Code = "internal"
 )
 
 // Error is a failure as reported to the caller. It implements error.
--- a/batch/item.go
+++ b/batch/item.go
@@ -131,6 +131,9 @@
 	if err != nil {
 		return runNotExecuted, placement.Aborted, err
 	}
+	if r.MayStart != nil && !r.MayStart() {
+		return runNotExecuted, placement.Aborted, errorx.IllegalState.New("the configuration is not certain to be in force")
+	}
 	x, err := r.Pool.Do(ctx, grant.Endpoint.Address, request, time.Now().Add(it.scaledTimeout(firstEventTimeout)))
 	if errorx.IsOfType(err, upstream.NotSent) {
 		r.Pool.CloseIdle(grant.Endpoint.Address)
--- a/batch/list.go
+++ b/batch/list.go
@@ -173,13 +173,30 @@
 		if candidates == nil {
 			candidates = s.Peers.Candidates()
 		}
-		if successor(j.ID, candidates) == s.Self.Entry {
+		if successor(j.ID, s.within(candidates, j)) == s.Self.Entry {
 			orphans[j.ID] = j.owner
 		}
 	}
 	return orphans
 }
 
+// within returns those of the candidates that may take over a job: its bodies are read only
+// in the homes of its route and customer.
+func (s *Service) within(candidates []string, j view) []string {
+	snapshot := s.Config.Current()
+	homes := snapshot.Homes(snapshot.State.Routes[j.Route], j.Customer)
+	if len(homes) == 0 || s.MayTakeOver == nil {
+		return candidates
+	}
+	var list []string
+	for _, c := range candidates {
+		if s.MayTakeOver(c, homes) {
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
 // isDraining reports whether Drain was called.
 func (s *Service) isDraining() bool {
 	s.runner.mu.Lock()
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -183,6 +183,9 @@
 func (r *runner) plan(ctx context.Context) bool {
 	snapshot := r.Config.Current()
 	runnable := r.runnableItems(snapshot)
+	if r.MayStart != nil && !r.MayStart() {
+		return len(runnable) > 0
+	}
 	now := r.Clock()
 	full := make(map[string]bool) // deployments without a free slot
 	pending := false
--- a/batch/service.go
+++ b/batch/service.go
@@ -12,6 +12,7 @@
 	"dandelionrelay/boottime"
 	"dandelionrelay/config"
 	"dandelionrelay/keyedlog"
+	"dandelionrelay/locality"
 	"dandelionrelay/placement"
 	"dandelionrelay/upstream"
 )
@@ -35,9 +36,15 @@
 	Pool    *upstream.Pool
 	Dialect upstream.Dialect
 	Peers   Peers
-	Clock   boottime.Clock
-	Log     zerolog.Logger
-	Metrics *Metrics
+	// MayStart reports whether the configuration is recent enough to send items to
+	// endpoints. nil: it always is.
+	MayStart func() bool
+	// MayTakeOver reports whether an entry may take over jobs whose items have these homes,
+	// of which there is at least one. nil: all may.
+	MayTakeOver func(entry string, homes []locality.Homes) bool
+	Clock       boottime.Clock
+	Log         zerolog.Logger
+	Metrics     *Metrics
 }
 
 // Limits are the sizes and the retention that a Service observes.
--- a/batch/start.go
+++ b/batch/start.go
@@ -11,7 +11,7 @@
 // startItem starts an item if a slot is free, or fails it if it may not run any
 // more. It returns false if the item continues to wait. If no endpoint of the
 // deployment has a free slot, it sets the deployment in full, unless the item
-// avoids an endpoint or a version, where others may find a slot.
+// avoids an endpoint or a version or has homes, where others may find a slot.
 func (r *runner) startItem(ctx context.Context, snapshot *config.Snapshot, it runnableItem, full map[string]bool) bool {
 	route, ok := snapshot.State.Routes[it.job.Route]
 	if !ok || route.Provided == nil || route.Provided.Batch == nil {
@@ -24,7 +24,11 @@
 		return false
 	}
 	itemCtx, cancel := context.WithCancel(ctx)
-	request := placement.Request{Deployment: route.Deployment, Avoid: it.avoid.avoidSet(r.Clock())}
+	request := placement.Request{
+		Deployment: route.Deployment,
+		Avoid:      it.avoid.avoidSet(r.Clock()),
+		Homes:      snapshot.Homes(route, it.job.Customer),
+	}
 	if it.origin.Deployment == route.Deployment {
 		request.Version = it.origin.Version
 	}
@@ -35,7 +39,7 @@
 	}
 	if grant == nil {
 		cancel()
-		full[route.Deployment] = len(request.Avoid) == 0 && request.Version == ""
+		full[route.Deployment] = len(request.Avoid) == 0 && request.Version == "" && len(request.Homes) == 0
 		return false
 	}
 	if grant.Endpoint.Origin() != it.origin {
--- a/config/state.go
+++ b/config/state.go
@@ -234,6 +234,19 @@
 	return "", Route{}, false
 }
 
+// Homes returns the regions in which a customer's requests on a route may run: the homes of
+// both, of which each list binds on its own. It returns nil if neither has any.
+func (s *Snapshot) Homes(route Route, customer string) []locality.Homes {
+	var homes []locality.Homes
+	if len(route.Homes) > 0 {
+		homes = append(homes, route.Homes)
+	}
+	if c := s.State.Customers[customer]; len(c.Homes) > 0 {
+		homes = append(homes, c.Homes)
+	}
+	return homes
+}
+
 // Source provides the snapshot in force.
 type Source interface {
 	// Current returns the snapshot in force. It is never nil; before the first
--- a/gateway/confirm.go
+++ b/gateway/confirm.go
@@ -24,27 +24,32 @@
 	// ConfirmByPeer records that the records before next are all that were appended
 	// before at. It returns false if newer records are missing here.
 	ConfirmByPeer(next int64, at time.Duration) bool
-	// ApplyFromPeer applies records that another entry has read up to next.
+	// ApplyFromPeer replaces the state with the newest records, which another entry has
+	// read up to next.
 	ApplyFromPeer(records []keyedlog.Record, next int64)
 }
 
 // NewestArgs is empty.
 type NewestArgs struct{}
 
-// NewestReply holds the newest record of the configuration.
+// NewestReply holds the newest records of the partition of the configuration.
 type NewestReply struct {
 	Records []keyedlog.Record
 	Next    int64 // offset up to which the replying entry has read the partition
+	// Complete says that Records holds the newest record of every key: evacuations without
+	// one have ended. Entries of releases without evacuations do not set it.
+	Complete bool
 }
 
 // configRPC is the service under configService.
 type configRPC struct{ g *Gateway }
 
-// Newest returns the newest record that this entry has applied.
+// Newest returns the newest records that this entry has applied.
 func (c *configRPC) Newest(_ NewestArgs, reply *NewestReply) error {
-	// The offset is read first: the record is then at least as new as it.
+	// The offset is read first: the records are then at least as new as it.
 	reply.Next, _ = c.g.ConfigFeed.NextOffset()
 	reply.Records = c.g.ConfigRecords()
+	reply.Complete = true
 	return nil
 }
 
@@ -75,6 +80,10 @@
 		g.Log.Warn().Err(err).Str("peer", name).Msg("could not get the configuration from another entry")
 		return
 	}
+	if !reply.Complete {
+		g.Log.Warn().Str("peer", name).Msg("configuration of another entry not used: its release does not know evacuations")
+		return
+	}
 	g.ConfigFeed.ApplyFromPeer(reply.Records, reply.Next)
 	g.Log.Info().Str("peer", name).Int64("next_offset", reply.Next).Dur("store_lost_ms", g.ConfigFeed.LostFor()).
 		Msg("got the configuration from another entry")
--- a/gateway/filters.go
+++ b/gateway/filters.go
@@ -176,6 +176,12 @@
 	return g.configConfirmedWithin(bound - withdrawalMargin)
 }
 
+// configFresh reports whether a call may be sent to an endpoint as far as the age of the
+// configuration goes: its key and the evacuations are confirmed.
+func (g *Gateway) configFresh(c *pipeline.Call) bool {
+	return g.keyConfirmed(c) && g.evacuationsConfirmed()
+}
+
 // limitRate is a filter that enforces the rate limits of customers. A call that was not
 // run is refunded.
 func (g *Gateway) limitRate(next pipeline.Handler) pipeline.Handler {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -56,8 +56,8 @@
 	// ConfigFeed calls Gateway.ConfigChanged before it stores a new version in
 	// Config.
 	ConfigFeed ConfigFeed
-	// ConfigRecords returns the newest record of the configuration that was applied,
-	// for entries that can't read it from the store.
+	// ConfigRecords returns the newest record of each key of the configuration's partition
+	// that was applied, for entries that can't read it from the store.
 	ConfigRecords func() []keyedlog.Record
 	// EndpointFeed calls Gateway.SetEndpoints with each new list of endpoints.
 	EndpointFeed Feed
@@ -122,6 +122,9 @@
 	leaving       bool
 	endpoints     []placement.Endpoint // as listed by discovery
 	endpointAddrs map[string]bool      // addresses of endpoints
+
+	localityMetrics localityMetrics
+	locality        localityState
 }
 
 // Timing of the followers: the maximum time that a read waits at the store for new
@@ -150,6 +153,8 @@
 		confirming:    make(chan struct{}, 1),
 		resumed:       newResumedCounter(d.Registry),
 
+		localityMetrics: newLocalityMetrics(d.Registry),
+
 		ownCellCounts:   quota.NewTally(),
 		otherCellCounts: quota.NewTally(),
 	}
@@ -189,26 +194,28 @@
 	})
 	g.jobsFollower = g.follow("jobs", g.Jobs, state, jobsReadWait, jobsMinInterval)
 	g.jobs = batch.New(batch.Deps{
-		Self:    batch.Owner{Entry: g.Settings.ID, Incarnation: g.Incarnation},
-		Index:   batch.NewIndex(g.Jobs, g.jobsFollower, state),
-		Stores:  g.Contents,
-		Limits:  batchLimits(g.Settings),
-		Config:  g.Config,
-		Table:   g.table,
-		Pool:    g.pool,
-		Dialect: g.Dialect,
-		Peers:   g.node,
-		Clock:   g.Clock,
-		Log:     g.Log,
-		Metrics: batch.NewMetrics(g.Registry),
+		Self:        batch.Owner{Entry: g.Settings.ID, Incarnation: g.Incarnation},
+		Index:       batch.NewIndex(g.Jobs, g.jobsFollower, state),
+		Stores:      g.Contents,
+		Limits:      batchLimits(g.Settings),
+		Config:      g.Config,
+		Table:       g.table,
+		Pool:        g.pool,
+		Dialect:     g.Dialect,
+		Peers:       g.node,
+		MayStart:    g.evacuationsConfirmed,
+		MayTakeOver: g.mayTakeOver,
+		Clock:       g.Clock,
+		Log:         g.Log,
+		Metrics:     batch.NewMetrics(g.Registry),
 	})
 }
 
 // BatchJobs returns the batch service.
 func (g *Gateway) BatchJobs() *batch.Service { return g.jobs }
 
-// ConfigChanged applies the rate limits of a new configuration and wakes the batch
-// service.
+// ConfigChanged applies the rate limits, evacuations and homes of a new configuration and
+// wakes the batch service.
 func (g *Gateway) ConfigChanged(s *config.Snapshot) {
 	limits := make(map[string]quota.Limit, len(s.State.Customers))
 	for id, c := range s.State.Customers {
@@ -216,6 +223,7 @@
 	}
 	g.limits.SetLimits(g.Clock(), limits)
 	g.listed.SetRoutes(routeTargets(s.State))
+	g.applyLocality(s.State)
 	g.jobs.Wake()
 }
 
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dandelionrelay/gossip"
+	"dandelionrelay/locality"
 )
 
 // maxHandovers is the number of other entries to which a call on a job is handed over, one
@@ -16,13 +17,18 @@
 // HandoverTargets returns the entries that can serve a call on a job which this entry can't
 // serve: they have read the store since this one last failed to, and so in an outage for
 // all there is none. Those of this data centre come first.
-func (g *Gateway) HandoverTargets() []gossip.Member {
+// The region of each is one of the homes of the call, or that of this entry.
+func (g *Gateway) HandoverTargets(homes ...locality.Homes) []gossip.Member {
 	lostFor := g.jobsFollower.LostFor()
 	if lostFor == 0 {
 		return nil
 	}
 	var local, remote []gossip.Member
+	regions := g.regions()
 	for _, m := range g.storeReads.since(g.Clock()-lostFor, g.node.MembersReachingLog()) {
+		if !mayReceive(regions, g.Settings.DataCentre, m, homes) {
+			continue
+		}
 		if m.DataCentre == g.Settings.DataCentre {
 			local = append(local, m)
 		} else {
--- a/gateway/pipelines.go
+++ b/gateway/pipelines.go
@@ -21,7 +21,7 @@
 		Log:          g.Log,
 		Metrics:      online.NewMetrics(g.Registry),
 		Suspects:     g.suspects,
-		ConfigFresh:  g.keyConfirmed,
+		ConfigFresh:  g.configFresh,
 		RecordOrigin: g.recordOrigin,
 		ConfigAge: func() time.Duration {
 			age, _ := g.ConfigFeed.Age()
@@ -34,7 +34,7 @@
 	}
 	g.onlineHandler = pipeline.Chain(serve, g.requireConfig, g.resolveRoute, g.authenticate, g.requireConfirmedKey, quarantine.Filter(g.suspects), g.resolveOrigin, g.limitRate)
 	accept := func(context.Context, *pipeline.Call) *api.Error { return nil }
-	g.submissionHandler = pipeline.Chain(accept, g.requireConfig, g.resolveRoute, g.authenticate, g.requireConfirmedKey, g.requireStore)
+	g.submissionHandler = pipeline.Chain(accept, g.requireConfig, g.resolveRoute, g.authenticate, g.requireConfirmedKey, g.requireStore, g.requireDataCentre)
 	g.batchHandler = pipeline.Chain(accept, g.requireConfig, g.authenticate, g.requireStore)
 }
 
--- a/gossip/registry.go
+++ b/gossip/registry.go
@@ -180,6 +180,12 @@
 	return m.Address, ok
 }
 
+// Member returns the registration of an entry.
+func (r *Registry) Member(name string) (Member, bool) {
+	m, _, ok := r.find(name)
+	return m, ok
+}
+
 // EncodeMember returns the record that registers m, with the name as its key.
 func EncodeMember(m Member) (keyedlog.Record, error) {
 	value, err := json.Marshal(m)
--- a/keyedlog/follower.go
+++ b/keyedlog/follower.go
@@ -197,16 +197,16 @@
 	return true
 }
 
-// ApplyFromPeer applies the newest records of a partition, which another follower has
-// read up to offset next. It does nothing if there are none, or if the state does not end
-// before next. The state must not need the records between.
+// ApplyFromPeer replaces the state with the newest record of each key of a partition, which
+// another follower has read up to offset next or further. It does nothing if there are none,
+// or if the state does not end before next. The state must not need the records between.
 func (f *Follower) ApplyFromPeer(records []Record, next int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if len(records) == 0 || !f.loaded || f.next >= next {
 		return
 	}
-	f.state.Apply(records)
+	f.state.Reset(records)
 	f.next = next
 }
 
--- a/locality/locality.go
+++ b/locality/locality.go
@@ -72,12 +72,19 @@
 	if p == nil {
 		return Allowed
 	}
+	return Decide(p.regions[dataCentre], p.evacuated[dataCentre], homes...)
+}
+
+// Decide returns the verdict for work with the given homes in a data centre, of which the
+// region is empty if it is unknown. It serves callers that keep region and evacuated beside
+// each of many endpoints.
+func Decide(region string, evacuated bool, homes ...Homes) Verdict {
 	for _, h := range homes {
-		if !h.Allows(p.regions[dataCentre]) {
+		if !h.Allows(region) {
 			return OutsideHomes
 		}
 	}
-	if p.evacuated[dataCentre] {
+	if evacuated {
 		return Evacuated
 	}
 	return Allowed
--- a/online/execution.go
+++ b/online/execution.go
@@ -10,6 +10,7 @@
 	"dandelionrelay/api"
 	"dandelionrelay/config"
 	"dandelionrelay/eventstream"
+	"dandelionrelay/locality"
 	"dandelionrelay/pipeline"
 	"dandelionrelay/placement"
 	"dandelionrelay/quarantine"
@@ -53,6 +54,7 @@
 	*Service
 	call       *pipeline.Call
 	route      *config.ProvidedRoute
+	homes      []locality.Homes       // regions in which it may run
 	tried      map[placement.Key]bool // endpoints tried, the present one included
 	attempts   int                    // number of endpoints tried
 	mayHaveRun int                    // number of these that may have run the request
@@ -119,6 +121,9 @@
 	request.MaxWait = maxWait
 	grant, refused := ex.Table.Place(ex.Clock(), request)
 	ex.refusal = refused
+	if refused != nil && ex.mayHaveRun == 0 && refused.Locality != locality.Allowed {
+		return nil, LocalityError(refused.Locality, refused.RetryAfter)
+	}
 	if refused != nil && ex.mayHaveRun == 0 && ex.versionGone() {
 		return nil, notRunError(api.CodeVersionGone, "no endpoint of the version that began the stream is left", 0)
 	}
@@ -147,6 +152,7 @@
 		Deployment: ex.call.Route.Deployment,
 		Version:    ex.version(),
 		Avoid:      ex.tried,
+		Homes:      ex.homes,
 		AtMostOnce: !ex.route.Resumable && !ex.call.Route.Idempotent,
 	}
 }
--- a/online/online.go
+++ b/online/online.go
@@ -53,6 +53,7 @@
 		Service:  s,
 		call:     c,
 		route:    c.Route.Provided,
+		homes:    c.Snapshot.Homes(c.Route, c.Customer),
 		tried:    make(map[placement.Key]bool),
 		response: callerResponse{call: c},
 	}
--- a/placement/batch.go
+++ b/placement/batch.go
@@ -17,8 +17,9 @@
 	group := t.group(req.Deployment)
 	includeFailing := group.tooManyFailing()
 	// The limits that endpoints name are left to online requests while others have none.
-	includeLimited := allLimited(group.preferred())
-	for _, e := range group.preferred() {
+	candidates := t.preferredFor(req)
+	includeLimited := allLimited(candidates)
+	for _, e := range candidates {
 		if e.limit != nil && !includeLimited {
 			continue
 		}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"dandelionrelay/locality"
 	"dandelionrelay/origin"
 )
 
@@ -131,6 +132,8 @@
 	replaced            bool                // another incarnation runs at its address
 	limit               *requestLimit       // nil: it names none
 	leaving             bool                // it has said in a response that it is leaving
+	region              string              // of its data centre; empty: unknown
+	evacuated           bool                // its data centre is evacuated
 }
 
 // online and batch return the requests of each kind at e over all entries.
@@ -145,7 +148,7 @@
 
 // usable reports whether e may be chosen for a request as far as its limit allows.
 func (e *endpoint) usable(req Request) bool {
-	return !e.Draining && !e.leaving && !e.replaced && !req.Avoid[e.key] && req.versionAllows(e)
+	return !e.Draining && !e.leaving && !e.replaced && !req.Avoid[e.key] && req.versionAllows(e) && req.verdict(e) == locality.Allowed
 }
 
 // Table holds an entry's view of all endpoints and their loads. It is safe for
@@ -165,6 +168,8 @@
 	serviceTime    time.Duration // moving average of the time of an online request at an endpoint
 	recentRequests float64       // online requests at this entry, as a sum that decays with the time constant reportLag
 	lastRequestAt  time.Duration // clock at the last online request
+	policy         *locality.Policy
+	evacuations    bool // the data centre of at least one endpoint is evacuated
 }
 
 // NewTable returns an empty table of the entry self in dataCentre. onChange, which may
@@ -191,6 +196,7 @@
 	defer t.mu.Unlock()
 	known := t.endpoints
 	t.endpoints = make(map[Key]*endpoint, len(list))
+	t.evacuations = false
 	t.groups = make(map[string]*group)
 	for _, item := range list {
 		key := item.Key()
@@ -201,6 +207,7 @@
 		e.Endpoint = item
 		_, e.leaving = t.leaving[key]
 		e.peers, e.failingReports = Load{}, 0
+		t.locate(e)
 		t.endpoints[key] = e
 		t.group(item.Deployment).add(e)
 	}
@@ -219,6 +226,8 @@
 	Slowness   float64       // relative to the median of its deployment, at least 1
 	Full       bool          // it refused a request for lack of a free slot less than fullTTL ago
 	Limited    bool          // endpoints are only held back by the limits that they name
+	// Locality is not Allowed if no endpoint is in a data centre where the request may run.
+	Locality locality.Verdict
 }
 
 // Request describes the request or batch item to place.
@@ -228,6 +237,8 @@
 	Avoid      map[Key]bool  // endpoints that were already tried for it
 	MaxWait    time.Duration // longest wait for its start that is useful to the caller
 	AtMostOnce bool          // it must not be repeated after a failure
+	// Homes are the regions of its route and of its customer. Each list binds on its own.
+	Homes []locality.Homes
 }
 
 // versionAllows reports whether e may continue the response as far as its software goes:
@@ -247,7 +258,7 @@
 func (t *Table) ServesBatch(req Request) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return anyUsable(t.group(req.Deployment).preferred(), req)
+	return anyUsable(t.preferredFor(req), req)
 }
 
 // anyUsable reports whether one of the endpoints may be chosen for a request as far as
@@ -285,6 +296,9 @@
 
 // refuseAll returns the refusal of a request for which no endpoint is eligible.
 func (t *Table) refuseAll(now time.Duration, req Request) *Refusal {
+	if v := t.verdict(req); v != locality.Allowed {
+		return &Refusal{RetryAfter: LocalityRetryAfter, Locality: v}
+	}
 	if wait := t.limitRetryAfter(now, req); wait > 0 {
 		return &Refusal{RetryAfter: t.retryAfter(wait), Wait: wait, Limited: true}
 	}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -2,9 +2,13 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"dandelionrelay/config"
+	"dandelionrelay/locality"
 )
 
 // Gateway holds the settings of an entry of package gateway: its configuration
@@ -30,6 +34,10 @@
 	KeepJobs        config.Duration `json:"keep_jobs,omitempty" reload:"true"`        // retention time of finished batch jobs, counted from their submission; default 1h
 	GoneAfter       config.Duration `json:"gone_after,omitempty" reload:"true"`       // time after an outage of the store for which endpoints are kept whose registration expired because of it; default 2s
 	LogLevel        string          `json:"log_level,omitempty" reload:"true"`        // debug, info, warn or error; default info
+
+	Region          string           `json:"region,omitempty" reload:"true"`           // region of data_centre; default the one that regions names
+	Regions         locality.Regions `json:"regions,omitempty" reload:"true"`          // region by data centre; homes allow nothing in others
+	EvacuationBound config.Duration  `json:"evacuation_bound,omitempty" reload:"true"` // maximum time from an evacuation to the last request to its data centre; 0: no bound
 }
 
 // Defaults of optional fields of a Gateway.
@@ -64,6 +72,8 @@
 	f.notNegative("/end_grace", float64(g.EndGrace))
 	f.notNegative("/keep_jobs", float64(g.KeepJobs))
 	f.notNegative("/gone_after", float64(g.GoneAfter))
+	f.notNegative("/evacuation_bound", float64(g.EvacuationBound))
+	g.checkRegions(f)
 	setDefault(&g.ContentParts, g.defaultContentParts())
 	setDefault(&g.CallBytes, DefaultCallBytes)
 	setDefault(&g.RecordBytes, DefaultRecordBytes)
@@ -73,6 +83,23 @@
 	f.level("/log_level", &g.LogLevel)
 }
 
+// checkRegions checks the regions, of which none must be empty, and of which that of the
+// entry's own data centre must be Region if both are set.
+func (g *Gateway) checkRegions(f *findings) {
+	for _, dataCentre := range slices.Sorted(maps.Keys(g.Regions)) {
+		pointer := "/regions/" + strings.NewReplacer("~", "~0", "/", "~1").Replace(dataCentre)
+		if dataCentre == "" {
+			f.add(pointer, "the name of the data centre must not be empty")
+		}
+		if g.Regions[dataCentre] == "" {
+			f.add(pointer, "the region must not be empty")
+		}
+	}
+	if listed := g.Regions[g.DataCentre]; listed != "" && g.Region != "" && listed != g.Region {
+		f.add("/region", fmt.Sprintf("must be %q, which /regions names for the data centre %q, not %q", listed, g.DataCentre, g.Region))
+	}
+}
+
 func (g *Gateway) defaultContentParts() int {
 	if g.StoreParts > 0 {
 		return min(DefaultContentParts, g.StoreParts)
