batch, online, settings: tests of evacuations and homes

Cause: items, resumed streams and settings had no tests of evacuations and homes.

Ruled out: two endpoints of one address for data centres; the tests list the stand-ins in data centres of their own.

--- a/batch/fleet_test.go
+++ b/batch/fleet_test.go
@@ -18,6 +18,7 @@
 	"dandelionrelay/boottime"
 	"dandelionrelay/config"
 	"dandelionrelay/keyedlog"
+	"dandelionrelay/locality"
 	"dandelionrelay/placement"
 	"dandelionrelay/standin/keyed"
 	"dandelionrelay/standin/network"
@@ -38,6 +39,9 @@
 	entries   []*entry
 	mu        sync.Mutex
 	notAlive  map[string]bool
+
+	mayStart    func() bool                         // see Deps.MayStart
+	mayTakeOver func(string, []locality.Homes) bool // see Deps.MayTakeOver
 }
 
 // entry is one entry of a testFleet with its connections to the store.
@@ -148,6 +152,10 @@
 		Pool:    upstream.NewPool(streams.HeaderID, dial, func() {}),
 		Dialect: streams.Dialect{},
 		Peers:   f,
+
+		MayStart:    f.mayStart,
+		MayTakeOver: f.mayTakeOver,
+
 		Clock:   clock,
 		Log:     zerolog.Nop(),
 		Metrics: NewMetrics(prometheus.NewRegistry()),
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -183,8 +183,8 @@
 func (r *runner) plan(ctx context.Context) bool {
 	snapshot := r.Config.Current()
 	runnable := r.runnableItems(snapshot)
-	if r.MayStart != nil && !r.MayStart() {
-		return len(runnable) > 0
+	if len(runnable) > 0 && r.MayStart != nil && !r.MayStart() {
+		return true
 	}
 	now := r.Clock()
 	full := make(map[string]bool) // deployments without a free slot
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -46,6 +46,29 @@
 	NewWithT(t).Expect(err).To(MatchError(And(ContainSubstring("/content_parts"), ContainSubstring("/limit_excess"))))
 }
 
+// TestLoadGateway_ChecksRegions guards against regions that contradict one another or name
+// nothing.
+func TestLoadGateway_ChecksRegions(t *testing.T) {
+	load := func(extra string) (*settings.Gateway, error) {
+		return settings.LoadGateway(writeSettings(t, `{"id":"e1","data_centre":"a","callers_addr":"127.0.0.1:1","ready_addr":"127.0.0.1:2",
+			"metrics_addr":"127.0.0.1:3","peers_addr":"127.0.0.1:4","store_addr":"127.0.0.1:5"`+extra+`}`))
+	}
+	for _, extra := range []string{"", `,"region":"eu"`, `,"regions":{"b":"us"},"region":"eu"`, `,"regions":{"a":"eu"},"region":"eu","evacuation_bound":"5s"`} {
+		_, err := load(extra)
+		NewWithT(t).Expect(err).NotTo(HaveOccurred(), extra)
+	}
+	for extra, pointer := range map[string]string{
+		`,"regions":{"a":"eu"},"region":"us"`: "/region:",
+		`,"regions":{"a/b":""}`:               "/regions/a~1b",
+		`,"regions":{"":"eu"}`:                "/regions/:",
+		`,"regions":["eu"]`:                   "regions",
+		`,"evacuation_bound":"-1s"`:           "/evacuation_bound",
+	} {
+		_, err := load(extra)
+		NewWithT(t).Expect(err).To(MatchError(ContainSubstring(pointer)), extra)
+	}
+}
+
 func TestLoadEntry_ReportsAllFindingsWithPointers(t *testing.T) {
 	g := NewWithT(t)
 	path := writeSettings(t, `{"id":"","data_centre":"a","http_addr":"localhost:1","rpc_addr":"127.0.0.1:2",
