gateway: cells cut off as a whole learn of evacuations; items leave slots elsewhere

Cause: datagrams confirm the configuration within a cell only. A cell that is cut off from the store as a whole, as with its data centre, learned of no evacuation and no withdrawn key. And the entries of an evacuated cell could fill the slots of other cells with batch items, which nobody preempts for online requests, as loads are known within a cell only.

Change: an entry that can't read the store, and whose configuration nobody has confirmed for 1.5 s, asks one other entry a second by RPC, every other time one of another data centre. The reply confirms by its age and carries records only if the caller lacks some.

--- a/gateway/background.go
+++ b/gateway/background.go
@@ -30,6 +30,7 @@
 	}
 	wg.Go(func() { g.registerPeriodically(ctx) })
 	wg.Go(func() { g.syncLevels(ctx) })
+	wg.Go(func() { g.confirmRemotely(ctx) })
 	wg.Go(func() { g.suspects.Run(ctx) })
 	wg.Go(func() { g.node.Run(ctx, datagrams) })
 	wg.Go(func() { g.jobs.Run(ctx) })
--- a/gateway/confirm.go
+++ b/gateway/confirm.go
@@ -29,27 +29,36 @@
 	ApplyFromPeer(records []keyedlog.Record, next int64)
 }
 
-// NewestArgs is empty.
-type NewestArgs struct{}
+// NewestArgs says what the calling entry has.
+type NewestArgs struct {
+	Have int64 // offset up to which it has read the partition
+}
 
 // NewestReply holds the newest records of the partition of the configuration.
 type NewestReply struct {
-	Records []keyedlog.Record
-	Next    int64 // offset up to which the replying entry has read the partition
+	Records []keyedlog.Record // none if the calling entry has read as far
+	Next    int64             // offset up to which the replying entry has read the partition
 	// Complete says that Records holds the newest record of every key: evacuations without
 	// one have ended. Entries of releases without evacuations do not set it.
 	Complete bool
+	// Confirmed says that Age is the time for which records may be missing.
+	Confirmed bool
+	Age       time.Duration
 }
 
 // configRPC is the service under configService.
 type configRPC struct{ g *Gateway }
 
 // Newest returns the newest records that this entry has applied.
-func (c *configRPC) Newest(_ NewestArgs, reply *NewestReply) error {
-	// The offset is read first: the records are then at least as new as it.
-	reply.Next, _ = c.g.ConfigFeed.NextOffset()
-	reply.Records = c.g.ConfigRecords()
+func (c *configRPC) Newest(args NewestArgs, reply *NewestReply) error {
 	reply.Complete = true
+	// The age is read before the offset and that before the records: what is read later is
+	// at least as new.
+	reply.Age, reply.Confirmed = c.g.ConfigFeed.Age()
+	reply.Next, _ = c.g.ConfigFeed.NextOffset()
+	if reply.Next > args.Have {
+		reply.Records = c.g.ConfigRecords()
+	}
 	return nil
 }
 
@@ -76,15 +85,14 @@
 	ctx, cancel := context.WithTimeout(context.Background(), configCallTimeout)
 	defer cancel()
 	var reply NewestReply
-	if err := g.peerPool.Call(ctx, address, methodNewest, NewestArgs{}, &reply); err != nil {
+	asked := g.Clock()
+	have, _ := g.ConfigFeed.NextOffset()
+	if err := g.peerPool.Call(ctx, address, methodNewest, NewestArgs{Have: have}, &reply); err != nil {
 		g.Log.Warn().Err(err).Str("peer", name).Msg("could not get the configuration from another entry")
 		return
 	}
-	if !reply.Complete {
-		g.Log.Warn().Str("peer", name).Msg("configuration of another entry not used: its release does not know evacuations")
-		return
+	if g.applyNewest(name, asked, reply) {
+		g.Log.Info().Str("peer", name).Int64("next_offset", reply.Next).Dur("store_lost_ms", g.ConfigFeed.LostFor()).
+			Msg("got the configuration from another entry")
 	}
-	g.ConfigFeed.ApplyFromPeer(reply.Records, reply.Next)
-	g.Log.Info().Str("peer", name).Int64("next_offset", reply.Next).Dur("store_lost_ms", g.ConfigFeed.LostFor()).
-		Msg("got the configuration from another entry")
 }
--- a/gateway/locality_test.go
+++ b/gateway/locality_test.go
@@ -38,6 +38,7 @@
 		l.Listed = append(l.Listed, placement.Endpoint{ID: "e-" + d, Address: "127.0.0.1:9", Deployment: "lm", Version: "v1", DataCentre: d, Slots: 8})
 	}
 	r.SetEndpoints(l)
+	synctest.Wait() // until the change of cells is applied, which reads the clock
 	r.setState(edit)
 	r.now += time.Minute
 	return r
--- a/placement/batch.go
+++ b/placement/batch.go
@@ -17,7 +17,7 @@
 	group := t.group(req.Deployment)
 	includeFailing := group.tooManyFailing()
 	// The limits that endpoints name are left to online requests while others have none.
-	candidates := t.preferredFor(req)
+	candidates, foreign := t.preferredFor(req)
 	includeLimited := allLimited(candidates)
 	for _, e := range candidates {
 		if e.limit != nil && !includeLimited {
@@ -27,7 +27,7 @@
 			continue
 		}
 		free := e.Slots - reservedSlots - e.online() - e.batch()
-		if free <= 0 {
+		if free <= 0 || foreign && !t.takesForeignItem(e) {
 			continue
 		}
 		score := float64(free) / group.slowness(e)
--- a/placement/locality_test.go
+++ b/placement/locality_test.go
@@ -81,6 +81,33 @@
 	g.Expect(item.Endpoint.ID).To(gomega.Equal("own"))
 }
 
+// Guards against the items of all entries of an evacuated cell at endpoints of other cells,
+// which can't have them preempted when online requests come.
+func TestTable_ItemsOfEvacuatedCellsLeaveSlotsElsewhere(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var list []Endpoint
+	for _, id := range []string{"1", "2", "3", "4", "5", "6"} {
+		foreign := testEndpoint("f"+id, "b")
+		foreign.OtherCell = true
+		list = append(list, foreign)
+	}
+	list = append(list, testEndpoint("own", "a"))
+	names := []string{"e1", "e2", "e3", "e4", "e5"}
+	items := make(map[string]int)
+	for i, name := range names {
+		tab := NewTable(name, "a", rand.New(rand.NewPCG(1, uint64(i))), nil)
+		tab.SetEntries(names)
+		tab.SetEndpoints(list)
+		tab.SetPolicy(evacuating("a"))
+		for range 50 {
+			if item := tab.PlaceBatch(0, testRequest(), func() {}); item != nil {
+				items[item.Endpoint.ID]++
+			}
+		}
+	}
+	g.Expect(items).To(gomega.Equal(map[string]int{"f1": 1, "f2": 1, "f3": 1, "f4": 1, "f5": 1, "f6": 1}))
+}
+
 // Guards against requests and items that leave the homes of their route or customer, and
 // against homes that allow a data centre without a region.
 func TestTable_HomesBindPlacement(t *testing.T) {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -258,7 +258,8 @@
 func (t *Table) ServesBatch(req Request) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return anyUsable(t.preferredFor(req), req)
+	candidates, _ := t.preferredFor(req)
+	return anyUsable(candidates, req)
 }
 
 // anyUsable reports whether one of the endpoints may be chosen for a request as far as
