gateway, batch: a failed read right after a suspension is no outage; jobs that wait are logged

Cause: an entry that is resumed often sees its open read fail first. It took that for an outage of the store and went on with the evacuations it knew. A job that nobody may take over within its homes waited without a word.

Ruled out: ignoring failed reads while the configuration is too old (an outage of the store for all would stop all requests).

Change: unconfirmed evacuations are used only once reads have failed for 1 s; in an outage they have failed for more than 2 s when the bound is reached. One log line for each job that waits for an entry in its homes.

--- a/batch/list.go
+++ b/batch/list.go
@@ -165,6 +165,7 @@
 	}
 	var candidates []string
 	orphans := make(map[string]Owner)
+	unclaimable := make(map[string]bool)
 	others := s.Index.state.views(func(j *job) bool { return j.owner != s.Self && j.open() })
 	for _, j := range others {
 		if s.Peers.Alive(j.owner.Entry, j.owner.Incarnation) {
@@ -173,13 +174,27 @@
 		if candidates == nil {
 			candidates = s.Peers.Candidates()
 		}
-		if successor(j.ID, s.within(candidates, j)) == s.Self.Entry {
+		allowed := s.within(candidates, j)
+		if successor(j.ID, allowed) == s.Self.Entry {
 			orphans[j.ID] = j.owner
 		}
+		if len(allowed) == 0 {
+			unclaimable[j.ID] = true
+			s.logUnclaimable(j)
+		}
 	}
+	s.unclaimable = unclaimable
 	return orphans
 }
 
+// logUnclaimable logs, once for each job, that no entry may take it over within its homes.
+func (s *Service) logUnclaimable(j view) {
+	if !s.unclaimable[j.ID] {
+		s.Log.Warn().Str("job", j.ID).Str("customer", j.Customer).Str("route", j.Route).Str("owner", j.owner.Entry).
+			Msg("no entry within its homes may take over this job; it waits")
+	}
+}
+
 // within returns those of the candidates that may take over a job: its bodies are read only
 // in the homes of its route and customer.
 func (s *Service) within(candidates []string, j view) []string {
--- a/batch/service.go
+++ b/batch/service.go
@@ -64,6 +64,8 @@
 	contents *contents
 	runner   *runner
 	limits   atomic.Pointer[Limits]
+
+	unclaimable map[string]bool // jobs without an entry that may take them over, at the last check; used by takeOverLoop only
 }
 
 // New returns a Service, which runs jobs once Run is called.
--- a/gateway/confirm_remote_test.go
+++ b/gateway/confirm_remote_test.go
@@ -84,6 +84,9 @@
 func TestConfirmation_AsksEntriesOfOtherDataCentres(t *testing.T) {
 	r, _ := newConfirmGateway(t, "self", "a", 0, 0)
 	members := []gossip.Member{{Name: "self", DataCentre: "a"}, {Name: "near", DataCentre: "a"}, {Name: "far", DataCentre: "b"}}
+	for range 20 {
+		members = append(members, gossip.Member{Name: "near", DataCentre: "a"})
+	}
 	asked := make(map[string]int)
 	for n := range 100 {
 		m, ok := r.pickConfirmer(n, members)
--- a/gateway/locality.go
+++ b/gateway/locality.go
@@ -22,6 +22,11 @@
 // long from its placement to the endpoint.
 const evacuationMargin = 350 * time.Millisecond
 
+// evacuationOutage is the time for which reads of the store must have failed before an entry
+// goes on with unconfirmed evacuations. The first read of a process that is resumed often
+// fails, as its connection has timed out, and the next one brings what was missed.
+const evacuationOutage = time.Second
+
 // localityMetrics are the metrics of evacuations and homes.
 type localityMetrics struct {
 	evacuated *prometheus.GaugeVec
@@ -202,5 +207,5 @@
 	if bound == 0 || g.configConfirmedWithin(bound-evacuationMargin) {
 		return true
 	}
-	return g.ConfigFeed.LostFor() > 0 && !g.node.AnyPeerReachesLog()
+	return g.ConfigFeed.LostFor() >= evacuationOutage && !g.node.AnyPeerReachesLog()
 }
--- a/gateway/locality_test.go
+++ b/gateway/locality_test.go
@@ -156,7 +156,9 @@
 		r.Expect(err.Code).To(gomega.Equal(api.CodeConfigStale))
 		r.Expect(err.Outcome).To(gomega.Equal(api.NotRun))
 
-		r.feed.lost = time.Second
+		r.feed.lost = evacuationOutage - 1
+		r.Expect(r.configFresh(call)).To(gomega.BeFalse(), "the first read after the process was resumed has failed")
+		r.feed.lost = evacuationOutage
 		r.Expect(r.configFresh(call)).To(gomega.BeTrue(), "the store is out of reach for all")
 		r.feed.age, r.feed.lost = 0, 0
 		r.Expect(r.configFresh(call)).To(gomega.BeTrue())
