batch: no jobs are taken over before the configuration is known

Cause: an entry that has just started and has read the index, but not the configuration, knows no homes and could take over a job outside of them. It also knows no routes, and would have failed the items.

Ruled out: refusing at the start of an item (the bodies' owner is decided at the takeover).

Change: orphans are not looked for at version 0.

Result: TestTakeOver_NotBeforeTheConfigurationIsKnown failed before; go test -race ./batch passes.

--- a/batch/list.go
+++ b/batch/list.go
@@ -160,7 +160,7 @@
 // orphans returns the open jobs that this entry has to take over, by ID, with
 // their former owner.
 func (s *Service) orphans() map[string]Owner {
-	if s.isDraining() {
+	if s.isDraining() || s.Config.Current().Version == 0 { // the homes of jobs are not known yet
 		return nil
 	}
 	var candidates []string
--- a/batch/locality_test.go
+++ b/batch/locality_test.go
@@ -145,6 +145,23 @@
 	})
 }
 
+// Guards against an entry that has just started and takes over a job whose homes it does not
+// know yet.
+func TestTakeOver_NotBeforeTheConfigurationIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 2, newEndpoint("w", 50, 8))
+		known := f.config.Current()
+		f.Expect(f.entries[0].Submit(f.ctx, submission("j", 2, 10))).To(gomega.Succeed())
+		f.config.Set(config.NewSnapshot(0, &config.State{}))
+		f.kill(f.entries[0])
+		time.Sleep(3 * time.Second)
+		v, _ := f.entries[1].Index.state.view("j")
+		f.Expect(v.owner.Entry).To(gomega.Equal("entry-0"))
+		f.config.Set(known)
+		f.awaitResults(f.entries[1], "j", 10*time.Second)
+	})
+}
+
 // Guards against items that an entry sends before it has read the evacuations that it missed
 // while it was suspended.
 func TestRunner_StartsNothingWithoutConfirmedEvacuations(t *testing.T) {
