gateway: an evacuation before the first configuration sets no limits

Setting its limits begins the window after a start, in which less of the tolerance is used, before the limits are known.

Change: at version 0 only evacuations take effect.

Result: go test -race ./gateway passes. There is no test of its own: the window shows only in package quota.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -217,13 +217,16 @@
 // ConfigChanged applies the rate limits, evacuations and homes of a new configuration and
 // wakes the batch service.
 func (g *Gateway) ConfigChanged(s *config.Snapshot) {
+	g.applyLocality(s.State)
+	if s.Version == 0 { // evacuations before the first configuration: limits are not known yet
+		return
+	}
 	limits := make(map[string]quota.Limit, len(s.State.Customers))
 	for id, c := range s.State.Customers {
 		limits[id] = quota.Limit{Rate: c.Rate, Burst: c.Burst}
 	}
 	g.limits.SetLimits(g.Clock(), limits)
 	g.listed.SetRoutes(routeTargets(s.State))
-	g.applyLocality(s.State)
 	g.jobs.Wake()
 }
 
