config, admin, cli: homes, cold rates and evacuations in the desired state

Cause: operators need to evacuate a data centre at once, and routes and customers need homes; the desired state had neither in files, deltas, hash or views.

Ruled out: evacuations in the files, as the next apply of a directory that does not mention one would end it; a base version for the command, as an evacuation does not depend on other operators' changes; keeping the evacuations that the entry knew when it parsed the files, as one may be accepted between that and the proposal.

Change: homes of customers and routes, cold_rate and cold_time of deployments are checked; the section evacuations in a file is a finding. Delta, hash, plan and the sidecars' view contain evacuations. Follower.ProposeEdit computes the new state from the one in force when it is proposed; apply uses it to keep the evacuations.

--- a/admin/api.go
+++ b/admin/api.go
@@ -16,6 +16,8 @@
 	PathState  = "/admin/v1/state"
 	PathAudit  = "/admin/v1/audit"
 	PathStatus = "/admin/v1/status"
+
+	PathEvacuations = "/admin/v1/evacuations"
 )
 
 // Codes of errors that are returned to operators only.
@@ -72,4 +74,6 @@
 	DataCentre string        `json:"data_centre"`
 	Entries    int           `json:"entries"` // number of entries known to this one
 	Config     config.Status `json:"config"`
+
+	Evacuations []string `json:"evacuations"` // evacuated data centres, sorted
 }
--- a/admin/handler.go
+++ b/admin/handler.go
@@ -60,6 +60,7 @@
 	h := &Handler{Options: o, mux: http.NewServeMux()}
 	h.handle("POST "+PathPlan, h.plan)
 	h.handle("POST "+PathApply, h.apply)
+	h.handle("POST "+PathEvacuations, h.evacuate)
 	h.handle("GET "+PathState, h.state)
 	h.handle("GET "+PathAudit, h.audit)
 	h.handle("GET "+PathStatus, h.status)
@@ -149,7 +150,10 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), verdictTimeout)
 	defer cancel()
-	entry, err := h.Follower.ProposeWithID(ctx, req.ID, req.Base, next, operator)
+	// The evacuations are those in force when the change is proposed, which may have
+	// changed since snapshot.
+	edit := func(inForce *config.State) *config.State { return next.WithEvacuationsOf(inForce) }
+	entry, err := h.Follower.ProposeEdit(ctx, req.ID, req.Base, edit, operator)
 	if err != nil {
 		return nil, proposalError(req.ID, err)
 	}
@@ -190,7 +194,7 @@
 }
 
 // loadFiles parses the files and validates them as the successor of the state in
-// force.
+// force, whose evacuations are kept.
 func loadFiles(texts map[string]string, current *config.State) (*config.State, *api.Error) {
 	files := make(map[string][]byte, len(texts))
 	for name, text := range texts {
@@ -206,7 +210,7 @@
 		err.Findings = findings
 		return nil, err
 	}
-	return next, nil
+	return next.WithEvacuationsOf(current), nil
 }
 
 func (h *Handler) state(*http.Request, string) (any, *api.Error) {
@@ -242,6 +246,8 @@
 		DataCentre: h.Self.DataCentre,
 		Entries:    len(h.Members.Entries()),
 		Config:     h.Follower.Status(time.Now()),
+
+		Evacuations: evacuations(h.Source.Current().State),
 	}, nil
 }
 
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -46,6 +46,7 @@
 	Plan       PlanCmd       `cmd:"" help:"Show what applying configuration files would change." group:"Operator"`
 	Apply      ApplyCmd      `cmd:"" help:"Make configuration files the desired state." group:"Operator"`
 	Key        KeyCmd        `cmd:"" help:"Issue and withdraw callers' keys." group:"Operator"`
+	Evacuate   EvacuateCmd   `cmd:"" help:"Send nothing more to the endpoints of a data centre, or end that." group:"Operator"`
 	Audit      AuditCmd      `cmd:"" help:"Show accepted and rejected changes." group:"Operator"`
 	Trace      TraceCmd      `cmd:"" help:"Collect what processes logged of one request or job." group:"Operator"`
 	Failures   FailuresCmd   `cmd:"" help:"Group the requests that failed, by cause." group:"Operator"`
--- a/cli/commands_test.go
+++ b/cli/commands_test.go
@@ -18,7 +18,7 @@
 // allCommands lists the commands whose help is checked.
 var allCommands = []string{
 	"entry", "sidecar", "standin platform", "standin engine", "standin plain", "demo", "experiment",
-	"init", "validate", "plan", "apply", "key new", "key withdraw",
+	"init", "validate", "plan", "apply", "key new", "key withdraw", "evacuate",
 	"audit", "status", "jobs", "quarantine list", "quarantine lift", "state", "token", "version",
 }
 
@@ -63,6 +63,8 @@
 	parse(&object, "apply", f.dir, "--json")
 	parse(&object, "plan", f.dir, "--json")
 	parse(&object, "apply", f.dir, "--dry-run", "--json")
+	parse(&object, "evacuate", "dc-1", "--json")
+	parse(&object, "evacuate", "--end", "dc-1", "--json")
 	parse(&object, "audit", "--json")
 	parse(&object, "status", "--json")
 	parse(&object, "state", "--json")
@@ -113,6 +115,8 @@
 		{cli.ExitFindings, "no such file", []string{"validate", filepath.Join(dir, "missing")}},
 		{cli.ExitFindings, "not a directory", []string{"validate", write("file", "")}},
 		{cli.ExitConflict, "version 99", []string{"apply", f.dir, "--base", "99"}},
+		{cli.ExitUsage, "data centre", []string{"evacuate", "a/b"}},
+		{cli.ExitUsage, "--id", []string{"evacuate", "dc-1", "--id", "7"}},
 		{cli.ExitUsage, "--addr", []string{"standin", "plain", "--addr", "x"}},
 		{cli.ExitFindings, " /id: ", []string{"sidecar", "--settings", write("type.json", `{"id":1}`)}},
 		{cli.ExitFindings, "tls.json /tls: ", []string{"entry", "--settings", write("tls.json", processSettings+"}")}},
--- a/cli/operator_show.go
+++ b/cli/operator_show.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"dandelionrelay/admin"
@@ -78,13 +79,14 @@
 	printChanges(env, "keys", d.Keys)
 	printChanges(env, "deployments", d.Deployments)
 	printChanges(env, "routes", d.Routes)
+	printChanges(env, "evacuations", d.Evacuations)
 }
 
 // printChanges prints the changes of one section: first what was set, then what
 // was removed, each sorted by ID.
 func printChanges[T any](env *Env, section string, c config.Changes[T]) {
 	for _, id := range slices.Sorted(maps.Keys(c.Set)) {
-		// The error is nil: the values are structs that always marshal.
+		// The error is nil: the values are structs or booleans, which always marshal.
 		b, _ := json.Marshal(c.Set[id])
 		fmt.Fprintf(env.Stdout, "    set    %s/%s %s\n", section, id, b)
 	}
@@ -101,7 +103,7 @@
 
 // Help implements kong.HelpProvider.
 func (StatusCmd) Help() string {
-	return `Shows the version in force at an entry, and for how long it has not heard from the log.
+	return `Shows the version in force at an entry, for how long it has not heard from the log, and the evacuated data centres.
 
 Example: dandelionrelay status --server http://10.0.0.5:7203`
 }
@@ -126,6 +128,9 @@
 	}
 	_, err = fmt.Fprintf(env.Stdout, "entry            %s in %s, knows %d entries\nversion          %d, known: %t\noffset           %d\nlog last heard   %s\n",
 		reply.Instance, reply.DataCentre, reply.Entries, s.Version, s.Known, s.Through, age)
+	if err == nil && len(reply.Evacuations) > 0 {
+		_, err = fmt.Fprintf(env.Stdout, "evacuated        %s\n", strings.Join(reply.Evacuations, ", "))
+	}
 	return err
 }
 
--- a/config/delta.go
+++ b/config/delta.go
@@ -12,6 +12,7 @@
 	Keys        Changes[Key]        `json:"keys,omitzero"`
 	Routes      Changes[Route]      `json:"routes,omitzero"`
 	Deployments Changes[Deployment] `json:"deployments,omitzero"`
+	Evacuations Changes[bool]       `json:"evacuations,omitzero"`
 }
 
 // Changes is the difference between two states in one section, by ID.
@@ -25,7 +26,7 @@
 
 // Len returns the number of entries that d sets or removes.
 func (d *Delta) Len() int {
-	return d.Customers.Len() + d.Keys.Len() + d.Routes.Len() + d.Deployments.Len()
+	return d.Customers.Len() + d.Keys.Len() + d.Routes.Len() + d.Deployments.Len() + d.Evacuations.Len()
 }
 
 // Diff returns the delta from one state to another.
@@ -35,6 +36,7 @@
 		Keys:        diffSection(from.Keys, to.Keys),
 		Routes:      diffSection(from.Routes, to.Routes),
 		Deployments: diffSection(from.Deployments, to.Deployments),
+		Evacuations: diffSection(from.Evacuations, to.Evacuations),
 	}
 }
 
@@ -68,6 +70,7 @@
 		Keys:        applySection(s.Keys, d.Keys, "keys", &hash),
 		Routes:      applySection(s.Routes, d.Routes, "routes", &hash),
 		Deployments: applySection(s.Deployments, d.Deployments, "deployments", &hash),
+		Evacuations: applySection(s.Evacuations, d.Evacuations, "evacuations", &hash),
 	}
 	return next, hash
 }
--- a/config/parse.go
+++ b/config/parse.go
@@ -71,6 +71,11 @@
 		case "deployments":
 			return readSection(l, dec, pointer, l.state.Deployments)
 		}
+		if section == "evacuations" {
+			l.addFinding(line, pointer, "evacuations are not part of the files; use dandelionrelay evacuate")
+			var skipped json.RawMessage
+			return dec.Decode(&skipped)
+		}
 		l.addFinding(line, pointer, "unknown section "+strconv.Quote(section)+"; known are customers, keys, routes, deployments")
 		var skipped json.RawMessage
 		return dec.Decode(&skipped)
--- a/config/plan.go
+++ b/config/plan.go
@@ -66,6 +66,7 @@
 		planSection("keys", redactKeys(from.Keys), redactKeys(to.Keys)),
 		planSection("deployments", from.Deployments, to.Deployments),
 		planSection("routes", from.Routes, to.Routes),
+		planSection("evacuations", from.Evacuations, to.Evacuations),
 	)
 }
 
@@ -109,7 +110,8 @@
 	if entry == nil {
 		return fields
 	}
-	// Entries are structs, which always marshal to JSON objects.
+	// Entries are structs, which always marshal to JSON objects, or in the set of
+	// evacuations true, which has no fields.
 	b, _ := json.Marshal(entry)
 	_ = json.Unmarshal(b, &fields)
 	return fields
--- a/config/propose.go
+++ b/config/propose.go
@@ -72,11 +72,21 @@
 // ProposeWithID is like Propose with a given ID of the change, so that the caller
 // can retry after a lost response, also through another entry.
 func (f *Follower) ProposeWithID(ctx context.Context, id string, base uint64, next *State, operator string) (AuditEntry, error) {
+	return f.ProposeEdit(ctx, id, base, func(*State) *State { return next }, operator)
+}
+
+// Edit returns the state that a change makes of the one in force, or nil if there is
+// nothing to change. It must not modify its argument.
+type Edit func(inForce *State) *State
+
+// ProposeEdit is like ProposeWithID with the state that edit makes of the one in force.
+// If there is nothing to change, the entry has only the version in force.
+func (f *Follower) ProposeEdit(ctx context.Context, id string, base uint64, edit Edit, operator string) (AuditEntry, error) {
 	f.catchUp(ctx, base)
 	f.mu.Lock()
 	known, version := f.replica.Known(), f.replica.Version()
 	earlier, decided := f.replica.AuditEntryByID(id)
-	rec := NewChange(id, base, f.replica.State(), f.replica.Hash(), next, operator, time.Now())
+	from, hash := f.replica.State(), f.replica.Hash()
 	f.mu.Unlock()
 	if decided {
 		return earlier, nil
@@ -87,6 +97,16 @@
 	if base > version {
 		return AuditEntry{}, BadBase.New("base version %d is not in force yet, this process has version %d", base, version)
 	}
+	next := edit(from)
+	if next == nil {
+		return AuditEntry{InForce: version}, nil
+	}
+	return f.appendUntilDecided(ctx, NewChange(id, base, from, hash, next, operator, time.Now()))
+}
+
+// appendUntilDecided appends a change, again if that was not confirmed, until its verdict
+// is known or ctx ends.
+func (f *Follower) appendUntilDecided(ctx context.Context, rec Record) (AuditEntry, error) {
 	for {
 		_, err := Append(ctx, f.log, rec)
 		if entry, ok := f.awaitVerdict(ctx, rec.ID, err == nil); ok {
--- a/config/record.go
+++ b/config/record.go
@@ -94,6 +94,7 @@
 	hashSection(&h, "keys", s.Keys)
 	hashSection(&h, "routes", s.Routes)
 	hashSection(&h, "deployments", s.Deployments)
+	hashSection(&h, "evacuations", s.Evacuations)
 	return h
 }
 
--- a/config/service.go
+++ b/config/service.go
@@ -105,10 +105,10 @@
 }
 
 // ViewOf returns the part of the state that the sidecars of a deployment need:
-// their deployment, and the fair share weights of the customers whose weight is
-// not 1. It contains no keys.
+// their deployment, the fair share weights of the customers whose weight is not 1, and
+// the evacuations. It contains no keys.
 func (s *State) ViewOf(deployment string) *State {
-	view := &State{Customers: make(map[string]Customer), Deployments: make(map[string]Deployment)}
+	view := &State{Customers: make(map[string]Customer), Deployments: make(map[string]Deployment), Evacuations: s.Evacuations}
 	if d, ok := s.Deployments[deployment]; ok {
 		view.Deployments[deployment] = d
 	}
--- a/config/state.go
+++ b/config/state.go
@@ -105,6 +105,10 @@
 	// as a multiple of the 99th percentile without batch load. The bound is met
 	// as far as preempting batch items allows; 0 means DefaultFirstTokenRatio.
 	FirstTokenRatio float64 `json:"first_token_ratio,omitempty"`
+	// ColdRate is the number of requests a second that an endpoint tolerates while it is
+	// cold, and ColdTime is how long it is cold after its start. 0 means never cold.
+	ColdRate float64  `json:"cold_rate,omitempty"`
+	ColdTime Duration `json:"cold_time,omitempty"`
 }
 
 // Default and limits of Deployment.FirstTokenRatio. At the maximum batch items
--- a/config/validate.go
+++ b/config/validate.go
@@ -9,8 +9,10 @@
 	"regexp"
 	"slices"
 	"strings"
+	"time"
 
 	"dandelionrelay/api"
+	"dandelionrelay/locality"
 )
 
 // MaxTimeout is the maximum timeout that a route may set.
@@ -83,6 +85,7 @@
 	checkSectionIDs(v, "keys", v.state.Keys)
 	checkSectionIDs(v, "deployments", v.state.Deployments)
 	checkSectionIDs(v, "routes", v.state.Routes)
+	checkSectionIDs(v, "evacuations", v.state.Evacuations)
 }
 
 // checkSectionIDs checks the format of the IDs of a section.
@@ -105,6 +108,21 @@
 		if isNotFinite(c.Weight) || c.Weight < 0 {
 			v.addFinding("customers", id, "weight", "must not be negative, is %g", c.Weight)
 		}
+		v.checkHomes("customers", id, c.Homes)
+	}
+}
+
+// checkHomes checks the names of regions in a list of homes, which must not repeat.
+func (v *validator) checkHomes(section, id string, homes locality.Homes) {
+	for i, region := range homes {
+		field := fmt.Sprintf("homes/%d", i)
+		if !ValidID(region) {
+			v.addFinding(section, id, field, "the name of a region must be %s, is %q", IDForm, region)
+			continue
+		}
+		if slices.Contains(homes[:i], region) {
+			v.addFinding(section, id, field, "region %q is listed twice", region)
+		}
 	}
 }
 
@@ -149,6 +167,23 @@
 		if r := d.FirstTokenRatio; r != 0 && (r < MinFirstTokenRatio || r > MaxFirstTokenRatio) {
 			v.addFinding("deployments", id, "first_token_ratio", "must be between %g and %g, is %g", MinFirstTokenRatio, float64(MaxFirstTokenRatio), r)
 		}
+		v.checkCold(id, d)
+	}
+}
+
+// MaxColdTime is the maximum of Deployment.ColdTime.
+const MaxColdTime = Duration(time.Hour)
+
+// checkCold checks the cold rate and the cold time of a deployment.
+func (v *validator) checkCold(id string, d Deployment) {
+	if isNotFinite(d.ColdRate) || d.ColdRate < 0 {
+		v.addFinding("deployments", id, "cold_rate", "must not be negative, is %g", d.ColdRate)
+	}
+	if d.ColdTime < 0 || d.ColdTime > MaxColdTime {
+		v.addFinding("deployments", id, "cold_time", "must be between 0s and %s", time.Duration(MaxColdTime))
+	}
+	if (d.ColdRate == 0) != (d.ColdTime == 0) {
+		v.addFinding("deployments", id, "", "cold_rate and cold_time must be set together")
 	}
 }
 
@@ -157,6 +192,7 @@
 	for _, id := range slices.Sorted(maps.Keys(v.state.Routes)) {
 		r := v.state.Routes[id]
 		v.checkRouteTarget(id, r)
+		v.checkHomes("routes", id, r.Homes)
 		if r.Timeout < 0 || r.Timeout > MaxTimeout {
 			v.addFinding("routes", id, "timeout", "must be between 0s and 1h")
 		}
