dispatch, jobs, sidecar: evacuations and homes bind requests and items

Cause: nothing in the product's own composition kept requests, retries, continued streams and batch items out of a data centre or inside a region.

Ruled out: homes in the sidecars' view, as only entries choose the place; a backlog for each item that may not run at an endpoint, which costs the square of the items; trusting entries alone, as one that is cut off keeps sending; stopping items that may not run twice, which would end them as unknown.

Change: dispatch chooses among data centres that package locality allows; without one it refuses at once as not run, with Retry-After 5 s. If the entry's own data centre is excluded, the endpoints of the others are compared like local ones. Owners of jobs keep the route of each target and a backlog for each route, and assign nothing outside homes or to an evacuated data centre; pulls and reports name the data centre of the endpoint. Sidecars refuse requests as not run, pull nothing and return idempotent items while their data centre is evacuated. Entry settings have regions; a change that adds a home without a region there is refused with its place. Log lines, relay_config_evacuations and relay_dispatch_locality_refusals_total.

--- a/admin/handler.go
+++ b/admin/handler.go
@@ -20,6 +20,7 @@
 	"dandelionrelay/authn"
 	"dandelionrelay/config"
 	"dandelionrelay/infra"
+	"dandelionrelay/locality"
 	"dandelionrelay/membership"
 	"dandelionrelay/pipeline"
 	"dandelionrelay/settings"
@@ -46,6 +47,7 @@
 	// Quarantine may be nil; the paths of the quarantine are not served then.
 	Quarantine Quarantine
 	Operators  func() []settings.Operator
+	Regions    func() locality.Regions // nil: the homes of changes are not compared with regions
 	Logger     zerolog.Logger
 }
 
@@ -124,7 +126,7 @@
 		return nil, err
 	}
 	snapshot := h.Source.Current()
-	next, err := loadFiles(req.Files, snapshot.State)
+	next, err := h.loadFiles(req.Files, snapshot.State)
 	if err != nil {
 		return nil, err
 	}
@@ -140,7 +142,7 @@
 		return nil, badRequest("id must be a UUID, new for each change and the same in its retries")
 	}
 	snapshot := h.Source.Current()
-	next, loadErr := loadFiles(req.Files, snapshot.State)
+	next, loadErr := h.loadFiles(req.Files, snapshot.State)
 	if loadErr != nil {
 		return nil, loadErr
 	}
@@ -195,7 +197,7 @@
 
 // loadFiles parses the files and validates them as the successor of the state in
 // force, whose evacuations are kept.
-func loadFiles(texts map[string]string, current *config.State) (*config.State, *api.Error) {
+func (h *Handler) loadFiles(texts map[string]string, current *config.State) (*config.State, *api.Error) {
 	files := make(map[string][]byte, len(texts))
 	for name, text := range texts {
 		files[name] = []byte(text)
@@ -205,6 +207,9 @@
 	}
 	next, positions, findings := config.LoadFilesWithPositions(files)
 	findings = append(findings, config.ValidateChange(current, next, positions)...)
+	if h.Regions != nil {
+		findings = append(findings, config.ValidateHomes(current, next, positions, h.Regions())...)
+	}
 	if len(findings) > 0 {
 		err := api.NewError(http.StatusUnprocessableEntity, CodeFindings, fmt.Sprintf("%d findings", len(findings)))
 		err.Findings = findings
--- a/api/batch.go
+++ b/api/batch.go
@@ -33,7 +33,8 @@
 type PullArgs struct {
 	Endpoint   string // instance ID of the sidecar
 	Deployment string
-	Slots      int // maximum number of items
+	DataCentre string // of the endpoint
+	Slots      int    // maximum number of items
 	Wait       time.Duration
 }
 
@@ -65,8 +66,9 @@
 // ReportArgs reports results, and the attempts that still run, to an entry that
 // owns their partitions.
 type ReportArgs struct {
-	Endpoint string
-	Results  []Result
+	Endpoint   string
+	DataCentre string // of the endpoint
+	Results    []Result
 	// Running is the heartbeat: the attempts that run at the endpoint, and those
 	// that ended and whose results no owner has accepted yet. An attempt that no
 	// heartbeat names for jobs.AttemptTimeout counts as lost: its item is run
@@ -76,7 +78,8 @@
 }
 
 // ReportReply names the running attempts to be stopped, because their job has
-// ended or was deleted, their item is complete or another attempt replaced them.
+// ended or was deleted, their item is complete, another attempt replaced them or the data
+// centre of the endpoint is evacuated.
 type ReportReply struct{ Stop []WorkRef }
 
 // Names of the RPC methods of the job service.
--- a/config/evacuate_test.go
+++ b/config/evacuate_test.go
@@ -51,6 +51,26 @@
 	))
 }
 
+// TestValidateHomes_ChecksRegionsThatAreAdded guards against a misspelt home, which would
+// have all requests of a customer refused, and against settings without regions that hold
+// up other changes.
+func TestValidateHomes_ChecksRegionsThatAreAdded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	state := func(homes ...string) *config.State {
+		return &config.State{
+			Customers: map[string]config.Customer{"c": {Homes: homes}},
+			Routes:    map[string]config.Route{"r": {Homes: homes}},
+		}
+	}
+	regions := locality.Regions{"dc-1": "eu"}
+	g.Expect(config.ValidateHomes(state(), state("eu"), nil, regions)).To(gomega.BeEmpty())
+	findings := config.ValidateHomes(state(), state("eu", "ue"), nil, regions)
+	g.Expect(findings).To(gomega.HaveLen(2))
+	g.Expect(findings[0].String()).To(gomega.ContainSubstring(`/customers/c/homes/1: no data centre of region "ue"`))
+	g.Expect(findings[1].Pointer).To(gomega.Equal("/routes/r/homes/1"))
+	g.Expect(config.ValidateHomes(state("eu"), state("eu"), nil, nil)).To(gomega.BeEmpty())
+}
+
 // TestDelta_ContainsEvacuations guards against an evacuation that a delta, the hash or the
 // view of a sidecar leaves out.
 func TestDelta_ContainsEvacuations(t *testing.T) {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -19,6 +19,7 @@
 
 	"dandelionrelay/api"
 	"dandelionrelay/invariant"
+	"dandelionrelay/locality"
 	"dandelionrelay/membership"
 	"dandelionrelay/pipeline"
 	"dandelionrelay/quarantine"
@@ -42,6 +43,8 @@
 	// RecordLeaving is called with the ID of an endpoint whose response, to
 	// a call or a probe, announces that it is leaving.
 	RecordLeaving func(id string)
+	// CheckLocality decides whether a call may run in a data centre; nil: in any.
+	CheckLocality func(c *pipeline.Call, dataCentre string) locality.Verdict
 }
 
 // Dispatcher sends calls to endpoints. Run must run concurrently with Handle,
@@ -56,6 +59,7 @@
 	logger        zerolog.Logger
 	rand          Rand
 	recordLeaving func(id string)
+	checkLocality func(c *pipeline.Call, dataCentre string) locality.Verdict
 
 	loads    *Loads
 	picker   *Picker
@@ -76,6 +80,9 @@
 	if d.Suspects == nil {
 		d.Suspects = quarantine.NopTracker{}
 	}
+	if d.CheckLocality == nil {
+		d.CheckLocality = func(*pipeline.Call, string) locality.Verdict { return locality.Allowed }
+	}
 	if d.Rand == nil {
 		d.Rand = runtimeRand{}
 	}
@@ -90,6 +97,7 @@
 		logger:        d.Logger,
 		rand:          d.Rand,
 		recordLeaving: d.RecordLeaving,
+		checkLocality: d.CheckLocality,
 		loads:         loads,
 		picker:        NewPicker(loads),
 		affinity:      NewAffinity(),
--- a/dispatch/forwarder.go
+++ b/dispatch/forwarder.go
@@ -11,6 +11,7 @@
 	"dandelionrelay/api"
 	"dandelionrelay/infra"
 	"dandelionrelay/invariant"
+	"dandelionrelay/locality"
 	"dandelionrelay/membership"
 	"dandelionrelay/pipeline"
 	"dandelionrelay/quarantine"
@@ -133,15 +134,16 @@
 	return i, ok
 }
 
-// subset returns the endpoints to choose from: this entry's subset or, for a
-// suspect, the isolation endpoints, determined among the usable endpoints.
+// subset returns the endpoints to choose from, in data centres in which the call may run:
+// this entry's subset or, for a suspect, the isolation endpoints, determined among the
+// usable endpoints.
 func (f *forwarder) subset() membership.Subset {
 	d := f.dispatcher
 	if !f.suspect {
-		return d.subsets.get(f.call.Route.Deployment, d.members)
+		return f.permittedSubset(d.subsets.get(f.call.Route.Deployment, d.members))
 	}
 	usable := slices.DeleteFunc(slices.Clone(d.members.Endpoints(f.call.Route.Deployment)), func(i infra.Instance) bool {
-		return !d.detector.Usable(i.ID)
+		return !d.detector.Usable(i.ID) || d.checkLocality(f.call, i.DataCentre) != locality.Allowed
 	})
 	return membership.Subset{Local: quarantine.IsolationEndpoints(usable)}
 }
@@ -284,6 +286,9 @@
 			return from.VersionError()
 		}
 	}
+	if e := f.localityError(); e != nil {
+		return e
+	}
 	e := api.NewError(http.StatusServiceUnavailable, api.CodeNoEndpoint, "no endpoint can take the call")
 	return e.WithRetryAfter(RetryAfter)
 }
--- /dev/null
+++ b/dispatch/locality.go
@@ -0,0 +1,77 @@
+package dispatch
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"dandelionrelay/api"
+	"dandelionrelay/infra"
+	"dandelionrelay/locality"
+	"dandelionrelay/membership"
+)
+
+// evacuationRetryAfter is the Retry-After of calls that are refused because of an
+// evacuation, which lasts longer than the failures for which RetryAfter is meant.
+const evacuationRetryAfter = 5 * time.Second
+
+// permittedSubset returns the endpoints of s in data centres in which the call may run.
+// If none of the entry's own data centre is left, those of the others take their place,
+// so that the call is not left with the small sample of remote endpoints.
+func (f *forwarder) permittedSubset(s membership.Subset) membership.Subset {
+	local, remote := f.permitted(s.Local), f.permitted(s.Remote)
+	if len(local) == 0 && len(s.Local) > 0 {
+		return membership.Subset{Local: remote}
+	}
+	return membership.Subset{Local: local, Remote: remote}
+}
+
+// permitted returns the endpoints of list in data centres in which the call may run. It
+// returns list itself if that are all.
+func (f *forwarder) permitted(list []infra.Instance) []infra.Instance {
+	checked, verdict := "", f.dispatcher.checkLocality(f.call, "")
+	allowed := func(i infra.Instance) bool {
+		if i.DataCentre != checked {
+			checked, verdict = i.DataCentre, f.dispatcher.checkLocality(f.call, i.DataCentre)
+		}
+		return verdict == locality.Allowed
+	}
+	excluded := slices.IndexFunc(list, func(i infra.Instance) bool { return !allowed(i) })
+	if excluded < 0 {
+		return list
+	}
+	kept := slices.Clone(list[:excluded])
+	for _, i := range list[excluded+1:] {
+		if allowed(i) {
+			kept = append(kept, i)
+		}
+	}
+	return kept
+}
+
+// localityError returns the error for a call that may run in no data centre that has
+// endpoints of its deployment, or nil if it may.
+func (f *forwarder) localityError() *api.Error {
+	d := f.dispatcher
+	last := locality.Allowed
+	for _, i := range d.members.Endpoints(f.call.Route.Deployment) {
+		switch v := d.checkLocality(f.call, i.DataCentre); {
+		case v == locality.Allowed:
+			return nil
+		case last != locality.Evacuated:
+			last = v
+		}
+	}
+	if last == locality.Allowed {
+		return nil
+	}
+	d.metrics.localityRefusals.WithLabelValues(last.String()).Inc()
+	d.logger.Info().Str("request", f.call.ID).Str("route", f.call.RouteID).Str("customer", f.call.Customer).
+		Str("reason", last.String()).Msg("no data centre may run the request")
+	message := "no endpoint stands in a region in which the call may run"
+	if last == locality.Evacuated {
+		message = "all data centres that may run the call are evacuated"
+	}
+	e := api.NewError(http.StatusServiceUnavailable, api.CodeNoEndpoint, message)
+	return e.WithRetryAfter(evacuationRetryAfter)
+}
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -10,6 +10,7 @@
 	responsesDropped prometheus.Counter
 	streamsResumed   prometheus.Counter
 	responsesAborted prometheus.Counter
+	localityRefusals *prometheus.CounterVec // by verdict
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -22,7 +23,15 @@
 		}
 		return c
 	}
+	localityRefusals := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "relay", Subsystem: "dispatch", Name: "locality_refusals_total",
+		Help: "Calls refused as no data centre may run them, by reason: evacuated, outside_homes.",
+	}, []string{"reason"})
+	if r != nil {
+		r.MustRegister(localityRefusals)
+	}
 	return &metrics{
+		localityRefusals: localityRefusals,
 		attempts:         counter("attempts_total", "Attempts sent to sidecars."),
 		retries:          counter("repeats_total", "Attempts beyond the first of a call."),
 		retriesDenied:    counter("repeats_denied_total", "Repeats that the retry budget denied."),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,6 +23,7 @@
 	"dandelionrelay/invariant"
 	"dandelionrelay/jobs"
 	"dandelionrelay/limit"
+	"dandelionrelay/locality"
 	"dandelionrelay/membership"
 	"dandelionrelay/ops"
 	"dandelionrelay/peer"
@@ -52,6 +53,8 @@
 	live          atomic.Pointer[settings.Entry]
 	deps          Deps
 	config        config.Holder
+	locality      localityPolicy
+	evacuations   evacuationLog
 	follower      *config.Follower
 	view          *membership.View
 	activeCalls   *authn.ActiveCalls
@@ -96,7 +99,7 @@
 	})
 	e.peers.Register(config.ServiceName, config.NewService(e.follower))
 	e.follower.RegisterMetrics(d.Registry)
-	d.Registry.MustRegister(newLimitsCollector(&e.config))
+	d.Registry.MustRegister(newLimitsCollector(&e.config), newEvacuationsGauge(&e.config))
 	e.limits = limit.NewService(limit.Options{
 		Self:       e.self(),
 		Log:        d.Log,
@@ -130,6 +133,7 @@
 		Logger:      d.Logger,
 
 		ChunkAppendBudget: e.limits.Bucket(chunkAppendBucket),
+		CheckLocality:     e.checkItem,
 	})
 	e.peers.Register(quarantine.ServiceName, e.quarantine.RPC())
 	e.idempotency = idempotency.NewService(idempotency.Deps{
@@ -179,6 +183,7 @@
 		ID:            e.settings.ID,
 		DataCentre:    e.settings.DataCentre,
 		RecordLeaving: e.view.RecordLeaving,
+		CheckLocality: e.checkCall,
 	})
 	authorizer := &authn.Authorizer{
 		Source:       &e.config,
@@ -219,6 +224,7 @@
 		Jobs:       e.jobs,
 		Quarantine: e.quarantine,
 		Operators:  func() []settings.Operator { return e.live.Load().Operators },
+		Regions:    func() locality.Regions { return e.live.Load().Regions },
 		Logger:     logger,
 	}))
 	e.opsHandler = operations
@@ -240,6 +246,7 @@
 // entry.
 func (e *Entry) configChanged(s *config.Snapshot) {
 	e.activeCalls.CancelInvalid(s, time.Now())
+	e.evacuations.log(e.deps.Logger, s.State.Evacuations)
 	e.deps.Logger.Info().Uint64("version", s.Version).Str("request", s.ChangeID).Msg("configuration in force")
 }
 
--- a/jobs/client.go
+++ b/jobs/client.go
@@ -174,7 +174,7 @@
 	out := make(map[infra.Instance][]api.ReportArgs)
 	last := func(o infra.Instance) *api.ReportArgs {
 		if len(out[o]) == 0 {
-			out[o] = []api.ReportArgs{{Endpoint: args.Endpoint}}
+			out[o] = []api.ReportArgs{{Endpoint: args.Endpoint, DataCentre: args.DataCentre}}
 		}
 		return &out[o][len(out[o])-1]
 	}
@@ -191,7 +191,7 @@
 			continue
 		}
 		if bytes[o]+len(r.Body) > ReportBytes {
-			out[o] = append(out[o], api.ReportArgs{Endpoint: args.Endpoint})
+			out[o] = append(out[o], api.ReportArgs{Endpoint: args.Endpoint, DataCentre: args.DataCentre})
 			bytes[o] = 0
 		}
 		bytes[o] += len(r.Body)
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -32,13 +32,13 @@
 	endOffset      infra.Offset // of the first cancel or expiry; 0: none
 	endKind        factKind
 	endTime        time.Time
-	endCopy        infra.Offset         // of the latest copy of that fact
-	deletedOffset  infra.Offset         // of the first delete; 0: none
-	deletedCopy    infra.Offset         // of the latest copy of that fact
-	begins         map[int][]begin      // of non-idempotent items, by item and generation
-	failureCopies  map[int]infra.Offset // latest copy of the failure counts, by item
-	backlogs       map[string]*backlog  // by deployment
-	expiryPending  bool                 // its expiry is being appended
+	endCopy        infra.Offset            // of the latest copy of that fact
+	deletedOffset  infra.Offset            // of the first delete; 0: none
+	deletedCopy    infra.Offset            // of the latest copy of that fact
+	begins         map[int][]begin         // of non-idempotent items, by item and generation
+	failureCopies  map[int]infra.Offset    // latest copy of the failure counts, by item
+	backlogs       map[backlogKey]*backlog // by deployment and route
+	expiryPending  bool                    // its expiry is being appended
 }
 
 // begin is the begin record that counts for one generation of a non-idempotent
--- a/jobs/lines.go
+++ b/jobs/lines.go
@@ -137,6 +137,7 @@
 		c.addFinding(line, "/body", "must be an object")
 		return 0
 	}
+	var id string
 	var route config.Route
 	var ok bool
 	if slices.Contains(modelPaths, in.URL) {
@@ -147,11 +148,11 @@
 			c.addFinding(line, "/body/model", "must name a model")
 			return 0
 		}
-		if _, route, ok = c.snapshot.RouteByModel(body.Model); !ok {
+		if id, route, ok = c.snapshot.RouteByModel(body.Model); !ok {
 			c.addFinding(line, "/body/model", "no route for model %q", body.Model)
 			return 0
 		}
-	} else if _, route, ok = c.snapshot.RouteByPath(in.URL); !ok || !strings.HasPrefix(in.URL, "/") {
+	} else if id, route, ok = c.snapshot.RouteByPath(in.URL); !ok || !strings.HasPrefix(in.URL, "/") {
 		c.addFinding(line, "/url", "no route for %q", in.URL)
 		return 0
 	}
@@ -159,7 +160,7 @@
 		c.addFinding(line, "/url", "the customer may not use this route")
 		return 0
 	}
-	return c.targetIndex(line, target{route.Deployment, in.URL, route.Idempotent})
+	return c.targetIndex(line, target{Deployment: route.Deployment, Path: in.URL, Idempotent: route.Idempotent, Route: id})
 }
 
 // maxTargets is the largest number of different targets in one file.
--- a/jobs/partition.go
+++ b/jobs/partition.go
@@ -53,6 +53,7 @@
 		changed:     make(chan struct{}),
 	}
 	p.scheduler.table.onCompleted = p.countCompleted
+	p.scheduler.permits = s.permits
 	return p
 }
 
--- a/jobs/pull.go
+++ b/jobs/pull.go
@@ -42,6 +42,10 @@
 func (s *Service) assignItems(ctx context.Context, args api.PullArgs) []api.Work {
 	var out []api.Work
 	bytes := 0
+	s.locations.record(args.Endpoint, args.DataCentre, time.Now())
+	if s.evacuated(args.DataCentre) {
+		return nil
+	}
 	isolation := s.pullers.record(args.Deployment, args.Endpoint, time.Now())
 	skipped := 0
 	for len(out) < args.Slots && bytes < PullBytes {
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -38,6 +38,7 @@
 	Deployment string `json:"deployment"`
 	Path       string `json:"path"`
 	Idempotent bool   `json:"idempotent,omitempty"`
+	Route      string `json:"route,omitempty"` // ID; empty in records of earlier releases
 }
 
 // fileRecord completes an upload: all its chunks were stored before this record
--- a/jobs/rpc.go
+++ b/jobs/rpc.go
@@ -138,6 +138,8 @@
 			results[n] = append(results[n], r)
 		}
 	}
+	s.locations.record(args.Endpoint, args.DataCentre, time.Now())
+	evacuated := s.evacuated(args.DataCentre)
 	running := make(map[int][]api.WorkRef)
 	for _, ref := range args.Running {
 		if n, ok := partitionOf(jobPrefix, ref.Job); ok {
@@ -150,7 +152,7 @@
 		p := s.partitions[n]
 		s.mu.Unlock()
 		if p != nil {
-			stop = append(stop, p.heartbeat(args.Endpoint, refs)...)
+			stop = append(stop, p.heartbeat(args.Endpoint, refs, evacuated)...)
 		}
 	}
 	for _, r := range args.Results {
@@ -169,12 +171,16 @@
 }
 
 // heartbeat records what runs at an endpoint and returns the attempts to be
-// stopped there.
-func (p *partition) heartbeat(endpoint string, running []api.WorkRef) []api.WorkRef {
+// stopped there. evacuated says that the endpoint's data centre is evacuated.
+func (p *partition) heartbeat(endpoint string, running []api.WorkRef, evacuated bool) []api.WorkRef {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.ready || !p.owned {
 		return nil
 	}
-	return p.scheduler.heartbeat(time.Now(), endpoint, running)
+	stop := p.scheduler.heartbeat(time.Now(), endpoint, running)
+	if evacuated {
+		stop = append(stop, p.scheduler.movable(running)...)
+	}
+	return stop
 }
--- a/jobs/scheduler.go
+++ b/jobs/scheduler.go
@@ -27,19 +27,6 @@
 	committing    bool              // its completion is being appended
 }
 
-// backlog holds the items of a job that are still to be assigned to endpoints
-// of one deployment: those from cursor on, and those to be retried.
-type backlog struct {
-	cursor  int
-	retries []pendingRetry
-}
-
-// pendingRetry is an item to be assigned again.
-type pendingRetry struct {
-	item      int
-	notBefore time.Time
-}
-
 // scheduler decides which item of a partition runs where. It starts no
 // goroutines and is not safe for concurrent use; the caller replays the table.
 type scheduler struct {
@@ -58,6 +45,9 @@
 	countedAttempts  map[itemKey]string // last attempt at an item whose failure was counted
 	lostAttempts     []attempt          // lost together with their endpoint since the last tick
 	beginsBlocked    bool               // the log does not respond: non-idempotent items can't start
+
+	// permits reports whether an item of a customer on a route may run at an endpoint.
+	permits func(endpoint, customer, route string) bool
 }
 
 func newScheduler(inv *invariant.Set, table *Table, nonce string) *scheduler {
@@ -72,6 +62,7 @@
 		reportedSuspects: make(map[itemKey]bool),
 		countedAttempts:  make(map[itemKey]string),
 		jobsVersion:      -1,
+		permits:          func(_, _, _ string) bool { return true },
 	}
 }
 
@@ -105,7 +96,7 @@
 		if known[j.Customer] || now.After(j.Expires) {
 			continue
 		}
-		if _, ok := sc.nextItem(now, j, deployment, allowSuspects); ok {
+		if _, ok := sc.nextItem(now, j, deployment, endpoint, allowSuspects); ok {
 			known[j.Customer] = true
 			out = append(out, candidate{customer: j.Customer, job: j.ID, due: j.Due})
 		}
@@ -130,59 +121,6 @@
 	return j.items[i].crashes > 0 || sc.reportedSuspects[itemKey{j.ID, i}]
 }
 
-// nextItem returns the item of j to assign next, without assigning it.
-// allowSuspects says whether that may be a suspect.
-func (sc *scheduler) nextItem(now time.Time, j *job, deployment string, allowSuspects bool) (int, bool) {
-	b := sc.backlogFor(j, deployment)
-	if sc.beginsBlocked && !j.idempotent() {
-		return 0, false
-	}
-	b.retries = slices.DeleteFunc(b.retries, func(r pendingRetry) bool { return !sc.isPending(j, r.item) })
-	for _, r := range b.retries {
-		if r.notBefore.After(now) || !allowSuspects && sc.isSuspect(j, r.item) || sc.trackOrphan(now, j, r.item) {
-			continue
-		}
-		return r.item, true
-	}
-	for ; b.cursor < len(j.items); b.cursor++ {
-		if !sc.isPending(j, b.cursor) || !sc.targetsDeployment(j, b.cursor, deployment) {
-			continue
-		}
-		if sc.trackOrphan(now, j, b.cursor) {
-			continue
-		}
-		if !allowSuspects && sc.isSuspect(j, b.cursor) {
-			sc.scheduleRetry(j, b.cursor, now)
-			continue
-		}
-		return b.cursor, true
-	}
-	return 0, false
-}
-
-// backlogFor returns the backlog of j for a deployment.
-func (sc *scheduler) backlogFor(j *job, deployment string) *backlog {
-	b, ok := j.backlogs[deployment]
-	if !ok {
-		b = new(backlog)
-		if j.backlogs == nil {
-			j.backlogs = make(map[string]*backlog)
-		}
-		j.backlogs[deployment] = b
-		if !slices.ContainsFunc(j.file.Targets, func(t target) bool { return t.Deployment == deployment }) {
-			b.cursor = len(j.items)
-		}
-	}
-	return b
-}
-
-// targetsDeployment reports whether an item is to run at deployment.
-func (sc *scheduler) targetsDeployment(j *job, i int, deployment string) bool {
-	tgt, ok := j.target(i)
-	sc.inv.Check(ok, invariant.AcknowledgedIsDurable, "job %s item %d: accepted, but its input chunk is missing", j.ID, i)
-	return ok && tgt.Deployment == deployment
-}
-
 // isPending reports whether an item has no result and is not running.
 func (sc *scheduler) isPending(j *job, i int) bool {
 	return j.items[i].doneOffset == 0 && !j.items[i].running
@@ -219,7 +157,7 @@
 	if j == nil || j.ended() {
 		return assignment{}, false
 	}
-	i, ok := sc.nextItem(now, j, deployment, isolation && !sc.hasSuspect(endpoint))
+	i, ok := sc.nextItem(now, j, deployment, endpoint, isolation && !sc.hasSuspect(endpoint))
 	if !ok {
 		return assignment{}, false
 	}
@@ -248,7 +186,7 @@
 // scheduleRetry has an item assigned again, not before at.
 func (sc *scheduler) scheduleRetry(j *job, i int, at time.Time) {
 	tgt, _ := j.target(i)
-	b := sc.backlogFor(j, tgt.Deployment)
+	b := sc.backlogFor(j, tgt)
 	for n := range b.retries {
 		if b.retries[n].item == i {
 			b.retries[n].notBefore = at
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -17,6 +17,7 @@
 	"dandelionrelay/config"
 	"dandelionrelay/infra"
 	"dandelionrelay/invariant"
+	"dandelionrelay/locality"
 	"dandelionrelay/membership"
 	"dandelionrelay/peer"
 	"dandelionrelay/quarantine"
@@ -39,8 +40,11 @@
 	ChunkAppendBudget Budget
 	// OnBadRecord is called for records that can't be decoded; may be nil.
 	OnBadRecord func(stream string, offset infra.Offset, err error)
-	Metrics     prometheus.Registerer // may be nil
-	Logger      zerolog.Logger
+	// CheckLocality decides whether an item of a customer on a route may run in a data
+	// centre; nil: in any.
+	CheckLocality func(customer, route, dataCentre string) locality.Verdict
+	Metrics       prometheus.Registerer // may be nil
+	Logger        zerolog.Logger
 }
 
 // Service runs the batch jobs of one entry. It owns partitions while Run runs.
@@ -56,6 +60,7 @@
 	metrics     *metrics
 
 	pullers     pullers
+	locations   locations
 	mu          sync.Mutex
 	ctx         context.Context // of Run; nil while it does not run
 	partitions  map[int]*partition
@@ -78,6 +83,9 @@
 	if o.ResultRetention == 0 {
 		o.ResultRetention = DefaultResultRetention
 	}
+	if o.CheckLocality == nil {
+		o.CheckLocality = func(_, _, _ string) locality.Verdict { return locality.Allowed }
+	}
 	if o.Suspects == nil {
 		o.Suspects = quarantine.NopTracker{}
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -4,8 +4,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -44,6 +46,8 @@
 	LogRetention config.Duration `json:"log_retention,omitempty"`                // time for which the platform's log keeps records; 0: unlimited
 	MaxStaleness config.Duration `json:"max_staleness,omitempty" reload:"true"`  // time since the configuration was last confirmed with the log after which routes that need a key are refused; 0: never
 	Operators    []Operator      `json:"operators,omitempty" reload:"true"`      // who may use the administration interface
+
+	Regions map[string]string `json:"regions,omitempty" reload:"true"` // region by data centre, for the homes of customers and routes
 }
 
 // Operator is a person or a tool that may use the administration interface.
@@ -114,6 +118,13 @@
 	}
 }
 
+// id checks a name that the desired state refers to.
+func (f *findings) id(pointer, value string) {
+	if !config.ValidID(value) {
+		f.add(pointer, fmt.Sprintf("must be %s, not %q", config.IDForm, value))
+	}
+}
+
 func (f *findings) addr(pointer, value string) {
 	if _, err := netip.ParseAddrPort(value); err != nil {
 		f.add(pointer, "must be ip:port, not "+strconv.Quote(value))
@@ -201,6 +212,11 @@
 			f.add(at+"/digest", fmt.Sprintf("must be 64 hex digits, but has length %d", len(o.Digest)))
 		}
 	}
+	for _, dataCentre := range slices.Sorted(maps.Keys(e.Regions)) {
+		at := "/regions/" + strings.NewReplacer("~", "~0", "/", "~1").Replace(dataCentre)
+		f.id(at, dataCentre)
+		f.id(at, e.Regions[dataCentre])
+	}
 }
 
 func (s *Sidecar) check(f *findings) {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -86,3 +86,20 @@
 		}
 	}
 }
+
+// TestLoadEntry_ChecksRegions guards against a data centre without a region, which would
+// be outside all homes without a word.
+func TestLoadEntry_ChecksRegions(t *testing.T) {
+	const process = `{"id":"e1","data_centre":"a","http_addr":"127.0.0.1:1","rpc_addr":"127.0.0.1:2",
+		"ops_addr":"127.0.0.1:3","platform_url":"http://127.0.0.1:4","regions":`
+	g := NewWithT(t)
+	s, err := settings.LoadEntry(writeSettings(t, process+`{"a":"eu","b":"us"}}`))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.Regions).To(Equal(map[string]string{"a": "eu", "b": "us"}))
+	_, err = settings.LoadEntry(writeSettings(t, process+`{"a":"","b/c":"us"}}`))
+	var pointers []string
+	for _, f := range err.(settings.FindingsError) {
+		pointers = append(pointers, f.Pointer)
+	}
+	g.Expect(pointers).To(Equal([]string{"/regions/a", "/regions/b~1c"}))
+}
--- a/sidecar/batch.go
+++ b/sidecar/batch.go
@@ -34,6 +34,7 @@
 	*Sidecar
 	outbox *outbox
 	group  sync.WaitGroup // items in flight
+	moving bool           // the data centre was evacuated at the last check; used by heartbeatLoop only
 
 	mu    sync.Mutex
 	items map[api.WorkRef]*itemRun
@@ -87,7 +88,7 @@
 func (b *batchRunner) awaitIdleSlots(ctx context.Context) (int, bool) {
 	for !b.drain.isDraining() && ctx.Err() == nil {
 		n := b.scheduler.idleSlots()
-		if n > 0 && !b.outbox.full() && !b.gate.hasSuspects() && b.endpointHealthy(ctx) {
+		if n > 0 && !b.outbox.full() && !b.gate.hasSuspects() && !b.evacuated() && b.endpointHealthy(ctx) {
 			return n, true
 		}
 		select {
@@ -123,6 +124,7 @@
 	reply, err := b.deps.Batch.Pull(pullCtx, api.PullArgs{
 		Endpoint:   b.settings.ID,
 		Deployment: b.settings.Deployment,
+		DataCentre: b.settings.DataCentre,
 		Slots:      slots,
 		Wait:       pullWait,
 	})
@@ -139,12 +141,12 @@
 }
 
 // accept queues a pulled item and runs it in the background. It returns false
-// if the item can't run here: the endpoint is draining or lost, the item is a
+// if the item can't run here: the endpoint is draining, evacuated or lost, the item is a
 // suspect and another suspect runs or waits, the same attempt was received before,
 // or too many attempt IDs are remembered. In the last two cases it reports no
 // result.
 func (b *batchRunner) accept(ctx context.Context, w api.Work) bool {
-	if b.health.lost.Load() || !b.drain.add() {
+	if b.health.lost.Load() || b.evacuated() || !b.drain.add() {
 		b.outbox.add(api.Result{WorkRef: w.WorkRef, State: api.ResultReturned, Resume: w.Resume})
 		return false
 	}
@@ -232,7 +234,8 @@
 	}
 }
 
-// heartbeatLoop reports the items in flight. It is separate from reportLoop, as
+// heartbeatLoop reports the items in flight, and moves them if the data centre is
+// evacuated. It is separate from reportLoop, as
 // reports of results wait for an append to the log.
 func (b *batchRunner) heartbeatLoop(ctx context.Context) {
 	tick := time.NewTicker(heartbeatInterval)
@@ -243,6 +246,7 @@
 		case <-ctx.Done():
 			return
 		}
+		b.moveIfEvacuated()
 		if refs := b.unreportedRefs(); len(refs) > 0 {
 			b.report(ctx, api.ReportArgs{Running: refs}, heartbeatTimeout)
 		}
@@ -254,7 +258,7 @@
 func (b *batchRunner) report(ctx context.Context, args api.ReportArgs, timeout time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	args.Endpoint = b.settings.ID
+	args.Endpoint, args.DataCentre = b.settings.ID, b.settings.DataCentre
 	reply, err := b.deps.Batch.Report(ctx, args)
 	b.cancelItems(reply.Stop)
 	return err == nil
--- a/sidecar/process.go
+++ b/sidecar/process.go
@@ -90,6 +90,7 @@
 	p.sidecar, err = New(
 		Settings{
 			ID:          s.ID,
+			DataCentre:  s.DataCentre,
 			Deployment:  s.Deployment,
 			EndpointURL: s.EndpointURL,
 
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -69,6 +69,9 @@
 	if e != nil {
 		return e
 	}
+	if s.evacuated() {
+		return evacuatedError()
+	}
 	if !s.drain.add() {
 		return unavailable(api.CodeNoEndpoint, "the endpoint is leaving")
 	}
@@ -109,8 +112,12 @@
 
 // beginAttempt registers a started request as in flight at the endpoint, a
 // suspect once no other attempt runs. Requests are not sent to an endpoint that
-// has crashed, as the crash would be attributed to them.
+// has crashed, as the crash would be attributed to them, or that was evacuated while
+// they waited.
 func (s *Sidecar) beginAttempt(ctx context.Context, attempt string, suspect bool) *api.Error {
+	if s.evacuated() {
+		return evacuatedError()
+	}
 	if suspect && !s.gate.beginExclusive(ctx, attempt) || !suspect && !s.gate.begin(attempt, true) {
 		return isolationError("a suspect request runs here")
 	}
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -30,6 +30,7 @@
 // Settings holds the settings of one sidecar.
 type Settings struct {
 	ID           string // instance ID, unique per start
+	DataCentre   string // of the endpoint; empty: never evacuated
 	Deployment   string // deployment of the endpoint
 	EndpointURL  string // base URL of the endpoint, with an IP address
 	MaxBodyBytes int64  // largest request body; 0 means DefaultMaxBodyBytes
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -47,9 +47,10 @@
 	BatchLimit lane.BatchLimit
 	// OnViolation is called for every violation of an invariant in any process.
 	OnViolation func(invariant.Violation)
-	// Operators and DrainDelay are settings of the entries, DrainTimeout is one of the
+	// Operators, Regions and DrainDelay are settings of the entries, DrainTimeout is one of the
 	// entries and the sidecars.
 	Operators    []settings.Operator
+	Regions      map[string]string // region by data centre, for the homes of customers and routes
 	DrainDelay   time.Duration
 	DrainTimeout time.Duration // default 1 minute
 }
--- a/standin/fleet/instance.go
+++ b/standin/fleet/instance.go
@@ -96,6 +96,7 @@
 		Process:      f.process(i),
 		MaxBodyBytes: settings.DefaultMaxBodyBytes,
 		Operators:    f.opts.Operators,
+		Regions:      f.opts.Regions,
 		LogRetention: config.Duration(f.opts.Retention),
 		DrainDelay:   config.Duration(f.opts.DrainDelay),
 		DrainTimeout: config.Duration(f.opts.DrainTimeout),
