--- a/config/evacuate_test.go
+++ b/config/evacuate_test.go
@@ -45,7 +45,7 @@
 		gomega.ContainSubstring(`a.json:3 /customers/north/homes/3: the name of a region`),
 		gomega.ContainSubstring(`a.json:6 /deployments/m/cold_rate: must not be negative`),
 		gomega.ContainSubstring(`a.json:6 /deployments/m/cold_time: must be between`),
-		gomega.ContainSubstring(`a.json:7 /deployments/n: cold_rate and cold_time`),
+		gomega.ContainSubstring(`a.json:7 /deployments/n/cold_rate: cold_rate and cold_time`),
 		gomega.ContainSubstring(`a.json:11 /routes/r/homes/0: the name of a region`),
 		gomega.ContainSubstring(`a.json:14 /evacuations: evacuations are not part of the files`),
 	))
--- a/config/validate.go
+++ b/config/validate.go
@@ -9,7 +9,6 @@
 	"regexp"
 	"slices"
 	"strings"
-	"time"
 
 	"dandelionrelay/api"
 	"dandelionrelay/locality"
@@ -171,19 +170,16 @@
 	}
 }
 
-// MaxColdTime is the maximum of Deployment.ColdTime.
-const MaxColdTime = Duration(time.Hour)
-
-// checkCold checks the cold rate and the cold time of a deployment.
+// checkCold checks the limits of cold endpoints.
 func (v *validator) checkCold(id string, d Deployment) {
 	if isNotFinite(d.ColdRate) || d.ColdRate < 0 {
 		v.addFinding("deployments", id, "cold_rate", "must not be negative, is %g", d.ColdRate)
 	}
 	if d.ColdTime < 0 || d.ColdTime > MaxColdTime {
-		v.addFinding("deployments", id, "cold_time", "must be between 0s and %s", time.Duration(MaxColdTime))
+		v.addFinding("deployments", id, "cold_time", "must be between 0s and 1h")
 	}
 	if (d.ColdRate == 0) != (d.ColdTime == 0) {
-		v.addFinding("deployments", id, "", "cold_rate and cold_time must be set together")
+		v.addFinding("deployments", id, "cold_rate", "cold_rate and cold_time need each other")
 	}
 }
 
