lane, sidecar: a cold endpoint gets no more than its rate

Cause: an endpoint that has just started crashes at rates well above its deployment's cold_rate; its sidecar, which alone sends to it, started work as slots allowed.

Ruled out: refusing at once whatever has no token, as a burst of two would go to another endpoint for a wait of 43 ms; a bucket that holds several tokens, as a second may then contain burst and rate; jobs.pacer, which takes a token for a request before the queue has decided which goes first, and whose burst is 4; a separate share of the rate for health checks, which is lost while there are none.

Change: lane.Queue limits starts of requests and items with a bucket of one token while the endpoint is cold; requests wait up to a second for theirs, the others are refused as not run with the time at which a token is due, and the reported queue wait contains it. Health checks take tokens of the same bucket, and those asked for at the same time are one. The sidecar takes the endpoint for cold from its own start, and from each return after a loss, unless the header Relay-Cold-Ms says otherwise; bad values count as the whole cold time. Endpoints that can be cold are polled every second. The end of the limit is 100 ms after the stated one: what waits starts together then and crashed a stand-in that was cold for less than a millisecond longer. standin/engine can be cold and crashes above a multiple of the rate; experiment has the fault cold.

--- a/api/api.go
+++ b/api/api.go
@@ -49,6 +49,10 @@
 	// sent if the sidecar's settings name none.
 	HeaderEndpointVersion = "Relay-Endpoint-Version"
 
+	// HeaderCold is the time for which the endpoint remains cold, in milliseconds, in its
+	// responses; 0: it is not cold. Endpoints that are never cold need not send it.
+	HeaderCold = "Relay-Cold-Ms"
+
 	// HeaderBesideBatch is "1" on a response if batch items ran at the endpoint
 	// when the request arrived.
 	HeaderBesideBatch = "Relay-Beside-Batch"
--- a/cli/standin.go
+++ b/cli/standin.go
@@ -63,6 +63,9 @@
 		StepBase:        time.Duration(s.StepBase),
 		StepPerSequence: time.Duration(s.StepPerSlot),
 		ObeysFencing:    s.ObeysFencing,
+		ColdRate:        s.ColdRate,
+		ColdTime:        time.Duration(s.ColdTime),
+		ColdCrash:       s.ColdCrash,
 	})
 	defer e.Close()
 	return serveStandin(env, s.HTTPAddr, e)
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -139,6 +139,7 @@
 // state returns the configuration of the fleet under scheme.
 func (o Options) state(scheme Scheme) *config.State {
 	d := config.Deployment{Kind: config.KindModel, Model: model, Slots: slots, CanResume: true, FirstTokenRatio: scheme.Ratio}
+	d.ColdRate, d.ColdTime = o.ColdRate, o.ColdTime
 	s := &config.State{
 		Customers:   make(map[string]config.Customer),
 		Keys:        make(map[string]config.Key),
@@ -177,7 +178,7 @@
 	f, err := fleet.New(ctx, fleet.Options{
 		Network:    tb.network,
 		State:      o.state(s),
-		Engine:     engine.Options{Model: model, MaxRunning: 4 * slots},
+		Engine:     engine.Options{Model: model, MaxRunning: 4 * slots, ColdRate: o.ColdRate, ColdTime: time.Duration(o.ColdTime)},
 		Seed:       o.Seed,
 		Logger:     zerolog.Nop(),
 		Policy:     s.Policy,
@@ -200,7 +201,11 @@
 	go func() { faultErr <- tb.runFaults(loadCtx, o.Faults) }()
 	result := load.Run(ctx, p, load.Target{Client: f.Client(), Entries: tb.urls}, 0)
 	stop()
-	return result, <-faultErr
+	err = <-faultErr
+	if o.ColdRate > 0 {
+		fmt.Fprintf(progress, "  most requests at a cold engine within a second: %d, of %g\n", tb.coldPeak(), o.ColdRate)
+	}
+	return result, err
 }
 
 // start starts the instances and waits until they are ready and the entries have read
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"fmt"
 	"net/http"
 	"runtime"
 	"strings"
@@ -52,6 +53,40 @@
 	g.Expect(greedy.WithinLimit).To(BeNumerically("<", greedy.Sent))
 }
 
+// TestRun_RestartsEndpointsCold restarts all engines cold, one after the other. It guards
+// against a fault after which engines are not cold, and against sidecars that have a cold
+// engine crash again.
+func TestRun_RestartsEndpointsCold(t *testing.T) {
+	g := NewWithT(t)
+	const rate = 10
+	s := &settings.Experiment{
+		Duration: config.Duration(6 * time.Second), Engines: 2, Entries: 1, Schemes: []string{"lanes"},
+		Customers: []settings.ExperimentCustomer{{Name: "a", Rate: 100, Burst: 100, Sends: 40}},
+		Batches:   []settings.ExperimentBatch{{Customer: "a", Items: 50}},
+		ColdRate:  rate, ColdTime: config.Duration(2 * time.Second),
+	}
+	for n := range s.Engines {
+		s.Faults = append(s.Faults, settings.ExperimentFault{
+			Kind: settings.FaultCold, Target: settings.TargetEndpoint, Number: n + 1,
+			At: config.Duration(n+1) * config.Duration(time.Second), For: config.Duration(300 * time.Millisecond),
+		})
+	}
+	g.Expect(s.Check("s", SchemeNames())).To(Succeed())
+	var progress strings.Builder
+	results, err := Run(t.Context(), NewOptions(s), &progress)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(results).To(HaveLen(1))
+	g.Expect(results[0].Customers["a"].Done).To(BeNumerically(">", 0))
+	var peak int
+	var limit float64
+	for line := range strings.Lines(progress.String()) {
+		_, _ = fmt.Sscanf(strings.TrimSpace(line), "most requests at a cold engine within a second: %d, of %g", &peak, &limit)
+	}
+	g.Expect(limit).To(Equal(float64(rate)), progress.String())
+	g.Expect(peak).To(BeNumerically(">", 0))
+	g.Expect(peak).To(BeNumerically("<=", rate*1.5), "the engine crashed while it was cold")
+}
+
 func TestNetwork_RefusesConnectionsWhileUnreachable(t *testing.T) {
 	g := NewWithT(t)
 	n := newNetwork()
--- a/experiment/faults.go
+++ b/experiment/faults.go
@@ -118,6 +118,10 @@
 		e := tb.endpoint(fault.Number - 1).engine
 		e.SetPaused(true)
 		defer e.SetPaused(false)
+	case settings.FaultCold:
+		e := tb.endpoint(fault.Number - 1).engine
+		e.Crash()
+		defer e.Restart()
 	case settings.FaultCut:
 		i := tb.target(fault)
 		tb.network.setUnreachable(true, i.HTTPAddr, i.RPCAddr)
@@ -155,6 +159,18 @@
 	return tb.replaceEntry(ctx, fault.Number-1)
 }
 
+// coldPeak returns the most requests that arrived at one of the engines within a second
+// while it was cold.
+func (tb *testbed) coldPeak() int {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	peak := 0
+	for _, e := range tb.endpoints {
+		peak = max(peak, e.engine.Stats().ColdPeak)
+	}
+	return peak
+}
+
 func (tb *testbed) setInRotation(n int, on bool) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
--- a/lane/estimate.go
+++ b/lane/estimate.go
@@ -41,11 +41,12 @@
 }
 
 // remainingWait estimates how much longer w waits until it starts.
-func (q *Queue) remainingWait(w *waitingRequest) time.Duration {
+func (q *Queue) remainingWait(now time.Time, w *waitingRequest) time.Duration {
+	cold := q.coldWait(now, q.requestsAhead(w))
 	if q.onlineCapacity() >= q.fair.size {
-		return 0
+		return cold
 	}
-	return q.rate.duration(q.fair.costAhead(w)+q.rate.meanCost, q.opts.Slots)
+	return max(cold, q.rate.duration(q.fair.costAhead(w)+q.rate.meanCost, q.opts.Slots))
 }
 
 // onlineCapacity returns the number of slots that online requests do not hold
--- a/lane/fifo.go
+++ b/lane/fifo.go
@@ -8,7 +8,7 @@
 
 // decideFIFO starts requests and items in the order of their arrival.
 func (q *Queue) decideFIFO(now time.Time) {
-	for q.freeOnlineSlots() > 0 {
+	for q.freeOnlineSlots() > 0 && q.cold.ready(now) {
 		w := q.oldestWaiting()
 		switch {
 		case w == nil && len(q.waitingItems) == 0:
--- a/lane/items.go
+++ b/lane/items.go
@@ -135,7 +135,7 @@
 
 // startItems starts waiting items in idle slots.
 func (q *Queue) startItems(now time.Time) {
-	for i := 0; i < len(q.waitingItems) && q.freeBatchSlots() > 0; {
+	for i := 0; i < len(q.waitingItems) && q.freeBatchSlots() > 0 && q.cold.ready(now); {
 		if !q.canStart(q.waitingItems[i]) {
 			i++
 			continue
@@ -158,6 +158,7 @@
 		q.batch.nonPreemptible++
 	}
 	q.decision.Start = append(q.decision.Start, it.ID)
+	q.cold.started(now)
 	prompt := 0.0
 	if it.neverRan {
 		prompt = it.PromptTokens
--- a/lane/lane.go
+++ b/lane/lane.go
@@ -47,6 +47,7 @@
 const (
 	QueueFull    Reason = iota + 1 // too many requests wait, and this customer has the largest backlog
 	DeadlineMiss                   // the estimated wait exceeds the deadline
+	EndpointCold                   // as QueueFull, while the endpoint is cold and starts are limited
 )
 
 // Decision is what the caller has to do now. It is valid until the next call of
--- a/lane/queue.go
+++ b/lane/queue.go
@@ -19,6 +19,7 @@
 	limit        limiter
 	rate         rateEstimate
 	firstToken   firstTokenControl
+	cold         coldLimit
 	decision     Decision
 }
 
@@ -59,12 +60,12 @@
 	q.resetDecision()
 	w := q.fair.push(r)
 	q.waiting[r.ID] = w
-	if wait := q.remainingWait(w); !r.Deadline.IsZero() && now.Add(wait).After(r.Deadline) {
-		q.refuse(w, DeadlineMiss)
+	if wait := q.remainingWait(now, w); !r.Deadline.IsZero() && now.Add(wait).After(r.Deadline) {
+		q.refuse(now, w, DeadlineMiss)
 	}
 	d := q.decide(now)
-	if q.fair.size > q.opts.MaxQueued {
-		q.refuse(q.fair.lastOfLargestBacklog(), QueueFull)
+	if most, reason := q.maxWaiting(now); q.fair.size > most {
+		q.refuse(now, q.fair.lastOfLargestBacklog(), reason)
 		d = q.decision
 	}
 	return d
@@ -127,21 +128,29 @@
 }
 
 // refuse removes a waiting request and adds its refusal to the decision.
-func (q *Queue) refuse(w *waitingRequest, reason Reason) {
-	retry := q.remainingWait(w)
+func (q *Queue) refuse(now time.Time, w *waitingRequest, reason Reason) {
+	retry := q.remainingWait(now, w)
 	delete(q.waiting, w.ID)
 	q.fair.remove(w)
 	q.decision.Refuse = append(q.decision.Refuse, Refusal{ID: w.ID, Reason: reason, RetryAfter: retry})
 }
 
 // decide starts waiting requests and items and preempts items, as the policy
-// and the free slots allow.
+// the free slots and, while the endpoint is cold, its rate allow.
 func (q *Queue) decide(now time.Time) Decision {
 	if q.opts.Policy == FIFO {
 		q.decideFIFO(now)
-		return q.decision
+	} else {
+		q.decideLanes(now)
 	}
-	for q.fair.size > 0 && q.freeOnlineSlots() > 0 {
+	q.wakeForToken(now)
+	return q.decision
+}
+
+// decideLanes starts online requests, preempts items for them, and starts items if none
+// waits.
+func (q *Queue) decideLanes(now time.Time) {
+	for q.fair.size > 0 && q.freeOnlineSlots() > 0 && q.cold.ready(now) {
 		q.startOnline(now, q.fair.pop())
 	}
 	if q.opts.Policy == PreemptivePriority {
@@ -151,7 +160,6 @@
 		q.startOrDeferItems(now)
 	}
 	q.checkPriority()
-	return q.decision
 }
 
 // freeOnlineSlots returns the number of slots that online requests may take
@@ -168,6 +176,7 @@
 	delete(q.waiting, w.ID)
 	q.running[w.ID] = &runningRequest{Request: w.Request, started: now}
 	q.decision.Start = append(q.decision.Start, w.ID)
+	q.cold.started(now)
 	q.preemptForFirstToken(now, w.PromptTokens)
 }
 
--- a/settings/experiment.go
+++ b/settings/experiment.go
@@ -20,6 +20,11 @@
 	Customers []ExperimentCustomer `json:"customers,omitempty"` // default 4 customers well below their rate limits
 	Batches   []ExperimentBatch    `json:"batches,omitempty"`   // default 2 with more items than can be completed
 	Faults    []ExperimentFault    `json:"faults,omitempty"`
+
+	// ColdRate and ColdTime are those of the deployment and its engines; 0: they are never
+	// cold.
+	ColdRate float64         `json:"cold_rate,omitempty"`
+	ColdTime config.Duration `json:"cold_time,omitempty"`
 }
 
 // ExperimentCustomer is a customer of an experiment.
@@ -44,6 +49,7 @@
 const (
 	FaultKill     FaultKind = "kill"      // the instance ends abruptly; a new one starts when the fault is over
 	FaultPause    FaultKind = "pause"     // the endpoint's engine makes no progress
+	FaultCold     FaultKind = "cold"      // the endpoint's engine ends, and starts again cold when the fault is over
 	FaultCut      FaultKind = "cut"       // connections to the instance are closed and refused
 	FaultLogDown  FaultKind = "log_down"  // the platform's log fails every call
 	FaultListDown FaultKind = "list_down" // the platform's instance list fails every call
@@ -63,7 +69,7 @@
 	At     config.Duration `json:"at"`  // since the start of the load
 	For    config.Duration `json:"for"` // duration
 	Kind   FaultKind       `json:"kind"`
-	Target FaultTarget     `json:"target,omitempty"` // of kill, pause and cut
+	Target FaultTarget     `json:"target,omitempty"` // of kill, pause, cold and cut
 	Number int             `json:"number,omitempty"` // of the target, from 1; default 1
 }
 
@@ -115,6 +121,11 @@
 	for i, b := range e.Batches {
 		b.check(f, "/batches/"+strconv.Itoa(i), known)
 	}
+	f.notNegative("/cold_rate", e.ColdRate)
+	f.notNegative("/cold_time", float64(e.ColdTime))
+	if (e.ColdRate == 0) != (e.ColdTime == 0) {
+		f.add("/cold_rate", "cold_rate and cold_time need each other")
+	}
 	for i := range e.Faults {
 		e.Faults[i].check(f, "/faults/"+strconv.Itoa(i), e)
 	}
@@ -163,9 +174,17 @@
 			f.add(at+"/target", "must be endpoint, not "+strconv.Quote(string(x.Target))+": an entry can't be paused alone, as all instances run in one process")
 			return
 		}
+	case FaultCold:
+		if x.Target != TargetEndpoint {
+			f.add(at+"/target", "must be endpoint, not "+strconv.Quote(string(x.Target)))
+			return
+		}
+		if e.ColdRate == 0 {
+			f.add(at+"/kind", "needs the cold_rate and the cold_time of the experiment")
+		}
 	case FaultKill, FaultCut:
 	default:
-		f.add(at+"/kind", "must be kill, pause, cut, log_down or list_down, not "+strconv.Quote(string(x.Kind)))
+		f.add(at+"/kind", "must be kill, pause, cold, cut, log_down or list_down, not "+strconv.Quote(string(x.Kind)))
 		return
 	}
 	setDefault(&x.Number, 1)
--- a/settings/experiment_test.go
+++ b/settings/experiment_test.go
@@ -8,6 +8,18 @@
 	"dandelionrelay/settings"
 )
 
+// TestLoadExperiment_ChecksColdFaults guards against a cold fault that has no effect.
+func TestLoadExperiment_ChecksColdFaults(t *testing.T) {
+	g := NewWithT(t)
+	const fault = `"faults":[{"at":"1s","for":"1s","kind":"cold","target":"endpoint"}]}`
+	_, err := settings.LoadExperiment(writeSettings(t, `{"cold_rate":23,"cold_time":"5s",`+fault))
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = settings.LoadExperiment(writeSettings(t, "{"+fault))
+	g.Expect(err).To(MatchError(ContainSubstring("/faults/0/kind")))
+	_, err = settings.LoadExperiment(writeSettings(t, `{"cold_rate":23,"faults":[{"at":"1s","for":"1s","kind":"cold","target":"entry"}]}`))
+	g.Expect(err).To(MatchError(And(ContainSubstring("/cold_rate"), ContainSubstring("/faults/0/target"))))
+}
+
 func TestLoadExperiment_FindingsHavePointers(t *testing.T) {
 	g := NewWithT(t)
 	path := writeSettings(t, `{"duration":"10s","engines":2,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -85,6 +85,10 @@
 	StepBase     config.Duration `json:"step_base,omitempty"`     // duration of an engine step without running requests; default 5ms
 	StepPerSlot  config.Duration `json:"step_per_slot,omitempty"` // added to the step for each running request; default 0.2ms. It sets engine.Options.StepPerSequence
 	ObeysFencing bool            `json:"obeys_fencing,omitempty"` // rejects orders with an outdated fencing token
+
+	ColdRate  float64         `json:"cold_rate,omitempty"`  // requests a second that the engine tolerates while it is cold; 0: it is never cold
+	ColdTime  config.Duration `json:"cold_time,omitempty"`  // time for which it is cold after its start
+	ColdCrash float64         `json:"cold_crash,omitempty"` // multiple of ColdRate above which it crashes; default 1.5
 }
 
 // Defaults of optional fields.
@@ -241,6 +245,9 @@
 	f.required("/model", e.Model)
 	f.notNegative("/step_base", float64(e.StepBase))
 	f.notNegative("/step_per_slot", float64(e.StepPerSlot))
+	f.notNegative("/cold_rate", e.ColdRate)
+	f.notNegative("/cold_time", float64(e.ColdTime))
+	f.notNegative("/cold_crash", e.ColdCrash)
 	setDefault(&e.StepBase, config.Duration(DefaultStepBase))
 	setDefault(&e.StepPerSlot, config.Duration(DefaultStepPerSlot))
 }
--- a/sidecar/batch.go
+++ b/sidecar/batch.go
@@ -44,8 +44,8 @@
 	return &batchRunner{Sidecar: s, outbox: newOutbox(), items: make(map[api.WorkRef]*itemRun)}
 }
 
-// Run pulls and reports batch items, sends orders to the engine and watches the
-// instance list until ctx ends. Items in flight are cancelled then; call Drain
+// Run pulls and reports batch items, sends orders to the engine, and watches the
+// instance list and an endpoint that can be cold, until ctx ends. Items in flight are cancelled then; call Drain
 // first for a graceful shutdown.
 func (s *Sidecar) Run(ctx context.Context) {
 	var group sync.WaitGroup
@@ -57,6 +57,7 @@
 		group.Go(func() { s.batch.reportLoop(ctx) })
 		group.Go(func() { s.batch.heartbeatLoop(ctx) })
 	}
+	group.Go(func() { s.watchCold(ctx) })
 	if s.deps.Log != nil && s.deps.Weights != nil {
 		group.Go(func() { s.runOrders(ctx) })
 	}
@@ -105,7 +106,7 @@
 // refreshDeployment applies the current configuration of the deployment.
 func (b *batchRunner) refreshDeployment() {
 	if d, ok := b.deployment(); ok {
-		b.scheduler.applyDeployment(d)
+		b.applyDeployment(d)
 	}
 }
 
--- /dev/null
+++ b/sidecar/cold.go
@@ -0,0 +1,170 @@
+package sidecar
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"dandelionrelay/api"
+	"dandelionrelay/config"
+)
+
+// coldPollInterval is the time between two health checks of an endpoint that can be cold.
+// They find out that it has started again while nothing was sent to it.
+const coldPollInterval = time.Second
+
+// coldMargin is added to the time for which an endpoint says that it remains cold, which
+// is rounded and passes on the way. The requests that wait start together when the limit
+// ends, which crashes an endpoint that is cold for a millisecond longer.
+const coldMargin = 100 * time.Millisecond
+
+// coldState decides until when the endpoint is cold: for the deployment's cold time from
+// the start of the sidecar, which knows no earlier one, and from each return of an endpoint
+// that was lost, unless the endpoint says otherwise. Its last statement counts. It is safe
+// for concurrent use and does no I/O.
+type coldState struct {
+	mu        sync.Mutex
+	startedAt time.Time
+	until     time.Time // as stated by the endpoint, or since its last return; zero: neither
+	lost      bool      // the endpoint was lost and has not responded since
+}
+
+// restarted records that the endpoint was lost, so that it may be cold when it returns.
+func (c *coldState) restarted() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lost = true
+}
+
+// observe records a response of the endpoint. statement is the value of api.HeaderCold;
+// empty: none. It returns false if the statement is not valid, and takes the endpoint for
+// one that has just started then.
+func (c *coldState) observe(now time.Time, statement string, d config.Deployment) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	returned := c.lost
+	c.lost = false
+	if statement == "" {
+		if returned {
+			c.until = now.Add(time.Duration(d.ColdTime))
+		}
+		return true
+	}
+	ms, err := strconv.ParseInt(statement, 10, 64)
+	if err != nil || ms < 0 || ms > time.Duration(config.MaxColdTime).Milliseconds() {
+		c.until = now.Add(time.Duration(d.ColdTime))
+		return false
+	}
+	c.until = now
+	if ms > 0 {
+		c.until = now.Add(time.Duration(ms)*time.Millisecond + coldMargin)
+	}
+	return true
+}
+
+// limit returns the rate in force, 0 if the endpoint is never cold, and the time until
+// which it applies.
+func (c *coldState) limit(now time.Time, d config.Deployment) (rate float64, until time.Time) {
+	if !d.HasColdRate() {
+		return 0, time.Time{}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	coldTime := time.Duration(d.ColdTime)
+	switch {
+	case c.lost:
+		return d.ColdRate, now.Add(coldTime)
+	case c.until.IsZero():
+		return d.ColdRate, c.startedAt.Add(coldTime)
+	}
+	return d.ColdRate, c.until
+}
+
+// applyDeployment applies the configuration of the deployment and the limit of a cold
+// endpoint to the queue.
+func (s *Sidecar) applyDeployment(d config.Deployment) {
+	s.applyColdLimit(d)
+	s.scheduler.applyDeployment(d)
+}
+
+// applyColdLimit applies the limit of a cold endpoint to the queue and logs its changes.
+func (s *Sidecar) applyColdLimit(d config.Deployment) {
+	now := time.Now()
+	rate, until := s.cold.limit(now, d)
+	if became, cold := s.scheduler.setCold(now, rate, until); became {
+		s.deps.Logger.Info().Bool("cold", cold).Float64("rate", rate).Dur("left", max(0, until.Sub(now))).
+			Msg("endpoint is cold, or no longer")
+	}
+}
+
+// observeCold records what a response says about the endpoint being cold.
+func (s *Sidecar) observeCold(h http.Header) {
+	d, ok := s.deployment()
+	if !ok || !d.HasColdRate() {
+		return
+	}
+	if statement := h.Get(api.HeaderCold); !s.cold.observe(time.Now(), statement, d) {
+		s.metrics.badColdStatements.Inc()
+		s.deps.Logger.Warn().Str("value", statement).Str("header", api.HeaderCold).
+			Msg("bad statement of the endpoint; it counts as cold for the whole cold time")
+	}
+	s.applyColdLimit(d)
+}
+
+// recordRestart records that the endpoint was lost, which may have started again when it
+// responds next.
+func (s *Sidecar) recordRestart() {
+	s.cold.restarted()
+	if d, ok := s.deployment(); ok {
+		s.applyColdLimit(d)
+	}
+}
+
+// sharedCheck is the last health check of a cold endpoint. Those who ask for one before it
+// has begun share its result, as each costs a part of the rate.
+type sharedCheck struct {
+	busy  chan struct{} // holds a value while a check waits or runs
+	began time.Time
+	err   *api.Error
+}
+
+// checkColdHealth is checkHealth for a cold endpoint: it waits for a token.
+func (s *Sidecar) checkColdHealth(ctx context.Context) *api.Error {
+	asked := time.Now()
+	s.sharedCheck.busy <- struct{}{}
+	defer func() { <-s.sharedCheck.busy }()
+	if s.sharedCheck.began.After(asked) {
+		return s.sharedCheck.err
+	}
+	time.Sleep(s.scheduler.reserveStart(time.Now()))
+	s.sharedCheck.began = time.Now()
+	s.sharedCheck.err = s.sendHealthCheck(context.WithoutCancel(ctx))
+	return s.sharedCheck.err
+}
+
+// watchCold polls an endpoint that can be cold until ctx ends.
+func (s *Sidecar) watchCold(ctx context.Context) {
+	tick := time.NewTicker(coldPollInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		d, ok := s.deployment()
+		if !ok || !d.HasColdRate() {
+			continue
+		}
+		if s.health.lost.Load() {
+			s.endpointHealthy(ctx)
+			continue
+		}
+		if e := s.checkHealth(ctx); e != nil && e.Code == api.CodeEndpointLost {
+			s.health.lost.Store(true)
+			s.recordRestart()
+		}
+	}
+}
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -60,6 +60,7 @@
 	}).WithContext(ctx)
 	resp, err := s.transport.RoundTrip(out)
 	if err == nil {
+		s.observeCold(resp.Header)
 		return resp, nil
 	}
 	return nil, callError(ctx, sent.Load())
--- a/sidecar/gauges.go
+++ b/sidecar/gauges.go
@@ -97,6 +97,12 @@
 		}
 		return 0
 	})
+	gauge("cold", "1 if the endpoint is cold, so that starts are limited, else 0.", "", func() float64 {
+		if q.isCold(time.Now()) {
+			return 1
+		}
+		return 0
+	})
 	for use, name := range slotUseNames {
 		reg.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: "relay", Subsystem: "sidecar", Name: "slot_seconds_total",
--- a/sidecar/health.go
+++ b/sidecar/health.go
@@ -26,6 +26,7 @@
 func (s *Sidecar) recordEndpointLost(attempt string, outcome api.Outcome) {
 	s.metrics.losses.Inc()
 	s.health.lost.Store(true)
+	s.recordRestart()
 	if outcome != api.NotRun {
 		s.gate.recordCrash(attempt)
 	}
@@ -47,6 +48,13 @@
 // checkHealth sends a health check to the endpoint. It returns an error if the
 // endpoint can't be reached or responds with status 500 or above.
 func (s *Sidecar) checkHealth(ctx context.Context) *api.Error {
+	if s.scheduler.isCold(time.Now()) {
+		return s.checkColdHealth(ctx)
+	}
+	return s.sendHealthCheck(ctx)
+}
+
+func (s *Sidecar) sendHealthCheck(ctx context.Context) *api.Error {
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
 	resp, e := s.callEndpoint(ctx, &request{Method: http.MethodGet, Path: "/health", Retryable: true})
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -23,6 +23,7 @@
 const (
 	reasonFull     = "queue_full"
 	reasonDeadline = "deadline_miss"
+	reasonCold     = "endpoint_cold"
 
 	pullItems  = "items"
 	pullNone   = "none"
@@ -46,7 +47,10 @@
 	itemTokens    prometheus.Counter
 	suspects      prometheus.Counter
 	losses        prometheus.Counter
-	orders        *prometheus.CounterVec
+
+	badColdStatements prometheus.Counter
+
+	orders *prometheus.CounterVec
 }
 
 // newMetrics returns the metrics of a sidecar, registered with reg unless that
@@ -74,7 +78,9 @@
 		itemTokens: f.counter("batch_tokens_total", "Tokens that the endpoint generated for batch items."),
 		suspects:   f.counter("suspects_total", "Requests and items that ran here after an endpoint had died with them."),
 		losses:     f.counter("endpoint_losses_total", "Calls in which the endpoint was lost."),
-		orders:     f.counterVec("orders_total", "Orders given to the engine, by result.", "result"),
+		badColdStatements: f.counter("bad_cold_statements_total",
+			"Responses of the endpoint whose statement of the time for which it remains cold is not valid."),
+		orders: f.counterVec("orders_total", "Orders given to the engine, by result.", "result"),
 	}
 	m.initSeries()
 	return m
@@ -89,7 +95,7 @@
 	for _, state := range []api.ResultState{api.ResultDone, api.ResultReturned, api.ResultNotRun, api.ResultUnknown} {
 		m.items.WithLabelValues(string(state))
 	}
-	for _, reason := range []string{reasonFull, reasonDeadline} {
+	for _, reason := range []string{reasonFull, reasonDeadline, reasonCold} {
 		m.queueRefusals.WithLabelValues(reason)
 	}
 	for _, result := range []string{pullItems, pullNone, pullFailed} {
@@ -197,8 +203,11 @@
 // countQueueRefusal counts a request that the queue refused.
 func (m *metrics) countQueueRefusal(r lane.Reason) {
 	reason := reasonFull
-	if r == lane.DeadlineMiss {
+	switch r {
+	case lane.DeadlineMiss:
 		reason = reasonDeadline
+	case lane.EndpointCold:
+		reason = reasonCold
 	}
 	m.queueRefusals.WithLabelValues(reason).Inc()
 }
--- a/sidecar/scheduler.go
+++ b/sidecar/scheduler.go
@@ -19,6 +19,10 @@
 	usage     usage
 	metrics   *metrics
 	wakeTimer *time.Timer
+
+	cold      bool // as of the last call of setCold
+	coldRate  float64
+	coldUntil time.Time
 }
 
 // ticket represents a request or an item in the queue.
@@ -167,18 +171,49 @@
 	s.apply(s.queue.FinishItem(time.Now(), id))
 }
 
-// idleSlots returns the number of items that could start now.
+// idleSlots returns the number of items that could start now, or soon at a cold endpoint.
 func (s *scheduler) idleSlots() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.queue.IdleBatchSlots()
+	return s.queue.StartableItems(time.Now())
 }
 
 // queueWait estimates how long a new online request waits for its start.
 func (s *scheduler) queueWait() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.queue.EstimateWait()
+	return max(s.queue.EstimateWait(), s.queue.ColdWait(time.Now()))
+}
+
+// setCold sets the limit of a cold endpoint and reports whether that made the endpoint
+// cold, or ended it.
+func (s *scheduler) setCold(now time.Time, rate float64, until time.Time) (changed, cold bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	cold = rate > 0 && now.Before(until)
+	changed = cold != s.cold
+	s.cold = cold
+	if s.coldRate == rate && s.coldUntil.Equal(until) {
+		return changed, cold
+	}
+	s.coldRate, s.coldUntil = rate, until
+	s.apply(s.queue.SetCold(now, rate, until))
+	return changed, cold
+}
+
+// isCold reports whether the endpoint is cold.
+func (s *scheduler) isCold(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.queue.Cold(now)
+}
+
+// reserveStart takes the next token of a cold endpoint and returns the time until it is
+// due.
+func (s *scheduler) reserveStart(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.queue.ReserveStart(now)
 }
 
 // apply starts, preempts and refuses requests and items according to d. The
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -64,7 +64,7 @@
 	if !ok {
 		return unavailable(api.CodeNoEndpoint, "the deployment is not configured")
 	}
-	s.scheduler.applyDeployment(d)
+	s.applyDeployment(d)
 	cost, e := s.prepareBody(req, d)
 	if e != nil {
 		return e
@@ -171,8 +171,11 @@
 // refusalError returns the error for a request that the queue refused.
 func refusalError(r lane.Refusal) *api.Error {
 	message := "too many requests wait"
-	if r.Reason == lane.DeadlineMiss {
+	switch r.Reason {
+	case lane.DeadlineMiss:
 		message = "the deadline can't be met"
+	case lane.EndpointCold:
+		message = "the endpoint is cold, and too many requests wait"
 	}
 	return unavailable(api.CodeOverloaded, message).WithRetryAfter(max(minRetryAfter, r.RetryAfter))
 }
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -70,6 +70,8 @@
 	metrics     *metrics
 	batch       *batchRunner
 	health      health
+	cold        coldState
+	sharedCheck sharedCheck
 	gate        *gate
 }
 
@@ -94,6 +96,8 @@
 		drain:       newDrainState(),
 		metrics:     newMetrics(deps.Metrics),
 		gate:        newGate(),
+		cold:        coldState{startedAt: time.Now()},
+		sharedCheck: sharedCheck{busy: make(chan struct{}, 1)},
 		transport: &http.Transport{
 			DialContext:        deps.Dial,
 			DisableCompression: true,
@@ -109,7 +113,7 @@
 		Policy:     settings.Policy,
 		Invariants: deps.Invariants,
 	}, s.metrics)
-	s.scheduler.applyDeployment(d)
+	s.applyDeployment(d)
 	s.batch = newBatchRunner(s)
 	s.registerGauges(deps.Metrics)
 	return s, nil
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -27,6 +27,10 @@
 	ObeysFencing    bool          // reject orders whose fencing token is not above that of the last order
 	LoadTime        time.Duration // duration of a model load
 	OnStep          func(Step)    // called at the start of each step, without locks held; may be nil
+
+	ColdRate  float64       // requests a second, health checks included, that a cold engine tolerates; 0: it is never cold
+	ColdTime  time.Duration // time for which the engine is cold after a start
+	ColdCrash float64       // multiple of ColdRate above which a cold engine crashes (default 1.5)
 }
 
 func (o Options) withDefaults() Options {
@@ -37,6 +41,7 @@
 	setDefault(&o.MaxRunning, 64)
 	setDefault(&o.DefaultTokens, 16)
 	setDefault(&o.CacheBlocks, 4096)
+	setDefault(&o.ColdCrash, 1.5)
 	return o
 }
 
@@ -58,6 +63,7 @@
 	LoadsStarted  uint64
 	RunningTime   time.Duration // sum of the time in steps over all sequences
 	CancelledRuns uint64        // runs that ended before their last token: connection closed, crash or Close
+	ColdPeak      int           // most requests that arrived within a second while the engine was cold
 }
 
 // Engine is a model engine in memory. It is an http.Handler.
@@ -77,6 +83,7 @@
 	isClosed   bool // Close was called
 	stats      Stats
 	orders     orders
+	cold       cold
 	record     recorder
 	goroutines sync.WaitGroup // step loop and model loads
 }
@@ -91,6 +98,7 @@
 		slowdown: 1,
 		closed:   make(chan struct{}),
 	}
+	e.cold.begin(time.Now(), o)
 	e.orders.state.Model = o.Model
 	e.record.runs = make(map[string]int)
 	e.mux.HandleFunc("POST /v1/chat/completions", e.serveChat)
--- a/standin/engine/faults.go
+++ b/standin/engine/faults.go
@@ -1,5 +1,7 @@
 package engine
 
+import "time"
+
 // SetPaused pauses the engine before its next step, or resumes it.
 func (e *Engine) SetPaused(on bool) {
 	e.mu.Lock()
@@ -29,11 +31,20 @@
 	e.notifyCrash()
 }
 
-// Restart makes a crashed engine accept requests again. Its prefix cache is empty.
+// Restart makes a crashed engine accept requests again. Its prefix cache is empty, and it
+// is cold for Options.ColdTime.
 func (e *Engine) Restart() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.crashed = false
+	e.cold.begin(time.Now(), e.opts)
+}
+
+// SetCold makes the engine cold for d from now on, as if it had started recently.
+func (e *Engine) SetCold(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cold.until = time.Now().Add(d)
 }
 
 // crash crashes the engine. The caller holds the lock and calls notifyCrash after
--- a/standin/engine/serve.go
+++ b/standin/engine/serve.go
@@ -19,6 +19,10 @@
 }
 
 func (e *Engine) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	if !e.arrive() {
+		panic(http.ErrAbortHandler)
+	}
+	e.setColdHeader(w)
 	api.WriteJSON(w, http.StatusOK, struct{}{})
 }
 
@@ -43,7 +47,7 @@
 	}
 	s := e.newSequence(&req)
 	s.id = r.Header.Get("X-Request-Id")
-	if !e.add(s) {
+	if !e.arrive() || !e.add(s) {
 		panic(http.ErrAbortHandler)
 	}
 	defer e.remove(s)
@@ -89,6 +93,7 @@
 		n += len(tokens)
 	}
 	stop := "stop"
+	e.setColdHeader(w)
 	api.WriteJSON(w, http.StatusOK, api.ChatResponse{
 		ID:     completionID(req),
 		Object: "chat.completion",
@@ -117,6 +122,7 @@
 	for !finished {
 		var tokens []string
 		tokens, finished = e.waitTokens(r, s, n)
+		e.setColdHeader(w) // has an effect before the first event
 		for _, t := range tokens {
 			sendEvent(w, chunk(req, &api.Message{Role: "assistant", Content: t}, nil, nil))
 		}
