jobs: suspects are isolated within their homes

Cause: items that crashed an endpoint run at a quarter of the deployment's endpoints only. If all of those stand outside the item's homes, it never runs.

Ruled out: isolation endpoints for each list of homes in place of the present ones, as deployments without homes would have to compute them for each job.

Change: an owner also assigns a suspect to an endpoint that is an isolation endpoint among those at which the item may run; that is computed only for suspects. dispatch checks each data centre of a list once.

--- a/dispatch/locality.go
+++ b/dispatch/locality.go
@@ -29,23 +29,23 @@
 // permitted returns the endpoints of list in data centres in which the call may run. It
 // returns list itself if that are all.
 func (f *forwarder) permitted(list []infra.Instance) []infra.Instance {
-	checked, verdict := "", f.dispatcher.checkLocality(f.call, "")
-	allowed := func(i infra.Instance) bool {
-		if i.DataCentre != checked {
-			checked, verdict = i.DataCentre, f.dispatcher.checkLocality(f.call, i.DataCentre)
+	var kept []infra.Instance // nil while all are allowed
+	excluded, allowed := false, false
+	for n := range list {
+		// Neighbours in the list are often of the same data centre.
+		if n == 0 || list[n].DataCentre != list[n-1].DataCentre {
+			allowed = f.dispatcher.checkLocality(f.call, list[n].DataCentre) == locality.Allowed
+		}
+		if !allowed && !excluded {
+			excluded, kept = true, slices.Clone(list[:n])
+		}
+		if allowed && excluded {
+			kept = append(kept, list[n])
 		}
-		return verdict == locality.Allowed
 	}
-	excluded := slices.IndexFunc(list, func(i infra.Instance) bool { return !allowed(i) })
-	if excluded < 0 {
+	if !excluded {
 		return list
 	}
-	kept := slices.Clone(list[:excluded])
-	for _, i := range list[excluded+1:] {
-		if allowed(i) {
-			kept = append(kept, i)
-		}
-	}
 	return kept
 }
 
--- a/jobs/backlog.go
+++ b/jobs/backlog.go
@@ -48,7 +48,8 @@
 
 // nextItem returns the item of j to assign to an endpoint of deployment next, without
 // assigning it: the first one of the routes whose items may run at the endpoint.
-// allowSuspects says whether that may be a suspect.
+// allowSuspects says whether that may be a suspect, also if the endpoint is not an
+// isolation endpoint within the homes of the item.
 func (sc *scheduler) nextItem(now time.Time, j *job, deployment, endpoint string, allowSuspects bool) (int, bool) {
 	if sc.beginsBlocked && !j.idempotent() {
 		return 0, false
@@ -59,7 +60,10 @@
 		if t.Deployment != deployment || slices.ContainsFunc(j.file.Targets[:n], earlier) || !sc.permits(endpoint, j.Customer, t.Route) {
 			continue
 		}
-		if i, ok := sc.nextInBacklog(now, j, t, allowSuspects); ok && (!found || i < next) {
+		mayRunSuspects := func() bool {
+			return allowSuspects || !sc.hasSuspect(endpoint) && sc.isolates(deployment, endpoint, j.Customer, t.Route)
+		}
+		if i, ok := sc.nextInBacklog(now, j, t, mayRunSuspects); ok && (!found || i < next) {
 			next, found = i, true
 		}
 	}
@@ -67,12 +71,12 @@
 }
 
 // nextInBacklog returns the item of j to assign next among those with the deployment and
-// the route of t.
-func (sc *scheduler) nextInBacklog(now time.Time, j *job, t target, allowSuspects bool) (int, bool) {
+// the route of t. mayRunSuspects is called only if there are suspects.
+func (sc *scheduler) nextInBacklog(now time.Time, j *job, t target, mayRunSuspects func() bool) (int, bool) {
 	b := sc.backlogFor(j, t)
 	b.retries = slices.DeleteFunc(b.retries, func(r pendingRetry) bool { return !sc.isPending(j, r.item) })
 	for _, r := range b.retries {
-		if r.notBefore.After(now) || !allowSuspects && sc.isSuspect(j, r.item) || sc.trackOrphan(now, j, r.item) {
+		if r.notBefore.After(now) || sc.isSuspect(j, r.item) && !mayRunSuspects() || sc.trackOrphan(now, j, r.item) {
 			continue
 		}
 		return r.item, true
@@ -84,7 +88,7 @@
 		if sc.trackOrphan(now, j, b.cursor) {
 			continue
 		}
-		if !allowSuspects && sc.isSuspect(j, b.cursor) {
+		if sc.isSuspect(j, b.cursor) && !mayRunSuspects() {
 			sc.scheduleRetry(j, b.cursor, now)
 			continue
 		}
--- a/jobs/locality_test.go
+++ b/jobs/locality_test.go
@@ -8,6 +8,7 @@
 
 	"dandelionrelay/api"
 	"dandelionrelay/locality"
+	"dandelionrelay/quarantine"
 )
 
 // submitRoutes adds a job whose items alternate between the given routes.
@@ -87,3 +88,44 @@
 	s.locations.record("s2", "dc-2", time.Unix(1000, 0).Add(3*AttemptTimeout))
 	g.Expect(s.locations.of("s1")).To(gomega.BeEmpty(), "endpoints that are gone are forgotten")
 }
+
+// Guards against a suspect that never runs, as the isolation endpoints of its deployment
+// stand outside its homes.
+func TestService_SuspectsAreIsolatedWithinTheirHomes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	policy := locality.NewPolicy(locality.Regions{"north-1": "north", "south-1": "south"}, nil)
+	homes := map[string]locality.Homes{"at-home": {"north"}}
+	s := NewService(Options{CheckLocality: func(_, route, dataCentre string) locality.Verdict {
+		return policy.Check(dataCentre, homes[route])
+	}})
+	now := time.Now()
+	var general, north string // isolation endpoints of all four, and of the two in the north
+	for _, dataCentre := range []string{"south-1", "north-1"} {
+		for _, id := range []string{"a", "b"} {
+			s.locations.record(dataCentre+id, dataCentre, now)
+			s.pullers.record("d", dataCentre+id, now)
+		}
+	}
+	for _, id := range []string{"south-1a", "south-1b", "north-1a", "north-1b"} {
+		if s.pullers.record("d", id, now) {
+			general = id
+		}
+		if s.isolates("d", id, "c", "at-home") {
+			g.Expect(north).To(gomega.BeEmpty(), "one of two")
+			north = id
+		}
+		g.Expect(s.isolates("d", id, "c", "anywhere")).To(gomega.Equal(general == id))
+	}
+	g.Expect(north).To(gomega.HavePrefix("north-1"))
+
+	ts := newTestScheduler(t)
+	ts.scheduler.permits, ts.scheduler.isolates = s.permits, s.isolates
+	ts.submitRoutes("j", 1, "at-home")
+	ts.scheduler.table.Job("j").items[0].crashes = 1
+	candidates := ts.scheduler.candidates(ts.now, "d", north, false)
+	g.Expect(candidates).To(gomega.HaveLen(1))
+	a, ok := ts.scheduler.assign(ts.now, "j", "d", north, false)
+	g.Expect(ok).To(gomega.BeTrue())
+	_, ok = ts.scheduler.checkQuarantine(ts.now, &a, quarantine.DigestOf("a", "/p", nil), quarantine.Suspect, false)
+	g.Expect(ok).To(gomega.BeTrue())
+}
--- a/jobs/partition.go
+++ b/jobs/partition.go
@@ -53,7 +53,7 @@
 		changed:     make(chan struct{}),
 	}
 	p.scheduler.table.onCompleted = p.countCompleted
-	p.scheduler.permits = s.permits
+	p.scheduler.permits, p.scheduler.isolates = s.permits, s.isolates
 	return p
 }
 
--- a/jobs/scheduler.go
+++ b/jobs/scheduler.go
@@ -48,6 +48,9 @@
 
 	// permits reports whether an item of a customer on a route may run at an endpoint.
 	permits func(endpoint, customer, route string) bool
+	// isolates reports whether an endpoint is an isolation endpoint among those at which an
+	// item of a customer on a route may run.
+	isolates func(deployment, endpoint, customer, route string) bool
 }
 
 func newScheduler(inv *invariant.Set, table *Table, nonce string) *scheduler {
@@ -63,6 +66,7 @@
 		countedAttempts:  make(map[itemKey]string),
 		jobsVersion:      -1,
 		permits:          func(_, _, _ string) bool { return true },
+		isolates:         func(_, _, _, _ string) bool { return false },
 	}
 }
 
@@ -147,6 +151,7 @@
 	chunk chunk // a copy
 	index int   // of the item within the chunk
 	gen   int   // generation to begin, if the item is not idempotent
+	route string
 }
 
 // assign starts an attempt at the next item of a job, at endpoint. isolation says
@@ -168,7 +173,7 @@
 	sc.startAttempt(now, j, ref, endpoint)
 	c := j.file.chunkOf(i)
 	key := itemKey{j.ID, i}
-	t := assignment{chunk: *c, index: i - c.firstItem, gen: gen}
+	t := assignment{chunk: *c, index: i - c.firstItem, gen: gen, route: tgt.Route}
 	t.work = api.Work{
 		WorkRef:    ref,
 		Customer:   j.Customer,
--- a/jobs/suspects.go
+++ b/jobs/suspects.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -32,17 +33,31 @@
 	}
 	known := p.lastPulls[deployment]
 	known[endpoint] = now
+	maps.DeleteFunc(known, func(_ string, at time.Time) bool { return now.Sub(at) > pullerTimeout })
+	return p.isIsolation(deployment, endpoint, func(string) bool { return true })
+}
+
+// isIsolation reports whether the endpoint is an isolation endpoint among those that pull
+// and that keep accepts. The caller holds the lock.
+func (p *pullers) isIsolation(deployment, endpoint string, keep func(id string) bool) bool {
 	var all []infra.Instance
-	for id, at := range known {
-		if now.Sub(at) > pullerTimeout {
-			delete(known, id)
-			continue
+	for id := range p.lastPulls[deployment] {
+		if keep(id) {
+			all = append(all, infra.Instance{ID: id, State: infra.Live})
 		}
-		all = append(all, infra.Instance{ID: id, State: infra.Live})
 	}
 	return quarantine.IsIsolationEndpoint(all, endpoint)
 }
 
+// isolates reports whether an endpoint is an isolation endpoint among those at which an
+// item of a customer on a route may run. Otherwise a suspect would wait for ever if all
+// isolation endpoints of the deployment stood outside its homes.
+func (s *Service) isolates(deployment, endpoint, customer, route string) bool {
+	s.pullers.mu.Lock()
+	defer s.pullers.mu.Unlock()
+	return s.pullers.isIsolation(deployment, endpoint, func(id string) bool { return s.permits(id, customer, route) })
+}
+
 // checkQuarantine decides, from the body of an assigned item, whether the item
 // may run now. A quarantined item ends; a suspect waits for an isolation
 // endpoint.
@@ -76,7 +91,7 @@
 	switch {
 	case v == quarantine.Quarantined:
 		return sc.completeItem(now, j, &api.Result{WorkRef: a.ref}, itemCrashed), false
-	case a.suspect && !isolation:
+	case a.suspect && !isolation && !sc.isolates(t.work.Deployment, a.endpoint, j.Customer, t.route):
 		sc.releaseItem(j, t.work.Item, now.Add(RetryDelay))
 		return nil, false
 	}
