dispatch, sidecar: evacuated and outside_homes are codes of their own

Ruled out: an own code between sidecar and entry; the entry takes a sidecar that refuses as evacuated for failed, as before.

Change: entries and sidecars use the codes of package api.

Result: go test ./dispatch ./sidecar -run 'Evacuated|Homes|NoDataCentre' passes; TestDispatcher_LeavesSidecarsThatRefuseAsEvacuated fails if the entry does not take such a sidecar for failed.

--- a/dispatch/locality.go
+++ b/dispatch/locality.go
@@ -68,10 +68,10 @@
 	d.metrics.localityRefusals.WithLabelValues(last.String()).Inc()
 	d.logger.Info().Str("request", f.call.ID).Str("route", f.call.RouteID).Str("customer", f.call.Customer).
 		Str("reason", last.String()).Msg("no data centre may run the request")
-	message := "no endpoint stands in a region in which the call may run"
+	code, message := api.CodeOutsideHomes, "no endpoint stands in a region in which the call may run"
 	if last == locality.Evacuated {
-		message = "all data centres that may run the call are evacuated"
+		code, message = api.CodeEvacuated, "all data centres that may run the call are evacuated"
 	}
-	e := api.NewError(http.StatusServiceUnavailable, api.CodeNoEndpoint, message)
+	e := api.NewError(http.StatusServiceUnavailable, code, message)
 	return e.WithRetryAfter(evacuationRetryAfter)
 }
--- a/dispatch/locality_test.go
+++ b/dispatch/locality_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -12,7 +13,9 @@
 	"github.com/onsi/gomega"
 
 	"dandelionrelay/api"
+	"dandelionrelay/infra"
 	"dandelionrelay/locality"
+	"dandelionrelay/membership"
 	"dandelionrelay/pipeline"
 	"dandelionrelay/quarantine"
 )
@@ -173,13 +176,37 @@
 		g.Expect(e.Outcome).To(gomega.Equal(api.NotRun))
 		g.Expect(e.Status).To(gomega.Equal(http.StatusServiceUnavailable))
 		g.Expect(e.RetryAfter).To(gomega.Equal(evacuationRetryAfter))
-		g.Expect(e.Message).To(gomega.ContainSubstring("evacuated"))
+		g.Expect(e.Code).To(gomega.Equal(api.CodeEvacuated))
 
 		f.evacuate("dc2")
 		f.homes = locality.Homes{"us"}
-		g.Expect(refused().Message).To(gomega.ContainSubstring("evacuated"), "the home is evacuated")
+		g.Expect(refused().Code).To(gomega.Equal(api.CodeEvacuated), "the home is evacuated")
 		f.homes = locality.Homes{"asia"}
-		g.Expect(refused().Message).To(gomega.ContainSubstring("no endpoint stands in a region"))
+		g.Expect(refused().Code).To(gomega.Equal(api.CodeOutsideHomes))
 		g.Expect(f.transport.take()).To(gomega.BeEmpty())
 	})
 }
+
+// Guards against an entry that does not know of an evacuation and keeps asking sidecars
+// that do, until its retries are used up.
+func TestDispatcher_LeavesSidecarsThatRefuseAsEvacuated(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var refusals atomic.Int64
+	serve := func(id string, refuse bool) infra.Instance {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(api.HeaderAttemptID, r.Header.Get(api.HeaderAttemptID))
+			if refuse {
+				refusals.Add(1)
+				api.WriteError(w, api.NewError(http.StatusServiceUnavailable, api.CodeEvacuated, "evacuated"))
+			}
+		}))
+		t.Cleanup(server.Close)
+		return sidecarAt(server.URL, id)
+	}
+	d := New(Deps{Members: membership.Static{serve("s1", true), serve("s2", true), serve("s3", false)}})
+	for range 50 {
+		c, _ := newCall("{}")
+		g.Expect(d.Handle(t.Context(), c)).To(gomega.BeNil())
+	}
+	g.Expect(refusals.Load()).To(gomega.BeNumerically("<=", 2))
+}
--- a/dispatch/response.go
+++ b/dispatch/response.go
@@ -103,8 +103,9 @@
 	switch e.Code {
 	case api.CodeEndpointLost:
 		return &attemptFailure{err: e, retryable: true, endpointFailed: true, mayHaveCrashed: e.Outcome == api.Unknown}
-	case api.CodeNoEndpoint:
-		// The sidecar is leaving or has no configuration yet. Marking the
+	case api.CodeNoEndpoint, api.CodeEvacuated:
+		// The sidecar is leaving or has no configuration yet, or it knows of an
+		// evacuation of which this entry does not know yet. Marking the
 		// endpoint as failed keeps further calls away until a probe succeeds,
 		// so that they don't use up the retry budget.
 		return &attemptFailure{err: e, retryable: true, endpointFailed: true}
--- a/sidecar/evacuation.go
+++ b/sidecar/evacuation.go
@@ -20,7 +20,7 @@
 // evacuatedError returns the error for a request that was not sent to the endpoint. Its
 // code has entries treat the endpoint as failed and use others.
 func evacuatedError() *api.Error {
-	return unavailable(api.CodeNoEndpoint, "the data centre of the endpoint is evacuated").WithRetryAfter(evacuationRetryAfter)
+	return unavailable(api.CodeEvacuated, "the data centre of the endpoint is evacuated").WithRetryAfter(evacuationRetryAfter)
 }
 
 // moveIfEvacuated returns the idempotent items in flight to their owners, with the
--- a/sidecar/evacuation_test.go
+++ b/sidecar/evacuation_test.go
@@ -46,7 +46,7 @@
 		f.evacuate("dc-1")
 		late := f.result(t.Context(), call{id: "late", body: chat("hello", 20)})
 		g.Expect(late.failure).NotTo(gomega.BeNil())
-		g.Expect(late.failure.Code).To(gomega.Equal(api.CodeNoEndpoint))
+		g.Expect(late.failure.Code).To(gomega.Equal(api.CodeEvacuated))
 		g.Expect(late.failure.Outcome).To(gomega.Equal(api.NotRun))
 		g.Expect(late.failure.RetryAfter).To(gomega.BeNumerically(">", time.Second))
 		r := <-running
