--- a/test/system/simulation_test.go
+++ b/test/system/simulation_test.go
@@ -74,8 +74,9 @@
 	random    *rand.Rand
 	entries   []*fleet.Instance
 	endpoints []endpoint
-	engines   []*engine.Engine // all engines, including those removed
-	services  []*plain.Service // all services, including those removed
+	engines   []*engine.Engine          // all engines, including those removed
+	locations map[*engine.Engine]string // data centre of each of engines
+	services  []*plain.Service          // all services, including those removed
 	pickups   []*fleet.Instance
 	stats     callerStats
 }
@@ -95,6 +96,8 @@
 		network: fleet.NewMemoryNetwork(),
 		random:  rand.New(rand.NewPCG(seed, 1)),
 		stats:   callerStats{admitted: make(map[string]int)},
+
+		locations: make(map[*engine.Engine]string),
 	}
 	o := fleet.Options{
 		Network:     sim.network,
@@ -150,6 +153,7 @@
 	defer sim.mu.Unlock()
 	sim.endpoints = append(sim.endpoints, endpoint{i, e})
 	sim.engines = append(sim.engines, e)
+	sim.locations[e] = i.DataCentre
 }
 
 // addPickups adds a plain service with its sidecar.
