placement: endpoints that start or recover begin with few concurrent requests

Cause: such an endpoint has the fewest requests, so all entries choose it within the delay of their reports, before anyone knows what it takes. Ruled out: a fixed ramp over time, a gradient of latency, and fixed parts of the bound for each entry (docs/design/ramps.md). Change: a bound that its responses raise and rejections or slow responses halve, shared in the load reports; setting endpoint_ramp, off by default.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -159,6 +159,9 @@
 	g.peers.Register(streamService, &streamRPC{g})
 	g.peerPool = peer.NewPool(peer.DialTCP)
 	g.table = placement.NewTable(d.Settings.ID, d.Settings.DataCentre, rand.New(rand.NewPCG(seed, 2)), g.announceChange)
+	if d.Settings.EndpointRamp {
+		g.enableRamps()
+	}
 	g.pool = upstream.NewPool(d.IDHeader, nil, g.dialCounter())
 	g.members = gossip.NewRegistry(d.Clock, g.badRecordLogger("members"), g.announceChange)
 	g.membersFollower = g.follow("members", d.Members, g.members, membersReadWait, membersMinInterval)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -23,7 +23,7 @@
 	}
 	return gossip.Report{
 		Config:     gossip.Confirmation{Next: next, Age: age},
-		Endpoints:  placement.Report{Loads: g.table.LocalLoads(), Failing: g.table.FailingEndpoints()},
+		Endpoints:  placement.Report{Loads: g.table.LocalLoads(), Failing: g.table.FailingEndpoints(), Ramps: g.table.Ramps(g.Clock())},
 		Counts:     gossip.Counts{ByCustomer: g.limits.LocalCounts()},
 		OtherCells: gossip.Counts{ByCustomer: g.otherCellCounts.Sum(nil)},
 		LogLostFor: g.jobsFollower.LostFor(),
@@ -39,6 +39,7 @@
 // PeerReport implements gossip.Listener.
 func (g *Gateway) PeerReport(name string, incarnation uint64, r gossip.Report) {
 	g.table.SetPeer(name, r.Endpoints)
+	g.table.AdoptRamps(g.Clock(), r.Endpoints.Ramps)
 	g.ownCellCounts.Add(g.countAdmissions(name, incarnation, r, r.Counts))
 	g.table.PreemptBatch()
 	g.jobs.Wake()
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
@@ -44,6 +45,26 @@
 	g.Expect(got).To(gomega.Equal(sampleMessage()))
 }
 
+// A datagram with ramps must not be taken for one of the format without them, and the reverse.
+func TestMessageRoundTrip_WithRamps(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := sampleMessage()
+	m.Endpoints.Ramps = map[placement.Key]placement.Ramp{3: {Round: 1 << 31, Base: 2, Grown: 5}, 8: {Round: 1, Base: 1}}
+	whole := m.append(nil)
+	g.Expect(whole[0]).To(gomega.BeEquivalentTo(formatVersionRamps))
+	g.Expect(sampleMessage().append(nil)[0]).To(gomega.BeEquivalentTo(formatVersion))
+	got, err := decode(whole)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(got).To(gomega.Equal(m))
+	for n := range whole {
+		_, err := decode(whole[:n])
+		g.Expect(err).To(gomega.HaveOccurred(), "%d of %d bytes", n, len(whole))
+	}
+	m.Endpoints.Ramps[3] = placement.Ramp{Base: maxReportedRamp + 1}
+	_, err = decode(m.append(nil))
+	g.Expect(errorx.IsOfType(err, Malformed)).To(gomega.BeTrue())
+}
+
 func TestDecodeRejectsTruncatedDatagram(t *testing.T) {
 	g := gomega.NewWithT(t)
 	whole := sampleMessage().append(nil)
--- a/placement/batch.go
+++ b/placement/batch.go
@@ -12,6 +12,7 @@
 func (t *Table) PlaceBatch(now time.Duration, req Request, preempt func()) *Grant {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.beginRamps(now)
 	var best *endpoint
 	var highest float64
 	group := t.group(req.Deployment)
@@ -22,7 +23,7 @@
 		if e.limit != nil && !includeLimited {
 			continue
 		}
-		if !e.eligible(now, req) || now < e.suspendedUntil || now < e.fullUntil || !includeFailing && e.excluded(req) {
+		if !e.eligible(now, req) || now < e.suspendedUntil || now < e.fullUntil || !includeFailing && e.excluded(req) || !t.withinRamp(e, now) {
 			continue
 		}
 		free := e.Slots - reservedSlots - e.online() - e.batch()
--- a/placement/grant.go
+++ b/placement/grant.go
@@ -62,6 +62,7 @@
 		e.eventGap = movingAverage(e.eventGap, gap)
 		t.group(e.Deployment).invalidateMedian()
 	}
+	t.applyResultToRamp(g, now, result, gap)
 	switch result {
 	case Done:
 		e.consecutiveFailures = 0
--- a/placement/group.go
+++ b/placement/group.go
@@ -49,14 +49,20 @@
 // slowness returns the ratio of the event gap of e to the median gap of the group, at
 // least 1; it is 1 if either is unknown.
 func (g *group) slowness(e *endpoint) float64 {
+	typical := g.typicalGap()
+	if e.eventGap <= 0 || typical <= 0 || e.eventGap <= typical {
+		return 1
+	}
+	return float64(e.eventGap) / float64(typical)
+}
+
+// typicalGap returns the median of the known event gaps; 0: unknown.
+func (g *group) typicalGap() time.Duration {
 	if g.medianStale {
 		g.medianGap = g.median()
 		g.medianStale = false
 	}
-	if e.eventGap <= 0 || g.medianGap <= 0 || e.eventGap <= g.medianGap {
-		return 1
-	}
-	return float64(e.eventGap) / float64(g.medianGap)
+	return g.medianGap
 }
 
 // median returns the median of the known event gaps of endpoints, or 0 if there are none.
--- a/placement/notice.go
+++ b/placement/notice.go
@@ -24,6 +24,7 @@
 	t, e := g.table, g.state
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.observeRamp(g, now)
 	return NoticeChange{Limit: t.observeLimit(e, now, n), Leaving: n.Leaving && t.observeLeaving(e, now)}
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -131,6 +131,8 @@
 	replaced            bool                // another incarnation runs at its address
 	limit               *requestLimit       // nil: it names none
 	leaving             bool                // it has said in a response that it is leaving
+	ramp                *rampState          // nil: its concurrent requests are not bounded
+	rampRound           uint32              // newest round of its ramps; 0: there was none
 }
 
 // online and batch return the requests of each kind at e over all entries.
@@ -162,9 +164,14 @@
 	leaving        map[Key]time.Duration // endpoints that have said that they are leaving, and the time of the last notice
 	groups         map[string]*group     // by deployment
 	peers          map[string]Report
-	serviceTime    time.Duration // moving average of the time of an online request at an endpoint
-	recentRequests float64       // online requests at this entry, as a sum that decays with the time constant reportLag
-	lastRequestAt  time.Duration // clock at the last online request
+	serviceTime    time.Duration    // moving average of the time of an online request at an endpoint
+	recentRequests float64          // online requests at this entry, as a sum that decays with the time constant reportLag
+	requests       float64          // as recentRequests, with the time constant rateDecay
+	lastRequestAt  time.Duration    // clock at the last online request
+	onRamp         func(RampChange) // nil: endpoints begin without ramps
+	listed         bool             // SetEndpoints was called
+	started        []*endpoint      // endpoints that have started and whose ramps have not begun
+	responseTime   time.Duration    // moving average of the time to the response header of online requests, without ramps
 }
 
 // NewTable returns an empty table of the entry self in dataCentre. onChange, which may
@@ -196,7 +203,7 @@
 		key := item.Key()
 		e := known[key]
 		if e == nil {
-			e = &endpoint{key: key, grants: make(map[*Grant]struct{})}
+			e = t.newEndpoint(key)
 		}
 		e.Endpoint = item
 		_, e.leaving = t.leaving[key]
@@ -207,6 +214,17 @@
 	for _, r := range t.peers {
 		t.applyReport(r, 1)
 	}
+	t.listed = true
+}
+
+// newEndpoint returns the state of an endpoint that was not listed before. Those of the first
+// list may have run for long.
+func (t *Table) newEndpoint(key Key) *endpoint {
+	e := &endpoint{key: key, grants: make(map[*Grant]struct{})}
+	if t.listed {
+		t.started = append(t.started, e)
+	}
+	return e
 }
 
 // Refusal says that no endpoint can start a request in time. All but RetryAfter
@@ -263,6 +281,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.recordRequest(now)
+	t.beginRamps(now)
 	best, wait := t.selectEndpoint(now, req)
 	if best == nil {
 		return nil, t.refuseAll(now, req)
--- a/placement/report.go
+++ b/placement/report.go
@@ -4,6 +4,7 @@
 type Report struct {
 	Loads   map[Key]Load // its own, without idle endpoints
 	Failing []Key        // endpoints most of whose responses to it are errors
+	Ramps   map[Key]Ramp // its part in the ramps of endpoints
 }
 
 // SetPeer replaces the report of another entry.
--- a/placement/wait.go
+++ b/placement/wait.go
@@ -8,6 +8,7 @@
 // recordRequest adds an online request at now to the sum of recent requests.
 func (t *Table) recordRequest(now time.Duration) {
 	t.recentRequests = t.recentRequests*math.Exp(-float64(now-t.lastRequestAt)/float64(reportLag)) + 1
+	t.requests = t.requests*math.Exp(-float64(now-t.lastRequestAt)/float64(rateDecay)) + 1
 	t.lastRequestAt = now
 }
 
@@ -94,6 +95,9 @@
 		if e.DataCentre != t.dataCentre {
 			cost += crossDataCentrePenalty
 		}
+		if !t.withinRamp(e, now) {
+			cost += rampPenalty
+		}
 		if best == nil || cost < lowest {
 			best, lowest, wait = e, cost, w
 		}
