--- a/admin/handler.go
+++ b/admin/handler.go
@@ -20,6 +20,7 @@
 	"dandelionrelay/authn"
 	"dandelionrelay/config"
 	"dandelionrelay/infra"
+	"dandelionrelay/locality"
 	"dandelionrelay/membership"
 	"dandelionrelay/pipeline"
 	"dandelionrelay/settings"
@@ -46,6 +47,7 @@
 	// Quarantine may be nil; the paths of the quarantine are not served then.
 	Quarantine Quarantine
 	Operators  func() []settings.Operator
+	Regions    func() locality.Regions // nil: the homes of changes are not compared with regions
 	Logger     zerolog.Logger
 }
 
@@ -60,6 +62,7 @@
 	h := &Handler{Options: o, mux: http.NewServeMux()}
 	h.handle("POST "+PathPlan, h.plan)
 	h.handle("POST "+PathApply, h.apply)
+	h.handle("POST "+PathEvacuations, h.evacuate)
 	h.handle("GET "+PathState, h.state)
 	h.handle("GET "+PathAudit, h.audit)
 	h.handle("GET "+PathStatus, h.status)
@@ -123,7 +126,7 @@
 		return nil, err
 	}
 	snapshot := h.Source.Current()
-	next, err := loadFiles(req.Files, snapshot.State)
+	next, err := h.loadFiles(req.Files, snapshot.State)
 	if err != nil {
 		return nil, err
 	}
@@ -139,7 +142,7 @@
 		return nil, badRequest("id must be a UUID, new for each change and the same in its retries")
 	}
 	snapshot := h.Source.Current()
-	next, loadErr := loadFiles(req.Files, snapshot.State)
+	next, loadErr := h.loadFiles(req.Files, snapshot.State)
 	if loadErr != nil {
 		return nil, loadErr
 	}
@@ -149,7 +152,10 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), verdictTimeout)
 	defer cancel()
-	entry, err := h.Follower.ProposeWithID(ctx, req.ID, req.Base, next, operator)
+	// The evacuations are those in force when the change is proposed, which may have
+	// changed since snapshot.
+	edit := func(inForce *config.State) *config.State { return next.WithEvacuationsOf(inForce) }
+	entry, err := h.Follower.ProposeEdit(ctx, req.ID, req.Base, edit, operator)
 	if err != nil {
 		return nil, proposalError(req.ID, err)
 	}
@@ -190,8 +196,8 @@
 }
 
 // loadFiles parses the files and validates them as the successor of the state in
-// force.
-func loadFiles(texts map[string]string, current *config.State) (*config.State, *api.Error) {
+// force, whose evacuations are kept.
+func (h *Handler) loadFiles(texts map[string]string, current *config.State) (*config.State, *api.Error) {
 	files := make(map[string][]byte, len(texts))
 	for name, text := range texts {
 		files[name] = []byte(text)
@@ -201,12 +207,15 @@
 	}
 	next, positions, findings := config.LoadFilesWithPositions(files)
 	findings = append(findings, config.ValidateChange(current, next, positions)...)
+	if h.Regions != nil {
+		findings = append(findings, config.ValidateHomes(current, next, positions, h.Regions())...)
+	}
 	if len(findings) > 0 {
 		err := api.NewError(http.StatusUnprocessableEntity, CodeFindings, fmt.Sprintf("%d findings", len(findings)))
 		err.Findings = findings
 		return nil, err
 	}
-	return next, nil
+	return next.WithEvacuationsOf(current), nil
 }
 
 func (h *Handler) state(*http.Request, string) (any, *api.Error) {
@@ -242,6 +251,8 @@
 		DataCentre: h.Self.DataCentre,
 		Entries:    len(h.Members.Entries()),
 		Config:     h.Follower.Status(time.Now()),
+
+		Evacuations: evacuations(h.Source.Current().State),
 	}, nil
 }
 
--- a/api/api.go
+++ b/api/api.go
@@ -49,6 +49,10 @@
 	// sent if the sidecar's settings name none.
 	HeaderEndpointVersion = "Relay-Endpoint-Version"
 
+	// HeaderCold is the time for which the endpoint remains cold, in milliseconds, in its
+	// responses; 0: it is not cold. Endpoints that are never cold need not send it.
+	HeaderCold = "Relay-Cold-Ms"
+
 	// HeaderBesideBatch is "1" on a response if batch items ran at the endpoint
 	// when the request arrived.
 	HeaderBesideBatch = "Relay-Beside-Batch"
@@ -93,9 +97,13 @@
 	CodeVersionGone Code = "version_gone"
 	// CodeVersionUnknown says that it can't be found out which version began the response.
 	CodeVersionUnknown Code = "version_unknown"
-	CodeLogDown        Code = "log_unavailable"
-	CodeConflict       Code = "conflict"
-	CodeInternal       Code = "internal"
+	// CodeEvacuated says that all data centres that may serve the request are evacuated.
+	CodeEvacuated Code = "evacuated"
+	// CodeOutsideHomes says that no endpoint is in a region in which the request may run.
+	CodeOutsideHomes Code = "outside_homes"
+	CodeLogDown      Code = "log_unavailable"
+	CodeConflict     Code = "conflict"
+	CodeInternal     Code = "internal"
 )
 
 // Error is a failure as reported to the caller. It implements error.
--- a/config/state.go
+++ b/config/state.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"dandelionrelay/locality"
 )
 
 // State is the complete desired state. It is read-only once published.
@@ -16,6 +18,10 @@
 	Keys        map[string]Key        `json:"keys"`
 	Routes      map[string]Route      `json:"routes"`
 	Deployments map[string]Deployment `json:"deployments"`
+
+	// Evacuations is the set of evacuated data centres: nothing more may be sent to
+	// their endpoints.
+	Evacuations map[string]bool `json:"evacuations,omitempty"`
 }
 
 // Customer holds the limits and the weight of one customer of the system.
@@ -23,6 +29,8 @@
 	Rate   float64 `json:"rate"`             // requests per second over the whole fleet
 	Burst  float64 `json:"burst"`            // requests
 	Weight float64 `json:"weight,omitempty"` // fair share weight; 0 means 1
+
+	Homes locality.Homes `json:"homes,omitempty"` // regions in which its requests may run; empty means any
 }
 
 // Key is one credential of a customer. Only its digest is stored.
@@ -43,6 +51,8 @@
 	Timeout    Duration `json:"timeout,omitempty"`    // 0 means DefaultTimeout
 	Customers  []string `json:"customers,omitempty"`  // who may use it; empty means all
 
+	Homes locality.Homes `json:"homes,omitempty"` // regions in which its requests may run; empty means any
+
 	// Provided holds rules that only a provider of complete states sets; nil
 	// for routes from configuration files.
 	Provided *ProvidedRoute `json:"-"`
@@ -95,6 +105,11 @@
 	// as a multiple of the 99th percentile without batch load. The bound is met
 	// as far as preempting batch items allows; 0 means DefaultFirstTokenRatio.
 	FirstTokenRatio float64 `json:"first_token_ratio,omitempty"`
+	// ColdRate is the number of requests a second that one endpoint tolerates while it is
+	// cold, and ColdTime how long it is cold after its start. If either is 0, endpoints are
+	// never cold.
+	ColdRate float64  `json:"cold_rate,omitempty"`
+	ColdTime Duration `json:"cold_time,omitempty"`
 }
 
 // Default and limits of Deployment.FirstTokenRatio. At the maximum batch items
@@ -113,6 +128,12 @@
 	return d.FirstTokenRatio
 }
 
+// HasColdRate reports whether endpoints of the deployment are limited while they are cold.
+func (d Deployment) HasColdRate() bool { return d.ColdRate > 0 && d.ColdTime > 0 }
+
+// MaxColdTime is the maximum of Deployment.ColdTime.
+const MaxColdTime = Duration(3600e9)
+
 // DefaultTimeout is the timeout of a request on a route that sets none.
 const DefaultTimeout = 60 * time.Second
 
@@ -224,6 +245,19 @@
 	return "", Route{}, false
 }
 
+// Homes returns the regions in which a customer's requests on a route may run: the homes of
+// both, of which each list binds on its own. It returns nil if neither has any.
+func (s *Snapshot) Homes(route Route, customer string) []locality.Homes {
+	var homes []locality.Homes
+	if len(route.Homes) > 0 {
+		homes = append(homes, route.Homes)
+	}
+	if c := s.State.Customers[customer]; len(c.Homes) > 0 {
+		homes = append(homes, c.Homes)
+	}
+	return homes
+}
+
 // Source provides the snapshot in force.
 type Source interface {
 	// Current returns the snapshot in force. It is never nil; before the first
--- a/config/validate.go
+++ b/config/validate.go
@@ -11,6 +11,7 @@
 	"strings"
 
 	"dandelionrelay/api"
+	"dandelionrelay/locality"
 )
 
 // MaxTimeout is the maximum timeout that a route may set.
@@ -83,6 +84,7 @@
 	checkSectionIDs(v, "keys", v.state.Keys)
 	checkSectionIDs(v, "deployments", v.state.Deployments)
 	checkSectionIDs(v, "routes", v.state.Routes)
+	checkSectionIDs(v, "evacuations", v.state.Evacuations)
 }
 
 // checkSectionIDs checks the format of the IDs of a section.
@@ -105,6 +107,21 @@
 		if isNotFinite(c.Weight) || c.Weight < 0 {
 			v.addFinding("customers", id, "weight", "must not be negative, is %g", c.Weight)
 		}
+		v.checkHomes("customers", id, c.Homes)
+	}
+}
+
+// checkHomes checks the names of regions in a list of homes, which must not repeat.
+func (v *validator) checkHomes(section, id string, homes locality.Homes) {
+	for i, region := range homes {
+		field := fmt.Sprintf("homes/%d", i)
+		if !ValidID(region) {
+			v.addFinding(section, id, field, "the name of a region must be %s, is %q", IDForm, region)
+			continue
+		}
+		if slices.Contains(homes[:i], region) {
+			v.addFinding(section, id, field, "region %q is listed twice", region)
+		}
 	}
 }
 
@@ -149,6 +166,20 @@
 		if r := d.FirstTokenRatio; r != 0 && (r < MinFirstTokenRatio || r > MaxFirstTokenRatio) {
 			v.addFinding("deployments", id, "first_token_ratio", "must be between %g and %g, is %g", MinFirstTokenRatio, float64(MaxFirstTokenRatio), r)
 		}
+		v.checkCold(id, d)
+	}
+}
+
+// checkCold checks the limits of cold endpoints.
+func (v *validator) checkCold(id string, d Deployment) {
+	if isNotFinite(d.ColdRate) || d.ColdRate < 0 {
+		v.addFinding("deployments", id, "cold_rate", "must not be negative, is %g", d.ColdRate)
+	}
+	if d.ColdTime < 0 || d.ColdTime > MaxColdTime {
+		v.addFinding("deployments", id, "cold_time", "must be between 0s and 1h")
+	}
+	if (d.ColdRate == 0) != (d.ColdTime == 0) {
+		v.addFinding("deployments", id, "cold_rate", "cold_rate and cold_time need each other")
 	}
 }
 
@@ -157,6 +188,7 @@
 	for _, id := range slices.Sorted(maps.Keys(v.state.Routes)) {
 		r := v.state.Routes[id]
 		v.checkRouteTarget(id, r)
+		v.checkHomes("routes", id, r.Homes)
 		if r.Timeout < 0 || r.Timeout > MaxTimeout {
 			v.addFinding("routes", id, "timeout", "must be between 0s and 1h")
 		}
--- a/gateway/confirm.go
+++ b/gateway/confirm.go
@@ -24,27 +24,41 @@
 	// ConfirmByPeer records that the records before next are all that were appended
 	// before at. It returns false if newer records are missing here.
 	ConfirmByPeer(next int64, at time.Duration) bool
-	// ApplyFromPeer applies records that another entry has read up to next.
+	// ApplyFromPeer replaces the state with the newest records, which another entry has
+	// read up to next.
 	ApplyFromPeer(records []keyedlog.Record, next int64)
 }
 
-// NewestArgs is empty.
-type NewestArgs struct{}
+// NewestArgs says what the calling entry has.
+type NewestArgs struct {
+	Have int64 // offset up to which it has read the partition
+}
 
-// NewestReply holds the newest record of the configuration.
+// NewestReply holds the newest records of the partition of the configuration.
 type NewestReply struct {
-	Records []keyedlog.Record
-	Next    int64 // offset up to which the replying entry has read the partition
+	Records []keyedlog.Record // none if the calling entry has read as far
+	Next    int64             // offset up to which the replying entry has read the partition
+	// Complete says that Records holds the newest record of every key: evacuations without
+	// one have ended. Entries of releases without evacuations do not set it.
+	Complete bool
+	// Confirmed says that Age is the time for which records may be missing.
+	Confirmed bool
+	Age       time.Duration
 }
 
 // configRPC is the service under configService.
 type configRPC struct{ g *Gateway }
 
-// Newest returns the newest record that this entry has applied.
-func (c *configRPC) Newest(_ NewestArgs, reply *NewestReply) error {
-	// The offset is read first: the record is then at least as new as it.
+// Newest returns the newest records that this entry has applied.
+func (c *configRPC) Newest(args NewestArgs, reply *NewestReply) error {
+	reply.Complete = true
+	// The age is read before the offset and that before the records: what is read later is
+	// at least as new.
+	reply.Age, reply.Confirmed = c.g.ConfigFeed.Age()
 	reply.Next, _ = c.g.ConfigFeed.NextOffset()
-	reply.Records = c.g.ConfigRecords()
+	if reply.Next > args.Have {
+		reply.Records = c.g.ConfigRecords()
+	}
 	return nil
 }
 
@@ -71,11 +85,14 @@
 	ctx, cancel := context.WithTimeout(context.Background(), configCallTimeout)
 	defer cancel()
 	var reply NewestReply
-	if err := g.peerPool.Call(ctx, address, methodNewest, NewestArgs{}, &reply); err != nil {
+	asked := g.Clock()
+	have, _ := g.ConfigFeed.NextOffset()
+	if err := g.peerPool.Call(ctx, address, methodNewest, NewestArgs{Have: have}, &reply); err != nil {
 		g.Log.Warn().Err(err).Str("peer", name).Msg("could not get the configuration from another entry")
 		return
 	}
-	g.ConfigFeed.ApplyFromPeer(reply.Records, reply.Next)
-	g.Log.Info().Str("peer", name).Int64("next_offset", reply.Next).Dur("store_lost_ms", g.ConfigFeed.LostFor()).
-		Msg("got the configuration from another entry")
+	if g.applyNewest(name, asked, reply) {
+		g.Log.Info().Str("peer", name).Int64("next_offset", reply.Next).Dur("store_lost_ms", g.ConfigFeed.LostFor()).
+			Msg("got the configuration from another entry")
+	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -56,8 +56,8 @@
 	// ConfigFeed calls Gateway.ConfigChanged before it stores a new version in
 	// Config.
 	ConfigFeed ConfigFeed
-	// ConfigRecords returns the newest record of the configuration that was applied,
-	// for entries that can't read it from the store.
+	// ConfigRecords returns the newest record of each key of the configuration's partition
+	// that was applied, for entries that can't read it from the store.
 	ConfigRecords func() []keyedlog.Record
 	// EndpointFeed calls Gateway.SetEndpoints with each new list of endpoints.
 	EndpointFeed Feed
@@ -94,6 +94,8 @@
 	table             *placement.Table
 	pool              *upstream.Pool
 	limits            *quota.Table
+	coldLimits        *quota.Table // requests to cold endpoints
+	coldInUse         atomic.Bool  // a deployment has, or had, a cold rate
 	suspects          *quarantine.SharedTable
 	members           *gossip.Registry
 	node              *gossip.Node
@@ -122,6 +124,9 @@
 	leaving       bool
 	endpoints     []placement.Endpoint // as listed by discovery
 	endpointAddrs map[string]bool      // addresses of endpoints
+
+	localityMetrics localityMetrics
+	locality        localityState
 }
 
 // Timing of the followers: the maximum time that a read waits at the store for new
@@ -143,6 +148,7 @@
 		Deps:          d,
 		started:       d.Clock(),
 		limits:        quota.NewTable(tolerance(d.Settings)),
+		coldLimits:    quota.NewTable(quota.Tolerance{}),
 		random:        rand.New(rand.NewPCG(seed, 1)),
 		endpointAddrs: make(map[string]bool),
 		origins:       origin.NewTable(d.Clock),
@@ -150,6 +156,8 @@
 		confirming:    make(chan struct{}, 1),
 		resumed:       newResumedCounter(d.Registry),
 
+		localityMetrics: newLocalityMetrics(d.Registry),
+
 		ownCellCounts:   quota.NewTally(),
 		otherCellCounts: quota.NewTally(),
 	}
@@ -159,12 +167,16 @@
 	g.peers.Register(streamService, &streamRPC{g})
 	g.peerPool = peer.NewPool(peer.DialTCP)
 	g.table = placement.NewTable(d.Settings.ID, d.Settings.DataCentre, rand.New(rand.NewPCG(seed, 2)), g.announceChange)
+	if d.Settings.EndpointRamp {
+		g.enableRamps()
+	}
 	g.pool = upstream.NewPool(d.IDHeader, nil, g.dialCounter())
 	g.members = gossip.NewRegistry(d.Clock, g.badRecordLogger("members"), g.announceChange)
 	g.membersFollower = g.follow("members", d.Members, g.members, membersReadWait, membersMinInterval)
 	g.node = gossip.NewNode(g.self(), g.members, g, g, d.Clock, d.Log)
 	g.suspects = quarantine.NewSharedTable(d.Suspects, d.Log, g.badRecordLogger("suspects"))
 	g.follow("suspects", d.Suspects, g.suspects, suspectsReadWait, suspectsMinInterval)
+	g.registerColdMetrics()
 	g.setUpBatch()
 	g.buildPipelines()
 	return g
@@ -189,32 +201,39 @@
 	})
 	g.jobsFollower = g.follow("jobs", g.Jobs, state, jobsReadWait, jobsMinInterval)
 	g.jobs = batch.New(batch.Deps{
-		Self:    batch.Owner{Entry: g.Settings.ID, Incarnation: g.Incarnation},
-		Index:   batch.NewIndex(g.Jobs, g.jobsFollower, state),
-		Stores:  g.Contents,
-		Limits:  batchLimits(g.Settings),
-		Config:  g.Config,
-		Table:   g.table,
-		Pool:    g.pool,
-		Dialect: g.Dialect,
-		Peers:   g.node,
-		Clock:   g.Clock,
-		Log:     g.Log,
-		Metrics: batch.NewMetrics(g.Registry),
+		Self:        batch.Owner{Entry: g.Settings.ID, Incarnation: g.Incarnation},
+		Index:       batch.NewIndex(g.Jobs, g.jobsFollower, state),
+		Stores:      g.Contents,
+		Limits:      batchLimits(g.Settings),
+		Config:      g.Config,
+		Table:       g.table,
+		Pool:        g.pool,
+		Dialect:     g.Dialect,
+		Peers:       g.node,
+		MayStart:    g.evacuationsConfirmed,
+		MayTakeOver: g.mayTakeOver,
+		Clock:       g.Clock,
+		Log:         g.Log,
+		Metrics:     batch.NewMetrics(g.Registry),
 	})
 }
 
 // BatchJobs returns the batch service.
 func (g *Gateway) BatchJobs() *batch.Service { return g.jobs }
 
-// ConfigChanged applies the rate limits of a new configuration and wakes the batch
-// service.
+// ConfigChanged applies the rate limits, evacuations and homes of a new configuration and
+// wakes the batch service.
 func (g *Gateway) ConfigChanged(s *config.Snapshot) {
+	g.applyLocality(s.State)
+	if s.Version == 0 { // evacuations before the first configuration: limits are not known yet
+		return
+	}
 	limits := make(map[string]quota.Limit, len(s.State.Customers))
 	for id, c := range s.State.Customers {
 		limits[id] = quota.Limit{Rate: c.Rate, Burst: c.Burst}
 	}
 	g.limits.SetLimits(g.Clock(), limits)
+	g.setColdRates(s)
 	g.listed.SetRoutes(routeTargets(s.State))
 	g.jobs.Wake()
 }
@@ -235,7 +254,9 @@
 
 // ShareUpdate implements gossip.Listener.
 func (g *Gateway) ShareUpdate(s gossip.Share) {
-	g.limits.SetShare(quota.Share{Observed: s.Observed, Own: s.Own, ValidUntil: s.ValidUntil})
+	share := quota.Share{Observed: s.Observed, Own: s.Own, ValidUntil: s.ValidUntil}
+	g.limits.SetShare(share)
+	g.table.SetColdShare(share)
 }
 
 func (g *Gateway) badRecordLogger(partition string) func(key string, err error) {
--- a/online/execution.go
+++ b/online/execution.go
@@ -10,6 +10,7 @@
 	"dandelionrelay/api"
 	"dandelionrelay/config"
 	"dandelionrelay/eventstream"
+	"dandelionrelay/locality"
 	"dandelionrelay/pipeline"
 	"dandelionrelay/placement"
 	"dandelionrelay/quarantine"
@@ -53,6 +54,7 @@
 	*Service
 	call       *pipeline.Call
 	route      *config.ProvidedRoute
+	homes      []locality.Homes       // regions in which it may run
 	tried      map[placement.Key]bool // endpoints tried, the present one included
 	attempts   int                    // number of endpoints tried
 	mayHaveRun int                    // number of these that may have run the request
@@ -119,12 +121,18 @@
 	request.MaxWait = maxWait
 	grant, refused := ex.Table.Place(ex.Clock(), request)
 	ex.refusal = refused
+	if refused != nil && ex.mayHaveRun == 0 && refused.Locality != locality.Allowed {
+		return nil, LocalityError(refused.Locality, refused.RetryAfter)
+	}
 	if refused != nil && ex.mayHaveRun == 0 && ex.versionGone() {
 		return nil, notRunError(api.CodeVersionGone, "no endpoint of the version that began the stream is left", 0)
 	}
 	if refused != nil && ex.mayHaveRun == 0 && refused.Limited {
 		return nil, notRunError(api.CodeOverloaded, "the endpoints take no more requests yet", refused.RetryAfter)
 	}
+	if refused != nil && ex.mayHaveRun == 0 && refused.Cold {
+		return nil, notRunError(api.CodeOverloaded, "the endpoints that are left are cold and take no more requests yet", refused.RetryAfter)
+	}
 	if refused != nil && ex.mayHaveRun == 0 && refused.Endpoint == "" {
 		return nil, notRunError(api.CodeNoEndpoint, "no endpoint of the deployment takes requests", refused.RetryAfter)
 	}
@@ -147,6 +155,7 @@
 		Deployment: ex.call.Route.Deployment,
 		Version:    ex.version(),
 		Avoid:      ex.tried,
+		Homes:      ex.homes,
 		AtMostOnce: !ex.route.Resumable && !ex.call.Route.Idempotent,
 	}
 }
@@ -196,6 +205,9 @@
 	ex.attempts++
 	ex.headerReceived = false
 	ex.intervals = eventstream.IntervalMeter{}
+	if !grant.MaySend(ex.Clock()) {
+		return tryNext, placement.Aborted // the endpoint has become cold since, or the process was held up
+	}
 	x, err := ex.Pool.Do(ctx, grant.Endpoint.Address, ex.buildRequest(grant), ex.waitDeadline(ex.firstEventTimeout()))
 	if err != nil {
 		return ex.afterNoResponse(ctx, grant, err)
--- a/placement/batch.go
+++ b/placement/batch.go
@@ -12,21 +12,38 @@
 func (t *Table) PlaceBatch(now time.Duration, req Request, preempt func()) *Grant {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.beginRamps(now)
+	// Cold endpoints are left to online requests while others are listed.
+	req.warmOnly = !allCold(now, t.group(req.Deployment).preferred(), req)
+	for {
+		best := t.selectForBatch(now, req)
+		if best == nil {
+			return nil
+		}
+		if t.takeColdToken(now, best) {
+			return t.newGrant(best, Batch, now, preempt)
+		}
+	}
+}
+
+// selectForBatch returns the endpoint to use for a batch item, or nil if there is none.
+func (t *Table) selectForBatch(now time.Duration, req Request) *endpoint {
 	var best *endpoint
 	var highest float64
 	group := t.group(req.Deployment)
 	includeFailing := group.tooManyFailing()
 	// The limits that endpoints name are left to online requests while others have none.
-	includeLimited := allLimited(group.preferred())
-	for _, e := range group.preferred() {
+	candidates, foreign := t.preferredFor(req)
+	includeLimited := allLimited(candidates)
+	for _, e := range candidates {
 		if e.limit != nil && !includeLimited {
 			continue
 		}
-		if !e.eligible(now, req) || now < e.suspendedUntil || now < e.fullUntil || !includeFailing && e.excluded(req) {
+		if !e.eligible(now, req) || now < e.suspendedUntil || now < e.fullUntil || !includeFailing && e.excluded(req) || !t.withinRamp(e, now) {
 			continue
 		}
 		free := e.Slots - reservedSlots - e.online() - e.batch()
-		if free <= 0 {
+		if free <= 0 || foreign && !t.takesForeignItem(e) {
 			continue
 		}
 		score := float64(free) / group.slowness(e)
@@ -38,10 +55,7 @@
 			best, highest = e, score
 		}
 	}
-	if best == nil {
-		return nil
-	}
-	return t.newGrant(best, Batch, now, preempt)
+	return best
 }
 
 // PreemptBatch preempts batch items of this entry at endpoints that have more requests
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"dandelionrelay/locality"
 	"dandelionrelay/origin"
 )
 
@@ -131,6 +132,12 @@
 	replaced            bool                // another incarnation runs at its address
 	limit               *requestLimit       // nil: it names none
 	leaving             bool                // it has said in a response that it is leaving
+	coldStated          *coldStatement      // of its registration; nil: none
+	cold                *coldState          // nil: its deployment has no cold rate
+	region              string              // of its data centre; empty: unknown
+	evacuated           bool                // its data centre is evacuated
+	ramp                *rampState          // nil: its concurrent requests are not bounded
+	rampRound           uint32              // newest round of its ramps; 0: there was none
 }
 
 // online and batch return the requests of each kind at e over all entries.
@@ -140,12 +147,12 @@
 
 // eligible reports whether e may be chosen for a request at now.
 func (e *endpoint) eligible(now time.Duration, req Request) bool {
-	return e.usable(req) && e.limitWait(now) == 0
+	return e.usable(req) && e.limitWait(now) == 0 && (e.cold == nil || e.cold.allows(now, req))
 }
 
-// usable reports whether e may be chosen for a request as far as its limit allows.
+// usable reports whether e may be chosen for a request as far as its limits allow.
 func (e *endpoint) usable(req Request) bool {
-	return !e.Draining && !e.leaving && !e.replaced && !req.Avoid[e.key] && req.versionAllows(e)
+	return !e.Draining && !e.leaving && !e.replaced && !req.Avoid[e.key] && req.versionAllows(e) && req.verdict(e) == locality.Allowed
 }
 
 // Table holds an entry's view of all endpoints and their loads. It is safe for
@@ -162,9 +169,17 @@
 	leaving        map[Key]time.Duration // endpoints that have said that they are leaving, and the time of the last notice
 	groups         map[string]*group     // by deployment
 	peers          map[string]Report
+	cold           coldLimits
 	serviceTime    time.Duration // moving average of the time of an online request at an endpoint
 	recentRequests float64       // online requests at this entry, as a sum that decays with the time constant reportLag
 	lastRequestAt  time.Duration // clock at the last online request
+	policy         *locality.Policy
+	evacuations    bool             // the data centre of at least one endpoint is evacuated
+	requests       float64          // as recentRequests, with the time constant rateDecay
+	onRamp         func(RampChange) // nil: endpoints begin without ramps
+	listed         bool             // SetEndpoints was called
+	started        []*endpoint      // endpoints that have started and whose ramps have not begun
+	responseTime   time.Duration    // moving average of the time to the response header of online requests, without ramps
 }
 
 // NewTable returns an empty table of the entry self in dataCentre. onChange, which may
@@ -191,22 +206,37 @@
 	defer t.mu.Unlock()
 	known := t.endpoints
 	t.endpoints = make(map[Key]*endpoint, len(list))
+	t.evacuations = false
 	t.groups = make(map[string]*group)
 	for _, item := range list {
 		key := item.Key()
 		e := known[key]
 		if e == nil {
-			e = &endpoint{key: key, grants: make(map[*Grant]struct{})}
+			e = t.newEndpoint(key)
 		}
 		e.Endpoint = item
 		_, e.leaving = t.leaving[key]
 		e.peers, e.failingReports = Load{}, 0
+		t.locate(e)
 		t.endpoints[key] = e
 		t.group(item.Deployment).add(e)
+		t.setUpCold(e)
 	}
+	t.cold.stale = t.cold.quota != nil
 	for _, r := range t.peers {
 		t.applyReport(r, 1)
 	}
+	t.listed = true
+}
+
+// newEndpoint returns the state of an endpoint that was not listed before. Those of the first
+// list may have run for long.
+func (t *Table) newEndpoint(key Key) *endpoint {
+	e := &endpoint{key: key, grants: make(map[*Grant]struct{})}
+	if t.listed {
+		t.started = append(t.started, e)
+	}
+	return e
 }
 
 // Refusal says that no endpoint can start a request in time. All but RetryAfter
@@ -219,6 +249,9 @@
 	Slowness   float64       // relative to the median of its deployment, at least 1
 	Full       bool          // it refused a request for lack of a free slot less than fullTTL ago
 	Limited    bool          // endpoints are only held back by the limits that they name
+	Cold       bool          // endpoints are only held back as they are cold
+	// Locality is not Allowed if no endpoint is in a data centre where the request may run.
+	Locality locality.Verdict
 }
 
 // Request describes the request or batch item to place.
@@ -228,6 +261,10 @@
 	Avoid      map[Key]bool  // endpoints that were already tried for it
 	MaxWait    time.Duration // longest wait for its start that is useful to the caller
 	AtMostOnce bool          // it must not be repeated after a failure
+	// Homes are the regions of its route and of its customer. Each list binds on its own.
+	Homes []locality.Homes
+
+	warmOnly bool // no cold endpoint may be chosen
 }
 
 // versionAllows reports whether e may continue the response as far as its software goes:
@@ -247,7 +284,8 @@
 func (t *Table) ServesBatch(req Request) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return anyUsable(t.group(req.Deployment).preferred(), req)
+	candidates, _ := t.preferredFor(req)
+	return anyUsable(candidates, req)
 }
 
 // anyUsable reports whether one of the endpoints may be chosen for a request as far as
@@ -263,29 +301,50 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.recordRequest(now)
-	best, wait := t.selectEndpoint(now, req)
-	if best == nil {
-		return nil, t.refuseAll(now, req)
+	t.beginRamps(now)
+	for {
+		best, wait := t.selectEndpoint(now, req)
+		if best == nil {
+			return nil, t.refuseAll(now, req)
+		}
+		if refusal := t.refuseLate(now, req, best, wait); refusal != nil {
+			return nil, refusal
+		}
+		if t.takeColdToken(now, best) {
+			return t.newGrant(best, Online, now, nil), nil
+		}
 	}
+}
+
+// refuseLate returns the refusal of a request whose expected wait at best, beyond the given
+// one, exceeds MaxWait; nil if it does not.
+func (t *Table) refuseLate(now time.Duration, req Request, best *endpoint, wait time.Duration) *Refusal {
 	if best.online() >= best.Slots && wait <= req.MaxWait {
 		wait += t.queueDelay(now, req, best)
 	}
-	if wait > req.MaxWait {
-		return nil, &Refusal{
-			RetryAfter: t.retryAfter(wait - req.MaxWait),
-			Wait:       wait,
-			Endpoint:   best.ID,
-			Load:       Load{Online: best.online(), Batch: best.batch()},
-			Slowness:   t.group(req.Deployment).slowness(best),
-			Full:       now < best.fullUntil,
-		}
+	if wait <= req.MaxWait {
+		return nil
+	}
+	return &Refusal{
+		RetryAfter: t.retryAfter(wait - req.MaxWait),
+		Wait:       wait,
+		Endpoint:   best.ID,
+		Load:       Load{Online: best.online(), Batch: best.batch()},
+		Slowness:   t.group(req.Deployment).slowness(best),
+		Full:       now < best.fullUntil,
 	}
-	return t.newGrant(best, Online, now, nil), nil
 }
 
 // refuseAll returns the refusal of a request for which no endpoint is eligible.
 func (t *Table) refuseAll(now time.Duration, req Request) *Refusal {
-	if wait := t.limitRetryAfter(now, req); wait > 0 {
+	if v := t.verdict(req); v != locality.Allowed {
+		return &Refusal{RetryAfter: LocalityRetryAfter, Locality: v}
+	}
+	limited := t.limitRetryAfter(now, req)
+	if wait, ok := t.coldRetryAfter(now, req); ok && (limited == 0 || wait < limited) {
+		return &Refusal{RetryAfter: t.retryAfter(wait), Wait: wait, Cold: true}
+	}
+	if wait := limited; wait > 0 {
 		return &Refusal{RetryAfter: t.retryAfter(wait), Wait: wait, Limited: true}
 	}
 	return &Refusal{RetryAfter: minSuspension}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -2,9 +2,13 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"dandelionrelay/config"
+	"dandelionrelay/locality"
 )
 
 // Gateway holds the settings of an entry of package gateway: its configuration
@@ -26,10 +30,17 @@
 	LimitWindow     config.Duration `json:"limit_window,omitempty" reload:"true"`     // length of the time windows to which limit_excess and limit_slack apply
 	LimitExcess     float64         `json:"limit_excess,omitempty" reload:"true"`     // tolerated excess in a window, as a fraction of the requests that rate and burst allow in it
 	LimitSlack      float64         `json:"limit_slack,omitempty" reload:"true"`      // tolerated excess in a window in requests, added to limit_excess
+	ColdExcess      float64         `json:"cold_excess,omitempty" reload:"true"`      // factor by which a cold endpoint may get more than its cold rate in any second; default 1
+	ColdSlack       float64         `json:"cold_slack,omitempty" reload:"true"`       // requests that a cold endpoint may get in any second beyond that
 	EndGrace        config.Duration `json:"end_grace,omitempty" reload:"true"`        // time between SIGTERM and SIGKILL, within which the entry drains; default 8s
 	KeepJobs        config.Duration `json:"keep_jobs,omitempty" reload:"true"`        // retention time of finished batch jobs, counted from their submission; default 1h
 	GoneAfter       config.Duration `json:"gone_after,omitempty" reload:"true"`       // time after an outage of the store for which endpoints are kept whose registration expired because of it; default 2s
+	EndpointRamp    bool            `json:"endpoint_ramp,omitempty"`                  // endpoints that start or recover begin with few concurrent requests, see docs/design/ramps.md
 	LogLevel        string          `json:"log_level,omitempty" reload:"true"`        // debug, info, warn or error; default info
+
+	Region          string           `json:"region,omitempty" reload:"true"`           // region of data_centre; default the one that regions names
+	Regions         locality.Regions `json:"regions,omitempty" reload:"true"`          // region by data centre; homes allow nothing in others
+	EvacuationBound config.Duration  `json:"evacuation_bound,omitempty" reload:"true"` // maximum time from an evacuation to the last request to its data centre; 0: no bound
 }
 
 // Defaults of optional fields of a Gateway.
@@ -61,9 +72,13 @@
 	f.notNegative("/limit_window", float64(g.LimitWindow))
 	f.notNegative("/limit_excess", g.LimitExcess)
 	f.notNegative("/limit_slack", g.LimitSlack)
+	f.coldExcess("/cold_excess", &g.ColdExcess)
+	f.finiteNotNegative("/cold_slack", g.ColdSlack)
 	f.notNegative("/end_grace", float64(g.EndGrace))
 	f.notNegative("/keep_jobs", float64(g.KeepJobs))
 	f.notNegative("/gone_after", float64(g.GoneAfter))
+	f.notNegative("/evacuation_bound", float64(g.EvacuationBound))
+	g.checkRegions(f)
 	setDefault(&g.ContentParts, g.defaultContentParts())
 	setDefault(&g.CallBytes, DefaultCallBytes)
 	setDefault(&g.RecordBytes, DefaultRecordBytes)
@@ -73,6 +88,23 @@
 	f.level("/log_level", &g.LogLevel)
 }
 
+// checkRegions checks the regions, of which none must be empty, and of which that of the
+// entry's own data centre must be Region if both are set.
+func (g *Gateway) checkRegions(f *findings) {
+	for _, dataCentre := range slices.Sorted(maps.Keys(g.Regions)) {
+		pointer := "/regions/" + strings.NewReplacer("~", "~0", "/", "~1").Replace(dataCentre)
+		if dataCentre == "" {
+			f.add(pointer, "the name of the data centre must not be empty")
+		}
+		if g.Regions[dataCentre] == "" {
+			f.add(pointer, "the region must not be empty")
+		}
+	}
+	if listed := g.Regions[g.DataCentre]; listed != "" && g.Region != "" && listed != g.Region {
+		f.add("/region", fmt.Sprintf("must be %q, which /regions names for the data centre %q, not %q", listed, g.DataCentre, g.Region))
+	}
+}
+
 func (g *Gateway) defaultContentParts() int {
 	if g.StoreParts > 0 {
 		return min(DefaultContentParts, g.StoreParts)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -4,8 +4,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -44,6 +46,8 @@
 	LogRetention config.Duration `json:"log_retention,omitempty"`                // time for which the platform's log keeps records; 0: unlimited
 	MaxStaleness config.Duration `json:"max_staleness,omitempty" reload:"true"`  // time since the configuration was last confirmed with the log after which routes that need a key are refused; 0: never
 	Operators    []Operator      `json:"operators,omitempty" reload:"true"`      // who may use the administration interface
+
+	Regions map[string]string `json:"regions,omitempty" reload:"true"` // region by data centre, for the homes of customers and routes
 }
 
 // Operator is a person or a tool that may use the administration interface.
@@ -81,6 +85,10 @@
 	StepBase     config.Duration `json:"step_base,omitempty"`     // duration of an engine step without running requests; default 5ms
 	StepPerSlot  config.Duration `json:"step_per_slot,omitempty"` // added to the step for each running request; default 0.2ms. It sets engine.Options.StepPerSequence
 	ObeysFencing bool            `json:"obeys_fencing,omitempty"` // rejects orders with an outdated fencing token
+
+	ColdRate  float64         `json:"cold_rate,omitempty"`  // requests a second that the engine tolerates while it is cold; 0: it is never cold
+	ColdTime  config.Duration `json:"cold_time,omitempty"`  // time for which it is cold after its start
+	ColdCrash float64         `json:"cold_crash,omitempty"` // multiple of ColdRate above which it crashes; default 1.5
 }
 
 // Defaults of optional fields.
@@ -114,6 +122,13 @@
 	}
 }
 
+// id checks a name that the desired state refers to.
+func (f *findings) id(pointer, value string) {
+	if !config.ValidID(value) {
+		f.add(pointer, fmt.Sprintf("must be %s, not %q", config.IDForm, value))
+	}
+}
+
 func (f *findings) addr(pointer, value string) {
 	if _, err := netip.ParseAddrPort(value); err != nil {
 		f.add(pointer, "must be ip:port, not "+strconv.Quote(value))
@@ -201,6 +216,11 @@
 			f.add(at+"/digest", fmt.Sprintf("must be 64 hex digits, but has length %d", len(o.Digest)))
 		}
 	}
+	for _, dataCentre := range slices.Sorted(maps.Keys(e.Regions)) {
+		at := "/regions/" + strings.NewReplacer("~", "~0", "/", "~1").Replace(dataCentre)
+		f.id(at, dataCentre)
+		f.id(at, e.Regions[dataCentre])
+	}
 }
 
 func (s *Sidecar) check(f *findings) {
@@ -225,6 +245,9 @@
 	f.required("/model", e.Model)
 	f.notNegative("/step_base", float64(e.StepBase))
 	f.notNegative("/step_per_slot", float64(e.StepPerSlot))
+	f.notNegative("/cold_rate", e.ColdRate)
+	f.notNegative("/cold_time", float64(e.ColdTime))
+	f.notNegative("/cold_crash", e.ColdCrash)
 	setDefault(&e.StepBase, config.Duration(DefaultStepBase))
 	setDefault(&e.StepPerSlot, config.Duration(DefaultStepPerSlot))
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -46,6 +46,29 @@
 	NewWithT(t).Expect(err).To(MatchError(And(ContainSubstring("/content_parts"), ContainSubstring("/limit_excess"))))
 }
 
+// TestLoadGateway_ChecksRegions guards against regions that contradict one another or name
+// nothing.
+func TestLoadGateway_ChecksRegions(t *testing.T) {
+	load := func(extra string) (*settings.Gateway, error) {
+		return settings.LoadGateway(writeSettings(t, `{"id":"e1","data_centre":"a","callers_addr":"127.0.0.1:1","ready_addr":"127.0.0.1:2",
+			"metrics_addr":"127.0.0.1:3","peers_addr":"127.0.0.1:4","store_addr":"127.0.0.1:5"`+extra+`}`))
+	}
+	for _, extra := range []string{"", `,"region":"eu"`, `,"regions":{"b":"us"},"region":"eu"`, `,"regions":{"a":"eu"},"region":"eu","evacuation_bound":"5s"`} {
+		_, err := load(extra)
+		NewWithT(t).Expect(err).NotTo(HaveOccurred(), extra)
+	}
+	for extra, pointer := range map[string]string{
+		`,"regions":{"a":"eu"},"region":"us"`: "/region:",
+		`,"regions":{"a/b":""}`:               "/regions/a~1b",
+		`,"regions":{"":"eu"}`:                "/regions/:",
+		`,"regions":["eu"]`:                   "regions",
+		`,"evacuation_bound":"-1s"`:           "/evacuation_bound",
+	} {
+		_, err := load(extra)
+		NewWithT(t).Expect(err).To(MatchError(ContainSubstring(pointer)), extra)
+	}
+}
+
 func TestLoadEntry_ReportsAllFindingsWithPointers(t *testing.T) {
 	g := NewWithT(t)
 	path := writeSettings(t, `{"id":"","data_centre":"a","http_addr":"localhost:1","rpc_addr":"127.0.0.1:2",
@@ -86,3 +109,37 @@
 		}
 	}
 }
+
+// TestLoadGateway_ColdBounds loads bounds on cold endpoints: without them exactly the cold
+// rate is allowed, and bounds below it are findings.
+func TestLoadGateway_ColdBounds(t *testing.T) {
+	load := func(extra string) (*settings.Gateway, error) {
+		return settings.LoadGateway(writeSettings(t, `{"id":"e1","data_centre":"a","callers_addr":"127.0.0.1:1","ready_addr":"127.0.0.1:2",
+			"metrics_addr":"127.0.0.1:3","peers_addr":"127.0.0.1:4","store_addr":"127.0.0.1:5"`+extra+`}`))
+	}
+	for extra, want := range map[string][2]float64{"": {1, 0}, `,"cold_excess":1.5,"cold_slack":5`: {1.5, 5}, `,"cold_slack":2`: {1, 2}} {
+		g := NewWithT(t)
+		s, err := load(extra)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect([2]float64{s.ColdExcess, s.ColdSlack}).To(Equal(want), extra)
+	}
+	_, err := load(`,"cold_excess":0.9,"cold_slack":-1`)
+	NewWithT(t).Expect(err).To(MatchError(And(ContainSubstring("/cold_excess"), ContainSubstring("/cold_slack"))))
+}
+
+// TestLoadEntry_ChecksRegions guards against a data centre without a region, which would
+// be outside all homes without a word.
+func TestLoadEntry_ChecksRegions(t *testing.T) {
+	const process = `{"id":"e1","data_centre":"a","http_addr":"127.0.0.1:1","rpc_addr":"127.0.0.1:2",
+		"ops_addr":"127.0.0.1:3","platform_url":"http://127.0.0.1:4","regions":`
+	g := NewWithT(t)
+	s, err := settings.LoadEntry(writeSettings(t, process+`{"a":"eu","b":"us"}}`))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.Regions).To(Equal(map[string]string{"a": "eu", "b": "us"}))
+	_, err = settings.LoadEntry(writeSettings(t, process+`{"a":"","b/c":"us"}}`))
+	var pointers []string
+	for _, f := range err.(settings.FindingsError) {
+		pointers = append(pointers, f.Pointer)
+	}
+	g.Expect(pointers).To(Equal([]string{"/regions/a", "/regions/b~1c"}))
+}
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -64,11 +64,14 @@
 	if !ok {
 		return unavailable(api.CodeNoEndpoint, "the deployment is not configured")
 	}
-	s.scheduler.applyDeployment(d)
+	s.applyDeployment(d)
 	cost, e := s.prepareBody(req, d)
 	if e != nil {
 		return e
 	}
+	if s.evacuated() {
+		return evacuatedError()
+	}
 	if !s.drain.add() {
 		return unavailable(api.CodeNoEndpoint, "the endpoint is leaving")
 	}
@@ -109,8 +112,12 @@
 
 // beginAttempt registers a started request as in flight at the endpoint, a
 // suspect once no other attempt runs. Requests are not sent to an endpoint that
-// has crashed, as the crash would be attributed to them.
+// has crashed, as the crash would be attributed to them, or that was evacuated while
+// they waited.
 func (s *Sidecar) beginAttempt(ctx context.Context, attempt string, suspect bool) *api.Error {
+	if s.evacuated() {
+		return evacuatedError()
+	}
 	if suspect && !s.gate.beginExclusive(ctx, attempt) || !suspect && !s.gate.begin(attempt, true) {
 		return isolationError("a suspect request runs here")
 	}
@@ -164,8 +171,11 @@
 // refusalError returns the error for a request that the queue refused.
 func refusalError(r lane.Refusal) *api.Error {
 	message := "too many requests wait"
-	if r.Reason == lane.DeadlineMiss {
+	switch r.Reason {
+	case lane.DeadlineMiss:
 		message = "the deadline can't be met"
+	case lane.EndpointCold:
+		message = "the endpoint is cold, and too many requests wait"
 	}
 	return unavailable(api.CodeOverloaded, message).WithRetryAfter(max(minRetryAfter, r.RetryAfter))
 }
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -30,6 +30,7 @@
 // Settings holds the settings of one sidecar.
 type Settings struct {
 	ID           string // instance ID, unique per start
+	DataCentre   string // of the endpoint; empty: never evacuated
 	Deployment   string // deployment of the endpoint
 	EndpointURL  string // base URL of the endpoint, with an IP address
 	MaxBodyBytes int64  // largest request body; 0 means DefaultMaxBodyBytes
@@ -69,6 +70,8 @@
 	metrics     *metrics
 	batch       *batchRunner
 	health      health
+	cold        coldState
+	sharedCheck sharedCheck
 	gate        *gate
 }
 
@@ -93,6 +96,8 @@
 		drain:       newDrainState(),
 		metrics:     newMetrics(deps.Metrics),
 		gate:        newGate(),
+		cold:        coldState{startedAt: time.Now()},
+		sharedCheck: sharedCheck{busy: make(chan struct{}, 1)},
 		transport: &http.Transport{
 			DialContext:        deps.Dial,
 			DisableCompression: true,
@@ -108,7 +113,7 @@
 		Policy:     settings.Policy,
 		Invariants: deps.Invariants,
 	}, s.metrics)
-	s.scheduler.applyDeployment(d)
+	s.applyDeployment(d)
 	s.batch = newBatchRunner(s)
 	s.registerGauges(deps.Metrics)
 	return s, nil
