placement, batch: items start and leave by what is known of the wave

Cause: with online requests that alternate between 0.378 and 1.85 of their mean, entries with waiting items all took the same free slot before they knew of one another, and preempted it again: 3,584 of 5,928 preemptions came before a first event, 6.4 runs an item. The choice of what starts and what is preempted read neither the wave nor the item's time left nor its due time. Entries take turns at endpoints while free slots are scarce. Items start by due time if urgent, else fair among customers, and last those that can't be in time.

--- a/batch/item.go
+++ b/batch/item.go
@@ -67,6 +67,12 @@
 	}
 	grant.Release(r.Clock(), result, p.intervals.Mean(minIntervalEvents))
 	r.Metrics.runs.WithLabelValues(string(end)).Inc()
+	if end == runAborted {
+		r.recordPreemption(it, grant, p.events-from, time.Since(started))
+	}
+	if end == runCompleted {
+		r.estimates.observe(it.job.Route, it.job.Items[p.id.item].Tokens, p.events, p.intervals.Mean(minIntervalEvents))
+	}
 	event := r.Log.Info().Str("job", it.job.ID).Str("request", it.job.Items[p.id.item].ID).Str("customer", it.job.Customer).
 		Str("endpoint", grant.Endpoint.ID).Str("version", grant.Endpoint.Version).Int("at_endpoint_online", grant.Load.Online).Int("at_endpoint_batch", grant.Load.Batch).
 		Str("outcome", string(end)).Int("from_event", from).Int("events", p.events).Dur("took_ms", time.Since(started)).
--- a/batch/metrics.go
+++ b/batch/metrics.go
@@ -6,8 +6,10 @@
 
 // Metrics are the counters of runs of items and of listed results.
 type Metrics struct {
-	runs   *prometheus.CounterVec
-	listed *prometheus.CounterVec
+	runs        *prometheus.CounterVec
+	listed      *prometheus.CounterVec
+	starts      *prometheus.CounterVec
+	preemptions *prometheus.CounterVec
 }
 
 // NewMetrics returns Metrics registered with reg. It panics if their names are
@@ -22,8 +24,22 @@
 			Name: "relay_batch_results_total",
 			Help: "Results listed by this entry.",
 		}, []string{"state"}),
+		starts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "relay_batch_starts_total",
+			Help: "Starts of batch items by the phase of the wave of online requests.",
+		}, []string{"phase"}),
+		preemptions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "relay_batch_preemptions_total",
+			Help: "Preemptions of batch items, before or after the first event of their run.",
+		}, []string{"events"}),
+	}
+	reg.MustRegister(m.runs, m.listed, m.starts, m.preemptions)
+	for _, phase := range []string{"none", "trough", "peak"} {
+		m.starts.WithLabelValues(phase)
+	}
+	for _, events := range []string{"none", "some"} {
+		m.preemptions.WithLabelValues(events)
 	}
-	reg.MustRegister(m.runs, m.listed)
 	for _, o := range []outcome{runCompleted, runFailed, runUnprocessable, runLost, runNotExecuted, runAborted} {
 		m.runs.WithLabelValues(string(o))
 	}
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -1,9 +1,7 @@
 package batch
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -89,6 +87,8 @@
 	wake     chan struct{} // signals planLoop to call plan
 	finished chan struct{} // signals finished items to listLoop
 
+	estimates *estimator
+
 	outputSequence uint64 // sequence number of the newest output key, failed attempts to store included; used by listLoop only
 
 	drainSignal chan struct{} // signals checkpointLoop that draining has begun
@@ -102,6 +102,7 @@
 func newRunner(s *Service) *runner {
 	return &runner{
 		Service:     s,
+		estimates:   newEstimator(),
 		wake:        make(chan struct{}, 1),
 		finished:    make(chan struct{}, 1),
 		drainSignal: make(chan struct{}, 1),
@@ -174,10 +175,13 @@
 	*progress
 	job  view
 	due  time.Time
-	late bool // past due
+	late bool // it can't complete by its due time any more
+	// times is what is known of its time, and turn its position among its customer's.
+	times placement.ItemTimes
+	turn  int
 }
 
-// plan starts items where slots are free, in the order of compareRunnable, and
+// plan starts items where slots are free, in the order of sortRunnable, and
 // cancels those that this entry no longer owns. It reports whether items still
 // wait.
 func (r *runner) plan(ctx context.Context) bool {
@@ -208,6 +212,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	wanted := make(map[itemID]bool)
+	running := make(map[string]int) // items by customer
 	for _, j := range own {
 		due := j.Submitted.Add(dueAfter(snapshot, j.Route))
 		for i := range j.Items {
@@ -218,7 +223,11 @@
 			wanted[id] = true
 			p := r.item(id)
 			if p.phase == phaseWaiting && !r.draining && !r.held[j.ID] {
-				list = append(list, runnableItem{progress: p, job: j, due: due, late: now.After(due)})
+				times := r.itemTimes(p, j, due, now)
+				list = append(list, runnableItem{progress: p, job: j, due: due, late: now.Add(times.Remaining).After(due), times: times})
+			}
+			if p.phase == phaseRunning {
+				running[j.Customer]++
 			}
 		}
 	}
@@ -231,7 +240,7 @@
 		}
 		delete(r.items, id)
 	}
-	slices.SortStableFunc(list, compareRunnable)
+	sortRunnable(list, running)
 	return list
 }
 
@@ -246,21 +255,6 @@
 	return p
 }
 
-// compareRunnable orders items that are not yet due before late ones, then by due
-// time, then by the number of events received, most first.
-func compareRunnable(a, b runnableItem) int {
-	if a.late != b.late {
-		if a.late {
-			return 1
-		}
-		return -1
-	}
-	if c := a.due.Compare(b.due); c != 0 {
-		return c
-	}
-	return cmp.Compare(b.events, a.events)
-}
-
 // dueAfter returns the time after submission at which jobs on a route are due; 0
 // if the route has no batch policy.
 func dueAfter(snapshot *config.Snapshot, route string) time.Duration {
--- a/batch/start.go
+++ b/batch/start.go
@@ -24,7 +24,7 @@
 		return false
 	}
 	itemCtx, cancel := context.WithCancel(ctx)
-	request := placement.Request{Deployment: route.Deployment, Avoid: it.avoid.avoidSet(r.Clock())}
+	request := placement.Request{Deployment: route.Deployment, Avoid: it.avoid.avoidSet(r.Clock()), Item: it.times}
 	if it.origin.Deployment == route.Deployment {
 		request.Version = it.origin.Version
 	}
@@ -46,6 +46,7 @@
 	it.phase = phaseRunning
 	it.cancel = cancel
 	r.mu.Unlock()
+	r.recordStart(it, grant)
 	go r.runItem(itemCtx, cancel, it, route, grant)
 	return true
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -40,6 +40,7 @@
 func (g *Gateway) PeerReport(name string, incarnation uint64, r gossip.Report) {
 	g.table.SetPeer(name, r.Endpoints)
 	g.ownCellCounts.Add(g.countAdmissions(name, incarnation, r, r.Counts))
+	g.table.Observe(g.Clock())
 	g.table.PreemptBatch()
 	g.jobs.Wake()
 }
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -102,7 +102,7 @@
 
 // formatVersion is the first byte of each datagram. Datagrams of another version are
 // rejected.
-const formatVersion = 7
+const formatVersion = 8
 
 // datagramTimeUnit is the resolution of times in datagrams, which are rounded down.
 const datagramTimeUnit = time.Millisecond
@@ -133,6 +133,7 @@
 		b = binary.BigEndian.AppendUint32(b, uint32(key))
 		b = binary.AppendUvarint(b, uint64(l.Online))
 		b = binary.AppendUvarint(b, uint64(l.Batch))
+		b = binary.AppendUvarint(b, uint64(l.Firm))
 	}
 	b = m.Counts.append(b)
 	b = m.OtherCells.append(b)
@@ -238,7 +239,7 @@
 	m.Endpoints.Loads = make(map[placement.Key]placement.Load)
 	for range d.listLength(6) {
 		key := placement.Key(d.uint32())
-		m.Endpoints.Loads[key] = placement.Load{Online: d.uvarint(), Batch: d.uvarint()}
+		m.Endpoints.Loads[key] = placement.Load{Online: d.uvarint(), Batch: d.uvarint(), Firm: d.uvarint()}
 	}
 	m.Counts = d.counts()
 	m.OtherCells = d.counts()
--- a/placement/batch.go
+++ b/placement/batch.go
@@ -1,21 +1,23 @@
 package placement
 
-import (
-	"cmp"
-	"slices"
-	"time"
-)
+import "time"
 
 // PlaceBatch reserves a slot for a batch item at an endpoint that has more than
-// reservedSlots free, or returns nil if there is none. preempt is called without locks
+// reservedSlots free, or returns nil if there is none, if it is another entry's turn to take
+// them or if the item is to wait for a trough of the online load. preempt is called without locks
 // when the slot is needed for an online request; it must not block.
 func (t *Table) PlaceBatch(now time.Duration, req Request, preempt func()) *Grant {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.observeLoad(now)
+	if !t.itemMayStart(now, req) {
+		return nil
+	}
 	var best *endpoint
 	var highest float64
 	group := t.group(req.Deployment)
 	includeFailing := group.tooManyFailing()
+	scarce := t.scarce(group.preferred())
 	// The limits that endpoints name are left to online requests while others have none.
 	includeLimited := allLimited(group.preferred())
 	for _, e := range group.preferred() {
@@ -26,7 +28,7 @@
 			continue
 		}
 		free := e.Slots - reservedSlots - e.online() - e.batch()
-		if free <= 0 {
+		if free <= 0 || scarce && !t.mayTakeFree(e, now, free) {
 			continue
 		}
 		score := float64(free) / group.slowness(e)
@@ -41,22 +43,24 @@
 	if best == nil {
 		return nil
 	}
-	return t.newGrant(best, Batch, now, preempt)
+	grant := t.newGrant(best, Batch, now, preempt)
+	grant.item, grant.knownAtStart = req.Item, t.known(req.Deployment)
+	return grant
 }
 
 // PreemptBatch preempts batch items of this entry at endpoints that have more requests
-// than slots. Entries with the same counts agree without further messages on how many
-// items each preempts: the entry with the most items at an endpoint preempts the first.
+// than slots, or in the rise of a wave fewer free slots than peakHeadroom. Entries with the same counts agree without further messages on how many
+// items each preempts: the entry with the most items at an endpoint that are not firm preempts the first.
 func (t *Table) PreemptBatch() {
 	var callbacks []func()
 	t.mu.Lock()
-	for _, e := range t.endpoints {
+	for _, e := range t.ordered {
 		for range t.preemptionsDue(e) {
-			g := e.newestGrant()
+			g := t.nextPreempted(e)
 			if g == nil {
 				break
 			}
-			g.preempting = true
+			g.preempting, g.knownAtPreemption = true, t.known(e.Deployment)
 			callbacks = append(callbacks, g.preempt)
 		}
 	}
@@ -65,59 +69,3 @@
 		preempt()
 	}
 }
-
-// entryItems is the number of batch items of an entry at an endpoint.
-type entryItems struct {
-	id    string
-	items int
-}
-
-// preemptionsDue returns how many more of this entry's batch items at e must be
-// preempted.
-func (t *Table) preemptionsDue(e *endpoint) int {
-	excess := e.online() + e.batch() - e.Slots
-	if excess <= 0 || e.local.Batch == 0 {
-		return 0
-	}
-	counts := []entryItems{{id: t.self, items: e.local.Batch}}
-	for id, r := range t.peers {
-		if n := r.Loads[e.key].Batch; n > 0 {
-			counts = append(counts, entryItems{id: id, items: n})
-		}
-	}
-	slices.SortFunc(counts, func(a, b entryItems) int { return cmp.Compare(a.id, b.id) })
-	due := 0
-	for range min(excess, e.batch()) {
-		largest := 0
-		for i, c := range counts {
-			if c.items > counts[largest].items {
-				largest = i
-			}
-		}
-		counts[largest].items--
-		if counts[largest].id == t.self {
-			due++
-		}
-	}
-	for g := range e.grants {
-		if g.preempting {
-			due--
-		}
-	}
-	return due
-}
-
-// newestGrant returns the latest batch grant at e that is not preempted yet, or nil if
-// there is none.
-func (e *endpoint) newestGrant() *Grant {
-	var newest *Grant
-	for g := range e.grants {
-		if g.preempting {
-			continue
-		}
-		if newest == nil || g.start > newest.start {
-			newest = g
-		}
-	}
-	return newest
-}
--- a/placement/grant.go
+++ b/placement/grant.go
@@ -12,6 +12,9 @@
 	start      time.Duration // clock at the grant
 	preempt    func()        // nil for online requests
 	preempting bool          // preempt was called or is about to be
+	item       ItemTimes     // at the grant
+
+	knownAtStart, knownAtPreemption Known // of batch items
 }
 
 // newGrant adds a request to this entry's load at e and returns its grant.
@@ -52,6 +55,7 @@
 	t, e := g.table, g.state
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	defer t.observeLoad(now)
 	if g.Kind == Online {
 		e.local.Online--
 	} else {
--- a/placement/limit.go
+++ b/placement/limit.go
@@ -67,6 +67,7 @@
 	defer t.mu.Unlock()
 	t.entries = names
 	for _, e := range t.endpoints {
+		e.rank = t.entriesAhead(e)
 		if e.limit != nil {
 			t.shareLimit(e)
 		}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -54,6 +54,7 @@
 type Load struct {
 	Online int
 	Batch  int
+	Firm   int // of Batch: items that are preempted last
 }
 
 // Kind is the kind of work: an online request or a batch item.
@@ -130,6 +131,7 @@
 	fullUntil           time.Duration       // until then it counts as full
 	replaced            bool                // another incarnation runs at its address
 	limit               *requestLimit       // nil: it names none
+	rank                int                 // position of this entry in the order of entries at e
 	leaving             bool                // it has said in a response that it is leaving
 }
 
@@ -159,12 +161,15 @@
 	random         *rand.Rand
 	entries        []string // names of the entries that use the same endpoints, this entry included
 	endpoints      map[Key]*endpoint
+	ordered        []*endpoint           // the same, as listed
 	leaving        map[Key]time.Duration // endpoints that have said that they are leaving, and the time of the last notice
 	groups         map[string]*group     // by deployment
 	peers          map[string]Report
-	serviceTime    time.Duration // moving average of the time of an online request at an endpoint
-	recentRequests float64       // online requests at this entry, as a sum that decays with the time constant reportLag
-	lastRequestAt  time.Duration // clock at the last online request
+	serviceTime    time.Duration    // moving average of the time of an online request at an endpoint
+	recentRequests float64          // online requests at this entry, as a sum that decays with the time constant reportLag
+	lastRequestAt  time.Duration    // clock at the last online request
+	clock          time.Duration    // newest time that a caller gave
+	waves          map[string]*wave // by deployment
 }
 
 // NewTable returns an empty table of the entry self in dataCentre. onChange, which may
@@ -180,6 +185,7 @@
 		leaving:     make(map[Key]time.Duration),
 		groups:      make(map[string]*group),
 		peers:       make(map[string]Report),
+		waves:       make(map[string]*wave),
 		serviceTime: initialServiceTime,
 	}
 }
@@ -191,17 +197,20 @@
 	defer t.mu.Unlock()
 	known := t.endpoints
 	t.endpoints = make(map[Key]*endpoint, len(list))
+	t.ordered = make([]*endpoint, 0, len(list))
 	t.groups = make(map[string]*group)
 	for _, item := range list {
 		key := item.Key()
 		e := known[key]
 		if e == nil {
 			e = &endpoint{key: key, grants: make(map[*Grant]struct{})}
+			e.rank = t.entriesAhead(e)
 		}
 		e.Endpoint = item
 		_, e.leaving = t.leaving[key]
 		e.peers, e.failingReports = Load{}, 0
 		t.endpoints[key] = e
+		t.ordered = append(t.ordered, e)
 		t.group(item.Deployment).add(e)
 	}
 	for _, r := range t.peers {
@@ -228,6 +237,7 @@
 	Avoid      map[Key]bool  // endpoints that were already tried for it
 	MaxWait    time.Duration // longest wait for its start that is useful to the caller
 	AtMostOnce bool          // it must not be repeated after a failure
+	Item       ItemTimes     // of a batch item
 }
 
 // versionAllows reports whether e may continue the response as far as its software goes:
@@ -263,6 +273,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.recordRequest(now)
+	t.observeLoad(now)
 	best, wait := t.selectEndpoint(now, req)
 	if best == nil {
 		return nil, t.refuseAll(now, req)
--- a/placement/report.go
+++ b/placement/report.go
@@ -40,6 +40,7 @@
 		if e := t.endpoints[key]; e != nil {
 			e.peers.Online += sign * l.Online
 			e.peers.Batch += sign * l.Batch
+			e.peers.Firm += sign * l.Firm
 		}
 	}
 }
@@ -51,7 +52,9 @@
 	loads := make(map[Key]Load)
 	for key, e := range t.endpoints {
 		if e.local != (Load{}) {
-			loads[key] = e.local
+			load := e.local
+			load.Firm = t.firmItems(e)
+			loads[key] = load
 		}
 	}
 	return loads
