--- a/batch/start.go
+++ b/batch/start.go
@@ -28,6 +28,7 @@
 		Deployment: route.Deployment,
 		Avoid:      it.avoid.avoidSet(r.Clock()),
 		Homes:      snapshot.Homes(route, it.job.Customer),
+		Item:       it.times,
 	}
 	if it.origin.Deployment == route.Deployment {
 		request.Version = it.origin.Version
@@ -50,6 +51,7 @@
 	it.phase = phaseRunning
 	it.cancel = cancel
 	r.mu.Unlock()
+	r.recordStart(it, grant)
 	go r.runItem(itemCtx, cancel, it, route, grant)
 	return true
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -41,6 +41,7 @@
 	g.table.SetPeer(name, r.Endpoints)
 	g.table.AdoptRamps(g.Clock(), r.Endpoints.Ramps)
 	g.ownCellCounts.Add(g.countAdmissions(name, incarnation, r, r.Counts))
+	g.table.Observe(g.Clock())
 	g.table.PreemptBatch()
 	g.jobs.Wake()
 }
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -104,8 +104,8 @@
 // are rejected. Those that report ramps of endpoints have a version of their own, so that
 // entries of earlier releases, which cannot read them, lose contact only while there are any.
 const (
-	formatVersion      = 7
-	formatVersionRamps = 8
+	formatVersion      = 8
+	formatVersionRamps = 9
 )
 
 // datagramTimeUnit is the resolution of times in datagrams, which are rounded down.
@@ -137,6 +137,7 @@
 		b = binary.BigEndian.AppendUint32(b, uint32(key))
 		b = binary.AppendUvarint(b, uint64(l.Online))
 		b = binary.AppendUvarint(b, uint64(l.Batch))
+		b = binary.AppendUvarint(b, uint64(l.Firm))
 	}
 	b = m.Counts.append(b)
 	b = m.OtherCells.append(b)
@@ -245,7 +246,7 @@
 	m.Endpoints.Loads = make(map[placement.Key]placement.Load)
 	for range d.listLength(6) {
 		key := placement.Key(d.uint32())
-		m.Endpoints.Loads[key] = placement.Load{Online: d.uvarint(), Batch: d.uvarint()}
+		m.Endpoints.Loads[key] = placement.Load{Online: d.uvarint(), Batch: d.uvarint(), Firm: d.uvarint()}
 	}
 	m.Counts = d.counts()
 	m.OtherCells = d.counts()
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -55,6 +55,7 @@
 type Load struct {
 	Online int
 	Batch  int
+	Firm   int // of Batch: items that are preempted last
 }
 
 // Kind is the kind of work: an online request or a batch item.
@@ -131,6 +132,7 @@
 	fullUntil           time.Duration       // until then it counts as full
 	replaced            bool                // another incarnation runs at its address
 	limit               *requestLimit       // nil: it names none
+	rank                int                 // position of this entry in the order of entries at e
 	leaving             bool                // it has said in a response that it is leaving
 	coldStated          *coldStatement      // of its registration; nil: none
 	cold                *coldState          // nil: its deployment has no cold rate
@@ -166,6 +168,7 @@
 	random         *rand.Rand
 	entries        []string // names of the entries that use the same endpoints, this entry included
 	endpoints      map[Key]*endpoint
+	ordered        []*endpoint           // the same, as listed
 	leaving        map[Key]time.Duration // endpoints that have said that they are leaving, and the time of the last notice
 	groups         map[string]*group     // by deployment
 	peers          map[string]Report
@@ -180,6 +183,8 @@
 	listed         bool             // SetEndpoints was called
 	started        []*endpoint      // endpoints that have started and whose ramps have not begun
 	responseTime   time.Duration    // moving average of the time to the response header of online requests, without ramps
+	clock          time.Duration    // newest time that a caller gave
+	waves          map[string]*wave // by deployment
 }
 
 // NewTable returns an empty table of the entry self in dataCentre. onChange, which may
@@ -195,6 +200,7 @@
 		leaving:     make(map[Key]time.Duration),
 		groups:      make(map[string]*group),
 		peers:       make(map[string]Report),
+		waves:       make(map[string]*wave),
 		serviceTime: initialServiceTime,
 	}
 }
@@ -207,6 +213,7 @@
 	known := t.endpoints
 	t.endpoints = make(map[Key]*endpoint, len(list))
 	t.evacuations = false
+	t.ordered = make([]*endpoint, 0, len(list))
 	t.groups = make(map[string]*group)
 	for _, item := range list {
 		key := item.Key()
@@ -219,6 +226,7 @@
 		e.peers, e.failingReports = Load{}, 0
 		t.locate(e)
 		t.endpoints[key] = e
+		t.ordered = append(t.ordered, e)
 		t.group(item.Deployment).add(e)
 		t.setUpCold(e)
 	}
@@ -233,6 +241,7 @@
 // list may have run for long.
 func (t *Table) newEndpoint(key Key) *endpoint {
 	e := &endpoint{key: key, grants: make(map[*Grant]struct{})}
+	e.rank = t.entriesAhead(e)
 	if t.listed {
 		t.started = append(t.started, e)
 	}
@@ -261,6 +270,7 @@
 	Avoid      map[Key]bool  // endpoints that were already tried for it
 	MaxWait    time.Duration // longest wait for its start that is useful to the caller
 	AtMostOnce bool          // it must not be repeated after a failure
+	Item       ItemTimes     // of a batch item
 	// Homes are the regions of its route and of its customer. Each list binds on its own.
 	Homes []locality.Homes
 
@@ -302,6 +312,7 @@
 	defer t.mu.Unlock()
 	t.recordRequest(now)
 	t.beginRamps(now)
+	t.observeLoad(now)
 	for {
 		best, wait := t.selectEndpoint(now, req)
 		if best == nil {
