gateway: a 429 names when a token is due, and the log says why it was refused

Cause: all callers that an entry refused at the same time were told the time of the next token, came back together and were refused again; the line of a refusal held level and share only as text.

Ruled out: holding a token for the caller that was told its time, as a request does not say that it comes again; a longer wait in Decision.Wait, which other uses of the type read.

Change: Retry-After comes from quota.Table.QueueRefused. One line `customer over its rate` for each such refusal holds level, share, part, reserve and the age of the reports; relay_rate_refusals_total counts them by whether tokens were left.

--- a/gateway/filters.go
+++ b/gateway/filters.go
@@ -187,7 +187,9 @@
 		if !decision.Admitted {
 			message := fmt.Sprintf("the customer's rate of %g a second with a burst of %g is used up: %.2f left, of a share of %.2f",
 				decision.Limit.Rate, decision.Limit.Burst, decision.Level, decision.Share)
-			return notRunError(http.StatusTooManyRequests, api.CodeRateLimited, message, max(decision.Wait, minRetryAfter))
+			wait := max(g.limits.QueueRefused(g.Clock(), c.Customer), minRetryAfter)
+			g.rateRefused(c, decision, wait)
+			return notRunError(http.StatusTooManyRequests, api.CodeRateLimited, message, wait)
 		}
 		err := next(ctx, c)
 		if err != nil && err.Outcome == api.NotRun {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -109,6 +109,7 @@
 	listed            *origin.History
 	confirming        chan struct{} // holds one value while confirmEndpoints reads
 	resumed           *prometheus.CounterVec
+	rateRefusals      *prometheus.CounterVec
 	originsInherited  atomic.Bool // the history of versions that others have stored was inherited, or can't be
 	fetcher           configFetcher
 
@@ -149,6 +150,7 @@
 		listed:        origin.NewHistory(d.Clock),
 		confirming:    make(chan struct{}, 1),
 		resumed:       newResumedCounter(d.Registry),
+		rateRefusals:  newRateRefusals(d.Registry),
 
 		ownCellCounts:   quota.NewTally(),
 		otherCellCounts: quota.NewTally(),
