quota: a restart of a source is not taken for its silence

Found by reading the change: the first report of an entry that had restarted was charged as if the entry had been silent since the clock's zero, nearly not at all; Wait could be negative for a request refused by the division of tokens. Ruled out: measuring the silence from the last report before the restart, as the counts since then are recent. Fix: counts of a new incarnation are charged in full, as before; Wait is at least 0. Test: TestSources_RestartIsNoSilence.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -228,7 +228,7 @@
 	d := Decision{Admitted: t.admits(now, key, b, l, available), Level: b.level, Share: share, Limit: l}
 	if !d.Admitted {
 		b.minToleranceUntil = now + t.tolerance.Window
-		d.Wait = time.Duration((1 - available) / (l.Rate * share) * float64(time.Second))
+		d.Wait = time.Duration(max(0, 1-available) / (l.Rate * share) * float64(time.Second))
 		d.Reserve, d.Part, d.Age = b.level-available, t.part(now, b), t.sources.age(now)
 		return d
 	}
--- a/quota/sources.go
+++ b/quota/sources.go
@@ -21,18 +21,20 @@
 // grown since its last report; the value is negative for counts that have shrunk. The
 // counts of a source that is unknown begin at zero if r.FromZero is set, else at its
 // first report; a count that its first reports leave out begins when it is reported. The
-// counts of an entry that has restarted begin at zero.
+// counts of an entry that has restarted begin at zero. silence is the time since the last
+// report of the same incarnation; 0 if there is none.
 func (s sources) update(now time.Duration, name string, incarnation uint64, counts map[Key]Count, r Report) (increase map[Key]int32, silence time.Duration) {
 	previous, known := s[name]
 	if !known {
 		previous = source{incarnation: incarnation, counts: make(map[Key]Count), complete: r.FromZero}
 	}
-	if previous.incarnation != incarnation {
-		previous = source{incarnation: incarnation, counts: make(map[Key]Count), complete: true}
-	}
 	if known {
 		silence = now - previous.at
 	}
+	if previous.incarnation != incarnation {
+		silence = 0 // all was admitted since the restart
+		previous = source{incarnation: incarnation, counts: make(map[Key]Count), complete: true}
+	}
 	increase = make(map[Key]int32)
 	for key, count := range counts {
 		before, counted := previous.counts[key]
--- a/quota/sources_test.go
+++ b/quota/sources_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 )
@@ -23,3 +24,16 @@
 	g.Expect(update(1, map[Key]Count{c: 41, d: 2}, Report{})).To(gomega.Equal(map[Key]int32{c: 1, d: 2}), "a customer that a full report left out begins at zero")
 	g.Expect(update(2, map[Key]Count{a: 4}, Report{})).To(gomega.Equal(map[Key]int32{a: 4}), "after a restart")
 }
+
+// The first report after a restart is charged in full: all that it holds was admitted
+// lately, however long the source was silent.
+func TestSources_RestartIsNoSilence(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := make(sources)
+	s.update(time.Minute, "x", 1, nil, Report{Full: true})
+	_, silence := s.update(time.Minute+8*time.Second, "x", 1, nil, Report{Full: true})
+	g.Expect(silence).To(gomega.Equal(8 * time.Second))
+	increase, silence := s.update(2*time.Minute, "x", 2, map[Key]Count{KeyOf("a"): 4}, Report{})
+	g.Expect(increase).To(gomega.HaveKeyWithValue(KeyOf("a"), int32(4)))
+	g.Expect(silence).To(gomega.BeZero())
+}
