sidecar: probes of a cold endpoint do not use up its rate

Cause: entries probe an endpoint at which requests wait for more than a second. At a cold rate of 0.5 a second these probes and the polls took every token: of 40 s of requests 1 was answered where the rate admits 20, and an endpoint that was lost could stay so.

Ruled out: probes that wait for their token, as entries wait 500 ms for them and take the sidecar for lost; a share of the rate for health checks, which is lost while there are none.

Change: while a cold endpoint is not lost only polls send health checks, once a second or once in ten requests, and probes get what the last one found. While it is lost, probes and requests wait up to 250 ms for a token, polls as long as it takes. The counter of refusals by locality has its series from the start.

--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"dandelionrelay/locality"
+)
 
 // metrics holds the counters of a Dispatcher.
 type metrics struct {
@@ -27,6 +31,9 @@
 		Namespace: "relay", Subsystem: "dispatch", Name: "locality_refusals_total",
 		Help: "Calls refused as no data centre may run them, by reason: evacuated, outside_homes.",
 	}, []string{"reason"})
+	for _, v := range []locality.Verdict{locality.Evacuated, locality.OutsideHomes} {
+		localityRefusals.WithLabelValues(v.String())
+	}
 	if r != nil {
 		r.MustRegister(localityRefusals)
 	}
--- a/lane/cold.go
+++ b/lane/cold.go
@@ -71,11 +71,15 @@
 func (q *Queue) Cold(now time.Time) bool { return q.cold.active(now) }
 
 // ReserveStart takes the next token for a request that is not in the queue, such as a
-// health check, and returns how long to wait for it.
-func (q *Queue) ReserveStart(now time.Time) time.Duration {
+// health check, and returns how long to wait for it. It takes none and returns false if
+// that is longer than most.
+func (q *Queue) ReserveStart(now time.Time, most time.Duration) (wait time.Duration, ok bool) {
 	at := q.cold.due(now)
+	if wait = at.Sub(now); wait > most {
+		return wait, false
+	}
 	q.cold.started(at)
-	return at.Sub(now)
+	return wait, true
 }
 
 // ColdWait returns how long a new online request waits for its token, once those that
--- a/lane/cold_test.go
+++ b/lane/cold_test.go
@@ -70,7 +70,9 @@
 		for n := 0; q.now.Before(at(9_000)); n++ {
 			switch random.IntN(20) {
 			case 0:
-				q.starts = append(q.starts, q.now.Add(q.ReserveStart(q.now)))
+				if wait, ok := q.ReserveStart(q.now, 50*time.Millisecond); ok {
+					q.starts = append(q.starts, q.now.Add(wait))
+				}
 			case 1:
 				q.now = q.now.Add(time.Duration(random.IntN(800)) * time.Millisecond) // no Tick meanwhile
 			case 2, 3:
--- a/sidecar/cold.go
+++ b/sidecar/cold.go
@@ -5,15 +5,22 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dandelionrelay/api"
 	"dandelionrelay/config"
+	"dandelionrelay/sleep"
 )
 
-// coldPollInterval is the time between two health checks of an endpoint that can be cold.
-// They find out that it has started again while nothing was sent to it.
-const coldPollInterval = time.Second
+// Polls are health checks of an endpoint that can be cold. They find out that it has
+// started again while nothing was sent to it, or that it has returned.
+const (
+	coldPollInterval = time.Second // shortest time between two polls
+	// coldPollShare is the number of requests that the rate admits for each poll of an
+	// endpoint that is not lost. At 0.5 requests a second a poll each second takes all tokens.
+	coldPollShare = 10
+)
 
 // coldMargin is added to the time for which an endpoint says that it remains cold, which
 // is rounded and passes on the way. The requests that wait start together when the limit
@@ -105,6 +112,7 @@
 	if !ok || !d.HasColdRate() {
 		return
 	}
+	s.sharedCheck.err.Store(nil)
 	if statement := h.Get(api.HeaderCold); !s.cold.observe(time.Now(), statement, d) {
 		s.metrics.badColdStatements.Inc()
 		s.deps.Logger.Warn().Str("value", statement).Str("header", api.HeaderCold).
@@ -127,44 +135,83 @@
 type sharedCheck struct {
 	busy  chan struct{} // holds a value while a check waits or runs
 	began time.Time
-	err   *api.Error
+	err   atomic.Pointer[api.Error] // nil also after a later response of the endpoint
 }
 
-// checkColdHealth is checkHealth for a cold endpoint: it waits for a token.
+// maxHealthWait bounds the wait of a health check for its token, within the time for which
+// entries wait for a probe. Polls wait longer.
+const maxHealthWait = 250 * time.Millisecond
+
+// checkColdHealth is checkHealth for a cold endpoint. While the endpoint is not lost, it
+// returns what the last poll found: entries probe an endpoint where requests wait for
+// tokens, and at a low rate these probes would take all of them.
 func (s *Sidecar) checkColdHealth(ctx context.Context) *api.Error {
+	if !s.health.lost.Load() {
+		return s.sharedCheck.err.Load()
+	}
+	return s.checkWithToken(ctx, maxHealthWait)
+}
+
+// checkWithToken sends a health check to a cold endpoint if there is a token for it within
+// most, and otherwise returns what the last check found.
+func (s *Sidecar) checkWithToken(ctx context.Context, most time.Duration) *api.Error {
 	asked := time.Now()
-	s.sharedCheck.busy <- struct{}{}
-	defer func() { <-s.sharedCheck.busy }()
+	timeout := time.NewTimer(most)
+	defer timeout.Stop()
+	select {
+	case s.sharedCheck.busy <- struct{}{}:
+		defer func() { <-s.sharedCheck.busy }()
+	case <-timeout.C:
+		return s.lastHealth()
+	}
 	if s.sharedCheck.began.After(asked) {
-		return s.sharedCheck.err
+		return s.sharedCheck.err.Load()
+	}
+	wait, ok := s.scheduler.reserveStart(time.Now(), most)
+	if !ok || !sleep.For(ctx, wait) {
+		return s.lastHealth()
 	}
-	time.Sleep(s.scheduler.reserveStart(time.Now()))
 	s.sharedCheck.began = time.Now()
-	s.sharedCheck.err = s.sendHealthCheck(context.WithoutCancel(ctx))
-	return s.sharedCheck.err
+	e := s.sendHealthCheck(context.WithoutCancel(ctx))
+	s.sharedCheck.err.Store(e)
+	return e
+}
+
+// lastHealth returns an error if the endpoint was lost and has not responded since, or if
+// the last check failed.
+func (s *Sidecar) lastHealth() *api.Error {
+	if s.health.lost.Load() {
+		return api.NewError(http.StatusBadGateway, api.CodeEndpointLost, "the endpoint was lost")
+	}
+	return s.sharedCheck.err.Load()
 }
 
 // watchCold polls an endpoint that can be cold until ctx ends.
 func (s *Sidecar) watchCold(ctx context.Context) {
-	tick := time.NewTicker(coldPollInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			return
-		}
+	for wait := coldPollInterval; sleep.For(ctx, wait); {
+		wait = coldPollInterval
 		d, ok := s.deployment()
 		if !ok || !d.HasColdRate() {
 			continue
 		}
-		if s.health.lost.Load() {
-			s.endpointHealthy(ctx)
-			continue
-		}
-		if e := s.checkHealth(ctx); e != nil && e.Code == api.CodeEndpointLost {
-			s.health.lost.Store(true)
+		lost := s.health.lost.Load()
+		e := s.pollHealth(ctx)
+		switch {
+		case e == nil && lost:
+			s.health.lost.Store(false)
+		case e == nil:
+			wait = max(coldPollInterval, time.Duration(coldPollShare/d.ColdRate*float64(time.Second)))
+		case e.Code == api.CodeEndpointLost && s.health.lost.CompareAndSwap(false, true):
 			s.recordRestart()
 		}
 	}
 }
+
+// pollHealth is checkHealth that waits for a token of a cold endpoint as long as that takes,
+// so that an endpoint that was lost is found again whatever its rate.
+func (s *Sidecar) pollHealth(ctx context.Context) *api.Error {
+	if s.scheduler.isCold(time.Now()) {
+		return s.checkWithToken(ctx, time.Hour)
+	}
+	return s.sendHealthCheck(ctx)
+}
--- a/sidecar/cold_test.go
+++ b/sidecar/cold_test.go
@@ -171,6 +171,50 @@
 	})
 }
 
+// Guards against an endpoint with a low rate that is never found again, as the requests
+// that wait for it take all tokens, and against probes that wait for a token until they
+// time out, which has entries take the sidecar for lost.
+func TestSidecar_LostEndpointWithLowRateIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		endpoint := &statingEndpoint{}
+		d := coldDeployment(10 * time.Minute)
+		d.ColdRate = 0.5
+		f := newFixture(t, endpoint, d, withBatch(newFakeOwner()))
+		f.runBatch()
+		f.net.SetRefusing(endpointAddr, true)
+		time.Sleep(5 * time.Second)
+		f.net.SetRefusing(endpointAddr, false)
+		served := func() int64 { return f.lowRateLoad(g, 40*time.Second) }
+		g.Expect(served()).To(gomega.BeNumerically(">=", 15), "of 20 that the rate admits")
+		endpoint.requests.Store(0)
+		g.Expect(served()).To(gomega.BeNumerically(">=", 16))
+		g.Expect(endpoint.requests.Load()).To(gomega.BeNumerically("<=", 21), "40 s at one request in 2 s")
+	})
+}
+
+// lowRateLoad sends a probe and a request every 100 ms for d and returns the number of
+// requests that were answered.
+func (f *fixture) lowRateLoad(g *gomega.WithT, d time.Duration) int64 {
+	var wg sync.WaitGroup
+	var done atomic.Int64
+	for began := time.Now(); time.Since(began) < d; time.Sleep(100 * time.Millisecond) {
+		id := fmt.Sprint(time.Now().UnixNano())
+		wg.Go(func() {
+			sent := time.Now()
+			f.result(f.t.Context(), call{id: "p" + id, method: http.MethodGet, path: sidecar.ProbePath})
+			g.Expect(time.Since(sent)).To(gomega.BeNumerically("<", 500*time.Millisecond))
+		})
+		wg.Go(func() {
+			if f.result(f.t.Context(), call{id: "f" + id, body: chat("hello", 2)}).status == http.StatusOK {
+				done.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	return done.Load()
+}
+
 // Guards against limits, polls and waits at endpoints whose deployment has no cold rate.
 func TestSidecar_WithoutColdRateNothingIsLimited(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/sidecar/scheduler.go
+++ b/sidecar/scheduler.go
@@ -209,11 +209,11 @@
 }
 
 // reserveStart takes the next token of a cold endpoint and returns the time until it is
-// due.
-func (s *scheduler) reserveStart(now time.Time) time.Duration {
+// due, or false if that is longer than most.
+func (s *scheduler) reserveStart(now time.Time, most time.Duration) (time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.queue.ReserveStart(now)
+	return s.queue.ReserveStart(now, most)
 }
 
 // apply starts, preempts and refuses requests and items according to d. The
