--- a/placement/batch.go
+++ b/placement/batch.go
@@ -13,15 +13,26 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.beginRamps(now)
-	// Cold endpoints are left to online requests while others are listed.
+	best := t.chooseForBatch(now, t.batchRequest(now, req), t.takeColdToken)
+	if best == nil {
+		return nil
+	}
+	return t.newGrant(best, Batch, now, preempt)
+}
+
+// batchRequest returns the request of a batch item. Cold endpoints are left to online
+// requests while others are listed.
+func (t *Table) batchRequest(now time.Duration, req Request) Request {
 	req.warmOnly = !allCold(now, t.group(req.Deployment).preferred(), req)
+	return req
+}
+
+// chooseForBatch returns the endpoint for a batch item, or nil if there is none; see choose.
+func (t *Table) chooseForBatch(now time.Duration, req Request, takeToken func(time.Duration, *endpoint) bool) *endpoint {
 	for {
 		best := t.selectForBatch(now, req)
-		if best == nil {
-			return nil
-		}
-		if t.takeColdToken(now, best) {
-			return t.newGrant(best, Batch, now, preempt)
+		if best == nil || takeToken(now, best) {
+			return best
 		}
 	}
 }
@@ -42,15 +53,10 @@
 		if !e.eligible(now, req) || now < e.suspendedUntil || now < e.fullUntil || !includeFailing && e.excluded(req) || !t.withinRamp(e, now) {
 			continue
 		}
-		free := e.Slots - reservedSlots - e.online() - e.batch()
-		if free <= 0 || foreign && !t.takesForeignItem(e) {
+		if e.freeForBatch() <= 0 || foreign && !t.takesForeignItem(e) {
 			continue
 		}
-		score := float64(free) / group.slowness(e)
-		if e.DataCentre == t.dataCentre {
-			score++
-		}
-		score += t.random.Float64()
+		score := t.batchScore(e, group.slowness(e)) + t.random.Float64()
 		if best == nil || score > highest {
 			best, highest = e, score
 		}
@@ -58,6 +64,18 @@
 	return best
 }
 
+// freeForBatch returns the slots of e that batch items may take.
+func (e *endpoint) freeForBatch() int { return e.Slots - reservedSlots - e.online() - e.batch() }
+
+// batchScore returns how well e suits a batch item, without the random part.
+func (t *Table) batchScore(e *endpoint, slowness float64) float64 {
+	score := float64(e.freeForBatch()) / slowness
+	if e.DataCentre == t.dataCentre {
+		score++
+	}
+	return score
+}
+
 // PreemptBatch preempts batch items of this entry at endpoints that have more requests
 // than slots. Entries with the same counts agree without further messages on how many
 // items each preempts: the entry with the most items at an endpoint preempts the first.
--- a/placement/cold.go
+++ b/placement/cold.go
@@ -112,6 +112,11 @@
 	return max(c.part.wait(now), c.refusedUntil-now)
 }
 
+// refuse records that the shared rate has no token before the given wait.
+func (c *coldState) refuse(now, wait time.Duration) {
+	c.refusedUntil = now + min(max(wait, minColdWait), maxColdWait)
+}
+
 // allows reports whether this entry may send a request to the endpoint as far as it is cold.
 func (c *coldState) allows(now time.Duration, req Request) bool {
 	return c.wait(now) == 0 && !(req.warmOnly && c.active(now))
@@ -141,7 +146,7 @@
 	}
 	t.updateColdLimits(now)
 	if d := t.cold.quota.Admit(now, c.name); !d.Admitted {
-		c.refusedUntil = now + min(max(d.Wait, minColdWait), maxColdWait)
+		c.refuse(now, d.Wait)
 		t.cold.stats.Refused++
 		return false
 	}
--- a/placement/cold_state.go
+++ b/placement/cold_state.go
@@ -72,13 +72,18 @@
 	limits := make(map[string]quota.Limit)
 	for _, e := range t.endpoints {
 		if e.cold != nil {
-			burst, _ := t.cold.tolerance.parts(e.cold.rate.Rate)
-			limits[e.cold.name] = quota.Limit{Rate: e.cold.rate.Rate, Burst: burst}
+			limits[e.cold.name] = t.coldLimit(e.cold)
 		}
 	}
 	t.cold.quota.SetLimits(now, limits)
 }
 
+// coldLimit returns the limit of an endpoint in the shared rates.
+func (t *Table) coldLimit(c *coldState) quota.Limit {
+	burst, _ := t.cold.tolerance.parts(c.rate.Rate)
+	return quota.Limit{Rate: c.rate.Rate, Burst: burst}
+}
+
 // SetColdShare sets the share of the shared rates that this entry may use. An entry without
 // contact to others uses the part of one user of an endpoint.
 func (t *Table) SetColdShare(s quota.Share) {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -302,6 +302,16 @@
 	defer t.mu.Unlock()
 	t.recordRequest(now)
 	t.beginRamps(now)
+	best, refusal := t.choose(now, req, t.takeColdToken)
+	if refusal != nil {
+		return nil, refusal
+	}
+	return t.newGrant(best, Online, now, nil), nil
+}
+
+// choose returns the endpoint for an online request, or the refusal of the request. takeToken
+// takes a token for a request to an endpoint that is cold, and returns false if there is none.
+func (t *Table) choose(now time.Duration, req Request, takeToken func(time.Duration, *endpoint) bool) (*endpoint, *Refusal) {
 	for {
 		best, wait := t.selectEndpoint(now, req)
 		if best == nil {
@@ -310,8 +320,8 @@
 		if refusal := t.refuseLate(now, req, best, wait); refusal != nil {
 			return nil, refusal
 		}
-		if t.takeColdToken(now, best) {
-			return t.newGrant(best, Online, now, nil), nil
+		if takeToken(now, best) {
+			return best, nil
 		}
 	}
 }
--- a/placement/wait.go
+++ b/placement/wait.go
@@ -93,12 +93,7 @@
 		}
 		w := t.estimateWait(e, now, group.slowness(e))
 		cost := w + time.Duration(t.random.Int64N(int64(costJitter)))
-		if e.DataCentre != t.dataCentre {
-			cost += crossDataCentrePenalty
-		}
-		if !t.withinRamp(e, now) {
-			cost += rampPenalty
-		}
+		cost += t.penalty(now, e)
 		if best == nil || cost < lowest {
 			best, lowest, wait = e, cost, w
 		}
@@ -106,6 +101,18 @@
 	return best, wait
 }
 
+// penalty returns what is added to the expected wait at e.
+func (t *Table) penalty(now time.Duration, e *endpoint) time.Duration {
+	var p time.Duration
+	if e.DataCentre != t.dataCentre {
+		p += crossDataCentrePenalty
+	}
+	if !t.withinRamp(e, now) {
+		p += rampPenalty
+	}
+	return p
+}
+
 // estimateWait estimates the time until one more online request would start at e.
 func (t *Table) estimateWait(e *endpoint, now time.Duration, slowness float64) time.Duration {
 	online := e.online()
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -207,6 +207,24 @@
 		return Decision{Admitted: true}
 	}
 	b := t.bucket(key)
+	d := t.decide(now, key, b, l)
+	if !d.Admitted {
+		if d.Share > 0 {
+			b.minToleranceUntil = now + t.tolerance.Window
+		}
+		return d
+	}
+	b.level--
+	b.localCount++
+	b.admitted.add(now, t.tolerance.Window, 1)
+	b.localRecent.add(now, 1, reportLag)
+	b.localLong.add(now, 1, usageDecay)
+	return d
+}
+
+// decide refills the bucket b of a customer with the limit l and decides on a request,
+// without a change for the request itself. The caller holds the lock.
+func (t *Table) decide(now time.Duration, key Key, b *bucket, l Limit) Decision {
 	share := t.share.at(now)
 	if share <= 0 {
 		return Decision{Wait: noShareRetryAfter, Limit: l}
@@ -215,15 +233,8 @@
 	available := b.level - b.unreported(now, t.share, (l.Burst+t.slack)*share, t.toleratedUnreported(now, b, l))
 	d := Decision{Admitted: available >= 1, Level: b.level, Share: share, Limit: l}
 	if !d.Admitted {
-		b.minToleranceUntil = now + t.tolerance.Window
 		d.Wait = time.Duration((1 - available) / (l.Rate * share) * float64(time.Second))
-		return d
 	}
-	b.level--
-	b.localCount++
-	b.admitted.add(now, t.tolerance.Window, 1)
-	b.localRecent.add(now, 1, reportLag)
-	b.localLong.add(now, 1, usageDecay)
 	return d
 }
 
