gateway, platform: operators may ask where a request would go

Cause: the explanation of placement and quota alone does not say which filter refuses, where the route leads, nor how old the entry's knowledge is.

Ruled out: running the filters themselves on a made-up call (they take tokens and end at an endpoint), and the port for callers (whose keys must not open it).

--- a/gateway/filters.go
+++ b/gateway/filters.go
@@ -12,6 +12,7 @@
 	"dandelionrelay/authn"
 	"dandelionrelay/config"
 	"dandelionrelay/pipeline"
+	"dandelionrelay/quota"
 )
 
 // Retry-After values of refusals, and the age of the configuration above which refusals
@@ -47,19 +48,26 @@
 // of the other entries, with which rate limits are shared, are loaded.
 func (g *Gateway) requireConfig(next pipeline.Handler) pipeline.Handler {
 	return func(ctx context.Context, c *pipeline.Call) *api.Error {
-		if c.Snapshot.Version == 0 || !g.members.Loaded() {
-			return notRunError(http.StatusServiceUnavailable, api.CodeConfigStale, "this entry has just started", startupRetryAfter)
+		if err := g.checkConfig(c); err != nil {
+			return err
 		}
 		return next(ctx, c)
 	}
 }
 
+func (g *Gateway) checkConfig(c *pipeline.Call) *api.Error {
+	if c.Snapshot.Version == 0 || !g.members.Loaded() {
+		return notRunError(http.StatusServiceUnavailable, api.CodeConfigStale, "this entry has just started", startupRetryAfter)
+	}
+	return nil
+}
+
 // resolveRoute is a filter that sets the route and the deployment of a call and
 // limits its deadline to the route's timeout.
 func (g *Gateway) resolveRoute(next pipeline.Handler) pipeline.Handler {
 	return func(ctx context.Context, c *pipeline.Call) *api.Error {
 		if !findRoute(c) {
-			return g.unknownError(http.StatusNotFound, api.CodeNoRoute, "no route leads there")
+			return g.unknownRoute()
 		}
 		c.Route.Deployment = g.pickDeployment(c.Route)
 		if end := c.Received.Add(time.Duration(c.Route.Timeout)); c.Deadline.IsZero() || end.Before(c.Deadline) {
@@ -69,6 +77,10 @@
 	}
 }
 
+func (g *Gateway) unknownRoute() *api.Error {
+	return g.unknownError(http.StatusNotFound, api.CodeNoRoute, "no route leads there")
+}
+
 // findRoute sets the route of a call, unless it is set. It reports whether there is
 // one.
 func findRoute(c *pipeline.Call) bool {
@@ -136,6 +148,11 @@
 			c.KeyID, c.Customer = id, key.Customer
 		}
 	}
+	return g.checkCustomer(c)
+}
+
+// checkCustomer returns the error for a call without a customer that needs one.
+func (g *Gateway) checkCustomer(c *pipeline.Call) *api.Error {
 	if c.Customer == "" && !c.Route.Open && len(c.Snapshot.State.Customers) > 0 {
 		return g.unknownError(http.StatusUnauthorized, api.CodeBadKey, "the key is missing or not known")
 	}
@@ -147,24 +164,38 @@
 // withdrawalMargin.
 func (g *Gateway) requireConfirmedKey(next pipeline.Handler) pipeline.Handler {
 	return func(ctx context.Context, c *pipeline.Call) *api.Error {
-		if !g.keyConfirmed(c) {
-			return notRunError(http.StatusServiceUnavailable, api.CodeConfigStale, "keys were not confirmed of late", g.StoreRetryAfter())
+		if err := g.checkKeyConfirmed(c); err != nil {
+			return err
 		}
 		return next(ctx, c)
 	}
 }
 
+func (g *Gateway) checkKeyConfirmed(c *pipeline.Call) *api.Error {
+	if !g.keyConfirmed(c) {
+		return notRunError(http.StatusServiceUnavailable, api.CodeConfigStale, "keys were not confirmed of late", g.StoreRetryAfter())
+	}
+	return nil
+}
+
 // requireStore is a filter that refuses calls on jobs while this entry can't read the
 // index of jobs: they would fail after the timeout of a call to the store.
 func (g *Gateway) requireStore(next pipeline.Handler) pipeline.Handler {
 	return func(ctx context.Context, c *pipeline.Call) *api.Error {
-		if g.jobsFollower.LostFor() > 0 {
-			return notRunError(http.StatusServiceUnavailable, api.CodeLogDown, "the store is out of reach", g.StoreRetryAfter())
+		if err := g.checkStore(); err != nil {
+			return err
 		}
 		return next(ctx, c)
 	}
 }
 
+func (g *Gateway) checkStore() *api.Error {
+	if g.jobsFollower.LostFor() > 0 {
+		return notRunError(http.StatusServiceUnavailable, api.CodeLogDown, "the store is out of reach", g.StoreRetryAfter())
+	}
+	return nil
+}
+
 // keyConfirmed reports whether the configuration, and with it the key of a call, was
 // confirmed within the withdrawal bound less withdrawalMargin. It is true for calls
 // without a key and if no bound is set.
@@ -186,14 +217,8 @@
 // run is refunded.
 func (g *Gateway) limitRate(next pipeline.Handler) pipeline.Handler {
 	return func(ctx context.Context, c *pipeline.Call) *api.Error {
-		decision := g.limits.Admit(g.Clock(), c.Customer)
-		if decision.Share == 0 && !decision.Admitted {
-			return notRunError(http.StatusServiceUnavailable, api.CodeConfigStale, "this entry does not know its share of the limits yet", decision.Wait)
-		}
-		if !decision.Admitted {
-			message := fmt.Sprintf("the customer's rate of %g a second with a burst of %g is used up: %.2f left, of a share of %.2f",
-				decision.Limit.Rate, decision.Limit.Burst, decision.Level, decision.Share)
-			return notRunError(http.StatusTooManyRequests, api.CodeRateLimited, message, max(decision.Wait, minRetryAfter))
+		if err := rateError(g.limits.Admit(g.Clock(), c.Customer)); err != nil {
+			return err
 		}
 		err := next(ctx, c)
 		if err != nil && err.Outcome == api.NotRun {
@@ -203,6 +228,19 @@
 	}
 }
 
+// rateError returns the error for a call that is not admitted, or nil.
+func rateError(d quota.Decision) *api.Error {
+	if d.Admitted {
+		return nil
+	}
+	if d.Share == 0 {
+		return notRunError(http.StatusServiceUnavailable, api.CodeConfigStale, "this entry does not know its share of the limits yet", d.Wait)
+	}
+	message := fmt.Sprintf("the customer's rate of %g a second with a burst of %g is used up: %.2f left, of a share of %.2f",
+		d.Limit.Rate, d.Limit.Burst, d.Level, d.Share)
+	return notRunError(http.StatusTooManyRequests, api.CodeRateLimited, message, max(d.Wait, minRetryAfter))
+}
+
 func notRunError(status int, code api.Code, message string, retryAfter time.Duration) *api.Error {
 	return api.NewError(status, code, message).WithRetryAfter(retryAfter)
 }
--- a/online/execution.go
+++ b/online/execution.go
@@ -112,7 +112,7 @@
 	if ex.mayHaveRun > 0 && quarantine.Blocked(ex.Suspects, ex.call) {
 		return nil, ex.failure()
 	}
-	maxWait := time.Duration(maxWaitShare * float64(ex.route.Goal))
+	maxWait := MaxWait(ex.route)
 	if ex.mayHaveRun > 0 {
 		// The request may have run already, so a late response is better than none.
 		maxWait = remaining
@@ -121,23 +121,8 @@
 	request.MaxWait = maxWait
 	grant, refused := ex.Table.Place(ex.Clock(), request)
 	ex.refusal = refused
-	if refused != nil && ex.mayHaveRun == 0 && refused.Locality != locality.Allowed {
-		return nil, LocalityError(refused.Locality, refused.RetryAfter)
-	}
-	if refused != nil && ex.mayHaveRun == 0 && ex.versionGone() {
-		return nil, notRunError(api.CodeVersionGone, "no endpoint of the version that began the stream is left", 0)
-	}
-	if refused != nil && ex.mayHaveRun == 0 && refused.Limited {
-		return nil, notRunError(api.CodeOverloaded, "the endpoints take no more requests yet", refused.RetryAfter)
-	}
-	if refused != nil && ex.mayHaveRun == 0 && refused.Cold {
-		return nil, notRunError(api.CodeOverloaded, "the endpoints that are left are cold and take no more requests yet", refused.RetryAfter)
-	}
-	if refused != nil && ex.mayHaveRun == 0 && refused.Endpoint == "" {
-		return nil, notRunError(api.CodeNoEndpoint, "no endpoint of the deployment takes requests", refused.RetryAfter)
-	}
 	if refused != nil && ex.mayHaveRun == 0 {
-		return nil, notRunError(api.CodeOverloaded, "no endpoint can begin the request in time", refused.RetryAfter)
+		return nil, RefusalError(refused, ex.versionGone)
 	}
 	if refused != nil {
 		return nil, ex.failure()
@@ -166,7 +151,7 @@
 	if ex.mayHaveRun > 0 {
 		return ex.failure()
 	}
-	return notRunError(api.CodeConfigStale, "the configuration is not certain to be in force", notRunRetryAfter)
+	return ConfigStaleError()
 }
 
 // failure returns the error for a request for which no further endpoint is tried.
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -38,6 +38,10 @@
 	EndpointRamp    bool            `json:"endpoint_ramp,omitempty"`                  // endpoints that start or recover begin with few concurrent requests, see docs/design/ramps.md
 	LogLevel        string          `json:"log_level,omitempty" reload:"true"`        // debug, info, warn or error; default info
 
+	// OperatorTokenDigest is the lower-case hex SHA-256 of the token with which operators ask
+	// for explanations at MetricsAddr; empty: nobody may.
+	OperatorTokenDigest string `json:"operator_token_digest,omitempty"`
+
 	Region          string           `json:"region,omitempty" reload:"true"`           // region of data_centre; default the one that regions names
 	Regions         locality.Regions `json:"regions,omitempty" reload:"true"`          // region by data centre; homes allow nothing in others
 	EvacuationBound config.Duration  `json:"evacuation_bound,omitempty" reload:"true"` // maximum time from an evacuation to the last request to its data centre; 0: no bound
@@ -78,6 +82,7 @@
 	f.notNegative("/keep_jobs", float64(g.KeepJobs))
 	f.notNegative("/gone_after", float64(g.GoneAfter))
 	f.notNegative("/evacuation_bound", float64(g.EvacuationBound))
+	f.optionalDigest("/operator_token_digest", g.OperatorTokenDigest)
 	g.checkRegions(f)
 	setDefault(&g.ContentParts, g.defaultContentParts())
 	setDefault(&g.CallBytes, DefaultCallBytes)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -3,6 +3,8 @@
 package settings
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"maps"
 	"net/netip"
@@ -158,6 +160,13 @@
 // maxHeaderValue is the largest length of a setting that is sent in a header, in bytes.
 const maxHeaderValue = 128
 
+// optionalDigest checks a hex SHA-256 digest, which may be missing.
+func (f *findings) optionalDigest(pointer, value string) {
+	if b, err := hex.DecodeString(value); err != nil || value != "" && len(b) != sha256.Size {
+		f.add(pointer, "must be the SHA-256 digest of a token in 64 hex digits")
+	}
+}
+
 func (f *findings) notNegative(pointer string, value float64) {
 	if value < 0 {
 		f.add(pointer, "must not be negative")
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -127,6 +127,22 @@
 	NewWithT(t).Expect(err).To(MatchError(And(ContainSubstring("/cold_excess"), ContainSubstring("/cold_slack"))))
 }
 
+// TestLoadGateway_OperatorTokenDigest guards against a digest, or a token in its place, that
+// no token can match.
+func TestLoadGateway_OperatorTokenDigest(t *testing.T) {
+	load := func(digest string) error {
+		_, err := settings.LoadGateway(writeSettings(t, `{"id":"e1","data_centre":"a","callers_addr":"127.0.0.1:1","ready_addr":"127.0.0.1:2",
+			"metrics_addr":"127.0.0.1:3","peers_addr":"127.0.0.1:4","store_addr":"127.0.0.1:5","operator_token_digest":"`+digest+`"}`))
+		return err
+	}
+	for _, digest := range []string{"", strings.Repeat("0a", 32), strings.Repeat("0A", 32)} {
+		NewWithT(t).Expect(load(digest)).To(Succeed(), digest)
+	}
+	for _, digest := range []string{"secret", "00", strings.Repeat("0a", 33), strings.Repeat("0", 63), strings.Repeat("0g", 32)} {
+		NewWithT(t).Expect(load(digest)).To(MatchError(ContainSubstring("/operator_token_digest")), digest)
+	}
+}
+
 // TestLoadEntry_ChecksRegions guards against a data centre without a region, which would
 // be outside all homes without a word.
 func TestLoadEntry_ChecksRegions(t *testing.T) {
