cli: explain shows where a gateway would send a request or job

Cause: operators have no tool that says why a request is refused or goes to an endpoint, before or after a caller complains.

Ruled out: asking all entries and adding up, as one entry decides each request.

Input that names no request is a usage error; what the entry does not know (customer, route) is the entry's message.

--- a/admin/client.go
+++ b/admin/client.go
@@ -14,6 +14,7 @@
 	"github.com/joomcode/errorx"
 
 	"dandelionrelay/api"
+	"dandelionrelay/explain"
 )
 
 // Errors is the namespace of the errors of this package.
@@ -66,6 +67,14 @@
 	return reply, c.call(ctx, http.MethodGet, PathStatus, nil, reply)
 }
 
+// Explain returns the reply of an entry of package gateway, as it was sent, to the question
+// where a request or job would go.
+func (c *Client) Explain(ctx context.Context, q explain.Query) (json.RawMessage, error) {
+	var reply json.RawMessage
+	err := c.call(ctx, http.MethodGet, explain.Path+"?"+q.Values().Encode(), nil, &reply)
+	return reply, err
+}
+
 func (c *Client) call(ctx context.Context, method, path string, body, reply any) error {
 	return c.callWithID(ctx, uuid.NewString(), method, path, body, reply)
 }
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -49,6 +49,7 @@
 	Evacuate   EvacuateCmd   `cmd:"" help:"Send nothing more to the endpoints of a data centre, or end that." group:"Operator"`
 	Audit      AuditCmd      `cmd:"" help:"Show accepted and rejected changes." group:"Operator"`
 	Trace      TraceCmd      `cmd:"" help:"Collect what processes logged of one request or job." group:"Operator"`
+	Explain    ExplainCmd    `cmd:"" help:"Show where a gateway would send a request or job now, and why." group:"Operator"`
 	Failures   FailuresCmd   `cmd:"" help:"Group the requests that failed, by cause." group:"Operator"`
 	Status     StatusCmd     `cmd:"" help:"Show what an entry knows of the configuration." group:"Operator"`
 	Jobs       JobsCmd       `cmd:"" help:"List batch jobs and their progress." group:"Operator"`
--- a/cli/commands_test.go
+++ b/cli/commands_test.go
@@ -19,7 +19,7 @@
 var allCommands = []string{
 	"entry", "sidecar", "standin platform", "standin engine", "standin plain", "demo", "experiment",
 	"init", "validate", "plan", "apply", "key new", "key withdraw", "evacuate",
-	"audit", "status", "jobs", "quarantine list", "quarantine lift", "state", "token", "version",
+	"audit", "explain", "status", "jobs", "quarantine list", "quarantine lift", "state", "token", "version",
 }
 
 // TestHelp_AllCommandsHaveExamples checks that the help of each of allCommands has
