--- a/gateway/rates.go
+++ b/gateway/rates.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"time"
-
 	"github.com/prometheus/client_golang/prometheus"
 
 	"dandelionrelay/pipeline"
@@ -23,14 +21,14 @@
 }
 
 // rateRefused counts and logs a request that is refused for its customer's rate, with what
-// this entry knew.
-func (g *Gateway) rateRefused(c *pipeline.Call, d quota.Decision, wait time.Duration) {
+// this entry knew. The wait of the decision is the one that the caller is told.
+func (g *Gateway) rateRefused(c *pipeline.Call, d quota.Decision) {
 	left := "nothing"
 	if d.Level >= 1 {
 		left = "level"
 	}
 	g.rateRefusals.WithLabelValues(left).Inc()
 	g.Log.Info().Str("request", c.ID).Str("customer", c.Customer).Float64("level", d.Level).Float64("share", d.Share).
-		Float64("part", d.Part).Float64("reserve", d.Reserve).Dur("reports_age_ms", d.Age).Dur("token_due_ms", wait).
+		Float64("part", d.Part).Float64("reserve", d.Reserve).Dur("reports_age_ms", d.Age).Dur("token_due_ms", d.Wait).
 		Float64("rate", d.Limit.Rate).Float64("burst", d.Limit.Burst).Msg("customer over its rate")
 }
--- a/placement/wave.go
+++ b/placement/wave.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -204,3 +205,10 @@
 		}
 	}
 }
+
+// copy returns a copy that shares nothing with w.
+func (w *wave) copy() *wave {
+	c := *w
+	c.lows, c.highs = slices.Clone(w.lows), slices.Clone(w.highs)
+	return &c
+}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -219,6 +219,26 @@
 		return Decision{Admitted: true}
 	}
 	b := t.bucket(key)
+	d := t.decide(now, key, b, l)
+	if !d.Admitted {
+		if d.Share > 0 {
+			b.minToleranceUntil = now + t.tolerance.Window
+		}
+		return d
+	}
+	b.level--
+	b.localCount++
+	t.unseenAdmissions(now, b) // sets the period
+	b.unseen.add(now, b.unseenPeriod, 1)
+	b.admitted.add(now, t.tolerance.Window, 1)
+	b.localRecent.add(now, 1, reportLag)
+	b.localLong.add(now, 1, usageDecay)
+	return d
+}
+
+// decide refills the bucket b of a customer with the limit l and decides on a request,
+// without a change for the request itself. The caller holds the lock.
+func (t *Table) decide(now time.Duration, key Key, b *bucket, l Limit) Decision {
 	share := t.share.at(now)
 	if share <= 0 {
 		return Decision{Wait: noShareRetryAfter, Limit: l}
@@ -227,18 +247,9 @@
 	available := b.level - b.unreported(now, t.share, (l.Burst+t.slack)*share, t.toleratedUnreported(now, b, l))
 	d := Decision{Admitted: t.admits(now, key, b, l, available), Level: b.level, Share: share, Limit: l}
 	if !d.Admitted {
-		b.minToleranceUntil = now + t.tolerance.Window
 		d.Wait = time.Duration(max(0, 1-available) / (l.Rate * share) * float64(time.Second))
 		d.Reserve, d.Part, d.Age = b.level-available, t.part(now, b), t.sources.age(now)
-		return d
 	}
-	b.level--
-	b.localCount++
-	t.unseenAdmissions(now, b) // sets the period
-	b.unseen.add(now, b.unseenPeriod, 1)
-	b.admitted.add(now, t.tolerance.Window, 1)
-	b.localRecent.add(now, 1, reportLag)
-	b.localLong.add(now, 1, usageDecay)
 	return d
 }
 
