--- a/placement/batch.go
+++ b/placement/batch.go
@@ -50,7 +50,11 @@
 	candidates, foreign := t.preferredFor(req)
 	includeLimited := allLimited(candidates)
 	scarce := !foreign && t.scarce(candidates)
+	mayStartAway := t.mayStartAway(now, req, candidates)
 	for _, e := range candidates {
+		if e.DataCentre != t.dataCentre && !mayStartAway {
+			continue
+		}
 		if e.limit != nil && !includeLimited {
 			continue
 		}
--- a/placement/explain_reasons.go
+++ b/placement/explain_reasons.go
@@ -92,6 +92,7 @@
 	includeLimited := allLimited(candidates)
 	includeFailing := t.group(req.Deployment).tooManyFailing()
 	scarce, waits := !foreign && t.scarce(candidates), !t.itemMayStart(now, req)
+	away := t.mayStartAway(now, req, candidates)
 	result := make(map[*endpoint][]Reason, len(all))
 	for _, e := range all {
 		reasons := e.hardReasons(now, req)
@@ -113,7 +114,7 @@
 		if scarce && !t.mayTakeFree(e, now, e.freeForBatch()) {
 			reasons = append(reasons, ReasonTurn)
 		}
-		if waits {
+		if waits || e.DataCentre != t.dataCentre && !away {
 			reasons = append(reasons, ReasonWave)
 		}
 		result[e] = reasons
--- a/placement/scratch.go
+++ b/placement/scratch.go
@@ -14,6 +14,7 @@
 		dataCentre:     t.dataCentre,
 		random:         rand.New(new(middleSource)),
 		entries:        t.entries,
+		nearEntries:    t.nearEntries,
 		endpoints:      make(map[Key]*endpoint),
 		groups:         make(map[string]*group),
 		peers:          t.peers,
