placement: items of a data centre without endpoints start elsewhere in waves

Cause: found at the merge of waves and evacuations: in a wave, items long as the trough were held for endpoints of their entry's data centre, of which an evacuation leaves none.

--- a/placement/order_test.go
+++ b/placement/order_test.go
@@ -82,18 +82,25 @@
 }
 
 // Items that a peak would preempt must not start in another data centre, whose entries hear of
-// the preemption late, unless they would be late otherwise.
+// the preemption late, unless they would be late otherwise or may run nowhere near: items of
+// an evacuated data centre were held back for good.
 func TestPlaceBatch_InWaveStartsAwayOnlyWhatEndsOrIsUrgent(t *testing.T) {
 	g := gomega.NewWithT(t)
+	near := testEndpoint("near", "a")
+	near.Slots = reservedSlots // none for items
+	drained := near
+	drained.Draining = true
 	for _, c := range []struct {
 		request Request
+		near    Endpoint
 		starts  bool
 	}{
-		{itemRequest(5*time.Second, 18*time.Second), false},
-		{itemRequest(time.Second, 18*time.Second), true},
-		{itemRequest(5*time.Second, 10*time.Second), true},
+		{itemRequest(5*time.Second, 18*time.Second), near, false},
+		{itemRequest(time.Second, 18*time.Second), near, true},
+		{itemRequest(5*time.Second, 10*time.Second), near, true},
+		{itemRequest(5*time.Second, 18*time.Second), drained, true},
 	} {
-		tab, _ := waveTable(testEndpoint("away", "b"))
+		tab, _ := waveTable(testEndpoint("away", "b"), c.near)
 		now := 4*wavePeriod + 2*time.Second
 		tab.waves[model].since = now // the trough has just begun
 		grant := tab.PlaceBatch(now, c.request, func() {})
