placement, gateway: entries out of contact remain users of cold endpoints

Cause: the users of a cold endpoint were chosen from the members of the cell. Entries expire there 15 s after the last contact, but send on with their own list, which does not shrink without the store; those that are left replaced them, so that some parts were used twice. Ruled out: the list of all registrations, as no entry that is lost would ever be replaced, and fleets whose entries get new names would lose more and more of the rate. Change: Table.SetColdEntries keeps entries that have left the list for the longest cold time and 15 s, unless their last report said that they are shutting down. The simulated fleet computes the shares of entries from those that each knows. Result: go test ./placement ./gateway passes.

--- a/gateway/endpoints.go
+++ b/gateway/endpoints.go
@@ -59,7 +59,9 @@
 		}
 	}
 	own := g.node.OwnEndpoints(available)
-	g.table.SetEntries(g.node.CellMembers())
+	entries := g.node.CellMembers()
+	g.table.SetEntries(entries)
+	g.table.SetColdEntries(g.Clock(), entries, g.entryLeaving)
 	list := make([]placement.Endpoint, len(g.endpoints))
 	for i, e := range g.endpoints {
 		e.OtherCell = !e.Draining && !own[e.ID]
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -125,6 +125,8 @@
 	endpoints     []placement.Endpoint // as listed by discovery
 	endpointAddrs map[string]bool      // addresses of endpoints
 
+	leavingEntries sync.Map // names of entries that are shutting down
+
 	localityMetrics localityMetrics
 	locality        localityState
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -38,6 +38,11 @@
 
 // PeerReport implements gossip.Listener.
 func (g *Gateway) PeerReport(name string, incarnation uint64, r gossip.Report) {
+	if r.Leaving {
+		g.leavingEntries.Store(name, true)
+	} else {
+		g.leavingEntries.Delete(name)
+	}
 	g.table.SetPeer(name, r.Endpoints)
 	g.table.AdoptRamps(g.Clock(), r.Endpoints.Ramps)
 	g.ownCellCounts.Add(g.countAdmissions(name, incarnation, r, r.Counts))
@@ -45,6 +50,12 @@
 	g.jobs.Wake()
 }
 
+// entryLeaving reports whether another entry's last report said that it is shutting down.
+func (g *Gateway) entryLeaving(name string) bool {
+	_, leaving := g.leavingEntries.Load(name)
+	return leaving
+}
+
 // CellReport implements gossip.Listener.
 func (g *Gateway) CellReport(source string, incarnation uint64, r gossip.Report) {
 	g.otherCellCounts.Add(g.countAdmissions(source, incarnation, r, r.Counts))
--- a/placement/cold.go
+++ b/placement/cold.go
@@ -56,7 +56,8 @@
 	since     time.Duration     // clock when rates were first set
 	stale     bool              // the limits in quota are not those of the listed endpoints
 	heard     map[Key]heardCold // what endpoints said in responses, also of those that are not listed
-	stats     ColdStats         // so far
+	entries   coldEntries
+	stats     ColdStats // so far
 }
 
 // heardCold is the last statement of an endpoint in a response.
--- a/placement/cold_fleet_test.go
+++ b/placement/cold_fleet_test.go
@@ -32,6 +32,8 @@
 	serving    time.Duration           // of a request
 	down       map[Key]bool            // incarnations that have ended: connections are refused
 	successor  map[Key]Key             // incarnations that answer in the place of others
+	alone      bool                    // entries that start know no other
+	leaving    map[string]bool         // entries that have said that they are shutting down
 	listFirst  bool                    // entries that start read the list of endpoints before the rates
 }
 
@@ -42,6 +44,7 @@
 	quota          *quota.Table
 	incarnation    uint64
 	cutOff, frozen bool
+	known          int // number of entries that it knows, itself included
 }
 
 type servedRequest struct {
@@ -97,12 +100,24 @@
 		f.setList(now, e)
 	}
 	e.table.SetColdRates(now, e.quota, map[string]ColdRate{model: {Rate: coldPerSecond, Time: coldTime}}, coldTolerance)
-	e.table.SetEntries(f.names())
+	if f.alone {
+		f.setEntries(now, i, []string{e.table.self})
+	} else {
+		f.setEntries(now, i, f.names())
+	}
 	if !f.listFirst {
 		f.setList(now, e)
 	}
 }
 
+// setEntries sets the entries that entry i knows.
+func (f *coldFleet) setEntries(now time.Duration, i int, names []string) {
+	t := f.entries[i].table
+	f.entries[i].known = len(names)
+	t.SetEntries(names)
+	t.SetColdEntries(now, names, func(name string) bool { return f.leaving[name] })
+}
+
 func (f *coldFleet) setList(now time.Duration, e *coldEntry) {
 	e.table.SetEndpoints(f.list)
 	e.table.StateCold(now, f.statements)
@@ -205,8 +220,8 @@
 			connected++
 		}
 	}
-	n := float64(len(f.entries))
 	for _, e := range f.entries {
+		n := float64(max(e.known, connected))
 		s := quota.Share{Observed: float64(connected) / n, Own: 1 / n, ValidUntil: now + 700*time.Millisecond}
 		if e.cutOff {
 			s.Observed = s.Own
--- a/placement/cold_part.go
+++ b/placement/cold_part.go
@@ -7,8 +7,10 @@
 
 // The own parts of a cold endpoint's bound need no exchange between entries: a few entries,
 // its users, chosen by rendezvous hashing, each have a token bucket with an equal part of
-// what may be sent in a second. The sum stays within the bound under any partition, and
-// whatever entries are lost, restart or freeze.
+// what may be sent in a second. The sum stays within the bound as long as all entries choose
+// from the same list, whichever of them are out of contact, lost, restarted or frozen. Entries
+// that have left the list are kept in it for a while, see coldEntries. If some are cut off for
+// longer and still send, the sum may exceed the bound by the parts of those that replaced them.
 const (
 	// coldSendShare is the share of the bound that may be sent in a second. The rest is
 	// for requests that arrive closer together than they were sent.
@@ -117,8 +119,9 @@
 	p := &e.cold.part
 	p.rate, p.startupRate, p.burst = 0, 0, 0
 	p.startupUntil = t.cold.since + coldStartup
-	users := t.cold.tolerance.users(e.cold.rate.Rate, len(t.entries))
-	if e.OtherCell || t.entriesAhead(e) >= users {
+	entries := t.coldUsers()
+	users := t.cold.tolerance.users(e.cold.rate.Rate, len(entries))
+	if e.OtherCell || t.rank(e, entries) >= users {
 		return
 	}
 	burst, rest := t.cold.tolerance.parts(e.cold.rate.Rate)
--- a/placement/cold_state.go
+++ b/placement/cold_state.go
@@ -88,7 +88,7 @@
 		return
 	}
 	for _, rate := range t.cold.rates {
-		s.Own = max(s.Own, 1/float64(t.cold.tolerance.users(rate.Rate, len(t.entries))))
+		s.Own = max(s.Own, 1/float64(t.cold.tolerance.users(rate.Rate, len(t.coldUsers()))))
 	}
 	s.Observed = max(s.Observed, s.Own)
 	t.cold.quota.SetShare(s)
@@ -100,6 +100,7 @@
 func (t *Table) StateCold(now time.Duration, statements map[Key]ColdNotice) []ColdChange {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.expireColdEntries(now)
 	var changes []ColdChange
 	for key, n := range statements {
 		e := t.endpoints[key]
--- a/placement/cold_test.go
+++ b/placement/cold_test.go
@@ -70,6 +70,54 @@
 	}
 }
 
+// Most entries are cut off and have left the list of the others, but send with their own full
+// list: the others must not take their parts. Those that are shutting down are replaced.
+func TestCold_CutOffEntriesRemainUsers(t *testing.T) {
+	for name, leaving := range map[string]bool{"cut off": false, "shutting down": true} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			f := newColdFleet(12, coldEndpoints(4)...)
+			f.serving, f.leaving = 50*time.Millisecond, make(map[string]bool)
+			left := f.names()[:3]
+			f.run(func(now time.Duration) {
+				for i, e := range f.entries[3:] {
+					e.cutOff, e.frozen = true, leaving
+					f.leaving[f.names()[i+3]] = leaving
+				}
+				if now == coldFrom {
+					f.restartEndpoints(now, 4)
+				}
+				if now == coldFrom-time.Second {
+					for i := range left {
+						f.setEntries(now, i, left)
+					}
+				}
+				f.load(now, 2000)
+			})
+			g.Expect(f.most()).To(gomega.BeNumerically("<=", coldBound))
+			if leaving {
+				g.Expect(f.perSecond()).To(gomega.BeNumerically(">=", 15))
+			}
+		})
+	}
+}
+
+// An entry that has left the list is kept for the cold time of any endpoint and the time of its
+// own expiry, and not for ever: its part would never be used again.
+func TestCold_DepartedEntriesAreDropped(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tab := newColdTable(testEndpoint("x", "a"))
+	stays := func(string) bool { return false }
+	tab.SetColdEntries(0, []string{"self", "other"}, stays)
+	tab.SetColdEntries(time.Second, []string{"self"}, stays)
+	tab.SetColdEntries(2*time.Second, []string{"self"}, stays)
+	kept := time.Second + coldEntryExpiry + coldTime
+	tab.StateCold(kept-1, nil)
+	g.Expect(tab.coldUsers()).To(gomega.ConsistOf("self", "other"))
+	tab.StateCold(kept, nil)
+	g.Expect(tab.coldUsers()).To(gomega.ConsistOf("self"))
+}
+
 // Other entries report more requests to a cold endpoint than its rate allows, as they know
 // of other entries, for example. This entry must send none until the rate allows it.
 func TestCold_CountsOfOthersAreCharged(t *testing.T) {
@@ -202,18 +250,17 @@
 			t.Run(fmt.Sprint(entries, " entries, ", order), func(t *testing.T) {
 				g := gomega.NewWithT(t)
 				f := newColdFleet(entries, coldEndpoints(4)...)
-				f.serving, f.listFirst = 50*time.Millisecond, listFirst
+				f.serving, f.listFirst, f.alone = 50*time.Millisecond, listFirst, true
 				f.run(func(now time.Duration) {
 					if now == coldFrom {
 						f.restartEndpoints(now, 4)
 						for i := range f.entries {
 							f.start(now, i)
-							f.entries[i].table.SetEntries([]string{f.entries[i].table.self})
 						}
 					}
 					if known := coldFrom + 2800*time.Millisecond; now == known {
-						for _, e := range f.entries {
-							e.table.SetEntries(f.names())
+						for i := range f.entries {
+							f.setEntries(now, i, f.names())
 						}
 					}
 					f.load(now, 2000)
--- a/placement/limit.go
+++ b/placement/limit.go
@@ -94,11 +94,15 @@
 
 // entriesAhead returns the number of entries that come before this one among the possible
 // users of e.
-func (t *Table) entriesAhead(e *endpoint) int {
+func (t *Table) entriesAhead(e *endpoint) int { return t.rank(e, t.entries) }
+
+// rank returns the number of the given entries that come before this one among the possible
+// users of e.
+func (t *Table) rank(e *endpoint, entries []string) int {
 	key := strconv.FormatUint(uint64(e.key), 16)
 	own := membership.Score(key, t.self)
 	ahead := 0
-	for _, name := range t.entries {
+	for _, name := range entries {
 		if name != t.self && membership.Score(key, name) > own {
 			ahead++
 		}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -302,6 +302,7 @@
 	defer t.mu.Unlock()
 	t.recordRequest(now)
 	t.beginRamps(now)
+	t.expireColdEntries(now)
 	for {
 		best, wait := t.selectEndpoint(now, req)
 		if best == nil {
