placement, online: requests refused right before sending, and rates of 1 a second

Cause: if MaySend refused a request, the endpoint stayed among those tried and an attempt was used up, so that the caller got no_endpoint with a fixed Retry-After; the table would also have granted the same endpoint again. The allowance of 100 ms for jitter let two requests at a rate of 1 be sent 953 ms apart. Ruled out: returning the token of the grant, as the request that is refused is too many. Change: an endpoint that may not be sent a request is not eligible until it may, and is not counted as tried. No jitter is allowed where the rate leaves no room for it (0.95 a second or less). Result: go test ./placement ./online -run 'Cold|RefusedRight' passes. Without the change TestCold_HeldRequestsAtLowRates (2 requests in a second at a rate of 1), TestCold_RefusedAtSendIsNotChosenAgain and TestRequests_RefusedRightBeforeSending (no_endpoint) fail.

--- a/online/cold_test.go
+++ b/online/cold_test.go
@@ -163,3 +163,42 @@
 		r.Expect(r.logs.String()).To(gomega.ContainSubstring("endpoint has become cold or is no longer cold"))
 	})
 }
+
+// A cold endpoint may not be sent a request that was placed at it, as others were held up and
+// sent late. If no other is left, the caller gets the refusal of cold endpoints with the time at
+// which one takes requests, not that no endpoint ran it.
+func TestRequests_RefusedRightBeforeSending(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTestService(t, newEndpoint("e0", nil))
+		list := []placement.Endpoint{{ID: "e0", Address: "e0:1", Deployment: "lm", DataCentre: "a", Slots: 8}}
+		r.Table.SetEndpoints(list)
+		limitCold(r.Service, list, 1, coldTime)
+		var held []*placement.Grant
+		for range 400 {
+			time.Sleep(10 * time.Millisecond)
+			if grant, _ := r.Table.Place(r.Clock(), placement.Request{Deployment: "lm", MaxWait: time.Second}); grant != nil {
+				grant.Release(r.Clock(), placement.Done, 0)
+				held = append(held, grant)
+			}
+		}
+		time.Sleep(time.Second)
+		send := func() bool {
+			grant := held[0]
+			held = held[1:]
+			return grant.MaySend(r.Clock())
+		}
+		for send() {
+		}
+		time.Sleep(time.Second / coldRate) // until one may be sent, which takes the last token
+		r.Expect(send()).To(gomega.BeTrue())
+		c, _ := newCall("refused", true)
+		err := r.Handle(t.Context(), c)
+		r.Expect(err).NotTo(gomega.BeNil())
+		r.Expect(err.Code).To(gomega.Equal(api.CodeOverloaded))
+		r.Expect(err.Outcome).To(gomega.Equal(api.NotRun))
+		r.Expect(err.RetryAfter).To(gomega.BeNumerically("<", time.Second))
+		time.Sleep(err.RetryAfter)
+		c, _ = newCall("later", true)
+		r.Expect(r.Handle(t.Context(), c)).To(gomega.BeNil())
+	})
+}
--- a/online/execution.go
+++ b/online/execution.go
@@ -206,7 +206,11 @@
 	ex.headerReceived = false
 	ex.intervals = eventstream.IntervalMeter{}
 	if !grant.MaySend(ex.Clock()) {
-		return tryNext, placement.Aborted // the endpoint has become cold since, or the process was held up
+		// The endpoint has become cold since, or the process was held up. It is not counted
+		// as tried, so that the refusal names when it takes requests if none is left.
+		delete(ex.tried, grant.Key())
+		ex.attempts--
+		return tryNext, placement.Aborted
 	}
 	x, err := ex.Pool.Do(ctx, grant.Endpoint.Address, ex.buildRequest(grant), ex.waitDeadline(ex.firstEventTimeout()))
 	if err != nil {
--- a/placement/cold.go
+++ b/placement/cold.go
@@ -171,7 +171,14 @@
 	if !g.coldToken && !t.takeColdToken(now, e) {
 		return false
 	}
-	return e.cold.part.send(now)
+	c := e.cold
+	if wait := c.part.sendWait(now); wait > 0 {
+		// It is not chosen again in vain until then, also for the same request.
+		c.refusedUntil = max(c.refusedUntil, now+wait)
+		return false
+	}
+	c.part.send(now)
+	return true
 }
 
 // coldRetryAfter returns the time until this entry may send a request to one of the
--- a/placement/cold_part.go
+++ b/placement/cold_part.go
@@ -26,7 +26,8 @@
 	// maxColdJitter is by how much requests may be sent closer together than they were
 	// granted, for example as the contents of some batch items are read faster.
 	maxColdJitter = 100 * time.Millisecond
-	// maxSlowRate is a rate at which no two requests fall into one second.
+	// maxSlowRate is a rate at which no two requests fall into one second. There is no room
+	// for maxColdJitter at it.
 	maxSlowRate = 0.95
 )
 
@@ -36,6 +37,7 @@
 	rate, burst  float64       // requests a second, and requests; 0: this entry is not a user
 	startupRate  float64       // in place of rate before startupUntil
 	startupUntil time.Duration // clock
+	jitter       time.Duration // by which requests may be sent closer together than they were granted
 
 	granted, sent coldBucket
 }
@@ -89,14 +91,23 @@
 	p.granted.tokens--
 }
 
-// send takes the token of a request that is to be sent. It returns false if too many were
-// sent of late.
-func (p *coldPart) send(now time.Duration) bool {
-	if p.refill(&p.sent, now) < 1-p.rateAt(now)*maxColdJitter.Seconds() {
-		return false
+// sendWait returns the time until a request that was granted may be sent: 0 unless too many
+// were sent of late.
+func (p *coldPart) sendWait(now time.Duration) time.Duration {
+	missing := 1 - p.rateAt(now)*p.jitter.Seconds() - p.refill(&p.sent, now)
+	if missing <= 0 {
+		return 0
+	}
+	if p.burst < 1 {
+		return maxColdWait
 	}
+	return max(1, time.Duration(math.Ceil(missing/p.rateAt(now)*float64(time.Second))))
+}
+
+// send takes the token of a request that is sent.
+func (p *coldPart) send(now time.Duration) {
+	p.refill(&p.sent, now)
 	p.sent.tokens--
-	return true
 }
 
 // parts divides what may be sent to a cold endpoint in a second: the number of requests that
@@ -128,4 +139,7 @@
 	p.burst = burst / float64(users)
 	p.rate = rest / float64(users)
 	p.startupRate = min(p.rate, rest/coldStartupEntries)
+	if p.jitter = maxColdJitter; rest <= maxSlowRate {
+		p.jitter = 0
+	}
 }
--- a/placement/cold_test.go
+++ b/placement/cold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -297,6 +298,62 @@
 	g.Expect(sent).To(gomega.BeNumerically(">", 0))
 }
 
+// Requests at low rates are held up for different times after their grant, which must not
+// bring two into a second that has room for one.
+func TestCold_HeldRequestsAtLowRates(t *testing.T) {
+	for _, rate := range []float64{0.5, 1, 1.5, 2, 3} {
+		g := gomega.NewWithT(t)
+		tab := newColdTable(testEndpoint("x", "a"))
+		tab.SetColdRates(-time.Hour, quota.NewTable(quota.Tolerance{}), map[string]ColdRate{model: {Rate: rate, Time: time.Hour}}, ColdTolerance{Excess: 1})
+		tab.SetColdShare(quota.Share{Observed: 1, Own: 1, ValidUntil: time.Hour})
+		tab.ColdEndpoints(0)
+		held := make(map[time.Duration]*Grant)
+		var sent []time.Duration
+		granted := 0
+		for now := time.Second; now < 40*time.Second; now += time.Millisecond {
+			if grant, _ := tab.Place(now, testRequest()); grant != nil {
+				grant.Release(now, Done, 0)
+				held[now+[]time.Duration{maxColdJitter, 0}[granted%2]] = grant
+				granted++
+			}
+			if grant := held[now]; grant != nil && grant.MaySend(now) {
+				sent = append(sent, now)
+			}
+		}
+		for i, at := range sent {
+			end, _ := slices.BinarySearch(sent, at+time.Second)
+			g.Expect(end-i).To(gomega.BeNumerically("<=", max(1, rate)), "rate %g at %v", rate, at)
+		}
+		g.Expect(len(sent)).To(gomega.BeNumerically(">=", int(12*min(rate, 1))), "rate %g", rate)
+	}
+}
+
+// A request that was granted and may not be sent is placed elsewhere, or refused with the time
+// at which the endpoint takes one; it must not get the same endpoint again at once.
+func TestCold_RefusedAtSendIsNotChosenAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tab := newColdTable(testEndpoint("x", "a"))
+	tab.ColdEndpoints(0)
+	var grants []*Grant
+	for now := 5 * time.Second; now < 9*time.Second; now += coldTick {
+		if grant, _ := tab.Place(now, testRequest()); grant != nil {
+			grant.Release(now, Done, 0)
+			grants = append(grants, grant)
+		}
+	}
+	now := 10 * time.Second
+	for len(grants) > 0 && grants[0].MaySend(now) {
+		grants = grants[1:]
+	}
+	g.Expect(grants).NotTo(gomega.BeEmpty())
+	_, refusal := tab.Place(now, testRequest())
+	g.Expect(refusal).NotTo(gomega.BeNil())
+	g.Expect(refusal.Cold).To(gomega.BeTrue())
+	next, _ := tab.Place(now+refusal.Wait, testRequest())
+	g.Expect(next).NotTo(gomega.BeNil())
+	g.Expect(next.MaySend(now + refusal.Wait)).To(gomega.BeTrue())
+}
+
 // A reload or the default of the settings allows exactly the cold rate.
 func TestCold_ExactlyTheRateByDefault(t *testing.T) {
 	g := gomega.NewWithT(t)
