--- a/config/cold_test.go
+++ b/config/cold_test.go
@@ -21,6 +21,8 @@
 		"rate only":     {config.Deployment{ColdRate: 23}, []string{"/deployments/m/cold_rate"}},
 		"time only":     {config.Deployment{ColdTime: config.Duration(time.Second)}, []string{"/deployments/m/cold_rate"}},
 		"negative rate": {config.Deployment{ColdRate: -1, ColdTime: config.Duration(time.Second)}, []string{"/deployments/m/cold_rate"}},
+		"tiny rate":     {config.Deployment{ColdRate: 1e-11, ColdTime: config.Duration(time.Second)}, []string{"/deployments/m/cold_rate"}},
+		"lowest rate":   {config.Deployment{ColdRate: config.MinColdRate, ColdTime: config.Duration(time.Second)}, nil},
 		"negative time": {config.Deployment{ColdRate: 1, ColdTime: -1}, []string{"/deployments/m/cold_time"}},
 		"too long":      {config.Deployment{ColdRate: 1, ColdTime: config.MaxColdTime + 1}, []string{"/deployments/m/cold_time"}},
 	} {
--- a/config/state.go
+++ b/config/state.go
@@ -131,6 +131,10 @@
 // HasColdRate reports whether endpoints of the deployment are limited while they are cold.
 func (d Deployment) HasColdRate() bool { return d.ColdRate > 0 && d.ColdTime > 0 }
 
+// MinColdRate is the minimum of Deployment.ColdRate unless it is 0. The time between two
+// requests overflows at far lower rates.
+const MinColdRate = 0.001
+
 // MaxColdTime is the maximum of Deployment.ColdTime.
 const MaxColdTime = Duration(3600e9)
 
--- a/config/validate.go
+++ b/config/validate.go
@@ -174,6 +174,8 @@
 func (v *validator) checkCold(id string, d Deployment) {
 	if isNotFinite(d.ColdRate) || d.ColdRate < 0 {
 		v.addFinding("deployments", id, "cold_rate", "must not be negative, is %g", d.ColdRate)
+	} else if d.ColdRate != 0 && d.ColdRate < MinColdRate {
+		v.addFinding("deployments", id, "cold_rate", "must be 0 or at least %g, is %g", MinColdRate, d.ColdRate)
 	}
 	if d.ColdTime < 0 || d.ColdTime > MaxColdTime {
 		v.addFinding("deployments", id, "cold_time", "must be between 0s and 1h")
