gateway: a reload of settings does not bring back older cold rates

Cause: ApplySettings took the cold rates of the stored configuration, but ConfigChanged applies a new one before it is stored, so that a reload in between put the older rates into force. Ruled out: storing the configuration first, as requests would be placed before its limits. Change: one mutex, and the rates that were last applied, as applyLocality does. Result: go test -race ./gateway -run 'Cold|Settings|Local' passes. Without the change TestCold_ReloadKeepsNewerRates sees 100 requests in a second at a rate of 5.

--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -15,23 +16,40 @@
 	return placement.ColdTolerance{Excess: s.ColdExcess, Slack: s.ColdSlack}
 }
 
-// setColdRates applies the cold rates of a configuration and the settings in force. Without
-// a deployment that has, or had, a cold rate, it does nothing.
-func (g *Gateway) setColdRates(s *config.Snapshot) {
-	rates := make(map[string]placement.ColdRate)
-	for id, d := range s.State.Deployments {
-		if d.HasColdRate() {
-			rates[id] = placement.ColdRate{Rate: d.ColdRate, Time: time.Duration(d.ColdTime)}
-		}
+// coldState is what setColdRates has put into force.
+type coldState struct {
+	mu    sync.Mutex
+	rates map[string]placement.ColdRate // of the last configuration
+}
+
+// setColdRates puts the cold rates of a configuration into force, or, if s is nil, those of the
+// last one again with changed settings. Without a deployment that has, or had, a cold rate, it
+// does nothing.
+func (g *Gateway) setColdRates(s *config.State) {
+	g.cold.mu.Lock()
+	defer g.cold.mu.Unlock()
+	if s != nil {
+		g.cold.rates = coldRates(s)
 	}
-	if len(rates) == 0 && !g.coldInUse.Load() {
+	if len(g.cold.rates) == 0 && !g.coldInUse.Load() {
 		return
 	}
-	g.table.SetColdRates(g.Clock(), g.coldLimits, rates, coldTolerance(g.settings.Load()))
+	g.table.SetColdRates(g.Clock(), g.coldLimits, g.cold.rates, coldTolerance(g.settings.Load()))
 	g.coldInUse.Store(true)
 	g.stateCold(nil) // endpoints that are listed and count as cold from now on
 }
 
+// coldRates returns the cold rates of a configuration by deployment.
+func coldRates(s *config.State) map[string]placement.ColdRate {
+	rates := make(map[string]placement.ColdRate)
+	for id, d := range s.Deployments {
+		if d.HasColdRate() {
+			rates[id] = placement.ColdRate{Rate: d.ColdRate, Time: time.Duration(d.ColdTime)}
+		}
+	}
+	return rates
+}
+
 // stateCold applies what registrations say of how long endpoints remain cold.
 func (g *Gateway) stateCold(statements map[placement.Key]placement.ColdNotice) {
 	for _, c := range g.table.StateCold(g.Clock(), statements) {
--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -132,3 +132,18 @@
 		g.Expect(r.use(time.Second)).To(gomega.BeNumerically("<=", 25), "its state is not known")
 	})
 }
+
+// Settings are reloaded while a new configuration is applied and not yet stored: the rates of the
+// one before must not come back.
+func TestCold_ReloadKeepsNewerRates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		r := newColdGateway(t, 0)
+		r.ConfigChanged(config.NewSnapshot(r.Config.Current().Version+1, &config.State{Deployments: map[string]config.Deployment{
+			"lm": {Slots: 8, ColdRate: 5, ColdTime: config.Duration(20 * time.Second)},
+		}}))
+		r.ApplySettings(r.settings.Load())
+		r.now += 5 * time.Second
+		g.Expect(r.use(time.Second)).To(gomega.BeNumerically("<=", 5))
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -125,6 +125,7 @@
 	endpoints     []placement.Endpoint // as listed by discovery
 	endpointAddrs map[string]bool      // addresses of endpoints
 
+	cold           coldState
 	leavingEntries sync.Map // names of entries that are shutting down
 
 	localityMetrics localityMetrics
@@ -235,7 +236,7 @@
 		limits[id] = quota.Limit{Rate: c.Rate, Burst: c.Burst}
 	}
 	g.limits.SetLimits(g.Clock(), limits)
-	g.setColdRates(s)
+	g.setColdRates(s.State)
 	g.listed.SetRoutes(routeTargets(s.State))
 	g.jobs.Wake()
 }
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -21,7 +21,7 @@
 func (g *Gateway) ApplySettings(s *settings.Gateway) {
 	g.settings.Store(s)
 	g.limits.SetTolerance(g.Clock(), tolerance(s))
-	g.setColdRates(g.Config.Current())
+	g.setColdRates(nil)
 	g.applyLocality(nil)
 	g.jobs.SetLimits(batchLimits(s))
 }
