upstream, online, batch: last checks after the connection is open

Cause: the checks right before sending came before the dial, which may take 250 ms, while 100 ms are allowed for jitter, and the margins of evacuations and keys are used up meanwhile. Ruled out: opening the connection before the grant, as the endpoint is not known by then. Change: upstream.Request.BeforeSend is called between the connection and the write; if it refuses, nothing is sent, the connection is kept and the error is Refused, a NotSent. Online requests check the age of the configuration and the cold token there, batch items MayStart and the token. A refusal is not held against the endpoint. Result: go test ./batch ./online ./upstream passes. Without the changes of online and batch TestRequests_SlowConnectionsToColdEndpoint (43 requests in a second; bound 39.5), TestRequests_ConfigurationStaleOnceConnected and TestRunner_SendsNothingOnceUnconfirmedWhileConnecting fail.

--- a/batch/fleet_test.go
+++ b/batch/fleet_test.go
@@ -41,6 +41,7 @@
 	notAlive  map[string]bool
 
 	mayStart    func() bool                         // see Deps.MayStart
+	onDial      func()                              // called before each connection to an endpoint
 	mayTakeOver func(string, []locality.Homes) bool // see Deps.MayTakeOver
 }
 
@@ -140,6 +141,9 @@
 	}
 	table.SetEndpoints(list)
 	dial := func(ctx context.Context, addr string) (net.Conn, error) {
+		if f.onDial != nil {
+			f.onDial()
+		}
 		return f.network.DialContext(ctx, "tcp", addr)
 	}
 	e.Service = New(Deps{
--- a/batch/item.go
+++ b/batch/item.go
@@ -131,14 +131,11 @@
 	if err != nil {
 		return runNotExecuted, placement.Aborted, err
 	}
-	// Reading the contents may have taken long.
-	if r.MayStart != nil && !r.MayStart() {
-		return runNotExecuted, placement.Aborted, errorx.IllegalState.New("the configuration is not certain to be in force")
-	}
-	if !grant.MaySend(r.Clock()) {
-		return runNotExecuted, placement.Aborted, errorx.RejectedOperation.New("the endpoint is cold and takes no more requests yet")
-	}
+	request.BeforeSend = func() error { return r.maySend(grant) }
 	x, err := r.Pool.Do(ctx, grant.Endpoint.Address, request, time.Now().Add(it.scaledTimeout(firstEventTimeout)))
+	if errorx.IsOfType(err, upstream.Refused) {
+		return runNotExecuted, placement.Aborted, err
+	}
 	if errorx.IsOfType(err, upstream.NotSent) {
 		r.Pool.CloseIdle(grant.Endpoint.Address)
 		return runNotExecuted, placement.Failed, err
@@ -163,6 +160,18 @@
 	return r.collect(it.progress, x, grant.Endpoint.Origin())
 }
 
+// maySend returns an error if an item may not be sent to the endpoint of grant. Reading its
+// contents or opening a connection may have taken long.
+func (r *runner) maySend(grant *placement.Grant) error {
+	if r.MayStart != nil && !r.MayStart() {
+		return errorx.IllegalState.New("the configuration is not certain to be in force")
+	}
+	if !grant.MaySend(r.Clock()) {
+		return errorx.RejectedOperation.New("the endpoint is cold and takes no more requests yet")
+	}
+	return nil
+}
+
 // readRejection reads a response that carries no output to its end, so that its
 // connection can be reused. It returns end and result with the status as the
 // error, or runLost if the response cannot be read within eventTimeout.
--- a/batch/locality_test.go
+++ b/batch/locality_test.go
@@ -145,6 +145,26 @@
 	})
 }
 
+// Guards against an item that is sent although the evacuations became unconfirmed while a
+// connection was opened, and against an endpoint that is suspended for it.
+func TestRunner_SendsNothingOnceUnconfirmedWhileConnecting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 0, newEndpoint("w", 20, 8))
+		var confirmed atomic.Bool
+		confirmed.Store(true)
+		f.mayStart = confirmed.Load
+		f.onDial = func() { confirmed.Store(false) }
+		e := f.startEntry()
+		f.Expect(e.Submit(f.ctx, submission("j", 1, 10))).To(gomega.Succeed())
+		time.Sleep(3 * time.Second)
+		f.Expect(f.endpoints[0].Received()).To(gomega.BeZero())
+		f.Expect(confirmed.Load()).To(gomega.BeFalse(), "a connection was opened")
+		f.Expect(e.Table.HasFreeSlot(e.Clock(), placement.Request{Deployment: testModel})).To(gomega.BeTrue())
+		confirmed.Store(true)
+		f.awaitResults(e, "j", 5*time.Second)
+	})
+}
+
 // Guards against an entry that has just started and takes over a job whose homes it does not
 // know yet.
 func TestTakeOver_NotBeforeTheConfigurationIsKnown(t *testing.T) {
--- a/online/cold_test.go
+++ b/online/cold_test.go
@@ -1,8 +1,10 @@
 package online
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -17,6 +19,7 @@
 	"dandelionrelay/quota"
 	"dandelionrelay/standin/network"
 	"dandelionrelay/standin/streams"
+	"dandelionrelay/upstream"
 )
 
 // Bounds on requests to a cold endpoint.
@@ -202,3 +205,64 @@
 		r.Expect(r.Handle(t.Context(), c)).To(gomega.BeNil())
 	})
 }
+
+// holdDials lets connections to endpoints wait until the returned function is called.
+func (r *testService) holdDials() (release func()) {
+	open := make(chan struct{})
+	r.Pool = upstream.NewPool(streams.HeaderID, func(ctx context.Context, addr string) (net.Conn, error) {
+		<-open
+		return r.network.DialContext(ctx, "tcp", addr)
+	}, func() {})
+	return func() { close(open) }
+}
+
+// Connections take long to open, and then requests of a longer time are ready together: they
+// must not reach a cold endpoint together, nor right before others.
+func TestRequests_SlowConnectionsToColdEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		endpoint := newEndpoint("e0", nil)
+		r := newTestService(t, endpoint)
+		list := []placement.Endpoint{{ID: "e0", Address: "e0:1", Deployment: "lm", DataCentre: "a", Slots: 1000}}
+		endpoint.Slots = 1000
+		r.Table.SetEndpoints(list)
+		limitCold(r.Service, list, 1, coldTime)
+		release := r.holdDials()
+		var wg sync.WaitGroup
+		for n := range 500 {
+			time.Sleep(10 * time.Millisecond)
+			if n == 300 {
+				release()
+			}
+			wg.Go(func() {
+				c, _ := newCall(fmt.Sprint("call-", n), true)
+				r.Handle(t.Context(), c)
+			})
+		}
+		wg.Wait()
+		r.Expect(mostInASecond(endpoint.Runs())).To(gomega.BeNumerically("<=", coldBound))
+		r.Expect(endpoint.Runs()).NotTo(gomega.BeEmpty())
+	})
+}
+
+// The configuration, with evacuations and keys, is no longer confirmed once the connection is
+// open: the request must not be sent.
+func TestRequests_ConfigurationStaleOnceConnected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		endpoint := newEndpoint("e0", nil)
+		r := newTestService(t, endpoint)
+		release := r.holdDials()
+		result := make(chan *api.Error)
+		go func() {
+			c, _ := newCall("stale", true)
+			result <- r.Handle(t.Context(), c)
+		}()
+		synctest.Wait()
+		r.configFresh = false
+		release()
+		err := <-result
+		r.Expect(err).NotTo(gomega.BeNil())
+		r.Expect(err.Code).To(gomega.Equal(api.CodeConfigStale))
+		r.Expect(err.Outcome).To(gomega.Equal(api.NotRun))
+		r.Expect(endpoint.Runs()).To(gomega.BeEmpty())
+	})
+}
--- a/online/execution.go
+++ b/online/execution.go
@@ -205,13 +205,6 @@
 	ex.attempts++
 	ex.headerReceived = false
 	ex.intervals = eventstream.IntervalMeter{}
-	if !grant.MaySend(ex.Clock()) {
-		// The endpoint has become cold since, or the process was held up. It is not counted
-		// as tried, so that the refusal names when it takes requests if none is left.
-		delete(ex.tried, grant.Key())
-		ex.attempts--
-		return tryNext, placement.Aborted
-	}
 	x, err := ex.Pool.Do(ctx, grant.Endpoint.Address, ex.buildRequest(grant), ex.waitDeadline(ex.firstEventTimeout()))
 	if err != nil {
 		return ex.afterNoResponse(ctx, grant, err)
@@ -249,6 +242,7 @@
 		LastEvent: ex.response.cursor.LastID,
 	})
 	r := &upstream.Request{Method: c.R.Method, URI: c.R.RequestURI, Host: c.R.Host, Header: h, Body: c.Body, ID: c.ID}
+	r.BeforeSend = func() error { return ex.maySend(grant) }
 	if ex.route.Resumable && !ex.response.headerSent() && ex.mayHaveRun+1 < ex.route.MaxEndpoints {
 		r.AbandonCheck = time.Now().Add(time.Duration(abandonCheckShare * float64(ex.route.Goal)))
 		r.ShouldAbandon = ex.freeSlotElsewhere
@@ -256,6 +250,19 @@
 	return r
 }
 
+// maySend returns an error if the request may not be sent to the endpoint of grant: since it was
+// granted, the time for which the configuration is confirmed may be over, as a connection had
+// to be opened, or the endpoint may have become cold.
+func (ex *execution) maySend(grant *placement.Grant) error {
+	if !ex.ConfigFresh(ex.call) {
+		return errorx.IllegalState.New("the configuration is not certain to be in force")
+	}
+	if !grant.MaySend(ex.Clock()) {
+		return errorx.RejectedOperation.New("the endpoint is cold and takes no more requests yet")
+	}
+	return nil
+}
+
 // freeSlotElsewhere reports whether the request would start at once at the best endpoint
 // of this cell that was not tried before.
 func (ex *execution) freeSlotElsewhere() bool {
@@ -286,6 +293,13 @@
 
 // afterNoResponse returns the next step after an exchange without a response.
 func (ex *execution) afterNoResponse(ctx context.Context, grant *placement.Grant, err error) (nextStep, placement.Result) {
+	if errorx.IsOfType(err, upstream.Refused) {
+		// The endpoint is not counted as tried, so that the refusal names when it takes
+		// requests if none is left.
+		delete(ex.tried, grant.Key())
+		ex.attempts--
+		return tryNext, placement.Aborted
+	}
 	ex.cause = err
 	if ctx.Err() != nil {
 		ex.mayHaveRun++
--- a/online/online.go
+++ b/online/online.go
@@ -30,7 +30,8 @@
 	// Suspects holds the requests during which endpoints crashed.
 	Suspects quarantine.Tracker
 	// ConfigFresh reports whether the configuration was confirmed recently enough
-	// for the call to run. It is called right before each attempt.
+	// for the call to run. It is called before each attempt is placed and right before it
+	// is sent.
 	ConfigFresh func(c *pipeline.Call) bool
 	// RecordOrigin is called right before the caller of an attempt is sent the first event
 	// of a stream that may be resumed, with the endpoint's deployment and version.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -104,10 +104,19 @@
 	if err != nil {
 		return false
 	}
-	p.put(c, defaultIdleTimeout-idleMargin)
+	p.putBack(c)
 	return true
 }
 
+// putBack adds a connection that was not used since get to the pool.
+func (p *Pool) putBack(c *conn) {
+	idle := defaultIdleTimeout - idleMargin
+	if !c.expires.IsZero() {
+		idle = time.Until(c.expires)
+	}
+	p.put(c, idle)
+}
+
 func (p *Pool) pop(addr string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -25,6 +25,8 @@
 var (
 	// NotSent means that no part of the request was sent to the endpoint.
 	NotSent = Errors.NewType("not_sent")
+	// Refused is the NotSent of a request that Request.BeforeSend refused.
+	Refused = NotSent.NewSubtype("refused")
 	// Abandoned means that the sender abandoned the request before any part of
 	// the response was received; the endpoint may have started it.
 	Abandoned = Errors.NewType("abandoned")
@@ -71,6 +73,10 @@
 	Body   []byte
 	ID     string // expected in the response; empty: any response is accepted
 
+	// BeforeSend, if set, is called once the connection is open, right before the request
+	// is written. If it returns an error, nothing is sent and the error of Do is Refused.
+	BeforeSend func() error
+
 	// If no part of the response was received by AbandonCheck, ShouldAbandon is
 	// called to decide whether to abandon the request. A zero AbandonCheck means
 	// never.
@@ -89,13 +95,19 @@
 }
 
 // Do sends r to the endpoint at addr and waits for the header of the response
-// until deadline. If ctx is done while the Exchange is open, the connection is
+// until deadline, unless r.BeforeSend refuses it. If ctx is done while the Exchange is open, the connection is
 // closed. Errors are of type NotSent, Abandoned or Broken.
 func (p *Pool) Do(ctx context.Context, addr string, r *Request, deadline time.Time) (*Exchange, error) {
 	c, err := p.get(ctx, addr)
 	if err != nil {
 		return nil, NotSent.Wrap(err, "connect to %s", addr)
 	}
+	if r.BeforeSend != nil {
+		if err := r.BeforeSend(); err != nil {
+			p.putBack(c)
+			return nil, Refused.Wrap(err, "request to %s", addr)
+		}
+	}
 	// SetDeadline fails only on a closed connection, and then writes fail too.
 	_ = c.Conn.SetDeadline(deadline)
 	x := &Exchange{conn: c, pool: p}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -107,6 +107,35 @@
 	g.Expect(dials).To(gomega.Equal(1))
 }
 
+// The sender decides against a request once the connection is open: nothing of it may reach the
+// endpoint, the error says so, and the connection serves the next request.
+func TestExchange_RefusedBeforeSending(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var got []string
+	e := listen(t, func(c net.Conn, r *http.Request, _ int) bool {
+		got = append(got, r.Header.Get(idHeader))
+		respond(c, r.Header.Get(idHeader), "yes")
+		return true
+	})
+	dials := 0
+	p := newPool(&dials)
+	for _, id := range []string{"first", "second"} {
+		opened := 0
+		r := request(id)
+		r.BeforeSend = func() error {
+			opened = dials
+			return errors.New("too late")
+		}
+		_, err := p.Do(context.Background(), e.Addr().String(), r, time.Now().Add(exchangeTimeout))
+		g.Expect(errorx.IsOfType(err, Refused)).To(gomega.BeTrue())
+		g.Expect(errorx.IsOfType(err, NotSent)).To(gomega.BeTrue())
+		g.Expect(opened).To(gomega.Equal(1), "asked once the connection is open")
+		g.Expect(exchange(p, e.Addr().String(), "sent after "+id)).To(gomega.Equal("yes"))
+	}
+	g.Expect(got).To(gomega.Equal([]string{"sent after first", "sent after second"}))
+	g.Expect(dials).To(gomega.Equal(1))
+}
+
 // A late response to another request, received before the expected one, is skipped.
 func TestExchange_SkipsLateResponse(t *testing.T) {
 	g := gomega.NewWithT(t)
