placement, gateway, upstream: log of cold endpoints and names of response statements

Ruled out: logging the end in the table, which starts no goroutine and logs nothing. Change: the messages "endpoint has become cold" and "endpoint is no longer cold" with the field source: registration, response or unknown. Table.EndedCold returns the ends, which the entry logs each second. The names are responses, responseStatement, respondedAt and recordResponse. TestRequests_EndpointNamesItselfAsCold asks for both messages with the source, in place of the one.

--- a/gateway/background.go
+++ b/gateway/background.go
@@ -35,6 +35,7 @@
 	wg.Go(func() { g.node.Run(ctx, datagrams) })
 	wg.Go(func() { g.jobs.Run(ctx) })
 	wg.Go(func() { g.pruneConnections(ctx) })
+	wg.Go(func() { g.logColdEnds(ctx) })
 	wg.Wait()
 }
 
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 	"dandelionrelay/placement"
 	"dandelionrelay/quota"
 	"dandelionrelay/settings"
+	"dandelionrelay/upstream"
 )
 
 func coldTolerance(s *settings.Gateway) placement.ColdTolerance {
@@ -53,12 +55,26 @@
 // stateCold applies what registrations say of how long endpoints remain cold.
 func (g *Gateway) stateCold(statements map[placement.Key]placement.ColdNotice) {
 	for _, c := range g.table.StateCold(g.Clock(), statements) {
-		by := "registration"
-		if !c.Stated {
-			by = "nothing"
+		upstream.LogCold(g.Log, c)
+	}
+}
+
+// coldEndInterval is the interval at which logColdEnds looks for endpoints.
+const coldEndInterval = time.Second
+
+// logColdEnds logs the endpoints whose cold time is over.
+func (g *Gateway) logColdEnds(ctx context.Context) {
+	tick := time.NewTicker(coldEndInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		for _, c := range g.table.EndedCold(g.Clock()) {
+			upstream.LogCold(g.Log, c)
 		}
-		g.Log.Info().Str("endpoint", c.Endpoint.ID).Int64("born", c.Endpoint.StartMs).Str("by", by).Bool("cold", c.Cold).
-			Dur("left_ms", c.Left).Bool("malformed", c.Malformed).Msg("endpoint has become cold or is no longer cold")
 	}
 }
 
--- a/online/cold_test.go
+++ b/online/cold_test.go
@@ -163,7 +163,9 @@
 		c, _ = newCall("tells too", true)
 		r.Expect(r.Handle(t.Context(), c)).To(gomega.BeNil())
 		r.Expect(flood()).To(gomega.Equal(60), "it is warm again")
-		r.Expect(r.logs.String()).To(gomega.ContainSubstring("endpoint has become cold or is no longer cold"))
+		r.Expect(r.logs.String()).To(gomega.And(
+			gomega.MatchRegexp(`"source":"response",.*"message":"endpoint has become cold"`),
+			gomega.MatchRegexp(`"source":"response","message":"endpoint is no longer cold"`)))
 	})
 }
 
--- a/placement/cold.go
+++ b/placement/cold.go
@@ -53,15 +53,15 @@
 	quota     *quota.Table        // shared rates by endpoint; nil: no deployment has a cold rate
 	rates     map[string]ColdRate // by deployment
 	tolerance ColdTolerance
-	since     time.Duration     // clock when rates were first set
-	stale     bool              // the limits in quota are not those of the listed endpoints
-	heard     map[Key]heardCold // what endpoints said in responses, also of those that are not listed
+	since     time.Duration             // clock when rates were first set
+	stale     bool                      // the limits in quota are not those of the listed endpoints
+	responses map[Key]responseStatement // what endpoints said in responses, also of those that are not listed
 	entries   coldEntries
 	stats     ColdStats // so far
 }
 
-// heardCold is the last statement of an endpoint in a response.
-type heardCold struct {
+// responseStatement is the last statement of an endpoint in a response.
+type responseStatement struct {
 	until time.Duration
 	at    time.Duration // clock at its receipt
 }
@@ -80,7 +80,9 @@
 	known        bool          // until is set
 	until        time.Duration // it is cold before
 	malformed    bool          // the last statement can't be used
-	heardAt      time.Duration // of the last statement in a response; long before the start: none
+	respondedAt  time.Duration // of the last statement in a response; long before the start: none
+	source       ColdSource    // of until
+	counted      bool          // it has counted as cold, and EndedCold has not returned it since
 	refusedUntil time.Duration // the shared rate has no token for this entry before
 	part         coldPart
 }
@@ -92,8 +94,10 @@
 	if !c.known && now < c.until {
 		c.setUntil(now, c.until)
 	} else if !c.known {
+		c.source = ColdUnknown
 		c.setUntil(now, now+c.rate.Time)
 	}
+	c.counted = c.counted || now < c.until
 	return now < c.until
 }
 
@@ -104,7 +108,7 @@
 		c.part.reset(now)
 		c.refusedUntil = 0
 	}
-	c.known, c.until = true, until
+	c.known, c.until, c.counted = true, until, now < until
 }
 
 // wait returns the time until this entry may send a request to the endpoint; 0 if it is
--- a/placement/cold_state.go
+++ b/placement/cold_state.go
@@ -6,14 +6,27 @@
 	"dandelionrelay/quota"
 )
 
+// ColdSource is where the time comes from for which an endpoint counts as cold.
+type ColdSource int
+
+// The sources.
+const (
+	ColdUnknown ColdSource = iota // the endpoint has said nothing
+	ColdRegistration
+	ColdResponse
+)
+
+// String returns the name of the source in the log.
+func (s ColdSource) String() string { return [...]string{"unknown", "registration", "response"}[s] }
+
 // ColdChange says that an endpoint has become cold or is no longer cold, as far as this
 // entry knows.
 type ColdChange struct {
 	Endpoint  Endpoint
 	Cold      bool
 	Left      time.Duration // for which it remains cold
-	Stated    bool          // by the endpoint; false: nothing is known
-	Malformed bool          // the statement can't be used
+	Source    ColdSource
+	Malformed bool // the statement can't be used
 }
 
 // ColdStats counts decisions about cold endpoints.
@@ -30,7 +43,7 @@
 	defer t.mu.Unlock()
 	if t.cold.quota == nil {
 		t.cold.since = now
-		t.cold.heard = make(map[Key]heardCold)
+		t.cold.responses = make(map[Key]responseStatement)
 	}
 	t.cold.quota, t.cold.rates, t.cold.tolerance = q, rates, tolerance
 	q.SetTolerance(now, quota.Tolerance{Window: time.Second, Excess: max(1, tolerance.Excess) - 1, Slack: tolerance.Slack})
@@ -50,13 +63,15 @@
 		return
 	}
 	if e.cold == nil {
-		e.cold = &coldState{name: coldName(e.Endpoint), heardAt: -coldNoticeHold}
+		e.cold = &coldState{name: coldName(e.Endpoint), respondedAt: -coldNoticeHold}
 		if s := e.coldStated; s != nil && !s.Malformed {
-			e.cold.known, e.cold.until = true, s.until
+			e.cold.known, e.cold.until, e.cold.source = true, s.until, ColdRegistration
 		}
-		if h, ok := t.cold.heard[e.key]; ok {
-			e.cold.heardAt = h.at
-			e.cold.until = max(e.cold.until, h.until)
+		if h, ok := t.cold.responses[e.key]; ok {
+			e.cold.respondedAt = h.at
+			if h.until > e.cold.until {
+				e.cold.until, e.cold.source = h.until, ColdResponse
+			}
 		}
 	}
 	e.cold.rate = rate
@@ -129,7 +144,7 @@
 
 // coldChange describes the state of e after the notice n.
 func (e *endpoint) coldChange(now time.Duration, n ColdNotice) ColdChange {
-	return ColdChange{Endpoint: e.Endpoint, Cold: e.cold.active(now), Left: max(0, e.cold.until-now), Stated: n.Given, Malformed: n.Malformed}
+	return ColdChange{Endpoint: e.Endpoint, Cold: e.cold.active(now), Left: max(0, e.cold.until-now), Source: e.cold.source, Malformed: n.Malformed}
 }
 
 // applyCold applies a statement of e that arrived at now, in a response or a registration.
@@ -146,26 +161,30 @@
 		return false // the time counts from the first such statement
 	}
 	if response {
-		c.heardAt = now
-		t.recordHeard(now, e.key, until)
-	} else if now-c.heardAt < coldNoticeHold && until < c.until {
+		c.respondedAt = now
+		t.recordResponse(now, e.key, until)
+	} else if now-c.respondedAt < coldNoticeHold && until < c.until {
 		return false // the registration may be older than the response
 	}
+	c.source = ColdRegistration
+	if response {
+		c.source = ColdResponse
+	}
 	wasKnown, wasCold := c.known, c.known && now < c.until
 	c.setUntil(now, until)
 	isCold := now < until
 	return isCold != wasCold || isCold && !wasKnown
 }
 
-// recordHeard records a statement in a response, so that it holds for the incarnation
+// recordResponse records a statement in a response, so that it holds for the incarnation
 // also after it was not listed for a while.
-func (t *Table) recordHeard(now time.Duration, key Key, until time.Duration) {
-	for other, h := range t.cold.heard {
+func (t *Table) recordResponse(now time.Duration, key Key, until time.Duration) {
+	for other, h := range t.cold.responses {
 		if now-h.at > coldNoticeHold && now > h.until {
-			delete(t.cold.heard, other)
+			delete(t.cold.responses, other)
 		}
 	}
-	t.cold.heard[key] = heardCold{until: until, at: now}
+	t.cold.responses[key] = responseStatement{until: until, at: now}
 }
 
 // observeCold applies what e says in a response at now of how long it remains cold. It
@@ -180,6 +199,21 @@
 	return t.applyCold(now, e, n, true)
 }
 
+// EndedCold returns the listed endpoints that were cold and whose time is over at now without
+// a statement that they are no longer cold. Each end is returned once.
+func (t *Table) EndedCold(now time.Duration) []ColdChange {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var ended []ColdChange
+	for _, e := range t.endpoints {
+		if e.cold != nil && e.cold.counted && !e.cold.active(now) {
+			e.cold.counted = false
+			ended = append(ended, e.coldChange(now, ColdNotice{}))
+		}
+	}
+	return ended
+}
+
 // ColdEndpoints returns the number of listed endpoints that are cold at now.
 func (t *Table) ColdEndpoints(now time.Duration) int {
 	t.mu.Lock()
--- a/placement/cold_state_test.go
+++ b/placement/cold_state_test.go
@@ -105,6 +105,23 @@
 	}
 }
 
+// The end of each cold time is returned once, for the log, unless a statement has ended it.
+func TestCold_EndIsReturnedOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	e := testEndpoint("x", "a")
+	tab := newColdTable(e)
+	cold := func(now, left time.Duration) []ColdChange {
+		return tab.StateCold(now, map[Key]ColdNotice{e.Key(): {Given: true, Left: left}})
+	}
+	g.Expect(cold(0, time.Second)).To(gomega.Equal([]ColdChange{{Endpoint: e, Cold: true, Left: time.Second, Source: ColdRegistration}}))
+	g.Expect(tab.EndedCold(time.Second - 1)).To(gomega.BeEmpty())
+	g.Expect(tab.EndedCold(time.Second)).To(gomega.Equal([]ColdChange{{Endpoint: e, Source: ColdRegistration}}))
+	g.Expect(tab.EndedCold(time.Second)).To(gomega.BeEmpty())
+	g.Expect(cold(2*time.Second, time.Second)).To(gomega.HaveLen(1))
+	g.Expect(cold(2*time.Second, 0)).To(gomega.HaveLen(1))
+	g.Expect(tab.EndedCold(time.Minute)).To(gomega.BeEmpty(), "a statement has ended it")
+}
+
 // A statement that can't be used means the whole time, counted from the first such one: an
 // endpoint that repeats it must not be cold for ever.
 func TestCold_MalformedStatementMeansWholeTime(t *testing.T) {
--- a/upstream/dialect.go
+++ b/upstream/dialect.go
@@ -91,11 +91,21 @@
 		log.Info().Str("endpoint", grant.Endpoint.ID).Int64("born", grant.Endpoint.StartMs).Msg("endpoint says that it is leaving")
 	}
 	if change.Cold {
-		log.Info().Str("endpoint", grant.Endpoint.ID).Int64("born", grant.Endpoint.StartMs).Str("by", "response").
-			Dur("left_ms", n.Cold.Left).Bool("malformed", n.Cold.Malformed).Msg("endpoint has become cold or is no longer cold")
+		LogCold(log, placement.ColdChange{Endpoint: grant.Endpoint, Cold: n.Cold.Malformed || n.Cold.Left > 0,
+			Left: n.Cold.Left, Source: placement.ColdResponse, Malformed: n.Cold.Malformed})
 	}
 	if change.Limit {
 		log.Info().Str("endpoint", grant.Endpoint.ID).Bool("limited", n.Limited).Float64("limit", n.Limit).
 			Float64("own_part", grant.LimitShare()).Msg("limit of an endpoint changed")
 	}
 }
+
+// LogCold logs that an endpoint has become cold or is no longer cold.
+func LogCold(log zerolog.Logger, c placement.ColdChange) {
+	event := log.Info().Str("endpoint", c.Endpoint.ID).Int64("born", c.Endpoint.StartMs).Stringer("source", c.Source)
+	if !c.Cold {
+		event.Msg("endpoint is no longer cold")
+		return
+	}
+	event.Dur("left_ms", c.Left).Bool("malformed", c.Malformed).Msg("endpoint has become cold")
+}
