placement: endpoints that have started do not pile up before their ramps

Cause: the list of endpoints whose ramps have not begun was emptied by the next request only, also with ramps off, and held endpoints that were no longer listed. An endpoint that had been listed long before the first request was ramped although it had started long ago. Ruled out: beginning the ramp when the list arrives, as the list has no clock. Change: endpoints are added only with ramps on, are dropped with the list, and no ramp begins more than rampTTL after the first report or request that followed the listing. Result: go test ./placement -run 'Ramp|Cold' passes; without the change TestRamp_StartedEndpointsAreDropped fails.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -174,12 +174,12 @@
 	recentRequests float64       // online requests at this entry, as a sum that decays with the time constant reportLag
 	lastRequestAt  time.Duration // clock at the last online request
 	policy         *locality.Policy
-	evacuations    bool             // the data centre of at least one endpoint is evacuated
-	requests       float64          // as recentRequests, with the time constant rateDecay
-	onRamp         func(RampChange) // nil: endpoints begin without ramps
-	listed         bool             // SetEndpoints was called
-	started        []*endpoint      // endpoints that have started and whose ramps have not begun
-	responseTime   time.Duration    // moving average of the time to the response header of online requests, without ramps
+	evacuations    bool              // the data centre of at least one endpoint is evacuated
+	requests       float64           // as recentRequests, with the time constant rateDecay
+	onRamp         func(RampChange)  // nil: endpoints begin without ramps
+	listed         bool              // SetEndpoints was called
+	started        []startedEndpoint // endpoints that have started and whose ramps have not begun
+	responseTime   time.Duration     // moving average of the time to the response header of online requests, without ramps
 }
 
 // NewTable returns an empty table of the entry self in dataCentre. onChange, which may
@@ -222,6 +222,7 @@
 		t.group(item.Deployment).add(e)
 		t.setUpCold(e)
 	}
+	t.started = slices.DeleteFunc(t.started, func(s startedEndpoint) bool { return t.endpoints[s.key] != s.endpoint })
 	t.cold.stale = t.cold.quota != nil
 	for _, r := range t.peers {
 		t.applyReport(r, 1)
@@ -233,8 +234,8 @@
 // list may have run for long.
 func (t *Table) newEndpoint(key Key) *endpoint {
 	e := &endpoint{key: key, grants: make(map[*Grant]struct{})}
-	if t.listed {
-		t.started = append(t.started, e)
+	if t.listed && t.onRamp != nil {
+		t.started = append(t.started, startedEndpoint{endpoint: e})
 	}
 	return e
 }
--- a/placement/ramp.go
+++ b/placement/ramp.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -189,11 +190,33 @@
 	t.startRound(e, now, max(1, min(e.ramp.bound(), e.Slots)/2), RampReduced, reason)
 }
 
+// startedEndpoint is an endpoint that has started and whose ramp has not begun.
+type startedEndpoint struct {
+	*endpoint
+	seen   bool          // seenAt is set: the list has no clock
+	seenAt time.Duration // clock at the first report or request after it was listed
+}
+
+// noteStarted sets the time of the endpoints that have started, and drops those that were
+// listed more than rampTTL ago: a ramp would have ended by now.
+func (t *Table) noteStarted(now time.Duration) {
+	t.started = slices.DeleteFunc(t.started, func(s startedEndpoint) bool { return s.seen && now-s.seenAt > rampTTL })
+	for i := range t.started {
+		if s := &t.started[i]; !s.seen {
+			s.seen, s.seenAt = true, now
+		}
+	}
+}
+
 // beginRamps begins the ramps of the endpoints that have started.
 func (t *Table) beginRamps(now time.Duration) {
-	for _, e := range t.started {
-		if e.rampRound == 0 && !e.Draining && t.endpoints[e.key] == e {
-			t.beginRamp(e, now, "started")
+	if len(t.started) == 0 {
+		return
+	}
+	t.noteStarted(now)
+	for _, s := range t.started {
+		if s.rampRound == 0 && !s.Draining {
+			t.beginRamp(s.endpoint, now, "started")
 		}
 	}
 	t.started = nil
@@ -267,6 +290,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expireRamps(now)
+	t.noteStarted(now)
 	var ramps map[Key]Ramp
 	for key, e := range t.endpoints {
 		if e.ramp == nil {
--- a/placement/ramp_test.go
+++ b/placement/ramp_test.go
@@ -275,3 +275,26 @@
 	tab.AdoptRamps(rampTTL, map[Key]Ramp{y.Key(): {Round: 9, Base: 1}})
 	g.Expect(tab.Ramps(rampTTL)).To(gomega.HaveLen(1))
 }
+
+// Endpoints come and go while ramps are off, or while nothing is placed: those whose ramps have
+// not begun must not pile up, and one that has been listed for long is not ramped.
+func TestRamp_StartedEndpointsAreDropped(t *testing.T) {
+	g := gomega.NewWithT(t)
+	x, y := testEndpoint("x", "a"), testEndpoint("y", "a")
+	tab := newTable("self", x)
+	tab.SetEndpoints([]Endpoint{x, y})
+	g.Expect(tab.started).To(gomega.BeEmpty(), "ramps are off")
+	tab.EnableRamps(func(RampChange) {})
+	for i := range 10 {
+		y.StartMs = int64(i + 1)
+		tab.SetEndpoints([]Endpoint{x, y})
+	}
+	g.Expect(tab.started).To(gomega.HaveLen(1), "the others are no longer listed")
+	tab.Ramps(0)
+	tab.Ramps(rampTTL)
+	g.Expect(tab.started).To(gomega.HaveLen(1))
+	grant, _ := tab.Place(rampTTL+1, testRequest())
+	grant.Release(rampTTL+1, Aborted, 0)
+	g.Expect(tab.Ramps(rampTTL+1)).To(gomega.BeEmpty(), "it was listed long ago")
+	g.Expect(tab.started).To(gomega.BeEmpty())
+}
