gateway: entries that have shut down are forgotten

Cause: the names of entries that said that they are shutting down stayed for good, one for each entry that ever left. Ruled out: forgetting them when their reports time out, which is before they leave the list, as they would then be kept as users of cold endpoints. Change: a name is dropped once it is no longer a member and the list of users was updated. Result: go test ./gateway passes, with TestCold_LeavingEntries, which is new.

--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -147,3 +147,19 @@
 		g.Expect(r.use(time.Second)).To(gomega.BeNumerically("<=", 5))
 	})
 }
+
+// An entry is known to be shutting down from its last report until it is no longer a member, so
+// that the others take its part of cold endpoints.
+func TestCold_LeavingEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		r := newColdGateway(t, 23)
+		r.PeerReport("other", 7, gossip.Report{Leaving: true})
+		g.Expect(r.entryLeaving("other")).To(gomega.BeTrue())
+		r.PeerReport("other", 8, gossip.Report{})
+		g.Expect(r.entryLeaving("other")).To(gomega.BeFalse(), "it has started again")
+		r.PeerReport("other", 8, gossip.Report{Leaving: true})
+		r.assignEndpoints()
+		g.Expect(r.entryLeaving("other")).To(gomega.BeFalse(), "it is no member")
+	})
+}
--- a/gateway/endpoints.go
+++ b/gateway/endpoints.go
@@ -62,6 +62,7 @@
 	entries := g.node.CellMembers()
 	g.table.SetEntries(entries)
 	g.table.SetColdEntries(g.Clock(), entries, g.entryLeaving)
+	g.forgetLeavingExcept(entries)
 	list := make([]placement.Endpoint, len(g.endpoints))
 	for i, e := range g.endpoints {
 		e.OtherCell = !e.Draining && !own[e.ID]
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"dandelionrelay/gossip"
@@ -56,6 +57,17 @@
 	return leaving
 }
 
+// forgetLeavingExcept forgets which entries are shutting down except for the given ones: the
+// others are no longer members.
+func (g *Gateway) forgetLeavingExcept(entries []string) {
+	g.leavingEntries.Range(func(name, _ any) bool {
+		if !slices.Contains(entries, name.(string)) {
+			g.leavingEntries.Delete(name)
+		}
+		return true
+	})
+}
+
 // CellReport implements gossip.Listener.
 func (g *Gateway) CellReport(source string, incarnation uint64, r gossip.Report) {
 	g.otherCellCounts.Add(g.countAdmissions(source, incarnation, r, r.Counts))
