--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -132,3 +132,34 @@
 		g.Expect(r.use(time.Second)).To(gomega.BeNumerically("<=", 25), "its state is not known")
 	})
 }
+
+// Settings are reloaded while a new configuration is applied and not yet stored: the rates of the
+// one before must not come back.
+func TestCold_ReloadKeepsNewerRates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		r := newColdGateway(t, 0)
+		r.ConfigChanged(config.NewSnapshot(r.Config.Current().Version+1, &config.State{Deployments: map[string]config.Deployment{
+			"lm": {Slots: 8, ColdRate: 5, ColdTime: config.Duration(20 * time.Second)},
+		}}))
+		r.ApplySettings(r.settings.Load())
+		r.now += 5 * time.Second
+		g.Expect(r.use(time.Second)).To(gomega.BeNumerically("<=", 5))
+	})
+}
+
+// An entry is known to be shutting down from its last report until it is no longer a member, so
+// that the others take its part of cold endpoints.
+func TestCold_LeavingEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		r := newColdGateway(t, 23)
+		r.PeerReport("other", 7, gossip.Report{Leaving: true})
+		g.Expect(r.entryLeaving("other")).To(gomega.BeTrue())
+		r.PeerReport("other", 8, gossip.Report{})
+		g.Expect(r.entryLeaving("other")).To(gomega.BeFalse(), "it has started again")
+		r.PeerReport("other", 8, gossip.Report{Leaving: true})
+		r.assignEndpoints()
+		g.Expect(r.entryLeaving("other")).To(gomega.BeFalse(), "it is no member")
+	})
+}
--- a/gateway/endpoints.go
+++ b/gateway/endpoints.go
@@ -59,7 +59,10 @@
 		}
 	}
 	own := g.node.OwnEndpoints(available)
-	g.table.SetEntries(g.node.CellMembers())
+	entries := g.node.CellMembers()
+	g.table.SetEntries(entries)
+	g.table.SetColdEntries(g.Clock(), entries, g.entryLeaving)
+	g.forgetLeavingExcept(entries)
 	g.table.SetNearEntries(g.node.NearMembers())
 	list := make([]placement.Endpoint, len(g.endpoints))
 	for i, e := range g.endpoints {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"dandelionrelay/gossip"
@@ -38,6 +39,11 @@
 
 // PeerReport implements gossip.Listener.
 func (g *Gateway) PeerReport(name string, incarnation uint64, r gossip.Report) {
+	if r.Leaving {
+		g.leavingEntries.Store(name, true)
+	} else {
+		g.leavingEntries.Delete(name)
+	}
 	g.table.SetPeer(name, r.Endpoints)
 	g.table.AdoptRamps(g.Clock(), r.Endpoints.Ramps)
 	g.ownCellCounts.Add(g.countAdmissions(name, incarnation, r, r.Counts))
@@ -46,6 +52,23 @@
 	g.jobs.Wake()
 }
 
+// entryLeaving reports whether another entry's last report said that it is shutting down.
+func (g *Gateway) entryLeaving(name string) bool {
+	_, leaving := g.leavingEntries.Load(name)
+	return leaving
+}
+
+// forgetLeavingExcept forgets which entries are shutting down except for the given ones: the
+// others are no longer members.
+func (g *Gateway) forgetLeavingExcept(entries []string) {
+	g.leavingEntries.Range(func(name, _ any) bool {
+		if !slices.Contains(entries, name.(string)) {
+			g.leavingEntries.Delete(name)
+		}
+		return true
+	})
+}
+
 // CellReport implements gossip.Listener.
 func (g *Gateway) CellReport(source string, incarnation uint64, r gossip.Report) {
 	g.otherCellCounts.Add(g.countAdmissions(source, incarnation, r, r.Counts))
--- a/online/cold_test.go
+++ b/online/cold_test.go
@@ -1,8 +1,10 @@
 package online
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -17,6 +19,7 @@
 	"dandelionrelay/quota"
 	"dandelionrelay/standin/network"
 	"dandelionrelay/standin/streams"
+	"dandelionrelay/upstream"
 )
 
 // Bounds on requests to a cold endpoint.
@@ -160,6 +163,108 @@
 		c, _ = newCall("tells too", true)
 		r.Expect(r.Handle(t.Context(), c)).To(gomega.BeNil())
 		r.Expect(flood()).To(gomega.Equal(60), "it is warm again")
-		r.Expect(r.logs.String()).To(gomega.ContainSubstring("endpoint has become cold or is no longer cold"))
+		r.Expect(r.logs.String()).To(gomega.And(
+			gomega.MatchRegexp(`"source":"response",.*"message":"endpoint has become cold"`),
+			gomega.MatchRegexp(`"source":"response","message":"endpoint is no longer cold"`)))
+	})
+}
+
+// A cold endpoint may not be sent a request that was placed at it, as others were held up and
+// sent late. If no other is left, the caller gets the refusal of cold endpoints with the time at
+// which one takes requests, not that no endpoint ran it.
+func TestRequests_RefusedRightBeforeSending(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTestService(t, newEndpoint("e0", nil))
+		list := []placement.Endpoint{{ID: "e0", Address: "e0:1", Deployment: "lm", DataCentre: "a", Slots: 8}}
+		r.Table.SetEndpoints(list)
+		limitCold(r.Service, list, 1, coldTime)
+		var held []*placement.Grant
+		for range 400 {
+			time.Sleep(10 * time.Millisecond)
+			if grant, _ := r.Table.Place(r.Clock(), placement.Request{Deployment: "lm", MaxWait: time.Second}); grant != nil {
+				grant.Release(r.Clock(), placement.Done, 0)
+				held = append(held, grant)
+			}
+		}
+		time.Sleep(time.Second)
+		send := func() bool {
+			grant := held[0]
+			held = held[1:]
+			return grant.MaySend(r.Clock())
+		}
+		for send() {
+		}
+		time.Sleep(time.Second / coldRate) // until one may be sent, which takes the last token
+		r.Expect(send()).To(gomega.BeTrue())
+		c, _ := newCall("refused", true)
+		err := r.Handle(t.Context(), c)
+		r.Expect(err).NotTo(gomega.BeNil())
+		r.Expect(err.Code).To(gomega.Equal(api.CodeOverloaded))
+		r.Expect(err.Outcome).To(gomega.Equal(api.NotRun))
+		r.Expect(err.RetryAfter).To(gomega.BeNumerically("<", time.Second))
+		time.Sleep(err.RetryAfter)
+		c, _ = newCall("later", true)
+		r.Expect(r.Handle(t.Context(), c)).To(gomega.BeNil())
+	})
+}
+
+// holdDials lets connections to endpoints wait until the returned function is called.
+func (r *testService) holdDials() (release func()) {
+	open := make(chan struct{})
+	r.Pool = upstream.NewPool(streams.HeaderID, func(ctx context.Context, addr string) (net.Conn, error) {
+		<-open
+		return r.network.DialContext(ctx, "tcp", addr)
+	}, func() {})
+	return func() { close(open) }
+}
+
+// Connections take long to open, and then requests of a longer time are ready together: they
+// must not reach a cold endpoint together, nor right before others.
+func TestRequests_SlowConnectionsToColdEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		endpoint := newEndpoint("e0", nil)
+		r := newTestService(t, endpoint)
+		list := []placement.Endpoint{{ID: "e0", Address: "e0:1", Deployment: "lm", DataCentre: "a", Slots: 1000}}
+		endpoint.Slots = 1000
+		r.Table.SetEndpoints(list)
+		limitCold(r.Service, list, 1, coldTime)
+		release := r.holdDials()
+		var wg sync.WaitGroup
+		for n := range 500 {
+			time.Sleep(10 * time.Millisecond)
+			if n == 300 {
+				release()
+			}
+			wg.Go(func() {
+				c, _ := newCall(fmt.Sprint("call-", n), true)
+				r.Handle(t.Context(), c)
+			})
+		}
+		wg.Wait()
+		r.Expect(mostInASecond(endpoint.Runs())).To(gomega.BeNumerically("<=", coldBound))
+		r.Expect(endpoint.Runs()).NotTo(gomega.BeEmpty())
+	})
+}
+
+// The configuration, with evacuations and keys, is no longer confirmed once the connection is
+// open: the request must not be sent.
+func TestRequests_ConfigurationStaleOnceConnected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		endpoint := newEndpoint("e0", nil)
+		r := newTestService(t, endpoint)
+		release := r.holdDials()
+		result := make(chan *api.Error)
+		go func() {
+			c, _ := newCall("stale", true)
+			result <- r.Handle(t.Context(), c)
+		}()
+		synctest.Wait()
+		r.configFresh = false
+		release()
+		err := <-result
+		r.Expect(err).NotTo(gomega.BeNil())
+		r.Expect(err.Code).To(gomega.Equal(api.CodeConfigStale))
+		r.Expect(err.Outcome).To(gomega.Equal(api.NotRun))
+		r.Expect(endpoint.Runs()).To(gomega.BeEmpty())
 	})
 }
--- a/placement/cold_part.go
+++ b/placement/cold_part.go
@@ -7,8 +7,10 @@
 
 // The own parts of a cold endpoint's bound need no exchange between entries: a few entries,
 // its users, chosen by rendezvous hashing, each have a token bucket with an equal part of
-// what may be sent in a second. The sum stays within the bound under any partition, and
-// whatever entries are lost, restart or freeze.
+// what may be sent in a second. The sum stays within the bound as long as all entries choose
+// from the same list, whichever of them are out of contact, lost, restarted or frozen. Entries
+// that have left the list are kept in it for a while, see coldEntries. If some are cut off for
+// longer and still send, the sum may exceed the bound by the parts of those that replaced them.
 const (
 	// coldSendShare is the share of the bound that may be sent in a second. The rest is
 	// for requests that arrive closer together than they were sent.
@@ -24,7 +26,8 @@
 	// maxColdJitter is by how much requests may be sent closer together than they were
 	// granted, for example as the contents of some batch items are read faster.
 	maxColdJitter = 100 * time.Millisecond
-	// maxSlowRate is a rate at which no two requests fall into one second.
+	// maxSlowRate is a rate at which no two requests fall into one second. There is no room
+	// for maxColdJitter at it.
 	maxSlowRate = 0.95
 )
 
@@ -34,24 +37,30 @@
 	rate, burst  float64       // requests a second, and requests; 0: this entry is not a user
 	startupRate  float64       // in place of rate before startupUntil
 	startupUntil time.Duration // clock
+	jitter       time.Duration // by which requests may be sent closer together than they were granted
 
 	granted, sent coldBucket
 }
 
-// coldBucket is a token bucket with the rate and burst of a coldPart.
+// coldBucket is a token bucket with the rate and burst of a coldPart. It is empty until it is
+// first used: the list of endpoints, which creates it, has no clock.
 type coldBucket struct {
+	begun      bool
 	tokens     float64
 	refilledAt time.Duration // clock
 }
 
 // reset discards the tokens.
 func (p *coldPart) reset(now time.Duration) {
-	p.granted = coldBucket{refilledAt: now}
+	p.granted = coldBucket{begun: true, refilledAt: now}
 	p.sent = p.granted
 }
 
 // refill adds the tokens since the last refill to b and returns those that it has.
 func (p *coldPart) refill(b *coldBucket, now time.Duration) float64 {
+	if !b.begun {
+		*b = coldBucket{begun: true, refilledAt: now}
+	}
 	b.tokens = min(p.burst, b.tokens+(now-b.refilledAt).Seconds()*p.rateAt(now))
 	b.refilledAt = now
 	return b.tokens
@@ -82,14 +91,23 @@
 	p.granted.tokens--
 }
 
-// send takes the token of a request that is to be sent. It returns false if too many were
-// sent of late.
-func (p *coldPart) send(now time.Duration) bool {
-	if p.refill(&p.sent, now) < 1-p.rateAt(now)*maxColdJitter.Seconds() {
-		return false
+// sendWait returns the time until a request that was granted may be sent: 0 unless too many
+// were sent of late.
+func (p *coldPart) sendWait(now time.Duration) time.Duration {
+	missing := 1 - p.rateAt(now)*p.jitter.Seconds() - p.refill(&p.sent, now)
+	if missing <= 0 {
+		return 0
+	}
+	if p.burst < 1 {
+		return maxColdWait
 	}
+	return max(1, time.Duration(math.Ceil(missing/p.rateAt(now)*float64(time.Second))))
+}
+
+// send takes the token of a request that is sent.
+func (p *coldPart) send(now time.Duration) {
+	p.refill(&p.sent, now)
 	p.sent.tokens--
-	return true
 }
 
 // parts divides what may be sent to a cold endpoint in a second: the number of requests that
@@ -112,12 +130,16 @@
 	p := &e.cold.part
 	p.rate, p.startupRate, p.burst = 0, 0, 0
 	p.startupUntil = t.cold.since + coldStartup
-	users := t.cold.tolerance.users(e.cold.rate.Rate, len(t.entries))
-	if e.OtherCell || t.entriesAhead(e) >= users {
+	entries := t.coldUsers()
+	users := t.cold.tolerance.users(e.cold.rate.Rate, len(entries))
+	if e.OtherCell || t.rankAmong(e, entries) >= users {
 		return
 	}
 	burst, rest := t.cold.tolerance.parts(e.cold.rate.Rate)
 	p.burst = burst / float64(users)
 	p.rate = rest / float64(users)
 	p.startupRate = min(p.rate, rest/coldStartupEntries)
+	if p.jitter = maxColdJitter; rest <= maxSlowRate {
+		p.jitter = 0
+	}
 }
--- a/placement/cold_state_test.go
+++ b/placement/cold_state_test.go
@@ -84,6 +84,44 @@
 	g.Expect(tab.ColdEndpoints(2 * time.Second)).To(gomega.Equal(1))
 }
 
+// A response states a longer time than that of the deployment, and the endpoint is listed
+// again: what it stated must not be cut to the deployment's time, whether the registration
+// says nothing or something older.
+func TestCold_ResponseHoldsWhenListedAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	e := testEndpoint("x", "a")
+	for name, statements := range map[string]map[Key]ColdNotice{
+		"nothing": nil,
+		"older":   {e.Key(): {Given: true}},
+	} {
+		tab := newColdTable(e)
+		tab.StateCold(0, map[Key]ColdNotice{e.Key(): {Given: true}})
+		grant, _ := tab.Place(0, testRequest())
+		grant.Observe(time.Second, Notice{Cold: ColdNotice{Given: true, Left: 5 * coldTime}})
+		tab.SetEndpoints(nil)
+		tab.SetEndpoints([]Endpoint{e})
+		tab.StateCold(2*time.Second, statements)
+		g.Expect(coldFor(tab, 2*time.Second)).To(gomega.Equal(5*coldTime-time.Second), name)
+	}
+}
+
+// The end of each cold time is returned once, for the log, unless a statement has ended it.
+func TestCold_EndIsReturnedOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	e := testEndpoint("x", "a")
+	tab := newColdTable(e)
+	cold := func(now, left time.Duration) []ColdChange {
+		return tab.StateCold(now, map[Key]ColdNotice{e.Key(): {Given: true, Left: left}})
+	}
+	g.Expect(cold(0, time.Second)).To(gomega.Equal([]ColdChange{{Endpoint: e, Cold: true, Left: time.Second, Source: ColdRegistration}}))
+	g.Expect(tab.EndedCold(time.Second - 1)).To(gomega.BeEmpty())
+	g.Expect(tab.EndedCold(time.Second)).To(gomega.Equal([]ColdChange{{Endpoint: e, Source: ColdRegistration}}))
+	g.Expect(tab.EndedCold(time.Second)).To(gomega.BeEmpty())
+	g.Expect(cold(2*time.Second, time.Second)).To(gomega.HaveLen(1))
+	g.Expect(cold(2*time.Second, 0)).To(gomega.HaveLen(1))
+	g.Expect(tab.EndedCold(time.Minute)).To(gomega.BeEmpty(), "a statement has ended it")
+}
+
 // A statement that can't be used means the whole time, counted from the first such one: an
 // endpoint that repeats it must not be cold for ever.
 func TestCold_MalformedStatementMeansWholeTime(t *testing.T) {
--- a/placement/cold_test.go
+++ b/placement/cold_test.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -69,6 +71,54 @@
 	}
 }
 
+// Most entries are cut off and have left the list of the others, but send with their own full
+// list: the others must not take their parts. Those that are shutting down are replaced.
+func TestCold_CutOffEntriesRemainUsers(t *testing.T) {
+	for name, leaving := range map[string]bool{"cut off": false, "shutting down": true} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			f := newColdFleet(12, coldEndpoints(4)...)
+			f.serving, f.leaving = 50*time.Millisecond, make(map[string]bool)
+			left := f.names()[:3]
+			f.run(func(now time.Duration) {
+				for i, e := range f.entries[3:] {
+					e.cutOff, e.frozen = true, leaving
+					f.leaving[f.names()[i+3]] = leaving
+				}
+				if now == coldFrom {
+					f.restartEndpoints(now, 4)
+				}
+				if now == coldFrom-time.Second {
+					for i := range left {
+						f.setEntries(now, i, left)
+					}
+				}
+				f.load(now, 2000)
+			})
+			g.Expect(f.most()).To(gomega.BeNumerically("<=", coldBound))
+			if leaving {
+				g.Expect(f.perSecond()).To(gomega.BeNumerically(">=", 15))
+			}
+		})
+	}
+}
+
+// An entry that has left the list is kept for the cold time of any endpoint and the time of its
+// own expiry, and not for ever: its part would never be used again.
+func TestCold_DepartedEntriesAreDropped(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tab := newColdTable(testEndpoint("x", "a"))
+	stays := func(string) bool { return false }
+	tab.SetColdEntries(0, []string{"self", "other"}, stays)
+	tab.SetColdEntries(time.Second, []string{"self"}, stays)
+	tab.SetColdEntries(2*time.Second, []string{"self"}, stays)
+	kept := time.Second + coldEntryExpiry + coldTime
+	tab.StateCold(kept-1, nil)
+	g.Expect(tab.coldUsers()).To(gomega.ConsistOf("self", "other"))
+	tab.StateCold(kept, nil)
+	g.Expect(tab.coldUsers()).To(gomega.ConsistOf("self"))
+}
+
 // Other entries report more requests to a cold endpoint than its rate allows, as they know
 // of other entries, for example. This entry must send none until the rate allows it.
 func TestCold_CountsOfOthersAreCharged(t *testing.T) {
@@ -168,47 +218,58 @@
 			}
 		},
 	} {
-		t.Run(name, func(t *testing.T) {
-			g := gomega.NewWithT(t)
-			f := newColdFleet(33, coldEndpoints(4)...)
-			f.serving = 50 * time.Millisecond
-			f.run(func(now time.Duration) {
-				if now == coldFrom {
-					f.restartEndpoints(now, 4)
-				}
-				if now >= coldFrom {
-					disturb(f, now)
-				}
-				f.load(now, 400)
+		for order, listFirst := range startOrders {
+			t.Run(name+", "+order, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				f := newColdFleet(33, coldEndpoints(4)...)
+				f.serving, f.listFirst = 50*time.Millisecond, listFirst
+				f.run(func(now time.Duration) {
+					if now == coldFrom {
+						f.restartEndpoints(now, 4)
+					}
+					if now >= coldFrom {
+						disturb(f, now)
+					}
+					f.load(now, 400)
+				})
+				g.Expect(f.most()).To(gomega.BeNumerically("<=", coldBound))
+				g.Expect(f.perSecond()).To(gomega.BeNumerically(">=", 4))
 			})
-			g.Expect(f.most()).To(gomega.BeNumerically("<=", coldBound))
-			g.Expect(f.perSecond()).To(gomega.BeNumerically(">=", 4))
-		})
+		}
 	}
 }
 
+// startOrders says whether an entry that starts reads the list of endpoints, with what they
+// state, before the cold rates of the configuration.
+var startOrders = map[string]bool{"rates first": false, "list first": true}
+
 // All entries of a new fleet start at the same time, and each knows no other at first, so
 // that it might take all of the rate for its own part.
 func TestCold_BoundHoldsWhileEntriesAreNotKnown(t *testing.T) {
-	g := gomega.NewWithT(t)
-	f := newColdFleet(33, coldEndpoints(4)...)
-	f.serving = 50 * time.Millisecond
-	f.run(func(now time.Duration) {
-		if now == coldFrom {
-			f.restartEndpoints(now, 4)
-			for i := range f.entries {
-				f.start(now, i)
-				f.entries[i].table.SetEntries([]string{f.entries[i].table.self})
-			}
-		}
-		if known := coldFrom + 2800*time.Millisecond; now == known {
-			for _, e := range f.entries {
-				e.table.SetEntries(f.names())
-			}
+	for order, listFirst := range startOrders {
+		for _, entries := range []int{12, 33} {
+			t.Run(fmt.Sprint(entries, " entries, ", order), func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				f := newColdFleet(entries, coldEndpoints(4)...)
+				f.serving, f.listFirst, f.alone = 50*time.Millisecond, listFirst, true
+				f.run(func(now time.Duration) {
+					if now == coldFrom {
+						f.restartEndpoints(now, 4)
+						for i := range f.entries {
+							f.start(now, i)
+						}
+					}
+					if known := coldFrom + 2800*time.Millisecond; now == known {
+						for i := range f.entries {
+							f.setEntries(now, i, f.names())
+						}
+					}
+					f.load(now, 2000)
+				})
+				g.Expect(f.most()).To(gomega.BeNumerically("<=", coldBound))
+			})
 		}
-		f.load(now, 400)
-	})
-	g.Expect(f.most()).To(gomega.BeNumerically("<=", coldBound))
+	}
 }
 
 // An entry freezes, or reads the contents of items slowly, between the grants of requests
@@ -237,6 +298,62 @@
 	g.Expect(sent).To(gomega.BeNumerically(">", 0))
 }
 
+// Requests at low rates are held up for different times after their grant, which must not
+// bring two into a second that has room for one.
+func TestCold_HeldRequestsAtLowRates(t *testing.T) {
+	for _, rate := range []float64{0.5, 1, 1.5, 2, 3} {
+		g := gomega.NewWithT(t)
+		tab := newColdTable(testEndpoint("x", "a"))
+		tab.SetColdRates(-time.Hour, quota.NewTable(quota.Tolerance{}), map[string]ColdRate{model: {Rate: rate, Time: time.Hour}}, ColdTolerance{Excess: 1})
+		tab.SetColdShare(quota.Share{Observed: 1, Own: 1, ValidUntil: time.Hour})
+		tab.ColdEndpoints(0)
+		held := make(map[time.Duration]*Grant)
+		var sent []time.Duration
+		granted := 0
+		for now := time.Second; now < 40*time.Second; now += time.Millisecond {
+			if grant, _ := tab.Place(now, testRequest()); grant != nil {
+				grant.Release(now, Done, 0)
+				held[now+[]time.Duration{maxColdJitter, 0}[granted%2]] = grant
+				granted++
+			}
+			if grant := held[now]; grant != nil && grant.MaySend(now) {
+				sent = append(sent, now)
+			}
+		}
+		for i, at := range sent {
+			end, _ := slices.BinarySearch(sent, at+time.Second)
+			g.Expect(end-i).To(gomega.BeNumerically("<=", max(1, rate)), "rate %g at %v", rate, at)
+		}
+		g.Expect(len(sent)).To(gomega.BeNumerically(">=", int(12*min(rate, 1))), "rate %g", rate)
+	}
+}
+
+// A request that was granted and may not be sent is placed elsewhere, or refused with the time
+// at which the endpoint takes one; it must not get the same endpoint again at once.
+func TestCold_RefusedAtSendIsNotChosenAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tab := newColdTable(testEndpoint("x", "a"))
+	tab.ColdEndpoints(0)
+	var grants []*Grant
+	for now := 5 * time.Second; now < 9*time.Second; now += coldTick {
+		if grant, _ := tab.Place(now, testRequest()); grant != nil {
+			grant.Release(now, Done, 0)
+			grants = append(grants, grant)
+		}
+	}
+	now := 10 * time.Second
+	for len(grants) > 0 && grants[0].MaySend(now) {
+		grants = grants[1:]
+	}
+	g.Expect(grants).NotTo(gomega.BeEmpty())
+	_, refusal := tab.Place(now, testRequest())
+	g.Expect(refusal).NotTo(gomega.BeNil())
+	g.Expect(refusal.Cold).To(gomega.BeTrue())
+	next, _ := tab.Place(now+refusal.Wait, testRequest())
+	g.Expect(next).NotTo(gomega.BeNil())
+	g.Expect(next.MaySend(now + refusal.Wait)).To(gomega.BeTrue())
+}
+
 // A reload or the default of the settings allows exactly the cold rate.
 func TestCold_ExactlyTheRateByDefault(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -180,14 +180,14 @@
 	recentRequests float64       // online requests at this entry, as a sum that decays with the time constant reportLag
 	lastRequestAt  time.Duration // clock at the last online request
 	policy         *locality.Policy
-	evacuations    bool             // the data centre of at least one endpoint is evacuated
-	requests       float64          // as recentRequests, with the time constant rateDecay
-	onRamp         func(RampChange) // nil: endpoints begin without ramps
-	listed         bool             // SetEndpoints was called
-	started        []*endpoint      // endpoints that have started and whose ramps have not begun
-	responseTime   time.Duration    // moving average of the time to the response header of online requests, without ramps
-	clock          time.Duration    // newest time that a caller gave
-	waves          map[string]*wave // by deployment
+	evacuations    bool              // the data centre of at least one endpoint is evacuated
+	requests       float64           // as recentRequests, with the time constant rateDecay
+	onRamp         func(RampChange)  // nil: endpoints begin without ramps
+	listed         bool              // SetEndpoints was called
+	started        []startedEndpoint // endpoints that have started and whose ramps have not begun
+	responseTime   time.Duration     // moving average of the time to the response header of online requests, without ramps
+	clock          time.Duration     // newest time that a caller gave
+	waves          map[string]*wave  // by deployment
 }
 
 // NewTable returns an empty table of the entry self in dataCentre. onChange, which may
@@ -233,6 +233,7 @@
 		t.group(item.Deployment).add(e)
 		t.setUpCold(e)
 	}
+	t.started = slices.DeleteFunc(t.started, func(s startedEndpoint) bool { return t.endpoints[s.key] != s.endpoint })
 	t.cold.stale = t.cold.quota != nil
 	for _, r := range t.peers {
 		t.applyReport(r, 1)
@@ -245,8 +246,8 @@
 func (t *Table) newEndpoint(key Key) *endpoint {
 	e := &endpoint{key: key, grants: make(map[*Grant]struct{})}
 	e.rank, e.nearRank = t.entriesAhead(e), t.rankAmong(e, t.nearEntries)
-	if t.listed {
-		t.started = append(t.started, e)
+	if t.listed && t.onRamp != nil {
+		t.started = append(t.started, startedEndpoint{endpoint: e})
 	}
 	return e
 }
@@ -315,6 +316,7 @@
 	defer t.mu.Unlock()
 	t.recordRequest(now)
 	t.beginRamps(now)
+	t.expireColdEntries(now)
 	t.observeLoad(now)
 	best, refusal := t.choose(now, req, t.takeColdToken)
 	if refusal != nil {
--- a/placement/scratch.go
+++ b/placement/scratch.go
@@ -47,9 +47,10 @@
 		medianGap:   source.medianGap,
 		medianStale: source.medianStale,
 	}
-	for _, e := range t.started {
-		if c := copies[e]; c != nil {
-			s.started = append(s.started, c)
+	for _, started := range t.started {
+		if c := copies[started.endpoint]; c != nil {
+			started.endpoint = c
+			s.started = append(s.started, started)
 		}
 	}
 	return s
