sidecar: polls leave tokens to requests; shutdown does not wait for tokens

watchCold reserved the next token of a cold endpoint every second, also while requests waited for it.

Ruled out: a longer poll interval. At rates below it requests would starve again, and at high rates a restart would be noticed later.

The endpoint is polled coldPollInterval after its last response, and only if nothing waits in the queue and a token is due. A check ends with its context; the token that it leaves is used by the next check, as reserving one for each cancelled check would put off all starts. A check that is cancelled is no evidence that an item has crashed the endpoint. The two states have a log message each, and comments are wrapped again.

--- a/sidecar/cold.go
+++ b/sidecar/cold.go
@@ -9,10 +9,11 @@
 
 	"dandelionrelay/api"
 	"dandelionrelay/config"
+	"dandelionrelay/sleep"
 )
 
-// coldPollInterval is the time between two health checks of an endpoint that can be cold.
-// They find out that it has started again while nothing was sent to it.
+// coldPollInterval is the time without a response after which an endpoint that can be cold
+// gets a health check, which finds out that it has started again while nothing was sent to it.
 const coldPollInterval = time.Second
 
 // coldMargin is added to the time for which an endpoint says that it remains cold, which
@@ -29,6 +30,7 @@
 	startedAt time.Time
 	until     time.Time // as stated by the endpoint, or since its last return; zero: neither
 	lost      bool      // the endpoint was lost and has not responded since
+	responded time.Time // time of the last response
 }
 
 // restarted records that the endpoint was lost, so that it may be cold when it returns.
@@ -46,6 +48,7 @@
 	defer c.mu.Unlock()
 	returned := c.lost
 	c.lost = false
+	c.responded = now
 	if statement == "" {
 		if returned {
 			c.until = now.Add(time.Duration(d.ColdTime))
@@ -64,6 +67,13 @@
 	return true
 }
 
+// lastResponse returns the time of the last response, zero if there was none.
+func (c *coldState) lastResponse() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.responded
+}
+
 // limit returns the rate in force, 0 if the endpoint is never cold, and the time until
 // which it applies.
 func (c *coldState) limit(now time.Time, d config.Deployment) (rate float64, until time.Time) {
@@ -94,8 +104,12 @@
 	now := time.Now()
 	rate, until := s.cold.limit(now, d)
 	if became, cold := s.scheduler.setCold(now, rate, until); became {
-		s.deps.Logger.Info().Bool("cold", cold).Float64("rate", rate).Dur("left", max(0, until.Sub(now))).
-			Msg("endpoint is cold, or no longer")
+		event := s.deps.Logger.Info().Float64("rate", rate).Dur("left", max(0, until.Sub(now)))
+		if cold {
+			event.Msg("endpoint is cold: its requests and items are limited to the rate")
+		} else {
+			event.Msg("endpoint is no longer cold")
+		}
 	}
 }
 
@@ -126,36 +140,60 @@
 // has begun share its result, as each costs a part of the rate.
 type sharedCheck struct {
 	busy  chan struct{} // holds a value while a check waits or runs
+	due   time.Time     // time of the token that was reserved last
 	began time.Time
 	err   *api.Error
 }
 
-// checkColdHealth is checkHealth for a cold endpoint: it waits for a token.
+// checkColdHealth is checkHealth for a cold endpoint: it waits for a token, or until ctx
+// ends.
 func (s *Sidecar) checkColdHealth(ctx context.Context) *api.Error {
 	asked := time.Now()
-	s.sharedCheck.busy <- struct{}{}
-	defer func() { <-s.sharedCheck.busy }()
-	if s.sharedCheck.began.After(asked) {
-		return s.sharedCheck.err
+	check := &s.sharedCheck
+	select {
+	case check.busy <- struct{}{}:
+	case <-ctx.Done():
+		return checkCancelledError()
+	}
+	defer func() { <-check.busy }()
+	if check.began.After(asked) {
+		return check.err
+	}
+	// A token that a cancelled check has left is used: reserving one for each cancelled
+	// check would put off all starts.
+	if now := time.Now(); !check.due.After(now) {
+		check.due = now.Add(s.scheduler.reserveStart(now))
+	}
+	if !sleep.For(ctx, time.Until(check.due)) {
+		return checkCancelledError()
 	}
-	time.Sleep(s.scheduler.reserveStart(time.Now()))
-	s.sharedCheck.began = time.Now()
-	s.sharedCheck.err = s.sendHealthCheck(context.WithoutCancel(ctx))
-	return s.sharedCheck.err
+	check.due = time.Time{}
+	check.began = time.Now()
+	check.err = s.sendHealthCheck(context.WithoutCancel(ctx))
+	return check.err
 }
 
-// watchCold polls an endpoint that can be cold until ctx ends.
+// checkCancelledError returns the error of a health check that was not sent, as its context
+// has ended.
+func checkCancelledError() *api.Error {
+	return unavailable(api.CodeNoEndpoint, "the health check of the cold endpoint was cancelled")
+}
+
+// watchCold polls an endpoint that can be cold until ctx ends: after each coldPollInterval
+// without a response, unless requests or items wait, which need the tokens themselves.
 func (s *Sidecar) watchCold(ctx context.Context) {
-	tick := time.NewTicker(coldPollInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			return
-		}
+	for wait := coldPollInterval; sleep.For(ctx, wait); {
 		d, ok := s.deployment()
 		if !ok || !d.HasColdRate() {
+			wait = coldPollInterval
+			continue
+		}
+		wait = coldPollInterval - time.Since(s.cold.lastResponse())
+		if wait > 0 {
+			continue
+		}
+		wait = coldPollInterval
+		if !s.scheduler.mayPoll(time.Now()) {
 			continue
 		}
 		if s.health.lost.Load() {
--- a/sidecar/cold_test.go
+++ b/sidecar/cold_test.go
@@ -1,9 +1,11 @@
 package sidecar_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -185,3 +187,62 @@
 		g.Expect(f.sidecar.QueueWait()).To(gomega.BeZero())
 	})
 }
+
+// Guards against health checks that take the tokens for which requests wait, so that none
+// starts at low rates, and against checks of an endpoint that has just responded.
+func TestSidecar_PollsLeaveTokensToRequests(t *testing.T) {
+	for _, rate := range []float64{0.4, 1, 2} {
+		t.Run(fmt.Sprint("rate ", rate), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				endpoint := &statingEndpoint{}
+				d := coldDeployment(time.Minute)
+				d.ColdRate = rate
+				f := newFixture(t, endpoint, d, withBatch(newFakeOwner()))
+				f.runBatch()
+				var done atomic.Int64
+				var calls sync.WaitGroup
+				for n := range 300 {
+					id := fmt.Sprint(n)
+					calls.Go(func() {
+						if f.result(f.t.Context(), call{id: id, body: chat(id, 2)}).status == http.StatusOK {
+							done.Add(1)
+						}
+					})
+					time.Sleep(100 * time.Millisecond)
+				}
+				calls.Wait()
+				g.Expect(done.Load()).To(gomega.BeNumerically(">=", 30*rate*8/10))
+				g.Expect(endpoint.requests.Load()).To(gomega.BeNumerically("<=", 34*rate+1))
+			})
+		})
+	}
+}
+
+// Guards against a shutdown that waits for the token of a health check.
+func TestSidecar_ShutdownDoesNotWaitForTokens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		d := coldDeployment(time.Hour)
+		d.ColdRate = 0.001
+		f := newFixture(t, &statingEndpoint{}, d, withBatch(newFakeOwner()))
+		f.net.SetRefusing(endpointAddr, true)
+		time.Sleep(2 * time.Hour)
+		g.Expect(f.result(t.Context(), call{id: "lost", body: chat("hello", 2)}).failure.Code).To(gomega.Equal(api.CodeEndpointLost))
+		ctx, cancel := context.WithCancel(t.Context())
+		var checks sync.WaitGroup
+		checks.Go(func() { f.sidecar.Run(ctx) })
+		for range 3 {
+			checks.Go(func() {
+				probe := httptest.NewRequestWithContext(ctx, http.MethodGet, sidecar.ProbePath, nil)
+				f.sidecar.ServeHTTP(httptest.NewRecorder(), probe)
+			})
+		}
+		time.Sleep(5 * time.Second)
+		cancelled := time.Now()
+		cancel()
+		checks.Wait()
+		synctest.Wait()
+		g.Expect(time.Since(cancelled)).To(gomega.BeNumerically("<", time.Second))
+	})
+}
--- a/sidecar/itemcall.go
+++ b/sidecar/itemcall.go
@@ -93,7 +93,8 @@
 		return r.result(r.stateIfNotStarted()), true
 	}
 	result := r.result(api.ResultUnknown)
-	if r.runner.checkHealth(parent) != nil {
+	// A check that was cancelled, perhaps while it waited for a token, says nothing of a crash.
+	if r.runner.checkHealth(parent) != nil && parent.Err() == nil {
 		result.Crash = r.runner.gate.crashOf(r.id)
 		result.Digest = api.Digest(quarantine.DigestOf(r.Customer, r.Path, r.Body))
 	}
--- a/sidecar/scheduler.go
+++ b/sidecar/scheduler.go
@@ -208,6 +208,14 @@
 	return s.queue.Cold(now)
 }
 
+// mayPoll reports whether a health check takes no token for which a request or item waits
+// now, or would have to wait if it arrived before the token is due.
+func (s *scheduler) mayPoll(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.queue.Waiting()+s.queue.WaitingItems() == 0 && s.queue.ColdWait(now) == 0
+}
+
 // reserveStart takes the next token of a cold endpoint and returns the time until it is
 // due.
 func (s *scheduler) reserveStart(now time.Time) time.Duration {
