gateway: a repeat of an accepted job is not refused during an evacuation

requireDataCentre refused each submission for which no data centre was left as not run, without asking whether the job exists: the repeat of one that was accepted before got 503 in place of 202.

Ruled out: looking at the replayed index alone. Another entry may have accepted the job a moment ago, and an append that was not acknowledged may still take effect.

Only if no data centre is left, batch.Service.Accepted looks the job up and reads the index to its end if it does not hold it. Jobs that it holds pass to Submit, which accepts the repeat. If the read fails, or if a submission at this entry is under way or ended unacknowledged within 15 s, the response is 504 with outcome unknown. A submission that another entry has not finished yet is not seen.

--- a/batch/service.go
+++ b/batch/service.go
@@ -65,6 +65,8 @@
 	runner   *runner
 	limits   atomic.Pointer[Limits]
 
+	unacknowledged unacknowledged
+
 	unclaimable map[string]bool // jobs without an entry that may take them over, at the last check; used by takeOverLoop only
 }
 
@@ -112,6 +114,14 @@
 	if v, ok := s.Index.state.view(sub.ID); ok {
 		return checkResubmission(v.Job, sub)
 	}
+	s.unacknowledged.begin(sub.ID)
+	err := s.accept(ctx, sub)
+	s.unacknowledged.end(time.Now(), sub.ID, err)
+	return err
+}
+
+// accept stores a job that is not known, and its requests.
+func (s *Service) accept(ctx context.Context, sub Submission) error {
 	if err := s.precheckTokenLimit(ctx, sub); err != nil {
 		return err
 	}
--- a/gateway/locality.go
+++ b/gateway/locality.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -184,20 +185,35 @@
 	return locality.Decide(g.regions()[dataCentre], false, homes...) == locality.Allowed
 }
 
-// requireDataCentre is a filter that refuses a job for whose items no data centre is left.
+// requireDataCentre is a filter that refuses a job for whose items no data centre is left,
+// unless it is one that was accepted before.
 func (g *Gateway) requireDataCentre(next pipeline.Handler) pipeline.Handler {
 	return func(ctx context.Context, c *pipeline.Call) *api.Error {
 		request := placement.Request{
 			Deployment: c.Snapshot.State.Routes[c.RouteID].Deployment,
 			Homes:      c.Snapshot.Homes(c.Route, c.Customer),
 		}
-		if v := g.table.Verdict(request); v != locality.Allowed {
-			return online.LocalityError(v, placement.LocalityRetryAfter)
+		v := g.table.Verdict(request)
+		if v == locality.Allowed {
+			return next(ctx, c)
 		}
-		return next(ctx, c)
+		switch accepted, err := g.jobs.Accepted(ctx, c.ID); {
+		case err != nil:
+			g.Log.Warn().Err(err).Str("job", c.ID).Stringer("verdict", v).Msg("no data centre is left for a job that may have been accepted")
+			return AcceptanceUnknownError()
+		case accepted:
+			return next(ctx, c)
+		}
+		return online.LocalityError(v, placement.LocalityRetryAfter)
 	}
 }
 
+// AcceptanceUnknownError returns the response to a submission of a job that may have been
+// accepted.
+func AcceptanceUnknownError() *api.Error {
+	return api.NewError(http.StatusGatewayTimeout, api.CodeLogDown, "it is not known whether the job was accepted").WithOutcome(api.Unknown)
+}
+
 // evacuationsConfirmed reports whether the evacuations that this entry knows were confirmed
 // within the evacuation bound. A process that was suspended for longer must not go on before
 // it has read what was missed; while the store can't be read by this entry nor by others, it
--- a/gateway/locality_test.go
+++ b/gateway/locality_test.go
@@ -9,12 +9,14 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/onsi/gomega"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/rs/zerolog"
 
 	"dandelionrelay/api"
 	"dandelionrelay/authn"
+	"dandelionrelay/batch"
 	"dandelionrelay/config"
 	"dandelionrelay/gossip"
 	"dandelionrelay/keyedlog"
@@ -22,6 +24,7 @@
 	"dandelionrelay/pipeline"
 	"dandelionrelay/placement"
 	"dandelionrelay/settings"
+	"dandelionrelay/standin/keyed"
 )
 
 // newLocalityGateway returns a gateway in data centre "a" with one endpoint in each of "a",
@@ -211,3 +214,51 @@
 	r.ApplySettings(&settings.Gateway{ID: "self"})
 	r.Expect(r.locality.applied).To(gomega.BeFalse())
 }
+
+// Guards against repeats of a submission that are said not to have run, although the job was
+// accepted before the evacuation, here or by another entry, or may have been.
+func TestEvacuation_RepeatedSubmissionIsNotRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, other := newLocalityGateway(t, evacuated("a", "b", "c")), newLocalityGateway(t, nil)
+		r.index.Log = other.index.Log
+		submit := func(id string) *api.Error {
+			c := r.call("/jobs/x", "")
+			c.ID = id
+			return r.RouteAndAuthenticate(t.Context(), c)
+		}
+		r.Expect(r.jobsFollower.Refresh(t.Context())).To(gomega.Succeed())
+		r.Expect(other.jobsFollower.Refresh(t.Context())).To(gomega.Succeed())
+		r.Expect(submit("job").Outcome).To(gomega.Equal(api.NotRun))
+
+		r.Expect(other.BatchJobs().Submit(t.Context(), batch.Submission{Job: batch.Job{ID: "job", Route: "jobs"}})).To(gomega.Succeed())
+		r.Expect(submit("job")).To(gomega.BeNil(), "accepted by another entry")
+		r.Expect(submit("job")).To(gomega.BeNil(), "known here")
+		r.Expect(submit("new").Code).To(gomega.Equal(api.CodeEvacuated))
+
+		r.index.SetFault(keyed.Unreachable)
+		r.Expect(submit("job")).To(gomega.BeNil(), "no read is needed")
+		err := submit("new")
+		r.Expect(err.Outcome).To(gomega.Equal(api.Unknown), "the index cannot be read")
+		r.Expect(err.Status).To(gomega.Equal(http.StatusGatewayTimeout))
+	})
+}
+
+// Guards against a repeat that is said not to have run while the append of an earlier one may
+// still take effect.
+func TestEvacuation_UnacknowledgedSubmissionIsNotRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newLocalityGateway(t, nil)
+		r.Expect(r.jobsFollower.Refresh(t.Context())).To(gomega.Succeed())
+		r.index.SetFault(keyed.Unresponsive)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		err := r.BatchJobs().Submit(ctx, batch.Submission{Job: batch.Job{ID: "q", Route: "jobs"}})
+		r.Expect(errorx.IsOfType(err, batch.Indeterminate)).To(gomega.BeTrue())
+		r.index.SetFault(keyed.None)
+		r.Expect(r.jobsFollower.Refresh(t.Context())).To(gomega.Succeed())
+		r.setState(evacuated("a", "b", "c"))
+		r.Expect(r.RouteAndAuthenticate(t.Context(), r.call("/jobs/x", "")).Outcome).To(gomega.Equal(api.Unknown))
+		time.Sleep(2 * time.Minute)
+		r.Expect(r.RouteAndAuthenticate(t.Context(), r.call("/jobs/x", "")).Outcome).To(gomega.Equal(api.NotRun))
+	})
+}
--- a/keyedlog/follower.go
+++ b/keyedlog/follower.go
@@ -97,6 +97,20 @@
 	return err
 }
 
+// RefreshToEnd loads the partition, or reads from it, until the state holds all records that
+// were appended before the call.
+func (f *Follower) RefreshToEnd(ctx context.Context) error {
+	start := f.options.Clock()
+	for {
+		if err := f.Refresh(ctx); err != nil {
+			return err
+		}
+		if time.Duration(f.confirmed.Load()) >= start {
+			return nil
+		}
+	}
+}
+
 // step loads the partition if it is not loaded yet or the next offset is no longer
 // retained; otherwise it reads one page. It reports whether it loaded the partition
 // or found records.
