gateway: remote confirmation prefers entries that reply, and needs a bound

An entry without the store got no configuration from one of a release without evacuations, as a reply without Complete was ignored. An entry whose whole cell is cut off asked one member a second at random, every other one of its own cell; members do not expire in an outage, so that lost ones were asked over and over within a bound of 5 s. Both ran in deployments without evacuation_bound as well.

Ruled out: taking the offset of an incomplete reply. Evacuations between the offsets would never be read.

The configuration of an incomplete reply is merged (keyedlog Follower.MergeFromPeer); the offset and the evacuations stay. Entries are asked in this order: those that have confirmed it within 10 s; those without a failure within 30 s, of other data centres and cells first; the others. Two are asked at a time from a third of evacuation_bound on, none without it. Keys are still not confirmed by an entry of an earlier release that has read further than this one.

Tests: TestConfirmation_AsksEntriesOfOtherDataCentres is written anew, as the choice now depends on the results: no one replies in it. It keeps its checks (first and half of the calls go to the other data centre, more than 5 do not) and adds that failed entries come last; that this entry is never asked is checked in TestConfirmation_AsksOnlyWithinAnEvacuationBound.

--- a/gateway/confirm.go
+++ b/gateway/confirm.go
@@ -27,6 +27,8 @@
 	// ApplyFromPeer replaces the state with the newest records, which another entry has
 	// read up to next.
 	ApplyFromPeer(records []keyedlog.Record, next int64)
+	// MergeFromPeer applies records of another entry that are not the newest of all keys.
+	MergeFromPeer(records []keyedlog.Record)
 }
 
 // NewestArgs says what the calling entry has.
@@ -62,7 +64,7 @@
 	return nil
 }
 
-// configFetcher fetches the configuration from other entries, one call at a time.
+// configFetcher fetches the configuration from other entries. busy is set while it does.
 type configFetcher struct {
 	busy atomic.Bool
 }
@@ -79,9 +81,15 @@
 	}
 }
 
-// fetchConfig applies the configuration of another entry.
+// fetchConfig applies the configuration of another entry. The caller has set busy.
 func (g *Gateway) fetchConfig(name, address string) {
 	defer g.fetcher.busy.Store(false)
+	g.askForConfig(name, address)
+}
+
+// askForConfig asks another entry for the configuration and applies the reply. It reports
+// whether that entry has confirmed its configuration of late.
+func (g *Gateway) askForConfig(name, address string) (confirmed bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), configCallTimeout)
 	defer cancel()
 	var reply NewestReply
@@ -89,10 +97,11 @@
 	have, _ := g.ConfigFeed.NextOffset()
 	if err := g.peerPool.Call(ctx, address, methodNewest, NewestArgs{Have: have}, &reply); err != nil {
 		g.Log.Warn().Err(err).Str("peer", name).Msg("could not get the configuration from another entry")
-		return
+		return false
 	}
 	if g.applyNewest(name, asked, reply) {
 		g.Log.Info().Str("peer", name).Int64("next_offset", reply.Next).Dur("store_lost_ms", g.ConfigFeed.LostFor()).
 			Msg("got the configuration from another entry")
 	}
+	return reply.Confirmed && reply.Age < remoteConfirmAge
 }
--- a/gateway/confirm_remote.go
+++ b/gateway/confirm_remote.go
@@ -1,8 +1,12 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"time"
 
 	"dandelionrelay/gossip"
@@ -19,53 +23,139 @@
 	remoteConfirmAge = 1500 * time.Millisecond
 )
 
+// Periods for which results of these calls count. A member that is down or cut off as well is
+// asked again later, as members do not expire in an outage.
+const (
+	confirmerReplyPeriod   = 10 * time.Second
+	confirmerFailurePeriod = 30 * time.Second
+)
+
 // confirmRemotely asks other entries for the configuration while neither the store nor the
 // datagrams of others confirm it, until ctx is done.
 func (g *Gateway) confirmRemotely(ctx context.Context) {
-	for n := 0; sleep.For(ctx, remoteConfirmInterval); n++ {
-		if !g.needsRemoteConfirmation() {
+	for sleep.For(ctx, remoteConfirmInterval) {
+		targets := g.confirmersToAsk()
+		if len(targets) == 0 || !g.fetcher.busy.CompareAndSwap(false, true) {
 			continue
 		}
-		m, ok := g.pickConfirmer(n, g.members.Members())
-		if ok && g.fetcher.busy.CompareAndSwap(false, true) {
-			g.fetchConfig(m.Name, m.Address)
+		var calls sync.WaitGroup
+		for _, m := range targets {
+			calls.Go(func() { g.confirmers.record(m.Name, g.Clock(), g.askForConfig(m.Name, m.Address)) })
 		}
+		calls.Wait()
+		g.fetcher.busy.Store(false)
 	}
 }
 
+// confirmersToAsk returns the entries to ask now: none unless an evacuation bound is set, and
+// two at a time once a third of it has passed without confirmation.
+func (g *Gateway) confirmersToAsk() []gossip.Member {
+	bound := time.Duration(g.settings.Load().EvacuationBound)
+	if bound == 0 || !g.needsRemoteConfirmation() {
+		return nil
+	}
+	n := 1
+	if !g.configConfirmedWithin(bound / 3) {
+		n = 2
+	}
+	inCell := make(map[string]bool)
+	for _, name := range g.node.CellMembers() {
+		inCell[name] = true
+	}
+	var candidates []confirmer
+	for _, m := range g.members.Members() {
+		if m.Name != g.Settings.ID {
+			candidates = append(candidates, confirmer{Member: m, sameCell: inCell[m.Name], sameDataCentre: m.DataCentre == g.Settings.DataCentre})
+		}
+	}
+	return g.confirmers.choose(g.Clock(), n, candidates)
+}
+
 // needsRemoteConfirmation reports whether the store can't be read and no other entry has
 // confirmed the configuration of late.
 func (g *Gateway) needsRemoteConfirmation() bool {
 	return g.ConfigFeed.LostFor() > 0 && !g.configConfirmedWithin(remoteConfirmAge)
 }
 
-// pickConfirmer chooses the entry to ask in attempt n at random: every other time among those
-// of other data centres if there are any, as this one may be cut off.
-func (g *Gateway) pickConfirmer(n int, members []gossip.Member) (gossip.Member, bool) {
-	var others, remote []gossip.Member
-	for _, m := range members {
-		if m.Name == g.Settings.ID {
-			continue
+// confirmer is an entry that may confirm the configuration.
+type confirmer struct {
+	gossip.Member
+	sameCell, sameDataCentre bool // as this entry
+}
+
+// confirmers decides which entries are asked, by the results of earlier calls.
+type confirmers struct {
+	mu              sync.Mutex
+	replied, failed map[string]time.Duration // by entry: time of the last call, if that was its result
+	attempts        int                      // calls of choose
+}
+
+// record records whether an entry has confirmed the configuration when it was asked.
+func (c *confirmers) record(name string, now time.Duration, confirmed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.replied == nil {
+		c.replied, c.failed = make(map[string]time.Duration), make(map[string]time.Duration)
+	}
+	maps.DeleteFunc(c.replied, func(_ string, at time.Duration) bool { return now-at >= confirmerReplyPeriod })
+	maps.DeleteFunc(c.failed, func(_ string, at time.Duration) bool { return now-at >= confirmerFailurePeriod })
+	delete(c.replied, name)
+	delete(c.failed, name)
+	if confirmed {
+		c.replied[name] = now
+	} else {
+		c.failed[name] = now
+	}
+}
+
+// choose returns up to n of the candidates: those that have confirmed it of late; then those
+// that have not failed of late, first of other data centres and then of other cells, as this
+// one may be cut off; then the others, from the one whose failure is the longest ago. Every
+// other time, those of other data centres that have failed come before all of this cell. Equal
+// ones are taken at random.
+func (c *confirmers) choose(now time.Duration, n int, candidates []confirmer) []gossip.Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.attempts++
+	rank := func(m confirmer) (class int, since time.Duration) {
+		if at, ok := c.replied[m.Name]; ok && now-at < confirmerReplyPeriod {
+			return 0, 0
 		}
-		others = append(others, m)
-		if m.DataCentre != g.Settings.DataCentre {
-			remote = append(remote, m)
+		if at, ok := c.failed[m.Name]; ok && now-at < confirmerFailurePeriod {
+			if !m.sameDataCentre && c.attempts%2 == 1 {
+				return 3, at
+			}
+			return 5, at
 		}
+		switch {
+		case !m.sameDataCentre:
+			return 1, 0
+		case !m.sameCell:
+			return 2, 0
+		}
+		return 4, 0
 	}
-	if n%2 == 0 && len(remote) > 0 {
-		others = remote
-	}
-	if len(others) == 0 {
-		return gossip.Member{}, false
+	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	slices.SortStableFunc(candidates, func(a, b confirmer) int {
+		classA, sinceA := rank(a)
+		classB, sinceB := rank(b)
+		return cmp.Or(cmp.Compare(classA, classB), cmp.Compare(sinceA, sinceB))
+	})
+	var chosen []gossip.Member
+	for _, m := range candidates[:min(n, len(candidates))] {
+		chosen = append(chosen, m.Member)
 	}
-	return others[rand.IntN(len(others))], true
+	return chosen
 }
 
 // applyNewest applies the reply of another entry to a call that began at asked, a time of
-// this entry's clock. It reports whether the reply brought newer records.
+// this entry's clock. It reports whether the reply brought newer records of evacuations as
+// well. An entry of a release that does not know evacuations has only the configuration. That
+// is used, but the offset stays: records of evacuations before it are still to be read.
 func (g *Gateway) applyNewest(name string, asked time.Duration, reply NewestReply) bool {
 	if !reply.Complete {
-		g.Log.Warn().Str("peer", name).Msg("configuration of another entry not used: its release does not know evacuations")
+		g.ConfigFeed.MergeFromPeer(reply.Records)
+		g.Log.Warn().Str("peer", name).Msg("got no evacuations from another entry, whose release does not know them")
 		return false
 	}
 	newer := len(reply.Records) > 0
--- a/gateway/confirm_remote_test.go
+++ b/gateway/confirm_remote_test.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
 
+	"dandelionrelay/config"
 	"dandelionrelay/gossip"
 	"dandelionrelay/keyedlog"
+	"dandelionrelay/settings"
 )
 
 // partitionFeed is a ConfigFeed with an offset and records.
@@ -17,6 +21,7 @@
 	fakeFeed
 	next        int64
 	records     []keyedlog.Record
+	merged      []keyedlog.Record
 	confirmedAt time.Duration
 }
 
@@ -34,6 +39,8 @@
 	f.records, f.next = records, next
 }
 
+func (f *partitionFeed) MergeFromPeer(records []keyedlog.Record) { f.merged = records }
+
 // newConfirmGateway returns a gateway whose configuration ends at offset next and was
 // confirmed age ago.
 func newConfirmGateway(t *testing.T, id, dataCentre string, next int64, age time.Duration) (*testGateway, *partitionFeed) {
@@ -80,26 +87,94 @@
 	r.Expect(r.needsRemoteConfirmation()).To(gomega.BeFalse(), "it was confirmed of late")
 }
 
-// Guards against asking only entries that are cut off with this one.
+// Guards against asking only entries that are cut off with this one: here no one replies.
 func TestConfirmation_AsksEntriesOfOtherDataCentres(t *testing.T) {
-	r, _ := newConfirmGateway(t, "self", "a", 0, 0)
-	members := []gossip.Member{{Name: "self", DataCentre: "a"}, {Name: "near", DataCentre: "a"}, {Name: "far", DataCentre: "b"}}
-	for range 20 {
-		members = append(members, gossip.Member{Name: "near", DataCentre: "a"})
+	var c confirmers
+	candidates := []confirmer{{Member: gossip.Member{Name: "far"}}}
+	for i := range 21 {
+		candidates = append(candidates, confirmer{Member: gossip.Member{Name: fmt.Sprint("near", i)}, sameCell: true, sameDataCentre: true})
 	}
 	asked := make(map[string]int)
+	var order []string
 	for n := range 100 {
-		m, ok := r.pickConfirmer(n, members)
-		r.Expect(ok).To(gomega.BeTrue())
-		asked[m.Name]++
+		now := time.Hour + time.Duration(n)*time.Second
+		chosen := c.choose(now, 1, slices.Clone(candidates))
+		c.record(chosen[0].Name, now, false)
+		asked[chosen[0].Name]++
+		order = append(order, chosen[0].Name)
+	}
+	g := gomega.NewWithT(t)
+	g.Expect(order[0]).To(gomega.Equal("far"))
+	g.Expect(asked["far"]).To(gomega.BeNumerically(">=", 50))
+	g.Expect(100 - asked["far"]).To(gomega.BeNumerically(">", 5))
+	distinct := make(map[string]bool)
+	for _, name := range order[:30] { // within confirmerFailurePeriod
+		distinct[name] = true
+	}
+	g.Expect(distinct).To(gomega.HaveLen(16), "those that have failed come last")
+	g.Expect(c.choose(time.Hour, 2, nil)).To(gomega.BeEmpty())
+	near := c.choose(time.Hour, 2, candidates[1:2])
+	g.Expect(near).To(gomega.HaveLen(1))
+}
+
+// Guards against entries that are lost, which are members throughout an outage, and are asked
+// in place of one that replies, and against a cell of which many are asked before any other.
+func TestConfirmation_PrefersEntriesThatReply(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var candidates []confirmer
+	for i := range 12 {
+		candidates = append(candidates, confirmer{Member: gossip.Member{Name: fmt.Sprint("cell", i)}, sameCell: true, sameDataCentre: true})
+		candidates = append(candidates, confirmer{Member: gossip.Member{Name: fmt.Sprint("near", i)}, sameDataCentre: true})
+		candidates = append(candidates, confirmer{Member: gossip.Member{Name: fmt.Sprint("far", i)}})
+	}
+	replies := func(name string) bool { return name == "near3" || name == "near7" }
+	var c confirmers
+	now, calls := time.Hour, 0
+	for found := false; !found; now += time.Second {
+		for _, m := range c.choose(now, 2, slices.Clone(candidates)) {
+			g.Expect(m.Name).NotTo(gomega.HavePrefix("cell"), "others are left")
+			c.record(m.Name, now, replies(m.Name))
+			found = found || replies(m.Name)
+			calls++
+		}
+	}
+	g.Expect(calls).To(gomega.BeNumerically("<=", 24))
+	for range 100 {
+		first := c.choose(now, 1, slices.Clone(candidates))[0].Name
+		g.Expect(replies(first)).To(gomega.BeTrue(), first)
+		c.record(first, now, true)
+		now += time.Second
 	}
-	r.Expect(asked["self"]).To(gomega.BeZero())
-	r.Expect(asked["far"]).To(gomega.BeNumerically(">=", 50))
-	r.Expect(asked["near"]).To(gomega.BeNumerically(">", 5))
-	_, ok := r.pickConfirmer(0, members[:1])
-	r.Expect(ok).To(gomega.BeFalse())
-	m, _ := r.pickConfirmer(0, members[:2])
-	r.Expect(m.Name).To(gomega.Equal("near"))
+	lost := c.choose(now, 1, slices.Clone(candidates))[0].Name
+	c.record(lost, now, false)
+	g.Expect(c.choose(now, 1, slices.Clone(candidates))[0].Name).NotTo(gomega.Equal(lost), "it was lost since")
+}
+
+// Guards against calls in a deployment that sets no evacuation bound, and against one call at
+// a time when little of the bound is left.
+func TestConfirmation_AsksOnlyWithinAnEvacuationBound(t *testing.T) {
+	r, f := newConfirmGateway(t, "self", "a", 4, time.Minute)
+	f.lost = time.Minute
+	var records []keyedlog.Record
+	for _, name := range []string{"self", "x", "y", "z"} {
+		record, err := gossip.EncodeMember(gossip.Member{Name: name, Incarnation: 1, Address: "127.0.0.1:9", DataCentre: "b"})
+		r.Expect(err).NotTo(gomega.HaveOccurred())
+		records = append(records, record)
+	}
+	r.members.Apply(records)
+	r.Expect(r.needsRemoteConfirmation()).To(gomega.BeTrue())
+	r.Expect(r.confirmersToAsk()).To(gomega.BeEmpty(), "no bound is set")
+	r.ApplySettings(&settings.Gateway{ID: "self", DataCentre: "a", EvacuationBound: config.Duration(bound)})
+	r.Expect(r.confirmersToAsk()).To(gomega.HaveLen(2))
+	for range 20 {
+		for _, m := range r.confirmersToAsk() {
+			r.Expect(m.Name).NotTo(gomega.Equal("self"))
+		}
+	}
+	f.age = bound/3 - 1
+	r.Expect(r.confirmersToAsk()).To(gomega.HaveLen(1))
+	f.age = remoteConfirmAge - 1
+	r.Expect(r.confirmersToAsk()).To(gomega.BeEmpty(), "datagrams confirm it")
 }
 
 // Guards against an entry of a release without evacuations, whose records do not name them,
@@ -117,6 +192,8 @@
 	r.Expect(reply.Complete).To(gomega.BeFalse())
 	r.Expect(r.applyNewest("old", 0, reply)).To(gomega.BeFalse())
 	r.Expect(f.next).To(gomega.BeEquivalentTo(4))
+	r.Expect(f.records).To(gomega.BeNil())
+	r.Expect(f.merged).To(gomega.Equal(reply.Records), "the configuration is used")
 }
 
 // OldConfigRPC replies as a release without evacuations does.
--- a/gateway/filters_test.go
+++ b/gateway/filters_test.go
@@ -42,6 +42,7 @@
 func (f *fakeFeed) NextOffset() (int64, bool)               { return 0, false }
 func (f *fakeFeed) ConfirmByPeer(int64, time.Duration) bool { return false }
 func (f *fakeFeed) ApplyFromPeer([]keyedlog.Record, int64)  {}
+func (f *fakeFeed) MergeFromPeer([]keyedlog.Record)         {}
 
 // bound is the withdrawal bound of the gateway under test.
 const bound = 5 * time.Second
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -113,6 +113,7 @@
 	resumed           *prometheus.CounterVec
 	originsInherited  atomic.Bool // the history of versions that others have stored was inherited, or can't be
 	fetcher           configFetcher
+	confirmers        confirmers
 
 	// Admissions reported by the other entries of this cell, and by other cells. A
 	// relay forwards the sums: those of its cell to other cells, and those of other
--- a/keyedlog/follower.go
+++ b/keyedlog/follower.go
@@ -224,6 +224,18 @@
 	f.next = next
 }
 
+// MergeFromPeer applies records that another follower of the partition has read, without
+// those of other keys or an offset up to which it has them all. They are read again from the
+// partition, and the state must keep the newer of two records. It does nothing before the
+// first load.
+func (f *Follower) MergeFromPeer(records []Record) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.loaded && len(records) > 0 {
+		f.state.Apply(records)
+	}
+}
+
 // raiseConfirmed sets the time up to which the state is known to be complete, unless it
 // is later already.
 func (f *Follower) raiseConfirmed(at time.Duration) {
