batch: a plan searches the endpoints of items with homes once

startItem recorded that no slot is free only for items without homes, so that each plan searched all endpoints for each waiting item with homes.

Ruled out: recording it by deployment alone, which keeps items with other homes from starting.

It is recorded by deployment and homes. Items that avoid an endpoint or a version are still searched for one by one.

Measured: with the condition of before, TestRunner_FullHomesAreSearchedOnce fails; go test ./batch passes.

--- a/batch/locality_test.go
+++ b/batch/locality_test.go
@@ -178,3 +178,42 @@
 		f.awaitResults(e, "j", 5*time.Second)
 	})
 }
+
+// Guards against a plan that searches all endpoints again for each waiting item with homes,
+// and against items that keep those with other homes from starting.
+func TestRunner_FullHomesAreSearchedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 0, newEndpoint("w", 20, 8))
+		f.setHomes("mars")
+		f.mayStart = func() bool { return false } // only the test starts items
+		e := f.startEntry()
+		e.Table.SetPolicy(locality.NewPolicy(locality.Regions{"a": "eu"}, nil))
+		f.Expect(e.Submit(f.ctx, submission("j", 50, 10))).To(gomega.Succeed())
+		other := submission("other", 1, 10)
+		other.Customer = "other"
+		f.Expect(e.Submit(f.ctx, other)).To(gomega.Succeed())
+		time.Sleep(time.Second)
+		snapshot, full, started := f.config.Current(), make(map[slotKey]bool), 0
+		for _, it := range e.runner.runnableItems(snapshot) {
+			ok := e.runner.startItem(f.ctx, snapshot, it, full)
+			if ok {
+				started++
+				f.Expect(it.job.ID).To(gomega.Equal("other"))
+			} else {
+				f.Expect(full).To(gomega.Equal(map[slotKey]bool{newSlotKey(testModel, []locality.Homes{{"mars"}}): true}), "the other items are not placed")
+			}
+		}
+		f.Expect(started).To(gomega.Equal(1))
+	})
+}
+
+// Guards against homes that share a slotKey.
+func TestSlotKey_TellsHomesApart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	keys := make(map[slotKey]bool)
+	for _, homes := range [][]locality.Homes{nil, {{"a"}}, {{"a", "b"}}, {{"a"}, {"b"}}, {{"a b"}}, {{`a" "b`}}, {{"b", "a"}}} {
+		keys[newSlotKey("d", homes)] = true
+	}
+	g.Expect(keys).To(gomega.HaveLen(7))
+	g.Expect(newSlotKey("d", []locality.Homes{{"a"}})).To(gomega.Equal(newSlotKey("d", []locality.Homes{{"a"}})))
+}
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -187,7 +187,7 @@
 		return true
 	}
 	now := r.Clock()
-	full := make(map[string]bool) // deployments without a free slot
+	full := make(map[slotKey]bool) // without a free slot
 	pending := false
 	for _, it := range runnable {
 		if it.notBefore > now {
--- a/batch/start.go
+++ b/batch/start.go
@@ -2,17 +2,20 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"dandelionrelay/config"
+	"dandelionrelay/locality"
 	"dandelionrelay/placement"
 )
 
 // startItem starts an item if a slot is free, or fails it if it may not run any
 // more. It returns false if the item continues to wait. If no endpoint of the
-// deployment has a free slot, it sets the deployment in full, unless the item
-// avoids an endpoint or a version or has homes, where others may find a slot.
-func (r *runner) startItem(ctx context.Context, snapshot *config.Snapshot, it runnableItem, full map[string]bool) bool {
+// deployment in the homes of the item has a free slot, it sets their slotKey in
+// full, unless the item avoids an endpoint or a version, where others may find a
+// slot.
+func (r *runner) startItem(ctx context.Context, snapshot *config.Snapshot, it runnableItem, full map[slotKey]bool) bool {
 	route, ok := snapshot.State.Routes[it.job.Route]
 	if !ok || route.Provided == nil || route.Provided.Batch == nil {
 		return r.failItem(it, "its route is gone")
@@ -20,14 +23,16 @@
 	if time.Since(it.job.Submitted) > route.Provided.Batch.Retain+failGrace {
 		return r.failItem(it, "it is too old")
 	}
-	if full[route.Deployment] {
+	homes := snapshot.Homes(route, it.job.Customer)
+	key := newSlotKey(route.Deployment, homes)
+	if full[key] {
 		return false
 	}
 	itemCtx, cancel := context.WithCancel(ctx)
 	request := placement.Request{
 		Deployment: route.Deployment,
 		Avoid:      it.avoid.avoidSet(r.Clock()),
-		Homes:      snapshot.Homes(route, it.job.Customer),
+		Homes:      homes,
 	}
 	if it.origin.Deployment == route.Deployment {
 		request.Version = it.origin.Version
@@ -39,7 +44,7 @@
 	}
 	if grant == nil {
 		cancel()
-		full[route.Deployment] = len(request.Avoid) == 0 && request.Version == "" && len(request.Homes) == 0
+		full[key] = len(request.Avoid) == 0 && request.Version == ""
 		return false
 	}
 	if grant.Endpoint.Origin() != it.origin {
@@ -54,6 +59,21 @@
 	return true
 }
 
+// slotKey identifies the endpoints at which an item may run, as far as its deployment and
+// homes go.
+type slotKey struct {
+	deployment string
+	homes      string // empty: any region
+}
+
+func newSlotKey(deployment string, homes []locality.Homes) slotKey {
+	key := slotKey{deployment: deployment}
+	if len(homes) > 0 {
+		key.homes = fmt.Sprintf("%q", homes)
+	}
+	return key
+}
+
 // maxVersionWait is how long an item with output waits for a slot at an endpoint of the
 // version that wrote it, before it begins again at any other.
 const maxVersionWait = time.Second
