jobs, entry: items of earlier releases are bound by the homes of their deployment

Records of earlier releases name no route, so that only the homes of the customer bound their items, and they could run outside those of their route.

Ruled out: deriving the route from the path. The routes of models share their paths, and the record does not hold the model; items of several paths also share a backlog.

CheckLocality gets the deployment. An item without a route is bound by the homes of all routes to its deployment. Comments of package jobs are reworded.

Tests: calls of permits, isolates and CheckLocality in jobs/locality_test.go have the new parameters; what they check is unchanged.

--- a/entry/locality.go
+++ b/entry/locality.go
@@ -39,12 +39,29 @@
 	return policy.Check(dataCentre, c.Route.Homes, c.Snapshot.State.Customers[c.Customer].Homes)
 }
 
-// checkItem decides whether a batch item of a customer on a route may run in a data
-// centre. Routes and customers that are no longer configured have no homes.
-func (e *Entry) checkItem(customer, route, dataCentre string) locality.Verdict {
+// checkItem decides whether a batch item of a customer may run in a data centre; see
+// itemHomes.
+func (e *Entry) checkItem(customer, deployment, route, dataCentre string) locality.Verdict {
 	state := e.config.Current().State
 	policy := e.locality.get(e.live.Load(), state)
-	return policy.Check(dataCentre, state.Routes[route].Homes, state.Customers[customer].Homes)
+	return policy.Check(dataCentre, itemHomes(state, customer, deployment, route)...)
+}
+
+// itemHomes returns the homes of a batch item: those of its customer and its route. Routes and
+// customers that are no longer configured have none. If the route is not known, as in records
+// of earlier releases, the homes of all routes to the deployment bind: the path does not tell
+// the routes of models apart.
+func itemHomes(state *config.State, customer, deployment, route string) []locality.Homes {
+	homes := []locality.Homes{state.Customers[customer].Homes}
+	if route != "" {
+		return append(homes, state.Routes[route].Homes)
+	}
+	for _, r := range state.Routes {
+		if deployment != "" && r.Deployment == deployment {
+			homes = append(homes, r.Homes)
+		}
+	}
+	return homes
 }
 
 // evacuationLog logs which evacuations start and end. Its calls must not overlap.
--- a/jobs/backlog.go
+++ b/jobs/backlog.go
@@ -57,11 +57,11 @@
 	next, found := 0, false
 	for n, t := range j.file.Targets {
 		earlier := func(o target) bool { return o.backlogKey() == t.backlogKey() }
-		if t.Deployment != deployment || slices.ContainsFunc(j.file.Targets[:n], earlier) || !sc.permits(endpoint, j.Customer, t.Route) {
+		if t.Deployment != deployment || slices.ContainsFunc(j.file.Targets[:n], earlier) || !sc.permits(endpoint, j.Customer, t.backlogKey()) {
 			continue
 		}
 		mayRunSuspects := func() bool {
-			return allowSuspects || !sc.hasSuspect(endpoint) && sc.isolates(deployment, endpoint, j.Customer, t.Route)
+			return allowSuspects || !sc.hasSuspect(endpoint) && sc.isolates(endpoint, j.Customer, t.backlogKey())
 		}
 		if i, ok := sc.nextInBacklog(now, j, t, mayRunSuspects); ok && (!found || i < next) {
 			next, found = i, true
--- a/jobs/locality.go
+++ b/jobs/locality.go
@@ -47,15 +47,15 @@
 	return l.byEndpoint[endpoint].dataCentre
 }
 
-// permits reports whether an item of a customer on a route may run at an endpoint.
-func (s *Service) permits(endpoint, customer, route string) bool {
-	return s.opts.CheckLocality(customer, route, s.locations.of(endpoint)) == locality.Allowed
+// permits reports whether items of a customer in a backlog may run at an endpoint.
+func (s *Service) permits(endpoint, customer string, key backlogKey) bool {
+	return s.opts.CheckLocality(customer, key.deployment, key.route, s.locations.of(endpoint)) == locality.Allowed
 }
 
-// evacuated reports whether a data centre is evacuated. It does not name a customer or a
-// route, so that there are no homes.
+// evacuated reports whether a data centre is evacuated. It does not name a customer, a
+// deployment or a route, so that there are no homes.
 func (s *Service) evacuated(dataCentre string) bool {
-	return s.opts.CheckLocality("", "", dataCentre) == locality.Evacuated
+	return s.opts.CheckLocality("", "", "", dataCentre) == locality.Evacuated
 }
 
 // movable returns the attempts among running that may be stopped and continued at another
--- a/jobs/locality_test.go
+++ b/jobs/locality_test.go
@@ -32,7 +32,7 @@
 func TestScheduler_AssignsItemsWithinHomes(t *testing.T) {
 	g := gomega.NewWithT(t)
 	ts := newTestScheduler(t)
-	ts.scheduler.permits = func(endpoint, _, route string) bool { return route == "any" || endpoint == "eu-endpoint" }
+	ts.scheduler.permits = func(endpoint, _ string, key backlogKey) bool { return key.route == "any" || endpoint == "eu-endpoint" }
 	ts.submitRoutes("j", 6, "eu-only", "any")
 	var us, eu []int
 	for range 3 {
@@ -78,24 +78,24 @@
 func TestService_EvacuatedEndpointGetsNoItems(t *testing.T) {
 	g := gomega.NewWithT(t)
 	policy := locality.NewPolicy(nil, map[string]bool{"dc-1": true})
-	s := NewService(Options{CheckLocality: func(_, _, dataCentre string) locality.Verdict { return policy.Check(dataCentre) }})
+	s := NewService(Options{CheckLocality: func(_, _, _, dataCentre string) locality.Verdict { return policy.Check(dataCentre) }})
 	g.Expect(s.evacuated("dc-1")).To(gomega.BeTrue())
 	g.Expect(s.evacuated("dc-2")).To(gomega.BeFalse())
 	s.locations.record("s1", "dc-1", time.Unix(1000, 0))
 	s.locations.record("s2", "dc-2", time.Unix(1000, 0))
-	g.Expect(s.permits("s1", "a", "r")).To(gomega.BeFalse())
-	g.Expect(s.permits("s2", "a", "r")).To(gomega.BeTrue())
+	g.Expect(s.permits("s1", "a", backlogKey{"d", "r"})).To(gomega.BeFalse())
+	g.Expect(s.permits("s2", "a", backlogKey{"d", "r"})).To(gomega.BeTrue())
 	s.locations.record("s2", "dc-2", time.Unix(1000, 0).Add(3*AttemptTimeout))
 	g.Expect(s.locations.of("s1")).To(gomega.BeEmpty(), "endpoints that are gone are forgotten")
 }
 
 // Guards against a suspect that never runs, as the isolation endpoints of its deployment
-// stand outside its homes.
+// are outside its homes.
 func TestService_SuspectsAreIsolatedWithinTheirHomes(t *testing.T) {
 	g := gomega.NewWithT(t)
 	policy := locality.NewPolicy(locality.Regions{"north-1": "north", "south-1": "south"}, nil)
 	homes := map[string]locality.Homes{"at-home": {"north"}}
-	s := NewService(Options{CheckLocality: func(_, route, dataCentre string) locality.Verdict {
+	s := NewService(Options{CheckLocality: func(_, _, route, dataCentre string) locality.Verdict {
 		return policy.Check(dataCentre, homes[route])
 	}})
 	now := time.Now()
@@ -110,11 +110,11 @@
 		if s.pullers.record("d", id, now) {
 			general = id
 		}
-		if s.isolates("d", id, "c", "at-home") {
+		if s.isolates(id, "c", backlogKey{"d", "at-home"}) {
 			g.Expect(north).To(gomega.BeEmpty(), "one of two")
 			north = id
 		}
-		g.Expect(s.isolates("d", id, "c", "anywhere")).To(gomega.Equal(general == id))
+		g.Expect(s.isolates(id, "c", backlogKey{"d", "anywhere"})).To(gomega.Equal(general == id))
 	}
 	g.Expect(north).To(gomega.HavePrefix("north-1"))
 
@@ -129,3 +129,25 @@
 	_, ok = ts.scheduler.checkQuarantine(ts.now, &a, quarantine.DigestOf("a", "/p", nil), quarantine.Suspect, false)
 	g.Expect(ok).To(gomega.BeTrue())
 }
+
+// Guards against items of earlier releases, whose records name no route, that run outside the
+// homes of the routes to their deployment.
+func TestScheduler_ItemsWithoutRouteAreBoundByTheirDeployment(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := NewService(Options{CheckLocality: func(_, deployment, route, dataCentre string) locality.Verdict {
+		if deployment == "d" && route == "" && dataCentre != "north-1" {
+			return locality.OutsideHomes
+		}
+		return locality.Allowed
+	}})
+	for _, dataCentre := range []string{"south-1", "north-1"} {
+		s.locations.record(dataCentre, dataCentre, time.Now())
+	}
+	ts := newTestScheduler(t)
+	ts.scheduler.permits = s.permits
+	ts.submitRoutes("j", 1, "")
+	_, ok := ts.takeItem("south-1")
+	g.Expect(ok).To(gomega.BeFalse())
+	_, ok = ts.takeItem("north-1")
+	g.Expect(ok).To(gomega.BeTrue())
+}
--- a/jobs/scheduler.go
+++ b/jobs/scheduler.go
@@ -46,11 +46,11 @@
 	lostAttempts     []attempt          // lost together with their endpoint since the last tick
 	beginsBlocked    bool               // the log does not respond: non-idempotent items can't start
 
-	// permits reports whether an item of a customer on a route may run at an endpoint.
-	permits func(endpoint, customer, route string) bool
-	// isolates reports whether an endpoint is an isolation endpoint among those at which an
-	// item of a customer on a route may run.
-	isolates func(deployment, endpoint, customer, route string) bool
+	// permits reports whether items of a customer in a backlog may run at an endpoint.
+	permits func(endpoint, customer string, key backlogKey) bool
+	// isolates reports whether an endpoint is an isolation endpoint among those at which
+	// items of a customer in a backlog may run.
+	isolates func(endpoint, customer string, key backlogKey) bool
 }
 
 func newScheduler(inv *invariant.Set, table *Table, nonce string) *scheduler {
@@ -65,8 +65,8 @@
 		reportedSuspects: make(map[itemKey]bool),
 		countedAttempts:  make(map[itemKey]string),
 		jobsVersion:      -1,
-		permits:          func(_, _, _ string) bool { return true },
-		isolates:         func(_, _, _, _ string) bool { return false },
+		permits:          func(_, _ string, _ backlogKey) bool { return true },
+		isolates:         func(_, _ string, _ backlogKey) bool { return false },
 	}
 }
 
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -40,9 +40,9 @@
 	ChunkAppendBudget Budget
 	// OnBadRecord is called for records that can't be decoded; may be nil.
 	OnBadRecord func(stream string, offset infra.Offset, err error)
-	// CheckLocality decides whether an item of a customer on a route may run in a data
-	// centre; nil: in any.
-	CheckLocality func(customer, route, dataCentre string) locality.Verdict
+	// CheckLocality decides whether an item of a customer may run in a data centre; nil: in
+	// any. The route is empty if it is not known, as in records of earlier releases.
+	CheckLocality func(customer, deployment, route, dataCentre string) locality.Verdict
 	Metrics       prometheus.Registerer // may be nil
 	Logger        zerolog.Logger
 }
@@ -84,7 +84,7 @@
 		o.ResultRetention = DefaultResultRetention
 	}
 	if o.CheckLocality == nil {
-		o.CheckLocality = func(_, _, _ string) locality.Verdict { return locality.Allowed }
+		o.CheckLocality = func(_, _, _, _ string) locality.Verdict { return locality.Allowed }
 	}
 	if o.Suspects == nil {
 		o.Suspects = quarantine.NopTracker{}
--- a/jobs/suspects.go
+++ b/jobs/suspects.go
@@ -49,13 +49,13 @@
 	return quarantine.IsIsolationEndpoint(all, endpoint)
 }
 
-// isolates reports whether an endpoint is an isolation endpoint among those at which an
-// item of a customer on a route may run. Otherwise a suspect would wait for ever if all
-// isolation endpoints of the deployment stood outside its homes.
-func (s *Service) isolates(deployment, endpoint, customer, route string) bool {
+// isolates reports whether an endpoint is an isolation endpoint among those at which items
+// of a customer in a backlog may run. If all isolation endpoints of the deployment were
+// outside the homes of a suspect, it would never run otherwise.
+func (s *Service) isolates(endpoint, customer string, key backlogKey) bool {
 	s.pullers.mu.Lock()
 	defer s.pullers.mu.Unlock()
-	return s.pullers.isIsolation(deployment, endpoint, func(id string) bool { return s.permits(id, customer, route) })
+	return s.pullers.isIsolation(key.deployment, endpoint, func(id string) bool { return s.permits(id, customer, key) })
 }
 
 // checkQuarantine decides, from the body of an assigned item, whether the item
@@ -91,7 +91,7 @@
 	switch {
 	case v == quarantine.Quarantined:
 		return sc.completeItem(now, j, &api.Result{WorkRef: a.ref}, itemCrashed), false
-	case a.suspect && !isolation && !sc.isolates(t.work.Deployment, a.endpoint, j.Customer, t.route):
+	case a.suspect && !isolation && !sc.isolates(a.endpoint, j.Customer, backlogKey{t.work.Deployment, t.route}):
 		sc.releaseItem(j, t.work.Item, now.Add(RetryDelay))
 		return nil, false
 	}
