placement: names of items at endpoints of other cells

"foreign" was used for endpoints of other cells in two functions, and foreignItemShare was a divisor. They are called otherCell, takesOtherCellItem and otherCellItemDivisor now. Nothing else changes.

Measured: go test ./placement passes (21 s).

--- a/placement/batch.go
+++ b/placement/batch.go
@@ -33,7 +33,7 @@
 	group := t.group(req.Deployment)
 	includeFailing := group.tooManyFailing()
 	// The limits that endpoints name are left to online requests while others have none.
-	candidates, foreign := t.preferredFor(req)
+	candidates, otherCell := t.preferredFor(req)
 	includeLimited := allLimited(candidates)
 	for _, e := range candidates {
 		if e.limit != nil && !includeLimited {
@@ -43,7 +43,7 @@
 			continue
 		}
 		free := e.Slots - reservedSlots - e.online() - e.batch()
-		if free <= 0 || foreign && !t.takesForeignItem(e) {
+		if free <= 0 || otherCell && !t.takesOtherCellItem(e) {
 			continue
 		}
 		score := float64(free) / group.slowness(e)
--- a/placement/locality.go
+++ b/placement/locality.go
@@ -59,9 +59,10 @@
 }
 
 // preferredFor returns the endpoints at which a batch item is placed: those with known
-// loads or, if there are none in a data centre where it may run, those of other cells. foreign
-// says that these have taken the place of endpoints of the own cell; see takesForeignItem.
-func (t *Table) preferredFor(req Request) (candidates []*endpoint, foreign bool) {
+// loads or, if there are none in a data centre where it may run, those of other cells.
+// otherCell says that these have taken the place of endpoints of the own cell; see
+// takesOtherCellItem.
+func (t *Table) preferredFor(req Request) (candidates []*endpoint, otherCell bool) {
 	group := t.group(req.Deployment)
 	if !t.evacuations && len(req.Homes) == 0 || len(group.endpoints) == 0 {
 		return group.preferred(), false
@@ -74,16 +75,17 @@
 	return group.otherCell, true
 }
 
-// foreignItemShare is the part of the slots of an endpoint of another cell that batch items
-// of this entry may use while its own cell has no endpoint for them. The loads there are not
-// known here, so that nobody preempts these items for online requests.
-const foreignItemShare = 8
+// otherCellItemDivisor divides the slots of an endpoint of another cell: the quotient is the
+// number of batch items that this entry may run there while its own cell has no endpoint for
+// them. The loads there are not known here, so that nobody preempts these items for online
+// requests.
+const otherCellItemDivisor = 8
 
-// takesForeignItem reports whether e, an endpoint of another cell, may get a batch item of
+// takesOtherCellItem reports whether e, an endpoint of another cell, may get a batch item of
 // this entry: of the entries of a cell only the first by rendezvous hashing sends items
-// there, at least one and up to the share of its slots at a time.
-func (t *Table) takesForeignItem(e *endpoint) bool {
-	return e.local.Batch < max(1, e.Slots/foreignItemShare) && t.entriesAhead(e) == 0
+// there, at least one and up to 1/otherCellItemDivisor of its slots at a time.
+func (t *Table) takesOtherCellItem(e *endpoint) bool {
+	return e.local.Batch < max(1, e.Slots/otherCellItemDivisor) && t.entriesAhead(e) == 0
 }
 
 // Verdict returns Allowed if an endpoint that could run the request otherwise is in a data
