locality: one error for requests that no data centre may run

Packages online and dispatch had the two errors with texts of their own, and dispatch and sidecar the same Retry-After of 5 s. locality.RefusalError and locality.RetryAfter take their place; the texts are those of online. The Retry-After of 1 s of the gateways stays in placement, its only copy: a test of sidecar requires more than 1 s there.

In package online, the six conditions on a refusal of the table in place become refusalError. Order and results are the same.

--- a/dispatch/locality.go
+++ b/dispatch/locality.go
@@ -1,9 +1,7 @@
 package dispatch
 
 import (
-	"net/http"
 	"slices"
-	"time"
 
 	"dandelionrelay/api"
 	"dandelionrelay/infra"
@@ -11,10 +9,6 @@
 	"dandelionrelay/membership"
 )
 
-// evacuationRetryAfter is the Retry-After of calls that are refused because of an
-// evacuation, which lasts longer than the failures for which RetryAfter is meant.
-const evacuationRetryAfter = 5 * time.Second
-
 // permittedSubset returns the endpoints of s in data centres in which the call may run.
 // If none of the entry's own data centre is left, those of the others take their place,
 // so that the call is not left with the small sample of remote endpoints.
@@ -68,10 +62,5 @@
 	d.metrics.localityRefusals.WithLabelValues(last.String()).Inc()
 	d.logger.Info().Str("request", f.call.ID).Str("route", f.call.RouteID).Str("customer", f.call.Customer).
 		Str("reason", last.String()).Msg("no data centre may run the request")
-	code, message := api.CodeOutsideHomes, "no endpoint stands in a region in which the call may run"
-	if last == locality.Evacuated {
-		code, message = api.CodeEvacuated, "all data centres that may run the call are evacuated"
-	}
-	e := api.NewError(http.StatusServiceUnavailable, code, message)
-	return e.WithRetryAfter(evacuationRetryAfter)
+	return locality.RefusalError(last, locality.RetryAfter)
 }
--- a/dispatch/locality_test.go
+++ b/dispatch/locality_test.go
@@ -175,7 +175,7 @@
 		e := refused()
 		g.Expect(e.Outcome).To(gomega.Equal(api.NotRun))
 		g.Expect(e.Status).To(gomega.Equal(http.StatusServiceUnavailable))
-		g.Expect(e.RetryAfter).To(gomega.Equal(evacuationRetryAfter))
+		g.Expect(e.RetryAfter).To(gomega.Equal(locality.RetryAfter))
 		g.Expect(e.Code).To(gomega.Equal(api.CodeEvacuated))
 
 		f.evacuate("dc2")
--- a/gateway/locality.go
+++ b/gateway/locality.go
@@ -14,7 +14,6 @@
 	"dandelionrelay/config"
 	"dandelionrelay/gossip"
 	"dandelionrelay/locality"
-	"dandelionrelay/online"
 	"dandelionrelay/pipeline"
 	"dandelionrelay/placement"
 )
@@ -204,7 +203,7 @@
 		case accepted:
 			return next(ctx, c)
 		}
-		return online.LocalityError(v, placement.LocalityRetryAfter)
+		return locality.RefusalError(v, placement.LocalityRetryAfter)
 	}
 }
 
--- a/online/execution.go
+++ b/online/execution.go
@@ -121,26 +121,8 @@
 	request.MaxWait = maxWait
 	grant, refused := ex.Table.Place(ex.Clock(), request)
 	ex.refusal = refused
-	if refused != nil && ex.mayHaveRun == 0 && refused.Locality != locality.Allowed {
-		return nil, LocalityError(refused.Locality, refused.RetryAfter)
-	}
-	if refused != nil && ex.mayHaveRun == 0 && ex.versionGone() {
-		return nil, notRunError(api.CodeVersionGone, "no endpoint of the version that began the stream is left", 0)
-	}
-	if refused != nil && ex.mayHaveRun == 0 && refused.Limited {
-		return nil, notRunError(api.CodeOverloaded, "the endpoints take no more requests yet", refused.RetryAfter)
-	}
-	if refused != nil && ex.mayHaveRun == 0 && refused.Cold {
-		return nil, notRunError(api.CodeOverloaded, "the endpoints that are left are cold and take no more requests yet", refused.RetryAfter)
-	}
-	if refused != nil && ex.mayHaveRun == 0 && refused.Endpoint == "" {
-		return nil, notRunError(api.CodeNoEndpoint, "no endpoint of the deployment takes requests", refused.RetryAfter)
-	}
-	if refused != nil && ex.mayHaveRun == 0 {
-		return nil, notRunError(api.CodeOverloaded, "no endpoint can begin the request in time", refused.RetryAfter)
-	}
 	if refused != nil {
-		return nil, ex.failure()
+		return nil, ex.refusalError(refused)
 	}
 	ex.endpoint, ex.load = grant.Endpoint, grant.Load
 	if grant.Load.Online+grant.Load.Batch >= grant.Endpoint.Slots {
@@ -149,6 +131,25 @@
 	return grant, nil
 }
 
+// refusalError returns the error for a request that the table has refused.
+func (ex *execution) refusalError(refused *placement.Refusal) *api.Error {
+	switch {
+	case ex.mayHaveRun > 0:
+		return ex.failure()
+	case refused.Locality != locality.Allowed:
+		return locality.RefusalError(refused.Locality, refused.RetryAfter)
+	case ex.versionGone():
+		return notRunError(api.CodeVersionGone, "no endpoint of the version that began the stream is left", 0)
+	case refused.Limited:
+		return notRunError(api.CodeOverloaded, "the endpoints take no more requests yet", refused.RetryAfter)
+	case refused.Cold:
+		return notRunError(api.CodeOverloaded, "the endpoints that are left are cold and take no more requests yet", refused.RetryAfter)
+	case refused.Endpoint == "":
+		return notRunError(api.CodeNoEndpoint, "no endpoint of the deployment takes requests", refused.RetryAfter)
+	}
+	return notRunError(api.CodeOverloaded, "no endpoint can begin the request in time", refused.RetryAfter)
+}
+
 // placementRequest returns the request for the table, without MaxWait.
 func (ex *execution) placementRequest() placement.Request {
 	return placement.Request{
--- a/sidecar/evacuation.go
+++ b/sidecar/evacuation.go
@@ -1,15 +1,10 @@
 package sidecar
 
 import (
-	"time"
-
 	"dandelionrelay/api"
+	"dandelionrelay/locality"
 )
 
-// evacuationRetryAfter is the Retry-After of requests that are refused because the data
-// centre is evacuated.
-const evacuationRetryAfter = 5 * time.Second
-
 // evacuated reports whether the endpoint's data centre is evacuated. Nothing more is sent
 // to the endpoint then; what runs there continues, except for batch items that can be
 // moved. Entries that know the evacuation send nothing; this check binds the others.
@@ -20,7 +15,7 @@
 // evacuatedError returns the error for a request that was not sent to the endpoint. Its
 // code has entries treat the endpoint as failed and use others.
 func evacuatedError() *api.Error {
-	return unavailable(api.CodeEvacuated, "the data centre of the endpoint is evacuated").WithRetryAfter(evacuationRetryAfter)
+	return unavailable(api.CodeEvacuated, "the data centre of the endpoint is evacuated").WithRetryAfter(locality.RetryAfter)
 }
 
 // moveIfEvacuated returns the idempotent items in flight to their owners, with the
