--- a/gateway/explain_reply.go
+++ b/gateway/explain_reply.go
@@ -75,5 +75,5 @@
 	if v == locality.Allowed {
 		return nil
 	}
-	return online.LocalityError(v, placement.LocalityRetryAfter)
+	return locality.RefusalError(v, placement.LocalityRetryAfter)
 }
--- a/online/execution.go
+++ b/online/execution.go
@@ -121,11 +121,8 @@
 	request.MaxWait = maxWait
 	grant, refused := ex.Table.Place(ex.Clock(), request)
 	ex.refusal = refused
-	if refused != nil && ex.mayHaveRun == 0 {
-		return nil, RefusalError(refused, ex.versionGone)
-	}
 	if refused != nil {
-		return nil, ex.failure()
+		return nil, ex.refusalError(refused)
 	}
 	ex.endpoint, ex.load = grant.Endpoint, grant.Load
 	if grant.Load.Online+grant.Load.Batch >= grant.Endpoint.Slots {
@@ -134,6 +131,14 @@
 	return grant, nil
 }
 
+// refusalError returns the error for the caller of a request that the table has refused.
+func (ex *execution) refusalError(refused *placement.Refusal) *api.Error {
+	if ex.mayHaveRun > 0 {
+		return ex.failure()
+	}
+	return RefusalError(refused, ex.versionGone)
+}
+
 // placementRequest returns the request for the table, without MaxWait.
 func (ex *execution) placementRequest() placement.Request {
 	return placement.Request{
--- a/online/refusal.go
+++ b/online/refusal.go
@@ -19,7 +19,7 @@
 func RefusalError(r *placement.Refusal, versionGone func() bool) *api.Error {
 	switch {
 	case r.Locality != locality.Allowed:
-		return LocalityError(r.Locality, r.RetryAfter)
+		return locality.RefusalError(r.Locality, r.RetryAfter)
 	case versionGone():
 		return notRunError(api.CodeVersionGone, "no endpoint of the version that began the stream is left", 0)
 	case r.Limited:
--- a/placement/batch.go
+++ b/placement/batch.go
@@ -47,9 +47,9 @@
 	group := t.group(req.Deployment)
 	includeFailing := group.tooManyFailing()
 	// The limits that endpoints name are left to online requests while others have none.
-	candidates, foreign := t.preferredFor(req)
+	candidates, otherCell := t.preferredFor(req)
 	includeLimited := allLimited(candidates)
-	scarce := !foreign && t.scarce(candidates)
+	scarce := !otherCell && t.scarce(candidates)
 	mayStartAway := t.mayStartAway(now, req, candidates)
 	for _, e := range candidates {
 		if e.DataCentre != t.dataCentre && !mayStartAway {
@@ -62,7 +62,7 @@
 			continue
 		}
 		free := e.freeForBatch()
-		if free <= 0 || foreign && !t.takesForeignItem(e) || scarce && !t.mayTakeFree(e, now, free) {
+		if free <= 0 || otherCell && !t.takesOtherCellItem(e) || scarce && !t.mayTakeFree(e, now, free) {
 			continue
 		}
 		score := t.batchScore(e, group.slowness(e)) + t.random.Float64()
--- a/placement/explain_reasons.go
+++ b/placement/explain_reasons.go
@@ -87,17 +87,17 @@
 
 // batchReasons returns why a batch item would not go to each endpoint.
 func (t *Table) batchReasons(now time.Duration, req Request, all []*endpoint) map[*endpoint][]Reason {
-	candidates, foreign := t.preferredFor(req)
+	candidates, elsewhere := t.preferredFor(req)
 	otherCells := len(candidates) > 0 && candidates[0].OtherCell
 	includeLimited := allLimited(candidates)
 	includeFailing := t.group(req.Deployment).tooManyFailing()
-	scarce, waits := !foreign && t.scarce(candidates), !t.itemMayStart(now, req)
+	scarce, waits := !elsewhere && t.scarce(candidates), !t.itemMayStart(now, req)
 	away := t.mayStartAway(now, req, candidates)
 	result := make(map[*endpoint][]Reason, len(all))
 	for _, e := range all {
 		reasons := e.hardReasons(now, req)
 		p := e.passedOver(now, req, includeFailing)
-		p.otherCell = e.OtherCell != otherCells || foreign && !t.takesForeignItem(e)
+		p.otherCell = e.OtherCell != otherCells || elsewhere && !t.takesOtherCellItem(e)
 		reasons = append(reasons, p.reasons(0)...)
 		if e.limit != nil && !includeLimited {
 			reasons = append(reasons, ReasonReserved)
