--- a/gateway/explain_reply.go
+++ b/gateway/explain_reply.go
@@ -6,7 +6,6 @@
 	"dandelionrelay/api"
 	"dandelionrelay/explain"
 	"dandelionrelay/locality"
-	"dandelionrelay/online"
 	"dandelionrelay/placement"
 )
 
