--- a/sidecar/cold.go
+++ b/sidecar/cold.go
@@ -101,8 +101,11 @@
 	now := time.Now()
 	rate, until := s.cold.limit(now, d)
 	if became, cold := s.scheduler.setCold(now, rate, until); became {
-		s.deps.Logger.Info().Bool("cold", cold).Float64("rate", rate).Dur("left", max(0, until.Sub(now))).
-			Msg("endpoint is cold, or no longer")
+		message := "endpoint is no longer cold"
+		if cold {
+			message = "endpoint is cold"
+		}
+		s.deps.Logger.Info().Float64("rate", rate).Dur("left", max(0, until.Sub(now))).Msg(message)
 	}
 }
 
