quota: a customer with a nearly full bucket is not in surge any more

Ruled out: a shorter time of surge after refusals, which the bound needs. Change: from four fifths of the burst on the level alone decides, as before a surge.

--- a/quota/surge.go
+++ b/quota/surge.go
@@ -12,6 +12,10 @@
 // alike, so that together they take what is left, and what is tolerated, once.
 
 const (
+	// calmLevel is the share of the burst from which a customer is not taken for one in surge
+	// any more, although this entry has refused it in the last window: the bound leaves as
+	// much as before the surge.
+	calmLevel = 0.8
 	// unseenInCell and unseenBetweenCells are the longest times for which the admissions
 	// of an entry are unknown to others that still use a common share with it: the time
 	// after which a silent entry counts as out of contact, 0.7 s, and the interval at which
@@ -81,7 +85,8 @@
 	if t.share.at(now) <= t.share.Own || b.surgeAtStart || !t.divides() {
 		return available >= 1
 	}
-	if now >= b.minToleranceUntil && available >= 1 {
+	calm := now >= b.minToleranceUntil || b.level >= calmLevel*l.Burst*t.share.at(now)
+	if calm && available >= 1 {
 		return true
 	}
 	return b.level >= 1 && t.windowAdmits(now, key, b, l) || t.surgeAdmits(now, key, b, l)
