--- a/batch/item.go
+++ b/batch/item.go
@@ -170,7 +170,7 @@
 // contents or opening a connection may have taken long.
 func (r *runner) maySend(grant *placement.Grant) error {
 	if r.MayStart != nil && !r.MayStart() {
-		return errorx.IllegalState.New("the configuration is not certain to be in force")
+		return errorx.IllegalState.New("the configuration was not confirmed recently enough")
 	}
 	if !grant.MaySend(r.Clock()) {
 		return errorx.RejectedOperation.New("the endpoint is cold and takes no more requests yet")
--- a/batch/order.go
+++ b/batch/order.go
@@ -2,13 +2,15 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 )
 
 // sortRunnable puts waiting items into the order in which they are to start. Urgent ones
-// come first, by their due time. Then the customers take turns, each with its items in the
-// order of ItemTimes.Compare, so that one with many items does not hold up the others.
-// running is the number of running items of each customer, which count as turns.
+// come first, by their due time; then those that can still be in time, the customers taking
+// turns, each with its items in the order of ItemTimes.Compare, so that one with many items
+// does not hold up the others; late ones last, in the same way. running is the number of
+// running items of each customer, which count as turns.
 func sortRunnable(list []runnableItem, running map[string]int) {
 	slices.SortStableFunc(list, func(a, b runnableItem) int {
 		if c := a.times.Compare(b.times); c != 0 {
@@ -16,9 +18,9 @@
 		}
 		return cmp.Compare(b.events, a.events)
 	})
-	turns := make(map[string]int, len(running))
-	for customer, n := range running {
-		turns[customer] = n
+	turns := maps.Clone(running)
+	if turns == nil {
+		turns = make(map[string]int)
 	}
 	for i, it := range list {
 		if !it.times.Urgent() {
@@ -28,17 +30,17 @@
 	}
 	slices.SortStableFunc(list, func(a, b runnableItem) int {
 		if ua, ub := a.times.Urgent(), b.times.Urgent(); ua != ub || ua {
-			return compareUrgent(ua, ub)
+			return trueFirst(ua, ub)
 		}
-		if late := a.late; late != b.late {
-			return compareUrgent(b.late, late)
+		if a.late != b.late {
+			return trueFirst(!a.late, !b.late)
 		}
 		return cmp.Compare(a.turn, b.turn)
 	})
 }
 
-// compareUrgent orders true before false.
-func compareUrgent(a, b bool) int {
+// trueFirst orders true before false.
+func trueFirst(a, b bool) int {
 	switch {
 	case a && !b:
 		return -1
--- a/explain/reply.go
+++ b/explain/reply.go
@@ -36,7 +36,7 @@
 	Status       int     `json:"status"`
 	Code         string  `json:"code"`
 	Message      string  `json:"message"`
-	RetryAfterMs float64 `json:"retry_after_ms"` // 0: none; random parts have their means
+	RetryAfterMs float64 `json:"retry_after_ms"` // 0: none; random parts have their means. For a customer over its rate: until the next token; callers are told later times in turn
 }
 
 // Rate is the customer's rate at this entry.
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -103,7 +103,7 @@
 	}
 	counter("relay_cold_tokens_total", "Tokens taken for requests and batch items to cold endpoints.",
 		func(s placement.ColdStats) uint64 { return s.Granted })
-	counter("relay_cold_passed_over_total", "Times that a cold endpoint was passed over as its shared rate had no token.",
+	counter("relay_cold_passed_over_total", "Failed attempts to take a token at a cold endpoint, from its shared rate or this entry's part.",
 		func(s placement.ColdStats) uint64 { return s.Refused })
 	counter("relay_cold_malformed_total", "Statements of endpoints about how long they remain cold that could not be used.",
 		func(s placement.ColdStats) uint64 { return s.Malformed })
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -16,8 +16,8 @@
 
 // HandoverTargets returns the entries that can serve a call on a job which this entry can't
 // serve: they have read the store since this one last failed to, and so in an outage for
-// all there is none. Those of this data centre come first.
-// The region of each is one of the homes of the call, or that of this entry.
+// all there is none. Those of this data centre come first. Each is in one of the homes of
+// the call or in the region of this entry.
 func (g *Gateway) HandoverTargets(homes ...locality.Homes) []gossip.Member {
 	lostFor := g.jobsFollower.LostFor()
 	if lostFor == 0 {
--- a/gateway/locality.go
+++ b/gateway/locality.go
@@ -19,7 +19,7 @@
 )
 
 // evacuationMargin is subtracted from the evacuation bound. A request takes at most this
-// long from its placement to the endpoint.
+// long from the last check, right before it is sent, to the endpoint.
 const evacuationMargin = 350 * time.Millisecond
 
 // evacuationOutage is the time for which reads of the store must have failed before an entry
@@ -68,8 +68,8 @@
 }
 
 // applyLocality puts the evacuations and homes of a configuration into force, or, if s is
-// nil, those of the last one again with changed settings. It does nothing while a deployment
-// has neither evacuations nor homes nor regions.
+// nil, those of the last one again with changed settings. It does nothing before evacuations,
+// homes or regions are first set.
 func (g *Gateway) applyLocality(s *config.State) {
 	l := &g.locality
 	l.mu.Lock()
@@ -95,7 +95,7 @@
 	for _, dataCentre := range slices.Sorted(maps.Keys(s.Evacuations)) {
 		g.localityMetrics.evacuated.WithLabelValues(dataCentre).Set(1)
 		if !before[dataCentre] {
-			g.logEvacuation(dataCentre, regions)
+			g.warnIfUnknown(dataCentre, regions)
 		}
 	}
 	if preempted > 0 {
@@ -104,9 +104,9 @@
 	g.logUnknownHomes(s, regions)
 }
 
-// logEvacuation logs the evacuation of a data centre that is not known: its name may be
+// warnIfUnknown logs a warning if an evacuated data centre is not known: its name may be
 // misspelt, or its endpoints may not be listed yet.
-func (g *Gateway) logEvacuation(dataCentre string, regions locality.Regions) {
+func (g *Gateway) warnIfUnknown(dataCentre string, regions locality.Regions) {
 	g.mu.Lock()
 	known := regions[dataCentre] != "" || dataCentre == g.Settings.DataCentre
 	for _, e := range g.endpoints {
--- a/gateway/rates.go
+++ b/gateway/rates.go
@@ -11,7 +11,7 @@
 func newRateRefusals(reg prometheus.Registerer) *prometheus.CounterVec {
 	c := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "relay_rate_refusals_total",
-		Help: "Requests refused for their customer's rate, by what this entry had left: level (tokens, kept back for admissions that are not reported yet) or nothing.",
+		Help: "Requests refused for their customer's rate. left: level if the bucket had a token, which was kept for unreported admissions; nothing if not.",
 	}, []string{"left"})
 	reg.MustRegister(c)
 	for _, left := range []string{"level", "nothing"} {
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -100,13 +100,9 @@
 	}
 }
 
-// The first byte of each datagram is the version of its format. Datagrams of other versions
-// are rejected. Those that report ramps of endpoints have a version of their own, so that
-// entries of earlier releases, which cannot read them, lose contact only while there are any.
-const (
-	formatVersion      = 8
-	formatVersionRamps = 9
-)
+// formatVersion is the first byte of each datagram. Datagrams of another version are
+// rejected.
+const formatVersion = 8
 
 // datagramTimeUnit is the resolution of times in datagrams, which are rounded down.
 const datagramTimeUnit = time.Millisecond
@@ -123,7 +119,7 @@
 
 // append appends the encoding of m to b and returns the result.
 func (m *message) append(b []byte) []byte {
-	b = append(b, m.formatVersion())
+	b = append(b, formatVersion)
 	b = binary.BigEndian.AppendUint64(b, m.Incarnation)
 	b = binary.BigEndian.AppendUint32(b, m.Sequence)
 	b = binary.AppendUvarint(b, uint64(len(m.Name)))
@@ -147,9 +143,7 @@
 	b = binary.AppendUvarint(b, uint64(m.Config.Next))
 	b = binary.AppendUvarint(b, uint64(m.Config.Age.Milliseconds()))
 	b = append(b, boolByte(m.CellTotals), boolByte(m.Leaving))
-	if len(m.Endpoints.Ramps) > 0 {
-		b = appendRamps(b, m.Endpoints.Ramps)
-	}
+	b = appendRamps(b, m.Endpoints.Ramps)
 	b = append(b, make([]byte, receiverFieldsSize)...)
 	datagram{bytes: b}.setReceiverFields(m.receiverFields)
 	return b
@@ -230,8 +224,8 @@
 // decode decodes a datagram. It fails with Malformed if the format version is
 // unknown or the datagram is truncated or invalid.
 func decode(b []byte) (*message, error) {
-	if len(b) == 0 || b[0] != formatVersion && b[0] != formatVersionRamps {
-		return nil, Malformed.New("unknown datagram format, want version %d or %d", formatVersion, formatVersionRamps)
+	if len(b) == 0 || b[0] != formatVersion {
+		return nil, Malformed.New("unknown datagram format, want version %d", formatVersion)
 	}
 	d := &decoder{b: b[1:]}
 	m := &message{Incarnation: d.uint64(), Sequence: d.uint32()}
@@ -256,9 +250,7 @@
 	m.Config = Confirmation{Next: int64(d.uvarint()), Age: time.Duration(d.uvarint()) * time.Millisecond}
 	flags := d.take(2)
 	m.CellTotals, m.Leaving = flags[0] != 0, flags[1] != 0
-	if b[0] == formatVersionRamps {
-		m.Endpoints.Ramps = d.ramps()
-	}
+	m.Endpoints.Ramps = d.ramps()
 	m.receiverFields = d.receiverFields()
 	if d.failed {
 		return nil, Malformed.New("datagram of %d bytes truncated or invalid", len(b))
--- a/gossip/ramps.go
+++ b/gossip/ramps.go
@@ -10,14 +10,6 @@
 // requests. No endpoint runs as many.
 const maxReportedRamp = 1 << 16
 
-// formatVersion returns the version of the format that m needs.
-func (m *message) formatVersion() byte {
-	if len(m.Endpoints.Ramps) > 0 {
-		return formatVersionRamps
-	}
-	return formatVersion
-}
-
 // appendRamps appends the encoding of ramps to b and returns the result.
 func appendRamps(b []byte, ramps map[placement.Key]placement.Ramp) []byte {
 	b = binary.AppendUvarint(b, uint64(len(ramps)))
@@ -30,10 +22,15 @@
 	return b
 }
 
-// ramps reads the ramps of endpoints. It fails if a bound is out of range.
+// ramps reads the ramps of endpoints; nil if there are none. It fails if a bound is out of
+// range.
 func (d *decoder) ramps() map[placement.Key]placement.Ramp {
-	ramps := make(map[placement.Key]placement.Ramp)
-	for range d.listLength(10) {
+	n := d.listLength(10)
+	if n == 0 {
+		return nil
+	}
+	ramps := make(map[placement.Key]placement.Ramp, n)
+	for range n {
 		key := placement.Key(d.uint32())
 		r := placement.Ramp{Round: d.uint32(), Base: d.uvarint(), Grown: d.uvarint()}
 		if r.Base > maxReportedRamp || r.Grown > maxReportedRamp {
--- a/locality/locality.go
+++ b/locality/locality.go
@@ -19,8 +19,9 @@
 // Verdict is the decision about work in one data centre.
 type Verdict int
 
-// Verdicts. OutsideHomes takes precedence over Evacuated, since it does not end when the
-// evacuation does.
+// Verdicts. Within one data centre OutsideHomes takes precedence over Evacuated, since it
+// does not end when the evacuation does. Over several the order is the reverse: one that is
+// only evacuated becomes usable again.
 const (
 	Allowed      Verdict = iota
 	Evacuated            // the data centre is evacuated
--- a/online/execution.go
+++ b/online/execution.go
@@ -193,7 +193,7 @@
 // to be opened, or the endpoint may have become cold.
 func (ex *execution) maySend(grant *placement.Grant) error {
 	if !ex.ConfigFresh(ex.call) {
-		return errorx.IllegalState.New("the configuration is not certain to be in force")
+		return errorx.IllegalState.New("the configuration was not confirmed recently enough")
 	}
 	if !grant.MaySend(ex.Clock()) {
 		return errorx.RejectedOperation.New("the endpoint is cold and takes no more requests yet")
--- a/online/refusal.go
+++ b/online/refusal.go
@@ -35,5 +35,5 @@
 // ConfigStaleError returns the error for a request whose configuration is no longer
 // confirmed.
 func ConfigStaleError() *api.Error {
-	return notRunError(api.CodeConfigStale, "the configuration is not certain to be in force", notRunRetryAfter)
+	return notRunError(api.CodeConfigStale, "the configuration was not confirmed recently enough", notRunRetryAfter)
 }
--- a/placement/batch.go
+++ b/placement/batch.go
@@ -50,9 +50,9 @@
 	candidates, otherCell := t.preferredFor(req)
 	includeLimited := allLimited(candidates)
 	scarce := !otherCell && t.scarce(candidates)
-	mayStartAway := t.mayStartAway(now, req, candidates)
+	mayStartElsewhere := t.mayStartElsewhere(now, req, candidates)
 	for _, e := range candidates {
-		if e.DataCentre != t.dataCentre && !mayStartAway {
+		if e.DataCentre != t.dataCentre && !mayStartElsewhere {
 			continue
 		}
 		if e.limit != nil && !includeLimited {
@@ -94,7 +94,7 @@
 	t.mu.Lock()
 	for _, e := range t.ordered {
 		for range t.preemptionsDue(e) {
-			g := t.nextPreempted(e)
+			g := t.nextGrantToPreempt(e)
 			if g == nil {
 				break
 			}
--- a/placement/cold_part.go
+++ b/placement/cold_part.go
@@ -16,7 +16,7 @@
 	// for requests that arrive closer together than they were sent.
 	coldSendShare = 0.88
 	// coldBurstShare is the share of what may be sent in a second that may be sent at
-	// once. It is also the number of users, as each needs one token for a request.
+	// once. The burst is also the number of users, one token each.
 	coldBurstShare = 0.35
 	// coldStartup is the time after the start of an entry in which it may not know all
 	// others yet: one interval of registrations and one of reading them. Until then it
@@ -26,9 +26,9 @@
 	// maxColdJitter is by how much requests may be sent closer together than they were
 	// granted, for example as the contents of some batch items are read faster.
 	maxColdJitter = 100 * time.Millisecond
-	// maxSlowRate is a rate at which no two requests fall into one second. There is no room
-	// for maxColdJitter at it.
-	maxSlowRate = 0.95
+	// slowRate is the rate up to which no two requests fall into one second. There is no room
+	// for maxColdJitter up to it.
+	slowRate = 0.95
 )
 
 // coldPart is this entry's part of what may be sent to a cold endpoint. Requests take a token
@@ -115,7 +115,7 @@
 func (t ColdTolerance) parts(rate float64) (burst, rest float64) {
 	sendable := coldSendShare * t.bound(rate)
 	burst = max(1, math.Floor(coldBurstShare*sendable))
-	return burst, max(sendable-burst, min(rate, maxSlowRate))
+	return burst, max(sendable-burst, min(rate, slowRate))
 }
 
 // users returns the number of entries, of n, that may send requests to a cold endpoint.
@@ -139,7 +139,7 @@
 	p.burst = burst / float64(users)
 	p.rate = rest / float64(users)
 	p.startupRate = min(p.rate, rest/coldStartupEntries)
-	if p.jitter = maxColdJitter; rest <= maxSlowRate {
+	if p.jitter = maxColdJitter; rest <= slowRate {
 		p.jitter = 0
 	}
 }
--- a/placement/cold_state.go
+++ b/placement/cold_state.go
@@ -32,7 +32,7 @@
 // ColdStats counts decisions about cold endpoints.
 type ColdStats struct {
 	Granted   uint64 // tokens taken for requests
-	Refused   uint64 // requests that an endpoint did not get for lack of a token
+	Refused   uint64 // failed attempts to take a token
 	Malformed uint64 // statements that can't be used
 }
 
@@ -100,7 +100,8 @@
 }
 
 // SetColdShare sets the share of the shared rates that this entry may use. An entry without
-// contact to others uses the part of one user of an endpoint.
+// contact to others uses the part of one user, the largest over all deployments, as the
+// table has one share for all.
 func (t *Table) SetColdShare(s quota.Share) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/placement/explain.go
+++ b/placement/explain.go
@@ -39,7 +39,7 @@
 	Retry    time.Duration // until a named limit, a cold token or a suspension allows a request; 0: none, or not known
 	Load     Load          // over all entries
 	Wait     time.Duration // expected
-	Cost     time.Duration // the wait with penalties, without the random part below costJitter
+	Cost     time.Duration // the wait with penalties; its random part has its mean
 	Slowness float64       // relative to the median of its deployment, at least 1
 	ColdLeft time.Duration // for which it remains cold; 0: it is not
 	Ramp     int           // concurrent requests that its ramp allows over all entries; 0: no ramp
@@ -127,7 +127,7 @@
 		Slowness: slowness,
 		score:    t.batchScore(e, slowness),
 	}
-	v.Cost = v.Wait + t.penalty(now, e)
+	v.Cost = v.Wait + t.penalty(now, e) + t.tieBreak(e)
 	if e.isCold(now) {
 		v.ColdLeft = e.cold.until - now
 	}
--- a/placement/explain_reasons.go
+++ b/placement/explain_reasons.go
@@ -92,7 +92,7 @@
 	includeLimited := allLimited(candidates)
 	includeFailing := t.group(req.Deployment).tooManyFailing()
 	scarce, waits := !elsewhere && t.scarce(candidates), !t.itemMayStart(now, req)
-	away := t.mayStartAway(now, req, candidates)
+	away := t.mayStartElsewhere(now, req, candidates)
 	result := make(map[*endpoint][]Reason, len(all))
 	for _, e := range all {
 		reasons := e.hardReasons(now, req)
--- a/placement/item.go
+++ b/placement/item.go
@@ -6,8 +6,8 @@
 )
 
 // Batch items start and are preempted by what is known of a wave of online requests (see
-// type wave) and of the items' times. The load that these decisions answer is one whose
-// peaks need slots that items use in between: without them items are started and preempted
+// type wave) and of the items' times. The decisions are meant for a load whose peaks need
+// slots that items use in between: without them items are started and preempted
 // several times while requests wait for their slots. Without a wave they change nothing.
 const (
 	// earlyShare is the share of a trough that must be left for an item to start that ends
@@ -107,16 +107,15 @@
 func (t *Table) scarce(endpoints []*endpoint) bool {
 	free := 0
 	for _, e := range endpoints {
-		free += max(0, e.Slots-reservedSlots-e.online()-e.batch())
+		free += max(0, e.freeForBatch())
 	}
 	return free < len(t.entries)
 }
 
 // mayTakeFree reports whether it is this entry's turn to start an item at e, which has
 // that many free slots, while slots are scarce. The entries take turns, in an order of their
-// own for each endpoint, as many at a time as there are free slots. This answers a load in
-// which items wait at many entries, which would all take the same slot before they know of
-// one another.
+// own for each endpoint, as many at a time as there are free slots. It prevents entries at
+// which items wait from all taking the same slot before they know of one another.
 func (t *Table) mayTakeFree(e *endpoint, now time.Duration, free int) bool {
 	n := max(len(t.entries), 1)
 	return free >= n || (e.rank+int(now/turnLength))%n < free
--- a/placement/order.go
+++ b/placement/order.go
@@ -45,11 +45,11 @@
 	}
 }
 
-// mayStartAway reports whether a batch item may start at an endpoint in another data centre:
+// mayStartElsewhere reports whether a batch item may start at an endpoint in another data centre:
 // in a wave only if it ends before the peak, would be late otherwise, or may run at no
-// candidate in this one. What must be preempted there hears of the requests that need its
-// slot up to 200 ms later.
-func (t *Table) mayStartAway(now time.Duration, req Request, candidates []*endpoint) bool {
+// candidate in this one. This entry learns up to 200 ms later of
+// requests there for which its item must be preempted.
+func (t *Table) mayStartElsewhere(now time.Duration, req Request, candidates []*endpoint) bool {
 	w := t.waves[req.Deployment]
 	if w == nil || !w.known(now) || !t.anyNear(candidates, req) {
 		return true
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -181,7 +181,7 @@
 	lastRequestAt  time.Duration // clock at the last online request
 	policy         *locality.Policy
 	evacuations    bool              // the data centre of at least one endpoint is evacuated
-	requests       float64           // as recentRequests, with the time constant rateDecay
+	requestSum     float64           // online requests at this entry, as a sum that decays with rateDecay; see requestRate
 	onRamp         func(RampChange)  // nil: endpoints begin without ramps
 	listed         bool              // SetEndpoints was called
 	started        []startedEndpoint // endpoints that have started and whose ramps have not begun
--- a/placement/preempt.go
+++ b/placement/preempt.go
@@ -29,7 +29,7 @@
 	slices.SortFunc(counts, func(a, b entryItems) int { return cmp.Compare(a.id, b.id) })
 	due := 0
 	for range min(excess, e.batch()) {
-		next := nextPreempting(counts)
+		next := nextEntryToPreempt(counts)
 		counts[next].items--
 		counts[next].firm = min(counts[next].firm, counts[next].items)
 		if counts[next].id == t.self {
@@ -44,9 +44,9 @@
 	return due
 }
 
-// nextPreempting returns the index of the entry that preempts the next item: the one with
+// nextEntryToPreempt returns the index of the entry that preempts the next item: the one with
 // the most items that are not firm or, if all are, with the most items.
-func nextPreempting(counts []entryItems) int {
+func nextEntryToPreempt(counts []entryItems) int {
 	next := 0
 	for i, c := range counts {
 		n := counts[next]
@@ -57,10 +57,10 @@
 	return next
 }
 
-// nextPreempted returns the batch grant at e that is preempted next, or nil if there is
+// nextGrantToPreempt returns the batch grant at e that is preempted next, or nil if there is
 // none: one that is not firm before those that are, then the one with the longest time
 // left, then the newest.
-func (t *Table) nextPreempted(e *endpoint) *Grant {
+func (t *Table) nextGrantToPreempt(e *endpoint) *Grant {
 	var next *Grant
 	for g := range e.grants {
 		if !g.preempting && (next == nil || t.preemptedBefore(g, next)) {
--- a/placement/ramp.go
+++ b/placement/ramp.go
@@ -28,7 +28,8 @@
 	// requests.
 	rampTTL = 2 * time.Second
 	// rampPenalty is the additional wait elsewhere that is accepted before an online
-	// request exceeds a ramp. A request is never refused because of ramps.
+	// request exceeds a ramp, more than othersSlotPenalty and crossDataCentrePenalty
+	// together. A request is never refused because of ramps.
 	rampPenalty = 100 * time.Millisecond
 	// rateDecay is the time constant of the rate of an entry's requests.
 	rateDecay = time.Second
@@ -145,7 +146,7 @@
 
 // requestRate returns the online requests a second at this entry, over about rateDecay.
 func (t *Table) requestRate(now time.Duration) float64 {
-	return t.requests * math.Exp(-float64(now-t.lastRequestAt)/float64(rateDecay)) / rateDecay.Seconds()
+	return t.requestSum * math.Exp(-float64(now-t.lastRequestAt)/float64(rateDecay)) / rateDecay.Seconds()
 }
 
 // observeRamp applies the time from a grant to its response header to the ramp of its
--- a/placement/scratch.go
+++ b/placement/scratch.go
@@ -24,7 +24,7 @@
 		lastRequestAt:  t.lastRequestAt,
 		policy:         t.policy,
 		evacuations:    t.evacuations,
-		requests:       t.requests,
+		requestSum:     t.requestSum,
 		listed:         t.listed,
 		responseTime:   t.responseTime,
 		clock:          t.clock,
--- a/placement/wait.go
+++ b/placement/wait.go
@@ -8,7 +8,7 @@
 // recordRequest adds an online request at now to the sum of recent requests.
 func (t *Table) recordRequest(now time.Duration) {
 	t.recentRequests = t.recentRequests*math.Exp(-float64(now-t.lastRequestAt)/float64(reportLag)) + 1
-	t.requests = t.requests*math.Exp(-float64(now-t.lastRequestAt)/float64(rateDecay)) + 1
+	t.requestSum = t.requestSum*math.Exp(-float64(now-t.lastRequestAt)/float64(rateDecay)) + 1
 	t.lastRequestAt = now
 }
 
@@ -79,9 +79,8 @@
 }
 
 // earliestStart returns the candidate with the lowest cost and the expected wait there,
-// or nil if there is none. The cost is the expected wait plus tieBreak and, in
-// another data centre, crossDataCentrePenalty. With healthyOnly,
-// suspended endpoints and those excluded as failing are skipped.
+// or nil if there is none. The cost is the expected wait plus tieBreak and penalty. With
+// healthyOnly, suspended endpoints and those excluded as failing are skipped.
 func (t *Table) earliestStart(now time.Duration, req Request, candidates []*endpoint, healthyOnly bool) (*endpoint, time.Duration) {
 	var best *endpoint
 	var lowest, wait time.Duration
--- a/placement/wave.go
+++ b/placement/wave.go
@@ -28,9 +28,9 @@
 )
 
 // wave records the online load of a deployment over waveWindow and recognizes a load that
-// alternates between a high and a low phase. Without one its other methods report nothing.
-// It answers a load whose peaks need slots that batch items use in between. Times are
-// readings of the entry's clock.
+// alternates between a high and a low phase. Its other methods are meaningful only while
+// known returns true. It is meant for a load whose peaks need slots that batch items use in
+// between. Times are readings of the entry's clock.
 type wave struct {
 	buckets [waveWindow / waveBucket]loadRange
 	newest  int64 // number of the newest bucket since clock 0; 0: none
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -42,19 +42,19 @@
 // bucket is the token bucket of one customer. Its times are readings of the entry's
 // clock.
 type bucket struct {
-	level             float64       // tokens; negative if overdrawn
-	refilledAt        time.Duration // clock at the last refill
-	initialized       bool          // the share of the slack was added
-	inheritedShare    float64       // share of the inherited tokens that was added to level
-	localCount        Count         // of this entry
-	admitted          windowCount   // by this entry and, as far as reported, by others
-	minToleranceUntil time.Duration // clock until which the customer is in surge
-	unseen            windowCount   // admissions of this entry that others may not know
-	unseenPeriod      time.Duration // over which unseen is counted
-	share             float64       // at the last refill
-	queued            uint32        // refused requests
-	nextDue           time.Duration // clock at which the next token is due that no refused request was told
-	surgeAtStart      bool          // in surge since this entry started: it does not know all of the customer's admissions
+	level          float64       // tokens; negative if overdrawn
+	refilledAt     time.Duration // clock at the last refill
+	initialized    bool          // the share of the slack was added
+	inheritedShare float64       // share of the inherited tokens that was added to level
+	localCount     Count         // of this entry
+	admitted       windowCount   // by this entry and, as far as reported, by others
+	surgeUntil     time.Duration // clock until which the customer is in surge
+	unseen         windowCount   // admissions of this entry that others may not know
+	unseenPeriod   time.Duration // over which unseen is counted
+	share          float64       // at the last refill
+	queued         uint32        // refused requests
+	nextDue        time.Duration // clock at which the next token is due that no refused request was told
+	surgeAtStart   bool          // in surge since this entry started: it does not know all of the customer's admissions
 
 	// Admissions of this entry (local) and of other entries by their reports
 	// (remote), as sums that decay with reportLag (recent) or usageDecay (long).
@@ -122,7 +122,7 @@
 	seed      uint64           // of dither
 	inherited *inheritedLevels // nil: none
 
-	minToleranceUntil time.Duration // as in bucket, for all customers
+	startingUntil time.Duration // clock until which this entry does not know all recent admissions
 }
 
 // Share is the fraction, 0 to 1, of each rate and burst that an entry may use.
@@ -161,7 +161,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.limits == nil {
-		t.minToleranceUntil = now + t.tolerance.Window
+		t.startingUntil = now + t.tolerance.Window
 	}
 	t.limits = byKey
 	for key := range byKey {
@@ -177,7 +177,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if tolerance.Window != t.tolerance.Window {
-		t.minToleranceUntil = now + tolerance.Window
+		t.startingUntil = now + tolerance.Window
 		for _, b := range t.buckets {
 			b.admitted = windowCount{}
 		}
@@ -222,7 +222,7 @@
 	d := t.decide(now, key, b, l)
 	if !d.Admitted {
 		if d.Share > 0 {
-			b.minToleranceUntil = now + t.tolerance.Window
+			b.surgeUntil = now + t.tolerance.Window
 		}
 		return d
 	}
@@ -259,7 +259,7 @@
 // of the customer's admissions, in the second the customer exceeds its rate, and many
 // entries would use the tokens of a refill at the same time. The caller holds the lock.
 func (t *Table) toleratedUnreported(now time.Duration, b *bucket, l Limit) float64 {
-	if now < t.minToleranceUntil || now < b.minToleranceUntil {
+	if now < t.startingUntil || now < b.surgeUntil {
 		return t.tolerance.minUnreported(l)
 	}
 	return t.tolerance.unreported(l, t.share.at(now), b.admitted.value(now, t.tolerance.Window))
--- a/quota/surge.go
+++ b/quota/surge.go
@@ -19,9 +19,9 @@
 	// unseenInCell and unseenBetweenCells are the longest times for which the admissions
 	// of an entry are unknown to others that still use a common share with it: the time
 	// after which a silent entry counts as out of contact, 0.7 s, and the interval at which
-	// that is checked; between cells the loss of a relay is passed on as well. With 0.4 s, a
-	// cut at 133 entries during a surge of 16 times the rate led to 1,005 admissions in a
-	// window where 858 are tolerated, with 0.75 s to 903 and 930.
+	// that is checked; between cells the loss of a relay is passed on as well. In cuts at 133
+	// entries during a surge of 16 times the rate, 0.75 s between cells led to 903 and 930
+	// admissions in a window where 858 are tolerated.
 	unseenInCell       = 750 * time.Millisecond
 	unseenBetweenCells = 1100 * time.Millisecond
 	// oneCell is the largest fleet whose entries all report to one another.
@@ -81,11 +81,11 @@
 // ends, as the entry does not know all of the customer's admissions. The caller holds the
 // lock.
 func (t *Table) admits(now time.Duration, key Key, b *bucket, l Limit, available float64) bool {
-	b.surgeAtStart = now < t.minToleranceUntil || b.surgeAtStart && now < b.minToleranceUntil
+	b.surgeAtStart = now < t.startingUntil || b.surgeAtStart && now < b.surgeUntil
 	if t.share.at(now) <= t.share.Own || b.surgeAtStart || !t.divides() {
 		return available >= 1
 	}
-	calm := now >= b.minToleranceUntil || b.level >= calmLevel*l.Burst*t.share.at(now)
+	calm := now >= b.surgeUntil || b.level >= calmLevel*l.Burst*t.share.at(now)
 	if calm && available >= 1 {
 		return true
 	}
@@ -93,9 +93,9 @@
 }
 
 // withinPart reports whether this entry may take one more of the given common tokens,
-// which it and the others may take within unseenPeriod, after its unseen ones. dither, above 0 and up to 1, stands
-// for the token's fraction, so that the parts of many entries, each below one token, are
-// neither all rounded down nor all rounded up.
+// which it and the others may take within unseenPeriod, after its unseen ones. dither,
+// above 0 and up to 1, stands for the token's fraction, so that the parts of many entries,
+// each below one token, are neither all rounded down nor all rounded up.
 func withinPart(unseen int, part, common, dither float64) bool {
 	return float64(unseen)+dither <= part*common
 }
@@ -152,7 +152,7 @@
 func (t *Table) adjustShare(now time.Duration, b *bucket, share float64, l Limit) {
 	before := b.share
 	b.share = share
-	if share > 0 && share < before && now < b.minToleranceUntil {
+	if share > 0 && share < before && now < b.surgeUntil {
 		b.level = (b.level - l.Rate*t.unseenPeriod().Seconds()*(before-share)) * share / before
 	}
 }
--- a/sidecar/batch.go
+++ b/sidecar/batch.go
@@ -45,8 +45,8 @@
 }
 
 // Run pulls and reports batch items, sends orders to the engine, and watches the
-// instance list and an endpoint that can be cold, until ctx ends. Items in flight are cancelled then; call Drain
-// first for a graceful shutdown.
+// instance list and an endpoint that can be cold, until ctx ends. Items in flight are
+// cancelled then; call Drain first for a graceful shutdown.
 func (s *Sidecar) Run(ctx context.Context) {
 	var group sync.WaitGroup
 	if s.deps.Members != nil {
@@ -236,8 +236,8 @@
 }
 
 // heartbeatLoop reports the items in flight, and moves them if the data centre is
-// evacuated. It is separate from reportLoop, as
-// reports of results wait for an append to the log.
+// evacuated. It is separate from reportLoop, as reports of results wait for an append to
+// the log.
 func (b *batchRunner) heartbeatLoop(ctx context.Context) {
 	tick := time.NewTicker(heartbeatInterval)
 	defer tick.Stop()
--- a/sidecar/cold.go
+++ b/sidecar/cold.go
@@ -17,9 +17,9 @@
 // started again while nothing was sent to it, or that it has returned.
 const (
 	coldPollInterval = time.Second // shortest time between two polls
-	// coldPollShare is the number of requests that the rate admits for each poll of an
-	// endpoint that is not lost. At 0.5 requests a second a poll each second takes all tokens.
-	coldPollShare = 10
+	// coldRequestsPerPoll is the number of requests for which the rate has room between two
+	// polls of an endpoint that is not lost, so that polls take at most a tenth of the tokens.
+	coldRequestsPerPoll = 10
 )
 
 // coldMargin is added to the time for which an endpoint says that it remains cold, which
@@ -124,9 +124,9 @@
 	s.applyColdLimit(d)
 }
 
-// recordRestart records that the endpoint was lost, which may have started again when it
+// recordLoss records that the endpoint was lost, which may have started again when it
 // responds next.
-func (s *Sidecar) recordRestart() {
+func (s *Sidecar) recordLoss() {
 	s.cold.restarted()
 	if d, ok := s.deployment(); ok {
 		s.applyColdLimit(d)
@@ -203,9 +203,9 @@
 		case e == nil && lost:
 			s.health.lost.Store(false)
 		case e == nil:
-			wait = max(coldPollInterval, time.Duration(coldPollShare/d.ColdRate*float64(time.Second)))
+			wait = max(coldPollInterval, time.Duration(coldRequestsPerPoll/d.ColdRate*float64(time.Second)))
 		case e.Code == api.CodeEndpointLost && s.health.lost.CompareAndSwap(false, true):
-			s.recordRestart()
+			s.recordLoss()
 		}
 	}
 }
--- a/sidecar/exclusive.go
+++ b/sidecar/exclusive.go
@@ -28,10 +28,10 @@
 	}
 }
 
-// begin registers the item as in flight at the endpoint. It returns false if the
-// endpoint is evacuated or fails its health check, if the item is not a suspect and a suspect runs
-// or waits here, or if the item is a suspect and other attempts still run after
-// maxStartWait or at the end of ctx.
+// begin registers the item as in flight at the endpoint. It returns false if the endpoint
+// is evacuated or fails its health check, if the item is not a suspect and a suspect runs or
+// waits here, or if the item is a suspect and other attempts still run after maxStartWait
+// or at the end of ctx.
 func (r *itemRun) begin(ctx context.Context) bool {
 	if r.runner.evacuated() {
 		return false
--- a/sidecar/health.go
+++ b/sidecar/health.go
@@ -26,7 +26,7 @@
 func (s *Sidecar) recordEndpointLost(attempt string, outcome api.Outcome) {
 	s.metrics.losses.Inc()
 	s.health.lost.Store(true)
-	s.recordRestart()
+	s.recordLoss()
 	if outcome != api.NotRun {
 		s.gate.recordCrash(attempt)
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -94,9 +94,9 @@
 	detachContext func() bool
 }
 
-// Do sends r to the endpoint at addr and waits for the header of the response
-// until deadline, unless r.BeforeSend refuses it. If ctx is done while the Exchange is open, the connection is
-// closed. Errors are of type NotSent, Abandoned or Broken.
+// Do sends r to the endpoint at addr, unless r.BeforeSend refuses it, and waits for the
+// header of the response until deadline. If ctx is done while the Exchange is open, the
+// connection is closed. Errors are of type NotSent, Abandoned or Broken.
 func (p *Pool) Do(ctx context.Context, addr string, r *Request, deadline time.Time) (*Exchange, error) {
 	c, err := p.get(ctx, addr)
 	if err != nil {
