--- a/placement/order_test.go
+++ b/placement/order_test.go
@@ -72,6 +72,9 @@
 // added in the trough, where the p90 of the code before is 48 ms. With a peak of 0.93 these
 // targets are missed with some seeds, see docs/design/placement-order.md.
 func TestReplay_FewArrivalsRejected(t *testing.T) {
+	if raceDetector {
+		t.Skip("run without the race detector")
+	}
 	g := gomega.NewWithT(t)
 	l := measuredWave()
 	l.mean, l.length = 0.45, 3*wavePeriod
--- a/placement/wave_test.go
+++ b/placement/wave_test.go
@@ -193,6 +193,9 @@
 // Items were started and preempted several times. In a wave whose trough is longer than an
 // item, they take under 1.5 runs and are in time; on the code before they took 2.7.
 func TestReplay_ItemsShorterThanTheTrough(t *testing.T) {
+	if raceDetector {
+		t.Skip("run without the race detector")
+	}
 	g := gomega.NewWithT(t)
 	l := measuredWave()
 	l.itemEvents, l.jobs, l.length = 80, 3, 3*wavePeriod
@@ -204,6 +207,9 @@
 // Holding items back must not make them late, nor leave work undone: in the measured wave
 // all items are in time, and as many complete as arrive, but for those of a wave's end.
 func TestReplay_ItemsInTimeInMeasuredWave(t *testing.T) {
+	if raceDetector {
+		t.Skip("run without the race detector")
+	}
 	g := gomega.NewWithT(t)
 	l := measuredWave()
 	l.length = 3 * wavePeriod
--- a/quota/replay_checks_test.go
+++ b/quota/replay_checks_test.go
@@ -59,6 +59,9 @@
 // entries are cut off, lost, frozen or added or its limit is lowered: no window holds more
 // than what is tolerated.
 func TestReplay_BoundHolds(t *testing.T) {
+	if raceDetector {
+		t.Skip("run without the race detector")
+	}
 	forEachReplay(t, func(g *gomega.WithT, disturbance string, f *replayFleet) {
 		most, _ := f.windows(0, f.length)
 		g.Expect(most).To(gomega.BeNumerically("<=", f.bound(Limit{Rate: replayRate, Burst: replayBurst})), "%s", f)
@@ -70,6 +73,9 @@
 // Requests within rate and burst are refused although the entries have the tokens
 // together: at most one in a thousand of what rate and burst allow is lost so.
 func TestReplay_WholeRateIsUsable(t *testing.T) {
+	if raceDetector {
+		t.Skip("run without the race detector")
+	}
 	forEachReplay(t, func(g *gomega.WithT, disturbance string, f *replayFleet) {
 		t.Log(disturbance, f)
 		if disturbance == "undisturbed" {
@@ -80,6 +86,9 @@
 
 // Customers within their rate beside one in surge are not refused.
 func TestReplay_CustomersWithinRateAreAdmitted(t *testing.T) {
+	if raceDetector {
+		t.Skip("run without the race detector")
+	}
 	forEachReplay(t, func(g *gomega.WithT, disturbance string, f *replayFleet) {
 		if disturbance == "undisturbed" {
 			g.Expect(f.refused[1:]).To(gomega.HaveEach(gomega.BeZero()), "%s", f)
