--- a/batch/known.go
+++ b/batch/batch_load.go
@@ -10,9 +10,9 @@
 
 // recordStart logs and counts the start of an item, with what was known of the load.
 func (r *runner) recordStart(it runnableItem, grant *placement.Grant) {
-	known := grant.KnownAtStart()
+	known := grant.LoadAtStart()
 	r.Metrics.starts.WithLabelValues(known.Phase).Inc()
-	withKnown(r.itemEvent(it, grant), known).Dur("remaining_ms", it.times.Remaining).Dur("until_due_ms", it.times.UntilDue).
+	withLoad(r.itemEvent(it, grant), known).Dur("remaining_ms", it.times.Remaining).Dur("until_due_ms", it.times.UntilDue).
 		Int("from_event", it.events).Msg("batch item started")
 }
 
@@ -28,7 +28,7 @@
 		label = "none"
 	}
 	r.Metrics.preemptions.WithLabelValues(label).Inc()
-	withKnown(r.itemEvent(it, grant), known).Dur("remaining_ms", max(0, it.times.Remaining-took)).Dur("until_due_ms", time.Until(it.due)).
+	withLoad(r.itemEvent(it, grant), known).Dur("remaining_ms", max(0, it.times.Remaining-took)).Dur("until_due_ms", time.Until(it.due)).
 		Int("events", events).Dur("took_ms", took).Msg("batch item preempted")
 }
 
@@ -37,7 +37,7 @@
 	return r.Log.Info().Str("job", it.job.ID).Str("request", it.job.Items[it.id.item].ID).Str("customer", it.job.Customer).Str("endpoint", grant.Endpoint.ID)
 }
 
-// withKnown adds what was known of the load to a log line.
-func withKnown(e *zerolog.Event, k placement.Known) *zerolog.Event {
+// withLoad adds what was known of the load to a log line.
+func withLoad(e *zerolog.Event, k placement.BatchLoad) *zerolog.Event {
 	return e.Str("phase", k.Phase).Dur("trough_left_ms", k.LowLeft).Int("online", k.Online).Int("online_highest", k.Highest).Int("slots", k.Slots).Int("batch", k.Batch)
 }
--- a/batch/item.go
+++ b/batch/item.go
@@ -172,7 +172,7 @@
 	if r.MayStart != nil && !r.MayStart() {
 		return errorx.IllegalState.New("the configuration was not confirmed recently enough")
 	}
-	if !grant.MaySend(r.Clock()) {
+	if !grant.TakeSendToken(r.Clock()) {
 		return errorx.RejectedOperation.New("the endpoint is cold and takes no more requests yet")
 	}
 	return nil
--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -41,7 +41,7 @@
 	placed := 0
 	for end := r.now + d; r.now < end; r.now += 10 * time.Millisecond {
 		grant, _ := r.table.Place(r.now, placement.Request{Deployment: "lm", MaxWait: time.Second})
-		if grant != nil && grant.MaySend(r.now) {
+		if grant != nil && grant.TakeSendToken(r.now) {
 			placed++
 			grant.Release(r.now, placement.Done, 0)
 		}
--- a/gateway/confirm_remote.go
+++ b/gateway/confirm_remote.go
@@ -26,7 +26,7 @@
 // Periods for which results of these calls count. A member that is down or cut off as well is
 // asked again later, as members do not expire in an outage.
 const (
-	confirmerReplyPeriod   = 10 * time.Second
+	confirmerSuccessPeriod = 10 * time.Second
 	confirmerFailurePeriod = 30 * time.Second
 )
 
@@ -85,31 +85,43 @@
 
 // confirmers decides which entries are asked, by the results of earlier calls.
 type confirmers struct {
-	mu              sync.Mutex
-	replied, failed map[string]time.Duration // by entry: time of the last call, if that was its result
-	attempts        int                      // calls of choose
+	mu                sync.Mutex
+	confirmed, failed map[string]time.Duration // by entry: time of the last call, if that was its result
+	attempts          int                      // calls of choose
 }
 
 // record records whether an entry has confirmed the configuration when it was asked.
 func (c *confirmers) record(name string, now time.Duration, confirmed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.replied == nil {
-		c.replied, c.failed = make(map[string]time.Duration), make(map[string]time.Duration)
+	if c.confirmed == nil {
+		c.confirmed, c.failed = make(map[string]time.Duration), make(map[string]time.Duration)
 	}
-	maps.DeleteFunc(c.replied, func(_ string, at time.Duration) bool { return now-at >= confirmerReplyPeriod })
+	maps.DeleteFunc(c.confirmed, func(_ string, at time.Duration) bool { return now-at >= confirmerSuccessPeriod })
 	maps.DeleteFunc(c.failed, func(_ string, at time.Duration) bool { return now-at >= confirmerFailurePeriod })
-	delete(c.replied, name)
+	delete(c.confirmed, name)
 	delete(c.failed, name)
 	if confirmed {
-		c.replied[name] = now
+		c.confirmed[name] = now
 	} else {
 		c.failed[name] = now
 	}
 }
 
-// choose returns up to n of the candidates: those that have confirmed it of late; then those
-// that have not failed of late, first of other data centres and then of other cells, as this
+// confirmerClass is the order in which entries are asked.
+type confirmerClass int
+
+const (
+	recentlyConfirmed confirmerClass = iota
+	otherDataCentre
+	otherCell
+	retryOtherDataCentre
+	sameCell
+	recentlyFailed
+)
+
+// choose returns up to n of the candidates: those that have confirmed it recently; then
+// those that have not failed recently, first of other data centres and then of other cells, as this
 // one may be cut off; then the others, from the one whose failure is the longest ago. Every
 // other time, those of other data centres that have failed come before all of this cell. Equal
 // ones are taken at random.
@@ -117,29 +129,29 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.attempts++
-	rank := func(m confirmer) (class int, since time.Duration) {
-		if at, ok := c.replied[m.Name]; ok && now-at < confirmerReplyPeriod {
-			return 0, 0
+	rank := func(m confirmer) (class confirmerClass, at time.Duration) {
+		if at, ok := c.confirmed[m.Name]; ok && now-at < confirmerSuccessPeriod {
+			return recentlyConfirmed, 0
 		}
 		if at, ok := c.failed[m.Name]; ok && now-at < confirmerFailurePeriod {
 			if !m.sameDataCentre && c.attempts%2 == 1 {
-				return 3, at
+				return retryOtherDataCentre, at
 			}
-			return 5, at
+			return recentlyFailed, at
 		}
 		switch {
 		case !m.sameDataCentre:
-			return 1, 0
+			return otherDataCentre, 0
 		case !m.sameCell:
-			return 2, 0
+			return otherCell, 0
 		}
-		return 4, 0
+		return sameCell, 0
 	}
 	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	slices.SortStableFunc(candidates, func(a, b confirmer) int {
-		classA, sinceA := rank(a)
-		classB, sinceB := rank(b)
-		return cmp.Or(cmp.Compare(classA, classB), cmp.Compare(sinceA, sinceB))
+		classA, atA := rank(a)
+		classB, atB := rank(b)
+		return cmp.Or(cmp.Compare(classA, classB), cmp.Compare(atA, atB))
 	})
 	var chosen []gossip.Member
 	for _, m := range candidates[:min(n, len(candidates))] {
--- a/online/cold_test.go
+++ b/online/cold_test.go
@@ -190,7 +190,7 @@
 		send := func() bool {
 			grant := held[0]
 			held = held[1:]
-			return grant.MaySend(r.Clock())
+			return grant.TakeSendToken(r.Clock())
 		}
 		for send() {
 		}
--- a/online/execution.go
+++ b/online/execution.go
@@ -195,7 +195,7 @@
 	if !ex.ConfigFresh(ex.call) {
 		return errorx.IllegalState.New("the configuration was not confirmed recently enough")
 	}
-	if !grant.MaySend(ex.Clock()) {
+	if !grant.TakeSendToken(ex.Clock()) {
 		return errorx.RejectedOperation.New("the endpoint is cold and takes no more requests yet")
 	}
 	return nil
--- a/placement/batch.go
+++ b/placement/batch.go
@@ -16,7 +16,7 @@
 		return nil
 	}
 	grant := t.newGrant(best, Batch, now, preempt)
-	grant.item, grant.knownAtStart = req.Item, t.known(req.Deployment)
+	grant.item, grant.loadAtStart = req.Item, t.loadOf(req.Deployment)
 	return grant
 }
 
@@ -98,7 +98,7 @@
 			if g == nil {
 				break
 			}
-			g.preempting, g.knownAtPreemption = true, t.known(e.Deployment)
+			g.preempting, g.loadAtPreemption = true, t.loadOf(e.Deployment)
 			callbacks = append(callbacks, g.preempt)
 		}
 	}
--- a/placement/known.go
+++ b/placement/batch_load.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// Known is what the table knew of a deployment's load when it decided on a batch item, for
-// logs and metrics.
-type Known struct {
+// BatchLoad is the load of a deployment, as the table knew it when it decided on a batch
+// item, for logs and metrics.
+type BatchLoad struct {
 	Phase   string        // "none" without a wave, else "trough" or "peak"
 	LowLeft time.Duration // expected rest of the trough
 	Online  int           // requests at the endpoints
@@ -13,9 +13,9 @@
 	Batch   int // items at the endpoints
 }
 
-// known returns what the table knows of a deployment's load.
-func (t *Table) known(deployment string) Known {
-	k := Known{Phase: "none"}
+// loadOf returns the load of a deployment.
+func (t *Table) loadOf(deployment string) BatchLoad {
+	k := BatchLoad{Phase: "none"}
 	k.Slots, k.Batch = t.group(deployment).batchLoad()
 	w := t.waves[deployment]
 	if w == nil {
@@ -32,12 +32,12 @@
 	return k
 }
 
-// KnownAtStart returns what was known when the item of g was placed.
-func (g *Grant) KnownAtStart() Known { return g.knownAtStart }
+// LoadAtStart returns the load when the item of g was placed.
+func (g *Grant) LoadAtStart() BatchLoad { return g.loadAtStart }
 
 // Preempted reports whether the table has preempted the item of g, and what was known then.
-func (g *Grant) Preempted() (Known, bool) {
+func (g *Grant) Preempted() (BatchLoad, bool) {
 	g.table.mu.Lock()
 	defer g.table.mu.Unlock()
-	return g.knownAtPreemption, g.preempting
+	return g.loadAtPreemption, g.preempting
 }
--- a/placement/cold.go
+++ b/placement/cold.go
@@ -163,10 +163,11 @@
 	return true
 }
 
-// MaySend reports whether the request may be sent to the grant's endpoint at now. It must be
-// asked once, right before the request is sent: the endpoint may have become cold since the
-// grant, and requests that were held up must not reach a cold endpoint together.
-func (g *Grant) MaySend(now time.Duration) bool {
+// TakeSendToken takes the tokens for sending the request to the grant's endpoint at now, and
+// returns false if there are none. It is called once, right before the request is sent: the
+// endpoint may have become cold since the grant, and requests that were held up must not
+// reach a cold endpoint together.
+func (g *Grant) TakeSendToken(now time.Duration) bool {
 	if !g.coldLimited {
 		return true
 	}
@@ -182,7 +183,7 @@
 	}
 	c := e.cold
 	if wait := c.part.sendWait(now); wait > 0 {
-		// It is not chosen again in vain until then, also for the same request.
+		// Placement skips the endpoint until then, also for the same request.
 		c.refusedUntil = max(c.refusedUntil, now+wait)
 		return false
 	}
--- a/placement/cold_fleet_test.go
+++ b/placement/cold_fleet_test.go
@@ -239,7 +239,7 @@
 		return
 	}
 	if f.down[grant.Key()] {
-		grant.MaySend(now)
+		grant.TakeSendToken(now)
 		grant.Release(now, Failed, 0)
 		return
 	}
@@ -249,7 +249,7 @@
 
 // arrive records the arrival of a request.
 func (f *coldFleet) arrive(now time.Duration, grant *Grant) {
-	if !grant.MaySend(now) {
+	if !grant.TakeSendToken(now) {
 		return
 	}
 	key := grant.Key()
--- a/placement/cold_state_test.go
+++ b/placement/cold_state_test.go
@@ -228,7 +228,7 @@
 			grant, refusal := tab.Place(time.Second, testRequest())
 			g.Expect(refusal).To(gomega.BeNil(), name)
 			g.Expect(grant.Observe(time.Second, Notice{Cold: ColdNotice{Given: true, Left: time.Hour}}).Cold).To(gomega.BeFalse())
-			g.Expect(grant.MaySend(time.Hour)).To(gomega.BeTrue())
+			g.Expect(grant.TakeSendToken(time.Hour)).To(gomega.BeTrue())
 			grant.Release(time.Second, Done, 0)
 		}
 	}
--- a/placement/cold_test.go
+++ b/placement/cold_test.go
@@ -290,7 +290,7 @@
 	g.Expect(len(grants)).To(gomega.BeNumerically(">", coldBound))
 	sent := 0
 	for _, grant := range grants {
-		if grant.MaySend(9 * time.Second) {
+		if grant.TakeSendToken(9 * time.Second) {
 			sent++
 		}
 	}
@@ -316,7 +316,7 @@
 				held[now+[]time.Duration{maxColdJitter, 0}[granted%2]] = grant
 				granted++
 			}
-			if grant := held[now]; grant != nil && grant.MaySend(now) {
+			if grant := held[now]; grant != nil && grant.TakeSendToken(now) {
 				sent = append(sent, now)
 			}
 		}
@@ -342,7 +342,7 @@
 		}
 	}
 	now := 10 * time.Second
-	for len(grants) > 0 && grants[0].MaySend(now) {
+	for len(grants) > 0 && grants[0].TakeSendToken(now) {
 		grants = grants[1:]
 	}
 	g.Expect(grants).NotTo(gomega.BeEmpty())
@@ -351,7 +351,7 @@
 	g.Expect(refusal.Cold).To(gomega.BeTrue())
 	next, _ := tab.Place(now+refusal.Wait, testRequest())
 	g.Expect(next).NotTo(gomega.BeNil())
-	g.Expect(next.MaySend(now + refusal.Wait)).To(gomega.BeTrue())
+	g.Expect(next.TakeSendToken(now + refusal.Wait)).To(gomega.BeTrue())
 }
 
 // A reload or the default of the settings allows exactly the cold rate.
--- a/placement/grant.go
+++ b/placement/grant.go
@@ -14,7 +14,7 @@
 	preempting bool          // preempt was called or is about to be
 	item       ItemTimes     // at the grant
 
-	knownAtStart, knownAtPreemption Known // of batch items
+	loadAtStart, loadAtPreemption BatchLoad // of batch items
 
 	coldLimited bool // the endpoint has a limit while it is cold
 	coldToken   bool // a token was taken at the grant, as it is cold
