--- a/placement/batch.go
+++ b/placement/batch.go
@@ -16,7 +16,7 @@
 		return nil
 	}
 	grant := t.newGrant(best, Batch, now, preempt)
-	grant.item, grant.knownAtStart = req.Item, t.known(req.Deployment)
+	grant.item, grant.loadAtStart = req.Item, t.loadOf(req.Deployment)
 	return grant
 }
 
@@ -50,9 +50,9 @@
 	candidates, otherCell := t.preferredFor(req)
 	includeLimited := allLimited(candidates)
 	scarce := !otherCell && t.scarce(candidates)
-	mayStartAway := t.mayStartAway(now, req, candidates)
+	mayStartElsewhere := t.mayStartElsewhere(now, req, candidates)
 	for _, e := range candidates {
-		if e.DataCentre != t.dataCentre && !mayStartAway {
+		if e.DataCentre != t.dataCentre && !mayStartElsewhere {
 			continue
 		}
 		if e.limit != nil && !includeLimited {
@@ -94,11 +94,11 @@
 	t.mu.Lock()
 	for _, e := range t.ordered {
 		for range t.preemptionsDue(e) {
-			g := t.nextPreempted(e)
+			g := t.nextGrantToPreempt(e)
 			if g == nil {
 				break
 			}
-			g.preempting, g.knownAtPreemption = true, t.known(e.Deployment)
+			g.preempting, g.loadAtPreemption = true, t.loadOf(e.Deployment)
 			callbacks = append(callbacks, g.preempt)
 		}
 	}
--- a/placement/ramp.go
+++ b/placement/ramp.go
@@ -28,7 +28,8 @@
 	// requests.
 	rampTTL = 2 * time.Second
 	// rampPenalty is the additional wait elsewhere that is accepted before an online
-	// request exceeds a ramp. A request is never refused because of ramps.
+	// request exceeds a ramp, more than othersSlotPenalty and crossDataCentrePenalty
+	// together. A request is never refused because of ramps.
 	rampPenalty = 100 * time.Millisecond
 	// rateDecay is the time constant of the rate of an entry's requests.
 	rateDecay = time.Second
@@ -145,7 +146,7 @@
 
 // requestRate returns the online requests a second at this entry, over about rateDecay.
 func (t *Table) requestRate(now time.Duration) float64 {
-	return t.requests * math.Exp(-float64(now-t.lastRequestAt)/float64(rateDecay)) / rateDecay.Seconds()
+	return t.requestSum * math.Exp(-float64(now-t.lastRequestAt)/float64(rateDecay)) / rateDecay.Seconds()
 }
 
 // observeRamp applies the time from a grant to its response header to the ramp of its
@@ -243,63 +244,3 @@
 	typical := t.group(e.Deployment).typicalGap()
 	return typical > 0 && gap > slowResponseFactor*typical
 }
-
-// AdoptRamps applies the rounds that a peer reports and that this entry does not know, and
-// adds up the growth that all peers report. It is called after SetPeer with the same report.
-func (t *Table) AdoptRamps(now time.Duration, reported map[Key]Ramp) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.onRamp == nil {
-		return
-	}
-	for key, r := range reported {
-		e := t.endpoints[key]
-		if e == nil || r.Round < e.rampRound || r.Round == e.rampRound && e.ramp == nil {
-			continue
-		}
-		if r.Round > e.rampRound {
-			e.rampRound = r.Round
-			e.ramp = &rampState{Ramp: Ramp{Round: r.Round, Base: max(1, r.Base)}, startedAt: now, changedAt: now}
-			t.notifyRamp(e, RampAdopted, "report of another entry")
-		}
-		e.ramp.Base = min(e.ramp.Base, max(1, r.Base))
-		if !e.ramp.complete {
-			t.sumGrowth(e, now)
-		}
-	}
-}
-
-// sumGrowth adds up the growth of the ramp of e that peers report for its round.
-func (t *Table) sumGrowth(e *endpoint, now time.Duration) {
-	sum := 0
-	for _, r := range t.peers {
-		if ramp, ok := r.Ramps[e.key]; ok && ramp.Round == e.rampRound {
-			sum += ramp.Grown
-		}
-	}
-	if sum > e.ramp.peers {
-		e.ramp.changedAt = now
-	}
-	e.ramp.peers = max(sum, e.ramp.peers)
-	t.completeIfDone(e)
-}
-
-// Ramps returns this entry's part in the ramps of endpoints, for the reports to others, and
-// ends those that have expired.
-func (t *Table) Ramps(now time.Duration) map[Key]Ramp {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.expireRamps(now)
-	t.noteStarted(now)
-	var ramps map[Key]Ramp
-	for key, e := range t.endpoints {
-		if e.ramp == nil {
-			continue
-		}
-		if ramps == nil {
-			ramps = make(map[Key]Ramp)
-		}
-		ramps[key] = e.ramp.Ramp
-	}
-	return ramps
-}
