--- a/gateway/ramps.go
+++ b/gateway/ramps.go
@@ -14,6 +14,7 @@
 		Help: "Steps of the ramps of endpoints that have started or recovered, by event and reason.",
 	}, []string{"event", "reason"})
 	g.Registry.MustRegister(steps)
+	steps.WithLabelValues(string(placement.RampBegun), placement.RampReasonStarted)
 	g.table.EnableRamps(func(c placement.RampChange) {
 		steps.WithLabelValues(string(c.Event), c.Reason).Inc()
 		g.Log.Info().Str("endpoint", c.Endpoint.ID).Int64("born", c.Endpoint.StartMs).Str("event", string(c.Event)).Str("reason", c.Reason).
--- a/placement/ramp.go
+++ b/placement/ramp.go
@@ -66,6 +66,18 @@
 	RampEnded   RampEvent = "ended"
 )
 
+// The reasons of the steps.
+const (
+	RampReasonStarted      = "started"
+	RampReasonRecovered    = "recovered"
+	RampReasonReported     = "reported by another entry"
+	RampReasonRejection    = "rejection"
+	RampReasonSlowResponse = "slow response"
+	RampReasonSlowEvents   = "slow events"
+	RampReasonComplete     = "all slots allowed"
+	RampReasonExpired      = "no responses"
+)
+
 // RampChange describes a step of the ramp of an endpoint.
 type RampChange struct {
 	Endpoint Endpoint
@@ -109,7 +121,7 @@
 		return
 	}
 	e.ramp.complete = true
-	t.notifyRamp(e, RampEnded, "all slots allowed")
+	t.notifyRamp(e, RampEnded, RampReasonComplete)
 }
 
 // expireRamps ends the ramps that have not changed for rampTTL.
@@ -119,7 +131,7 @@
 			continue
 		}
 		if !e.ramp.complete {
-			t.notifyRamp(e, RampEnded, "no responses")
+			t.notifyRamp(e, RampEnded, RampReasonExpired)
 		}
 		e.ramp = nil
 	}
@@ -163,7 +175,7 @@
 		return
 	}
 	if t.responseTime > 0 && took > slowResponseFactor*t.responseTime {
-		t.reduceRamp(g, now, "slow response")
+		t.reduceRamp(g, now, RampReasonSlowResponse)
 		return
 	}
 	t.growRamp(g, now)
@@ -217,7 +229,7 @@
 	t.noteStarted(now)
 	for _, s := range t.started {
 		if s.rampRound == 0 && !s.Draining {
-			t.beginRamp(s.endpoint, now, "started")
+			t.beginRamp(s.endpoint, now, RampReasonStarted)
 		}
 	}
 	t.started = nil
@@ -230,11 +242,11 @@
 	e := g.state
 	switch {
 	case result == Done && e.consecutiveFailures >= rampFailures:
-		t.beginRamp(e, now, "recovered")
+		t.beginRamp(e, now, RampReasonRecovered)
 	case result == Full:
-		t.reduceRamp(g, now, "rejection")
+		t.reduceRamp(g, now, RampReasonRejection)
 	case t.slowEvents(e, gap):
-		t.reduceRamp(g, now, "slow events")
+		t.reduceRamp(g, now, RampReasonSlowEvents)
 	}
 }
 
--- a/placement/ramp_report.go
+++ b/placement/ramp_report.go
@@ -18,7 +18,7 @@
 		if r.Round > e.rampRound {
 			e.rampRound = r.Round
 			e.ramp = &rampState{Ramp: Ramp{Round: r.Round, Base: max(1, r.Base)}, startedAt: now, changedAt: now}
-			t.notifyRamp(e, RampAdopted, "report of another entry")
+			t.notifyRamp(e, RampAdopted, RampReasonReported)
 		}
 		e.ramp.Base = min(e.ramp.Base, max(1, r.Base))
 		if !e.ramp.complete {
--- a/test/system/metrics_test.go
+++ b/test/system/metrics_test.go
@@ -122,14 +122,14 @@
 	})
 }
 
-// gatewayMetrics returns the metrics of a gateway before its first request, after
-// linting them.
+// gatewayMetrics returns the metrics of a gateway with ramps and an evacuation before its
+// first request, after linting them.
 func gatewayMetrics(t *testing.T) string {
 	registry := prometheus.NewRegistry()
 	ops.DroppedLines(registry)
 	reload.New(&settings.Gateway{}, reload.Options[settings.Gateway]{Metrics: registry})
 	log := keyed.NewLog(1)
-	gateway.New(gateway.Deps{
+	g := gateway.New(gateway.Deps{
 		Providers: gateway.Providers{
 			Config:   new(config.Holder),
 			Members:  &keyed.Handle{Log: log},
@@ -139,11 +139,13 @@
 			Contents: []batch.Store{&keyed.Handle{Log: log}},
 			Dialect:  streams.Dialect{},
 		},
-		Settings: &settings.Gateway{ID: "gateway-1"},
+		Settings: &settings.Gateway{ID: "gateway-1", EndpointRamp: true},
 		Clock:    boottime.Now,
 		Log:      zerolog.Nop(),
 		Registry: registry,
 	})
+	// Some metrics have series only while there is an evacuation.
+	g.ConfigChanged(config.NewSnapshot(1, &config.State{Evacuations: map[string]bool{"a": true}}))
 	response := httptest.NewRecorder()
 	promhttp.HandlerFor(registry, promhttp.HandlerOpts{}).ServeHTTP(response, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	text := response.Body.String()
