--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -30,7 +30,7 @@
 	LimitWindow     config.Duration `json:"limit_window,omitempty" reload:"true"`     // length of the time windows to which limit_excess and limit_slack apply
 	LimitExcess     float64         `json:"limit_excess,omitempty" reload:"true"`     // tolerated excess in a window, as a fraction of the requests that rate and burst allow in it
 	LimitSlack      float64         `json:"limit_slack,omitempty" reload:"true"`      // tolerated excess in a window in requests, added to limit_excess
-	ColdExcess      float64         `json:"cold_excess,omitempty" reload:"true"`      // bound on the requests to a cold endpoint in any second, as a multiple of its cold rate, at least 1 in any second; default 1
+	ColdExcess      float64         `json:"cold_excess,omitempty" reload:"true"`      // bound on the requests to a cold endpoint in any second, as a multiple of its cold rate, at least 1; default 1
 	ColdSlack       float64         `json:"cold_slack,omitempty" reload:"true"`       // requests that a cold endpoint may get in any second beyond that
 	EndGrace        config.Duration `json:"end_grace,omitempty" reload:"true"`        // time between SIGTERM and SIGKILL, within which the entry drains; default 8s
 	KeepJobs        config.Duration `json:"keep_jobs,omitempty" reload:"true"`        // retention time of finished batch jobs, counted from their submission; default 1h
