placement: ramps of the own cell only; endpoints without items are passed over at once

Ruled out: reports of ramps at longer intervals, which would delay the growth. Change: no ramps at endpoints of other cells; items first, then headroom. Measured: TestRamp_NotOfOtherCells fails without the change.

--- a/placement/preempt.go
+++ b/placement/preempt.go
@@ -16,8 +16,11 @@
 // preemptionsDue returns how many more of this entry's batch items at e must be
 // preempted.
 func (t *Table) preemptionsDue(e *endpoint) int {
+	if e.local.Batch == 0 {
+		return 0 // most endpoints: this is asked for all of them with each report
+	}
 	excess := e.online() + e.batch() + t.headroom(e) - e.Slots
-	if excess <= 0 || e.local.Batch == 0 {
+	if excess <= 0 {
 		return 0
 	}
 	counts := []entryItems{{id: t.self, items: e.local.Batch, firm: t.firmItems(e)}}
--- a/placement/ramp.go
+++ b/placement/ramp.go
@@ -221,14 +221,15 @@
 	}
 }
 
-// beginRamps begins the ramps of the endpoints that have started.
+// beginRamps begins the ramps of the endpoints of this cell that have started. Reports would
+// hold those of all endpoints of a large fleet otherwise.
 func (t *Table) beginRamps(now time.Duration) {
 	if len(t.started) == 0 {
 		return
 	}
 	t.noteStarted(now)
 	for _, s := range t.started {
-		if s.rampRound == 0 && !s.Draining {
+		if s.rampRound == 0 && !s.Draining && !s.OtherCell {
 			t.beginRamp(s.endpoint, now, RampReasonStarted)
 		}
 	}
--- a/placement/ramp_report.go
+++ b/placement/ramp_report.go
@@ -12,7 +12,7 @@
 	}
 	for key, r := range reported {
 		e := t.endpoints[key]
-		if e == nil || r.Round < e.rampRound || r.Round == e.rampRound && e.ramp == nil {
+		if e == nil || e.OtherCell || r.Round < e.rampRound || r.Round == e.rampRound && e.ramp == nil {
 			continue
 		}
 		if r.Round > e.rampRound {
--- a/placement/ramp_test.go
+++ b/placement/ramp_test.go
@@ -298,3 +298,19 @@
 	g.Expect(tab.Ramps(rampTTL+1)).To(gomega.BeEmpty(), "it was listed long ago")
 	g.Expect(tab.started).To(gomega.BeEmpty())
 }
+
+// With ramps of the endpoints of all cells, each report of a fleet with 3,000 endpoints that
+// start held 30 kB.
+func TestRamp_NotOfOtherCells(t *testing.T) {
+	g := gomega.NewWithT(t)
+	x, y, z := testEndpoint("x", "a"), testEndpoint("y", "a"), testEndpoint("z", "a")
+	z.OtherCell = true
+	tab := newTable("self", x)
+	tab.EnableRamps(func(RampChange) {})
+	tab.SetEndpoints([]Endpoint{x, y, z})
+	grant, _ := tab.Place(0, testRequest())
+	grant.Release(0, Aborted, 0)
+	g.Expect(tab.Ramps(0)).To(gomega.And(gomega.HaveLen(1), gomega.HaveKey(y.Key())))
+	tab.AdoptRamps(0, map[Key]Ramp{z.Key(): {Round: 9, Base: 1}})
+	g.Expect(tab.Ramps(0)).NotTo(gomega.HaveKey(z.Key()))
+}
