--- a/batch/accepted.go
+++ b/batch/accepted.go
@@ -14,7 +14,7 @@
 const unacknowledgedPeriod = 15 * time.Second
 
 // unacknowledged holds the jobs whose appends to the index may still take effect: those
-// under way, and those that have ended without an acknowledgement of late.
+// under way, and those that have ended without an acknowledgement recently.
 type unacknowledged struct {
 	mu       sync.Mutex
 	underWay map[string]int       // number of submissions
--- a/gateway/confirm.go
+++ b/gateway/confirm.go
@@ -88,7 +88,7 @@
 }
 
 // askForConfig asks another entry for the configuration and applies the reply. It reports
-// whether that entry has confirmed its configuration of late.
+// whether that entry has confirmed its configuration recently.
 func (g *Gateway) askForConfig(name, address string) (confirmed bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), configCallTimeout)
 	defer cancel()
--- a/gateway/confirm_remote.go
+++ b/gateway/confirm_remote.go
@@ -72,7 +72,7 @@
 }
 
 // needsRemoteConfirmation reports whether the store can't be read and no other entry has
-// confirmed the configuration of late.
+// confirmed the configuration recently.
 func (g *Gateway) needsRemoteConfirmation() bool {
 	return g.ConfigFeed.LostFor() > 0 && !g.configConfirmedWithin(remoteConfirmAge)
 }
--- a/placement/cold_part.go
+++ b/placement/cold_part.go
@@ -92,7 +92,7 @@
 }
 
 // sendWait returns the time until a request that was granted may be sent: 0 unless too many
-// were sent of late.
+// were sent recently.
 func (p *coldPart) sendWait(now time.Duration) time.Duration {
 	missing := 1 - p.rateAt(now)*p.jitter.Seconds() - p.refill(&p.sent, now)
 	if missing <= 0 {
--- a/quota/surge.go
+++ b/quota/surge.go
@@ -19,9 +19,7 @@
 	// unseenInCell and unseenBetweenCells are the longest times for which the admissions
 	// of an entry are unknown to others that still use a common share with it: the time
 	// after which a silent entry counts as out of contact, 0.7 s, and the interval at which
-	// that is checked; between cells the loss of a relay is passed on as well. In cuts at 133
-	// entries during a surge of 16 times the rate, 0.75 s between cells led to 903 and 930
-	// admissions in a window where 858 are tolerated.
+	// that is checked; between cells the loss of a relay is passed on as well.
 	unseenInCell       = 750 * time.Millisecond
 	unseenBetweenCells = 1100 * time.Millisecond
 	// oneCell is the largest fleet whose entries all report to one another.
