--- a/batch/item.go
+++ b/batch/item.go
@@ -154,6 +154,7 @@
 	case r.Dialect.Misdirected(resp):
 		return r.readRejection(x, runNotExecuted, placement.Replaced)
 	case r.Dialect.NotRun(resp):
+		upstream.LogNotRun(r.Log, request.ID, grant.Endpoint.ID, x)
 		return r.readRejection(x, runNotExecuted, placement.Full)
 	case resp.StatusCode == http.StatusUnprocessableEntity:
 		return r.readRejection(x, runUnprocessable, placement.Done)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -177,6 +177,7 @@
 		g.enableRamps()
 	}
 	g.pool = upstream.NewPool(d.IDHeader, nil, g.dialCounter())
+	g.pool.OnStray = g.strayReporter()
 	g.members = gossip.NewRegistry(d.Clock, g.badRecordLogger("members"), g.announceChange)
 	g.membersFollower = g.follow("members", d.Members, g.members, membersReadWait, membersMinInterval)
 	g.node = gossip.NewNode(g.self(), g.members, g, g, d.Clock, d.Log)
--- a/online/execution.go
+++ b/online/execution.go
@@ -155,6 +155,7 @@
 		ex.discard(x)
 		return tryNext, placement.Replaced
 	case ex.Dialect.NotRun(r):
+		upstream.LogNotRun(ex.Log, ex.call.ID, grant.Endpoint.ID, x)
 		ex.discard(x)
 		return tryNext, placement.Full
 	}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -11,10 +11,11 @@
 // conn is one connection to an endpoint.
 type conn struct {
 	net.Conn
-	addr    string
-	reader  *bufio.Reader
-	expires time.Time // from then on the idle connection must not be used
-	left    int       // bytes that may still be read; unlimitedReads: any number
+	addr     string
+	reader   *bufio.Reader
+	expires  time.Time // from then on the idle connection must not be used
+	left     int       // bytes that may still be read; unlimitedReads: any number
+	requests int       // sent so far
 }
 
 // unlimitedReads lifts the limit on the bytes that are read from a connection.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -35,6 +35,9 @@
 	dial     Dialer
 	onDial   func()
 
+	// OnStray, if set before the first request, is called for each stray response.
+	OnStray func(Stray)
+
 	mu   sync.Mutex
 	idle map[string][]*conn // by address, the most recently used last
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -112,6 +112,7 @@
 	_ = c.Conn.SetDeadline(deadline)
 	x := &Exchange{conn: c, pool: p}
 	x.detachContext = context.AfterFunc(ctx, c.close)
+	c.requests++
 	if err := x.send(r); err != nil {
 		x.Close()
 		return nil, err
@@ -204,11 +205,15 @@
 			continue
 		}
 		echoed := response.Header.Get(x.pool.idHeader)
+		if r.ID != "" && echoed == "" {
+			x.reportStray(r, response, StrayUnnamed)
+		}
 		if r.ID == "" || echoed == "" || echoed == r.ID {
 			x.Response = response
 			x.conn.limitReads(maxResponseBytes)
 			return nil
 		}
+		x.reportStray(r, response, StrayOther)
 		late++
 		if late > maxLateResponses || response.Close || unframed(response) {
 			return errorx.IllegalState.New("late response to request %q can't be skipped: more than %d late responses, or it ends with the connection", echoed, maxLateResponses)
