--- a/dispatch/fleet_test.go
+++ b/dispatch/fleet_test.go
@@ -42,6 +42,9 @@
 	announceLeaving fault = "leaving"             // endpoint responds, and announces that it is leaving
 	truncated       fault = "truncated stream"    // stream ends without an error, but incomplete
 	outage          fault = "outage"              // random endpoints are unreachable for 3 s, three times
+	errorEvent      fault = "error event"         // an error stands in the stream as an event, and the end follows
+	namedErrorEvent fault = "named error event"   // as errorEvent, with a line that names it an error
+	errorStream     fault = "error as a stream"   // status 500 with the content type of a stream
 )
 
 var faults = []fault{dropBefore, dropAfter, abortedStream, hang, mismatched, refuse, announceLeaving, truncated, outage}
@@ -391,6 +394,11 @@
 		return
 	}
 	w.Header().Set("Content-Type", eventStreamType)
+	if injected == errorStream {
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = io.WriteString(w, "data: {\"message\":\"failed\"}\n\n")
+		return
+	}
 	event := func(m api.Message) {
 		b, _ := json.Marshal(api.ChatResponse{ID: "x", Choices: []api.ChatChoice{{Delta: &m}}})
 		_, _ = fmt.Fprintf(w, "data: %s\n\n", b)
@@ -402,6 +410,11 @@
 		firstToken = body.Resume.Tokens
 	}
 	for i := firstToken; i < responseTokens; i++ {
+		if (injected == errorEvent || injected == namedErrorEvent) && i == (firstToken+responseTokens)/2 {
+			line := map[fault]string{namedErrorEvent: "event: error\n"}[injected]
+			_, _ = io.WriteString(w, line+"data: {\"error\":{\"message\":\"failed\"}}\n\ndata: [DONE]\n\n")
+			return
+		}
 		if injected == truncated && i == (firstToken+responseTokens)/2 {
 			return
 		}
--- a/standin/streams/streams.go
+++ b/standin/streams/streams.go
@@ -3,11 +3,15 @@
 package streams
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httputil"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dandelionrelay/placement"
@@ -83,6 +87,14 @@
 	EndAfter int
 	Endless  bool // send events until the connection is closed
 	Restart  bool // begin with the first event, whatever the request says
+	// Before is written to the connection before the response, which then ends with it.
+	Before string
+	// Insert is written into the body of an event stream after InsertAfter events. With
+	// EndAfterInsert the response ends there, properly.
+	Insert         string
+	InsertAfter    int
+	EndAfterInsert bool
+	Body           string // of a response with a Status that is neither 0 nor 200
 }
 
 // Run is one request that the endpoint started to run.
@@ -125,6 +137,16 @@
 	initSlots  sync.Once
 }
 
+// Refusal returns a response that states that the request with the given ID has not run. An
+// empty ID is left out.
+func Refusal(id string) string {
+	named := ""
+	if id != "" {
+		named = HeaderID + ": " + id + "\r\n"
+	}
+	return "HTTP/1.1 503 Service Unavailable\r\n" + HeaderNotRun + ": 1\r\n" + named + "Content-Length: 0\r\n\r\n"
+}
+
 // Runs returns the requests started so far, the oldest first.
 func (e *Endpoint) Runs() []Run {
 	e.mu.Lock()
@@ -178,12 +200,24 @@
 
 // Serve serves requests on l until the returned server is closed.
 func (e *Endpoint) Serve(l net.Listener) *http.Server {
-	s := &http.Server{Handler: e}
+	var connections atomic.Int64
+	s := &http.Server{Handler: e, ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, connectionKey{}, fmt.Sprint(connections.Add(1)))
+	}}
 	e.server = s
 	go func() { _ = s.Serve(l) }() // returns after Close
 	return s
 }
 
+// connectionKey is the key of the context value with the name of a connection.
+type connectionKey struct{}
+
+// Connection returns the name of the connection of a request, unique at its endpoint.
+func Connection(r *http.Request) string {
+	name, _ := r.Context().Value(connectionKey{}).(string)
+	return name
+}
+
 // ServeHTTP implements http.Handler.
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.initSlots.Do(func() { e.slots = make(chan struct{}, max(e.Slots, 1)) })
@@ -251,9 +285,14 @@
 	}
 	if b.Status != 0 && b.Status != http.StatusOK {
 		w.WriteHeader(b.Status)
+		_, _ = io.WriteString(w, b.Body)
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
+	if b.Before != "" {
+		e.streamAfter(w, r, id, last, b)
+		return
+	}
 	if b.CrashAfter > 0 {
 		w.WriteHeader(http.StatusOK)
 		_ = http.NewResponseController(w).Flush()
@@ -293,7 +332,42 @@
 	}
 }
 
+// streamAfter writes b.Before to the connection, and then a response in chunks.
+func (e *Endpoint) streamAfter(w http.ResponseWriter, r *http.Request, id string, last int, b Behaviour) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	// Write errors mean that the caller has left.
+	_, _ = fmt.Fprint(c, b.Before, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n")
+	_ = w.Header().Write(c)
+	_, _ = fmt.Fprint(c, "\r\n")
+	body := httputil.NewChunkedWriter(c)
+	e.stream(&rawWriter{Writer: body}, r, id, last, b)
+	_ = body.Close()
+	_, _ = fmt.Fprint(c, "\r\n")
+}
+
+// rawWriter is a ResponseWriter for a body whose head is written already.
+type rawWriter struct{ io.Writer }
+
+// Header implements http.ResponseWriter.
+func (*rawWriter) Header() http.Header { return nil }
+
+// WriteHeader implements http.ResponseWriter.
+func (*rawWriter) WriteHeader(int) {}
+
+// Flush implements http.Flusher.
+func (*rawWriter) Flush() {}
+
 func (e *Endpoint) stream(w http.ResponseWriter, r *http.Request, id string, last int, b Behaviour) {
+	if b.Insert != "" && b.InsertAfter == 0 {
+		_, _ = io.WriteString(w, b.Insert)
+		if b.EndAfterInsert {
+			return
+		}
+	}
 	delay := e.FirstEventDelay
 	for n := last + 1; n <= e.Events || b.Endless; n++ {
 		select {
@@ -304,6 +378,12 @@
 		delay = e.EventInterval
 		_, _ = w.Write([]byte(e.event(id, n)))
 		_ = http.NewResponseController(w).Flush()
+		if b.Insert != "" && b.InsertAfter == n-last {
+			_, _ = io.WriteString(w, b.Insert)
+			if b.EndAfterInsert {
+				return
+			}
+		}
 		if b.AbortAfter == n-last {
 			panic(http.ErrAbortHandler)
 		}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -299,3 +300,74 @@
 	g.Expect(keepAliveTimeout(http.Header{"Keep-Alive": {"timeout=3, max=5"}})).To(gomega.Equal(3*time.Second - idleMargin))
 	g.Expect(keepAliveTimeout(http.Header{"Keep-Alive": {"timeout=x"}})).To(gomega.BeZero())
 }
+
+// An endpoint writes its refusal of an attempt once more when the attempt is sent again over
+// the same connection. The repeated refusal isn't taken for the response to the second sending.
+func TestPool_AttemptSentAgainAfterRepeatedRefusal(t *testing.T) {
+	g := gomega.NewWithT(t)
+	e := listen(t, func(c net.Conn, r *http.Request, n int) bool {
+		if n == 1 {
+			respond(c, "a", "refused")
+		}
+		respond(c, r.Header.Get(idHeader), map[int]string{0: "refused", 1: "run"}[n])
+		return true
+	})
+	dials := 0
+	p := newPool(&dials)
+	body, err := exchange(p, e.Addr().String(), "a")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(body).To(gomega.Equal("refused"))
+	body, err = exchange(p, e.Addr().String(), "a")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(body).To(gomega.Equal("refused"), "of a connection of its own")
+	g.Expect(dials).To(gomega.Equal(2))
+	body, err = exchange(p, e.Addr().String(), "b")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(body).To(gomega.Equal("run"), "other attempts use the connections")
+	g.Expect(dials).To(gomega.Equal(2))
+}
+
+// A response that names no request may be that to an earlier one: it is of no use, and the
+// request may have run.
+func TestExchange_ResponseWithoutID(t *testing.T) {
+	g := gomega.NewWithT(t)
+	e := listen(t, func(c net.Conn, _ *http.Request, _ int) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	dials := 0
+	_, err := exchange(newPool(&dials), e.Addr().String(), "a")
+	g.Expect(errorx.IsOfType(err, Broken)).To(gomega.BeTrue(), "%v", err)
+}
+
+// An endpoint takes the end of a caller's stream for a half-close, which TCP allows, and works
+// on. When an exchange is closed early, it must see that nobody awaits the response.
+func TestExchange_CloseEndsRunOfHalfCloseEndpoint(t *testing.T) {
+	g := gomega.NewWithT(t)
+	started, ended := make(chan struct{}), make(chan error, 1)
+	e := listen(t, func(c net.Conn, r *http.Request, _ int) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\n", idHeader, r.Header.Get(idHeader))
+		close(started)
+		ended <- awaitReset(c)
+		return false
+	})
+	dials := 0
+	x, err := newPool(&dials).Do(context.Background(), e.Addr().String(), request("a"), time.Now().Add(exchangeTimeout))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	<-started
+	x.Close()
+	g.Expect(<-ended).To(gomega.MatchError(syscall.ECONNRESET))
+}
+
+// awaitReset reads from c until an error other than the end of the stream. It returns io.EOF if
+// there is none for a second.
+func awaitReset(c net.Conn) error {
+	for range 1000 {
+		_, err := c.Read(make([]byte, 1))
+		if err != nil && err != io.EOF {
+			return err
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return io.EOF
+}
