upstream: a refusal that is written once more answers no other sending

What callers saw: a faulty endpoint wrote an earlier refusal once more on a kept connection. A request that may not be repeated then ran at a second endpoint, or an item ran twice at the same time (TWICE); the caller could be told "not run". Cause: a response without an ID was accepted as that to any request, and an ID alone doesn't tell the responses to two sendings of one request apart. An item that was refused is sent again under its ID, and the pool gave it the same connection. Class: a response is attributed by less than what identifies the sending. Change: a response must name the request; one that names none leaves it unknown whether the request ran. A connection never carries the same ID twice, so that every response with the ID on it is that to its one sending. TestExchange_ReadsLongHead sent one ID three times; it sends three and expects the same single connection.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -16,6 +16,7 @@
 	expires  time.Time // from then on the idle connection must not be used
 	left     int       // bytes that may still be read; unlimitedReads: any number
 	requests int       // sent so far
+	carried  []uint64  // hashes of the IDs of these requests
 }
 
 // unlimitedReads lifts the limit on the bytes that are read from a connection.
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -63,7 +63,7 @@
 			dials := 0
 			p := newPool(&dials)
 			began := time.Now()
-			_, err := exchangeWithin(p, e.Addr().String(), endlessTimeout)
+			_, err := exchangeWithin(p, e.Addr().String(), "a", endlessTimeout)
 			g.Expect(errorx.IsOfType(err, Broken)).To(gomega.BeTrue(), "%v", err)
 			g.Expect(time.Since(began)).To(gomega.BeNumerically("<", endlessTimeout/2))
 			g.Eventually(ended).WithTimeout(endlessTimeout).Should(gomega.BeClosed())
@@ -72,11 +72,11 @@
 	}
 }
 
-// exchangeWithin makes one exchange with a request of ID a and returns the body of the
-// response.
-func exchangeWithin(p *Pool, addr string, timeout time.Duration) (string, error) {
+// exchangeWithin makes one exchange with a request of the given ID and returns the body of
+// the response.
+func exchangeWithin(p *Pool, addr, id string, timeout time.Duration) (string, error) {
 	deadline := time.Now().Add(timeout)
-	x, err := p.Do(context.Background(), addr, request("a"), deadline)
+	x, err := p.Do(context.Background(), addr, request(id), deadline)
 	if err != nil {
 		return "", err
 	}
@@ -89,13 +89,13 @@
 	g := gomega.NewWithT(t)
 	e := listen(t, func(c net.Conn, r *http.Request, _ int) bool {
 		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nX-A: " + strings.Repeat("x", maxHeadBytes/2) + "\r\n"))
-		_, _ = c.Write([]byte(idHeader + ": a\r\nContent-Length: 3\r\n\r\nyes"))
+		_, _ = c.Write([]byte(idHeader + ": " + r.Header.Get(idHeader) + "\r\nContent-Length: 3\r\n\r\nyes"))
 		return true
 	})
 	dials := 0
 	p := newPool(&dials)
-	for range 3 {
-		g.Expect(exchangeWithin(p, e.Addr().String(), exchangeTimeout)).To(gomega.Equal("yes"))
+	for _, id := range []string{"a", "b", "c"} {
+		g.Expect(exchangeWithin(p, e.Addr().String(), id, exchangeTimeout)).To(gomega.Equal("yes"))
 	}
 	g.Expect(dials).To(gomega.Equal(1))
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"hash/maphash"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -24,6 +26,8 @@
 	// is closed, so that no request is sent while the endpoint closes it.
 	idleMargin      = 700 * time.Millisecond
 	readBufferBytes = 4 << 10
+	// maxRequestsPerConn bounds the memory for the IDs that a connection has carried.
+	maxRequestsPerConn = 1024
 )
 
 // Dialer opens a connection to addr, which has the form ip:port.
@@ -32,6 +36,7 @@
 // Pool is a pool of connections to endpoints. It is safe for concurrent use.
 type Pool struct {
 	idHeader string // header in which endpoints echo the ID of a request
+	seed     maphash.Seed
 	dial     Dialer
 	onDial   func()
 
@@ -48,7 +53,7 @@
 	if dial == nil {
 		dial = DialTCP
 	}
-	return &Pool{idHeader: idHeader, dial: dial, onDial: onDial, idle: make(map[string][]*conn)}
+	return &Pool{idHeader: idHeader, seed: maphash.MakeSeed(), dial: dial, onDial: onDial, idle: make(map[string][]*conn)}
 }
 
 // DialTCP opens a TCP connection with short keep-alive and user timeouts, so that an
@@ -73,11 +78,12 @@
 	return optionErr
 }
 
-// get returns an idle connection to addr that is still alive, or a new one.
-func (p *Pool) get(ctx context.Context, addr string) (*conn, error) {
+// get returns an idle connection to addr that is still alive and hasn't carried the request id,
+// or a new one. An ID alone doesn't tell the responses to two sendings of one request apart.
+func (p *Pool) get(ctx context.Context, addr, id string) (*conn, error) {
 	now := time.Now()
 	for {
-		c := p.pop(addr)
+		c := p.pop(addr, p.hash(id))
 		if c == nil {
 			break
 		}
@@ -120,22 +126,33 @@
 	p.put(c, idle)
 }
 
-func (p *Pool) pop(addr string) *conn {
+func (p *Pool) hash(id string) uint64 { return maphash.String(p.seed, id) }
+
+// pop removes the most recently used idle connection to addr that hasn't carried the request
+// with the given hash of its ID. It returns nil if there is none.
+func (p *Pool) pop(addr string, id uint64) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[addr]
-	if len(conns) == 0 {
-		return nil
+	for i := len(conns) - 1; i >= 0; i-- {
+		if c := conns[i]; !slices.Contains(c.carried, id) {
+			p.idle[addr] = slices.Delete(conns, i, i+1)
+			return c
+		}
 	}
-	c := conns[len(conns)-1]
-	p.idle[addr] = conns[:len(conns)-1]
-	return c
+	return nil
+}
+
+// recordSent records that a request is sent on c.
+func (p *Pool) recordSent(c *conn, id string) {
+	c.requests++
+	c.carried = append(c.carried, p.hash(id))
 }
 
 // put adds a connection to the pool, for at most idle. It closes the connection if
-// idle is not positive or the pool is full.
+// idle is not positive, the pool is full or the connection has carried maxRequestsPerConn.
 func (p *Pool) put(c *conn, idle time.Duration) {
-	if idle <= 0 {
+	if idle <= 0 || c.requests >= maxRequestsPerConn {
 		c.close()
 		return
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -71,7 +71,7 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	ID     string // expected in the response; empty: any response is accepted
+	ID     string // that the response must name; empty: any response is accepted
 
 	// BeforeSend, if set, is called once the connection is open, right before the request
 	// is written. If it returns an error, nothing is sent and the error of Do is Refused.
@@ -98,7 +98,7 @@
 // header of the response until deadline. If ctx is done while the Exchange is open, the
 // connection is closed. Errors are of type NotSent, Abandoned or Broken.
 func (p *Pool) Do(ctx context.Context, addr string, r *Request, deadline time.Time) (*Exchange, error) {
-	c, err := p.get(ctx, addr)
+	c, err := p.get(ctx, addr, r.ID)
 	if err != nil {
 		return nil, NotSent.Wrap(err, "connect to %s", addr)
 	}
@@ -112,7 +112,7 @@
 	_ = c.Conn.SetDeadline(deadline)
 	x := &Exchange{conn: c, pool: p}
 	x.detachContext = context.AfterFunc(ctx, c.close)
-	c.requests++
+	p.recordSent(c, r.ID)
 	if err := x.send(r); err != nil {
 		x.Close()
 		return nil, err
@@ -207,8 +207,9 @@
 		echoed := response.Header.Get(x.pool.idHeader)
 		if r.ID != "" && echoed == "" {
 			x.reportStray(r, response, StrayUnnamed)
+			return errorx.IllegalState.New("response with status %d names no request", response.StatusCode)
 		}
-		if r.ID == "" || echoed == "" || echoed == r.ID {
+		if r.ID == "" || echoed == r.ID {
 			x.Response = response
 			x.conn.limitReads(maxResponseBytes)
 			return nil
