upstream: an exchange that is given up is reset

What callers saw, suspected: a stream or an item went on at a second endpoint while the first worked on it (TWICE), as real processes only. Not reproduced at the users' endpoints. Cause: an exchange was given up with an orderly close, which TCP makes look like a half-close: an endpoint that has read the request may go on until it writes. One that waits or reads a prompt writes nothing for long. Change: closing an open exchange, also when its caller leaves, resets the connection. Idle connections are closed in order as before.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -57,3 +57,12 @@
 }
 
 func (c *conn) close() { _ = c.Conn.Close() }
+
+// abort closes the connection with a TCP reset. After an orderly close, an endpoint may take
+// the end of the stream for a half-close and work on.
+func (c *conn) abort() {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // if this fails, the close is orderly
+	}
+	c.close()
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -111,7 +111,7 @@
 	// SetDeadline fails only on a closed connection, and then writes fail too.
 	_ = c.Conn.SetDeadline(deadline)
 	x := &Exchange{conn: c, pool: p}
-	x.detachContext = context.AfterFunc(ctx, c.close)
+	x.detachContext = context.AfterFunc(ctx, c.abort)
 	p.recordSent(c, r.ID)
 	if err := x.send(r); err != nil {
 		x.Close()
@@ -248,7 +248,7 @@
 // the response is no longer awaited.
 func (x *Exchange) Close() {
 	x.detachContext()
-	x.conn.close()
+	x.conn.abort()
 }
 
 // Finish ends an exchange whose response was read to its end. It returns the
