online, batch: an event of a stream has an ID

Cause: any lines up to an empty one passed as an event, also without an ID, and one such event made the end of the response the end of the stream. Change: a stream with an event that has no ID is broken there; by the protocol all events have increasing ones. It goes on elsewhere where it may. Remains: foreign lines that are joined to an event with the expected ID pass.

--- a/batch/item.go
+++ b/batch/item.go
@@ -251,6 +251,11 @@
 			x.Close()
 			return runLost, placement.Failed, err
 		}
+		if !e.HasID {
+			x.Close()
+			p.restartIfStuck()
+			return runLost, placement.Failed, errorx.IllegalState.New("event without an ID in the stream")
+		}
 		if p.cursor.IsDuplicate(e) {
 			continue
 		}
--- a/online/stream.go
+++ b/online/stream.go
@@ -60,6 +60,10 @@
 			x.Close()
 			return ex.afterStreamError(ctx, err)
 		}
+		if !e.HasID {
+			x.Close()
+			return ex.afterEndpointLoss(errorx.IllegalState.New("event without an ID in the stream")), placement.Failed
+		}
 		if ex.response.cursor.IsDuplicate(e) {
 			continue
 		}
