dispatch, sidecar: an engine's error event is no part of a text

What callers saw: the engine's error as an event in the middle of their stream, which then ended with [DONE] as if it were complete; items were completed with the part of the text before it. An error with the content type of a stream was relayed event by event, and another endpoint's text could follow it. The first is narrowed for whole responses with status 500, which are the endpoint's own and hold no other text. Change: an error event of a chat stream ends the attempt, which resumes at another endpoint or ends with the entry's error event; only a 200 is relayed as a stream.

--- a/dispatch/error_event_test.go
+++ b/dispatch/error_event_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -27,6 +28,10 @@
 				for i := range 100 {
 					q := testCall{id: fmt.Sprint("r", i), text: fmt.Sprint("text", i), stream: true, idempotent: true, resume: true}
 					result := fleet.send(d, q)
+					if result.status != http.StatusOK {
+						g.Expect(result.body).NotTo(gomega.ContainSubstring(q.text), "an error as a whole response")
+						continue
+					}
 					text, code := result.text()
 					g.Expect(fullText(q.text)).To(gomega.HavePrefix(text))
 					g.Expect(result.body).NotTo(gomega.ContainSubstring("failed"), "the endpoint's error")
--- a/dispatch/response.go
+++ b/dispatch/response.go
@@ -118,7 +118,8 @@
 // relay sends the endpoint's response to the caller: a stream event by event, any
 // other response whole or, from maxBufferedBytes on, as it arrives.
 func (f *forwarder) relay(ctx context.Context, a *attempt, resp *http.Response) *attemptFailure {
-	if strings.HasPrefix(resp.Header.Get("Content-Type"), eventStreamType) {
+	stream := strings.HasPrefix(resp.Header.Get("Content-Type"), eventStreamType)
+	if stream && resp.StatusCode == http.StatusOK {
 		return f.relayEvents(ctx, a, resp)
 	}
 	if f.call.ResponseStarted { // only a stream can continue a stream
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -82,6 +82,9 @@
 			return a.connectionFailure(ctx)
 		}
 		f.dispatcher.detector.RecordProgress(a.endpoint.ID, time.Now())
+		if f.call.Chat != nil && api.IsErrorEvent(event) {
+			return &attemptFailure{err: endpointLostError(api.Unknown), retryable: true}
+		}
 		if !f.call.ResponseStarted {
 			f.writeHeader(resp, false)
 		}
--- a/sidecar/stream.go
+++ b/sidecar/stream.go
@@ -14,6 +14,9 @@
 // errStreamTruncated is returned if a stream ends or fails before the event [DONE].
 var errStreamTruncated = errors.New("event stream ended before [DONE]")
 
+// errEngine is returned if the engine ends a stream with an error.
+var errEngine = errors.New("engine sent an error in its event stream")
+
 // responseAssembler assembles the complete response of a chat completion from
 // its stream of server-sent events.
 type responseAssembler struct {
@@ -37,7 +40,7 @@
 }
 
 // read reads the events of r up to [DONE]. It returns errStreamTruncated if r ends
-// or fails before.
+// or fails before, and errEngine after an error of the engine.
 func (a *responseAssembler) read(r io.Reader) error {
 	lines := bufio.NewReader(r)
 	for {
@@ -45,6 +48,9 @@
 		if err != nil {
 			return errStreamTruncated
 		}
+		if api.IsErrorEvent(line) {
+			return errEngine
+		}
 		data, ok := bytes.CutPrefix(bytes.TrimSpace(line), []byte("data: "))
 		if !ok {
 			continue
