dispatch: the test of errors in streams says what a whole error response holds

It must now be the one that the fault sends: status 500, with the endpoint's own body and nothing else.

--- a/dispatch/error_event_test.go
+++ b/dispatch/error_event_test.go
@@ -29,7 +29,9 @@
 					q := testCall{id: fmt.Sprint("r", i), text: fmt.Sprint("text", i), stream: true, idempotent: true, resume: true}
 					result := fleet.send(d, q)
 					if result.status != http.StatusOK {
-						g.Expect(result.body).NotTo(gomega.ContainSubstring(q.text), "an error as a whole response")
+						g.Expect(injected).To(gomega.ContainElement(errorStream))
+						g.Expect(result.status).To(gomega.Equal(http.StatusInternalServerError))
+						g.Expect(result.body).To(gomega.Equal("data: {\"message\":\"failed\"}\n\n"), "the endpoint's own response, whole")
 						continue
 					}
 					text, code := result.text()
