batch: items of a split route run at every deployment of the split

Cause: startItem placed items at Route.Deployment, which for a split route is the first deployment of the list; only online requests read the split.

Looked for in all readers of a route's deployment: requireDataCentre refused jobs by the first deployment alone (TestEvacuation_SplitRouteTakesJobsForTheDeploymentThatIsLeft failed) and Explain named it (TestExplain_JobsAndSplits failed). entry and sidecar have no splits.

Change: Route.Shares and DeploymentOrder read the split in one place. An item prefers a deployment by weighted rendezvous hashing of its ID and takes a slot elsewhere if none is free there; one with output goes on where that was written, as with versions.

--- a/batch/start.go
+++ b/batch/start.go
@@ -3,18 +3,17 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"dandelionrelay/config"
 	"dandelionrelay/locality"
+	"dandelionrelay/membership"
 	"dandelionrelay/placement"
 )
 
 // startItem starts an item if a slot is free, or fails it if it may not run any
-// more. It returns false if the item continues to wait. If no endpoint of the
-// deployment in the homes of the item has a free slot, it sets their slotKey in
-// full, unless the item avoids an endpoint or a version, where others may find a
-// slot.
+// more. It returns false if the item continues to wait. See placeItem for full.
 func (r *runner) startItem(ctx context.Context, snapshot *config.Snapshot, it runnableItem, full map[slotKey]bool) bool {
 	route, ok := snapshot.State.Routes[it.job.Route]
 	if !ok || route.Provided == nil || route.Provided.Batch == nil {
@@ -23,29 +22,15 @@
 	if time.Since(it.job.Submitted) > route.Provided.Batch.Retain+failGrace {
 		return r.failItem(it, "it is too old")
 	}
-	homes := snapshot.Homes(route, it.job.Customer)
-	key := newSlotKey(route.Deployment, homes)
-	if full[key] {
-		return false
-	}
 	itemCtx, cancel := context.WithCancel(ctx)
 	request := placement.Request{
-		Deployment: route.Deployment,
-		Avoid:      it.avoid.avoidSet(r.Clock()),
-		Homes:      homes,
-		Item:       it.times,
-	}
-	if it.origin.Deployment == route.Deployment {
-		request.Version = it.origin.Version
-	}
-	grant := r.Table.PlaceBatch(r.Clock(), request, cancel)
-	if grant == nil && r.versionMissing(it, request) {
-		request.Version = ""
-		grant = r.Table.PlaceBatch(r.Clock(), request, cancel)
+		Avoid: it.avoid.avoidSet(r.Clock()),
+		Homes: snapshot.Homes(route, it.job.Customer),
+		Item:  it.times,
 	}
+	grant := r.placeItem(it, route, request, full, cancel)
 	if grant == nil {
 		cancel()
-		full[key] = len(request.Avoid) == 0 && request.Version == ""
 		return false
 	}
 	if grant.Endpoint.Origin() != it.origin {
@@ -61,6 +46,45 @@
 	return true
 }
 
+// placeItem reserves a slot for an item at a deployment of its route, or returns nil if none
+// is free. An item with output goes on where that was written if it can. Any other item
+// prefers a deployment, by the weights of the route, and takes a slot of another one if none
+// is free there. full holds the slotKeys without a free slot; placeItem adds to it.
+func (r *runner) placeItem(it runnableItem, route config.Route, request placement.Request, full map[slotKey]bool, preempt func()) *placement.Grant {
+	id := it.job.Items[it.id.item].ID
+	order := route.DeploymentOrder(func(deployment string) float64 { return membership.UnitScore(id, deployment) })
+	if it.origin.Version != "" && slices.Contains(order, it.origin.Deployment) {
+		request.Deployment, request.Version = it.origin.Deployment, it.origin.Version
+		grant := r.placeAt(request, full, preempt)
+		if grant != nil || !r.versionMissing(it, request) {
+			return grant
+		}
+		request.Version = ""
+	}
+	for _, deployment := range order {
+		request.Deployment = deployment
+		if grant := r.placeAt(request, full, preempt); grant != nil {
+			return grant
+		}
+	}
+	return nil
+}
+
+// placeAt reserves a slot for an item at the deployment of request, or returns nil if none is
+// free. It adds the slotKey to full then, unless the item avoids an endpoint or a version,
+// where others may find a slot.
+func (r *runner) placeAt(request placement.Request, full map[slotKey]bool, preempt func()) *placement.Grant {
+	key := newSlotKey(request.Deployment, request.Homes)
+	if full[key] {
+		return nil
+	}
+	grant := r.Table.PlaceBatch(r.Clock(), request, preempt)
+	if grant == nil {
+		full[key] = len(request.Avoid) == 0 && request.Version == ""
+	}
+	return grant
+}
+
 // slotKey identifies the endpoints at which an item may run, as far as its deployment and
 // homes go.
 type slotKey struct {
@@ -103,7 +127,7 @@
 	}
 	r.Log.Info().Str("job", it.job.ID).Str("request", it.job.Items[it.id.item].ID).Str("deployment", it.origin.Deployment).Str("version", it.origin.Version).
 		Int("events", it.events).Str("endpoint", grant.Endpoint.ID).Str("next_deployment", grant.Endpoint.Deployment).Str("next_version", grant.Endpoint.Version).
-		Msg("batch item begins again at another software version")
+		Msg("batch item begins again at another software version or deployment")
 	it.reset()
 }
 
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -55,7 +55,7 @@
 	for _, homes := range c.Snapshot.Homes(c.Route, c.Customer) {
 		r.Homes = append(r.Homes, homes)
 	}
-	for _, t := range explainedTargets(c.Route, job) {
+	for _, t := range explainedTargets(c.Route) {
 		r.Targets = append(r.Targets, g.explainTarget(now, c, q.Version, t, job))
 	}
 	return r, nil
@@ -139,19 +139,15 @@
 }
 
 // explainedTargets returns the deployments to which a route leads, with their shares.
-func explainedTargets(r config.Route, job bool) []explain.Target {
+func explainedTargets(r config.Route) []explain.Target {
+	shares := r.Shares()
 	total := 0
-	for _, s := range r.Provided.Split {
+	for _, s := range shares {
 		total += s.Weight
 	}
-	if job || total <= 0 {
-		return []explain.Target{{Deployment: r.Deployment, Share: 1}}
-	}
-	var targets []explain.Target
-	for _, s := range r.Provided.Split {
-		if s.Weight > 0 {
-			targets = append(targets, explain.Target{Deployment: s.Deployment, Share: float64(s.Weight) / float64(total)})
-		}
+	targets := make([]explain.Target, 0, len(shares))
+	for _, s := range shares {
+		targets = append(targets, explain.Target{Deployment: s.Deployment, Share: float64(s.Weight) / float64(total)})
 	}
 	return targets
 }
--- a/gateway/explain_test.go
+++ b/gateway/explain_test.go
@@ -158,14 +158,16 @@
 func TestExplain_JobsAndSplits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newLocalityGateway(t, func(s *config.State) {
-			route := s.Routes["online"]
-			route.Provided.Split = []config.WeightedShare{{Deployment: "lm", Weight: 3}, {Deployment: "new", Weight: 1}, {Deployment: "old"}}
+			split := []config.WeightedShare{{Deployment: "lm", Weight: 3}, {Deployment: "new", Weight: 1}, {Deployment: "old"}}
+			s.Routes["online"].Provided.Split, s.Routes["jobs"].Provided.Split = split, split
 		})
 		r.Settings.OperatorTokenDigest = authn.Digest("secret")
 		x := r.explained("host=h.example&path=/jobs/x&customer=garden")
 		r.Expect(x.Job).To(gomega.BeTrue())
 		r.Expect(x.Rate).To(gomega.BeNil())
 		r.Expect(x.Targets[0].Candidates[0].ID).To(gomega.Equal("e-a"))
+		r.Expect(x.Targets).To(gomega.HaveLen(2))
+		r.Expect(x.Targets[1].Share).To(gomega.Equal(0.25))
 		r.Expect(x.Waiting).To(gomega.BeEmpty())
 		r.feed.lost = time.Second
 		x = r.explained("route=jobs")
--- a/gateway/locality.go
+++ b/gateway/locality.go
@@ -188,11 +188,7 @@
 // unless it is one that was accepted before.
 func (g *Gateway) requireDataCentre(next pipeline.Handler) pipeline.Handler {
 	return func(ctx context.Context, c *pipeline.Call) *api.Error {
-		request := placement.Request{
-			Deployment: c.Snapshot.State.Routes[c.RouteID].Deployment,
-			Homes:      c.Snapshot.Homes(c.Route, c.Customer),
-		}
-		v := g.table.Verdict(request)
+		v := g.jobVerdict(c)
 		if v == locality.Allowed {
 			return next(ctx, c)
 		}
@@ -207,6 +203,19 @@
 	}
 }
 
+// jobVerdict returns whether a data centre is left for the items of a job: at one of the
+// deployments of its route.
+func (g *Gateway) jobVerdict(c *pipeline.Call) locality.Verdict {
+	var v locality.Verdict
+	for _, deployment := range c.Route.Deployments() {
+		v = g.table.Verdict(placement.Request{Deployment: deployment, Homes: c.Snapshot.Homes(c.Route, c.Customer)})
+		if v == locality.Allowed {
+			break
+		}
+	}
+	return v
+}
+
 // AcceptanceUnknownError returns the response to a submission of a job that may have been
 // accepted.
 func AcceptanceUnknownError() *api.Error {
--- a/gateway/locality_test.go
+++ b/gateway/locality_test.go
@@ -262,3 +262,29 @@
 		r.Expect(r.RouteAndAuthenticate(t.Context(), r.call("/jobs/x", "")).Outcome).To(gomega.Equal(api.NotRun))
 	})
 }
+
+// Guards against jobs that are refused though the second deployment of their split route can
+// run the items.
+func TestEvacuation_SplitRouteTakesJobsForTheDeploymentThatIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		split := func(s *config.State) {
+			evacuated("a", "b")(s)
+			route := s.Routes["jobs"]
+			route.Deployment = "new" // as the platform names the first
+			route.Provided.Split = []config.WeightedShare{{Deployment: "new", Weight: 1}, {Deployment: "lm", Weight: 9}}
+			s.Routes["jobs"] = route
+		}
+		r := newLocalityGateway(t, split)
+		r.SetEndpoints(EndpointList{Listed: []placement.Endpoint{
+			{ID: "e-a", Address: "127.0.0.1:9", Deployment: "new", Version: "v1", DataCentre: "a", Slots: 8},
+			{ID: "e-c", Address: "127.0.0.1:9", Deployment: "lm", Version: "v1", DataCentre: "c", Slots: 8},
+		}})
+		synctest.Wait()
+		r.Expect(r.RouteAndAuthenticate(t.Context(), r.call("/jobs/x", ""))).To(gomega.BeNil())
+		r.setState(func(s *config.State) {
+			split(s)
+			s.Evacuations["c"] = true
+		})
+		r.Expect(r.RouteAndAuthenticate(t.Context(), r.call("/jobs/x", "")).Code).To(gomega.Equal(api.CodeEvacuated))
+	})
+}
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -34,26 +34,12 @@
 	var list []origin.Route
 	for id, r := range s.Routes {
 		if r.Provided != nil && r.Provided.Stream {
-			list = append(list, origin.Route{ID: id, Deployments: deployments(r), MaxAge: streamAges * time.Duration(r.Timeout)})
+			list = append(list, origin.Route{ID: id, Deployments: r.Deployments(), MaxAge: streamAges * time.Duration(r.Timeout)})
 		}
 	}
 	return list
 }
 
-// deployments returns the deployments to which a route leads.
-func deployments(r config.Route) []string {
-	var list []string
-	for _, s := range r.Provided.Split {
-		if s.Weight > 0 {
-			list = append(list, s.Deployment)
-		}
-	}
-	if len(list) == 0 {
-		list = append(list, r.Deployment)
-	}
-	return list
-}
-
 // recordOrigin records where the stream of an attempt begins, here and at a few others.
 func (g *Gateway) recordOrigin(id string, o origin.Origin) {
 	g.origins.Record(id, o)
@@ -75,7 +61,7 @@
 		if !ok {
 			return g.originUnknownError()
 		}
-		if !slices.Contains(deployments(c.Route), o.Deployment) {
+		if !slices.Contains(c.Route.Deployments(), o.Deployment) {
 			return notRunError(http.StatusServiceUnavailable, api.CodeVersionGone, "the route no longer leads to where the stream began", 0)
 		}
 		c.Resumption.Version = o.Version
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -90,3 +90,9 @@
 	_, _ = d.WriteString(id)
 	return d.Sum64()
 }
+
+// UnitScore returns Score as a number that is uniformly distributed in [0, 1).
+func UnitScore(key, id string) float64 {
+	const bits = 53 // that a float64 holds exactly
+	return float64(Score(key, id)>>(64-bits)) / (1 << bits)
+}
