online: a split route is served while one of its deployments has no endpoint

Cause: the deployment of a request is drawn by weight, whether it has endpoints or not, and a request whose deployment has none that takes it looked no further.

Change: the route filter draws an order (Route.DeploymentOrder) in place of one deployment. If no endpoint of the first takes the request, placement asks the next, as long as nothing of a response was sent. A request that would only have to wait too long stays with its weight, so that load on one deployment does not flood the other; a stream that has begun, or that a caller takes up, stays where it began.

--- a/gateway/filters.go
+++ b/gateway/filters.go
@@ -10,7 +10,6 @@
 
 	"dandelionrelay/api"
 	"dandelionrelay/authn"
-	"dandelionrelay/config"
 	"dandelionrelay/pipeline"
 	"dandelionrelay/quota"
 )
@@ -69,7 +68,7 @@
 		if !findRoute(c) {
 			return g.unknownRoute()
 		}
-		c.Route.Deployment = g.pickDeployment(c.Route)
+		g.chooseDeployment(c)
 		if end := c.Received.Add(time.Duration(c.Route.Timeout)); c.Deadline.IsZero() || end.Before(c.Deadline) {
 			c.Deadline = end
 		}
@@ -77,6 +76,13 @@
 	}
 }
 
+// chooseDeployment chooses the deployment of a call at random, by the weights of the route's
+// split, and those that it tries next.
+func (g *Gateway) chooseDeployment(c *pipeline.Call) {
+	order := c.Route.DeploymentOrder(func(string) float64 { return g.randomUnit() })
+	c.Route.Deployment, c.NextDeployments = order[0], order[1:]
+}
+
 func (g *Gateway) unknownRoute() *api.Error {
 	return g.unknownError(http.StatusNotFound, api.CodeNoRoute, "no route leads there")
 }
@@ -100,26 +106,6 @@
 	return strings.ToLower(host)
 }
 
-// pickDeployment chooses the deployment of one request at random, by the weights of the
-// route's split.
-func (g *Gateway) pickDeployment(r config.Route) string {
-	total := 0
-	for _, s := range r.Provided.Split {
-		total += s.Weight
-	}
-	if total <= 0 {
-		return r.Deployment
-	}
-	n := g.randomN(total)
-	for _, s := range r.Provided.Split {
-		if n < s.Weight {
-			return s.Deployment
-		}
-		n -= s.Weight
-	}
-	return r.Deployment
-}
-
 // unknownError returns the error for a route or key that is not in the configuration.
 // Unless the configuration is known to be current, the error is temporary and the
 // caller may retry.
--- a/gateway/filters_test.go
+++ b/gateway/filters_test.go
@@ -214,7 +214,10 @@
 	r.configure()
 	count := make(map[string]int)
 	for range 1000 {
-		count[r.pickDeployment(r.Config.Current().State.Routes["keyed"])]++
+		c := &pipeline.Call{Route: r.Config.Current().State.Routes["keyed"]}
+		r.chooseDeployment(c)
+		count[c.Route.Deployment]++
+		r.Expect(c.NextDeployments).To(gomega.HaveLen(1))
 	}
 	r.Expect(count["two"]).To(gomega.BeNumerically("~", 100, 50))
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -245,10 +245,11 @@
 	g.jobs.Wake()
 }
 
-func (g *Gateway) randomN(n int) int {
+// randomUnit returns a random number in [0, 1).
+func (g *Gateway) randomUnit() float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.random.IntN(n)
+	return g.random.Float64()
 }
 
 // announceChange triggers a new report to the other entries. It is called when the load
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -65,7 +65,7 @@
 			return notRunError(http.StatusServiceUnavailable, api.CodeVersionGone, "the route no longer leads to where the stream began", 0)
 		}
 		c.Resumption.Version = o.Version
-		c.Route.Deployment = o.Deployment
+		c.Route.Deployment, c.NextDeployments = o.Deployment, nil
 		return next(ctx, c)
 	}
 }
--- a/online/place.go
+++ b/online/place.go
@@ -27,9 +27,10 @@
 		// The request may have run already, so a late response is better than none.
 		maxWait = remaining
 	}
-	request := ex.placementRequest()
-	request.MaxWait = maxWait
-	grant, refused := ex.Table.Place(ex.Clock(), request)
+	grant, refused := ex.placeWithin(maxWait)
+	for refused != nil && ex.moveToNextDeployment(refused) {
+		grant, refused = ex.placeWithin(maxWait)
+	}
 	ex.refusal = refused
 	if refused != nil {
 		return nil, ex.refusalError(refused)
@@ -41,6 +42,29 @@
 	return grant, nil
 }
 
+// placeWithin reserves a slot, or a place in the queue, at an endpoint of the call's deployment
+// where the request is expected to wait for no longer than maxWait.
+func (ex *execution) placeWithin(maxWait time.Duration) (*placement.Grant, *placement.Refusal) {
+	request := ex.placementRequest()
+	request.MaxWait = maxWait
+	return ex.Table.Place(ex.Clock(), request)
+}
+
+// moveToNextDeployment makes the next deployment of a split route that of the call, if none of
+// the endpoints of the present one takes the request. It returns false if the request waits
+// for that deployment, if there is no other one or if the response has begun.
+func (ex *execution) moveToNextDeployment(refused *placement.Refusal) bool {
+	c := ex.call
+	waits := refused.Endpoint != "" || refused.Limited || refused.Cold
+	if waits || len(c.NextDeployments) == 0 || ex.version() != "" || ex.response.headerSent() {
+		return false
+	}
+	ex.Log.Info().Str("request", c.ID).Str("route", c.RouteID).Str("deployment", c.Route.Deployment).Str("next_deployment", c.NextDeployments[0]).
+		Msg("no endpoint of the deployment takes the request; the next one of the split is tried")
+	c.Route.Deployment, c.NextDeployments = c.NextDeployments[0], c.NextDeployments[1:]
+	return true
+}
+
 // refusalError returns the error for the caller of a request that the table has refused.
 func (ex *execution) refusalError(refused *placement.Refusal) *api.Error {
 	if ex.mayHaveRun > 0 {
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -31,7 +31,10 @@
 	Customer   string            // set by the authentication filter; empty without a key
 	RouteID    string            // set by the route filter
 	Route      config.Route      // set by the route filter
-	Deployment config.Deployment // set by package route
+	// NextDeployments are the further deployments of a split route, which are tried in this
+	// order if no endpoint of Route.Deployment takes the call.
+	NextDeployments []string
+	Deployment      config.Deployment // set by package route
 	Chat       *api.ChatRequest  // set by package route for model deployments
 
 	// Admitted is set by package gateway once all filters have passed the call to
