platform: endpoints that leave after an outage are used no longer than the drain bound

Cause: a deletion up to 3 s after an outage, as this entry saw it, was taken for a registration that had lapsed, and the endpoint kept for 2 s from the reading of the deletion. The end of the outage was counted from its notice, up to 2.1 s late after silent cuts.

Change: a registration deleted within gone_after of the store's return may have lapsed and is kept until that span is over; a later deletion is one. The return counts as one read's timeout after the start of the last failed read at the latest (keyedlog.Outage).

Ruled out: to drop at once whatever is deleted while another entry reaches the store. The store may turn some machines away, endpoints among them.

--- a/keyedlog/follower.go
+++ b/keyedlog/follower.go
@@ -25,9 +25,14 @@
 	// Lost is called on the first failed read since a read last reached the end of
 	// the partition.
 	Lost(partition string, err error)
-	// Regained is called on the first read after that to reach the end. after is the
-	// duration of the outage.
-	Regained(partition string, after time.Duration)
+	// Regained is called on the first read after that to reach the end.
+	Regained(partition string, o Outage)
+}
+
+// Outage is a span of time in which a partition could not be read.
+type Outage struct {
+	Duration    time.Duration // from the first failed read to the end of the first one that reached the end
+	LastAttempt time.Duration // clock at the start of the latest read that failed
 }
 
 // Options are the settings of a Follower.
@@ -58,6 +63,8 @@
 
 	confirmed atomic.Int64 // clock at the start of the latest read that reached the end; 0: none
 	lostSince atomic.Int64 // clock at the first failed read since one reached the end; 0: none failed
+
+	lastAttempt atomic.Int64 // clock at the start of the latest failed read
 }
 
 // NewFollower returns a Follower that replays reader into state.
@@ -75,7 +82,6 @@
 		}
 		found, err := f.step(ctx, wait)
 		if err != nil {
-			f.recordFailure(ctx, err)
 			sleep.For(ctx, retry)
 			retry = min(2*retry, maxRetry)
 			continue
@@ -91,9 +97,6 @@
 // records.
 func (f *Follower) Refresh(ctx context.Context) error {
 	_, err := f.step(ctx, 0)
-	if err != nil {
-		f.recordFailure(ctx, err)
-	}
 	return err
 }
 
@@ -111,11 +114,20 @@
 	}
 }
 
-// step loads the partition if it is not loaded yet or the next offset is no longer
-// retained; otherwise it reads one page. It reports whether it loaded the partition
-// or found records.
+// step loads the partition or reads one page, and records a failure to do so. It reports
+// whether it loaded the partition or found records.
 func (f *Follower) step(ctx context.Context, wait time.Duration) (bool, error) {
 	start := f.options.Clock()
+	found, err := f.advance(ctx, start, wait)
+	if err != nil {
+		f.recordFailure(ctx, start, err)
+	}
+	return found, err
+}
+
+// advance loads the partition if it is not loaded yet or the next offset is no longer
+// retained; otherwise it reads one page. start is the present time of the clock.
+func (f *Follower) advance(ctx context.Context, start, wait time.Duration) (bool, error) {
 	from, loaded := f.position()
 	if !loaded {
 		return true, f.load(ctx)
@@ -284,15 +296,19 @@
 func (f *Follower) confirm(start time.Duration) {
 	f.raiseConfirmed(start)
 	if since := f.lostSince.Swap(0); since != 0 && f.options.Watcher != nil {
-		f.options.Watcher.Regained(f.options.Name, f.options.Clock()-time.Duration(since))
+		f.options.Watcher.Regained(f.options.Name, Outage{
+			Duration:    f.options.Clock() - time.Duration(since),
+			LastAttempt: time.Duration(f.lastAttempt.Load()),
+		})
 	}
 }
 
-// recordFailure records a failed read, unless ctx is done.
-func (f *Follower) recordFailure(ctx context.Context, err error) {
+// recordFailure records a failed read that began at start, unless ctx is done.
+func (f *Follower) recordFailure(ctx context.Context, start time.Duration, err error) {
 	if ctx.Err() != nil {
 		return
 	}
+	f.lastAttempt.Store(int64(start))
 	if f.lostSince.CompareAndSwap(0, int64(f.options.Clock())) && f.options.Watcher != nil {
 		f.options.Watcher.Lost(f.options.Name, err)
 	}
--- a/keyedlog/follower_test.go
+++ b/keyedlog/follower_test.go
@@ -65,8 +65,8 @@
 // countingWatcher is a keyedlog.Watcher that counts its calls.
 type countingWatcher struct{ lost, regained atomic.Int64 }
 
-func (w *countingWatcher) Lost(string, error)             { w.lost.Add(1) }
-func (w *countingWatcher) Regained(string, time.Duration) { w.regained.Add(1) }
+func (w *countingWatcher) Lost(string, error)               { w.lost.Add(1) }
+func (w *countingWatcher) Regained(string, keyedlog.Outage) { w.regained.Add(1) }
 
 // clock returns a clock that starts at one second, as a Follower takes 0 for no time.
 func clock() boottime.Clock {
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -34,7 +34,7 @@
 	ColdSlack       float64         `json:"cold_slack,omitempty" reload:"true"`       // requests that a cold endpoint may get in any second beyond that
 	EndGrace        config.Duration `json:"end_grace,omitempty" reload:"true"`        // time between SIGTERM and SIGKILL, within which the entry drains; default 8s
 	KeepJobs        config.Duration `json:"keep_jobs,omitempty" reload:"true"`        // retention time of finished batch jobs, counted from their submission; default 1h
-	GoneAfter       config.Duration `json:"gone_after,omitempty" reload:"true"`       // time after an outage of the store for which endpoints are kept whose registration expired because of it; default 2s
+	GoneAfter       config.Duration `json:"gone_after,omitempty" reload:"true"`       // time after an outage of the store until which endpoints are kept whose registration is deleted by then; default 2s
 	EndpointRamp    bool            `json:"endpoint_ramp,omitempty"`                  // endpoints that start or recover begin with few concurrent requests, see docs/design/ramps.md
 	LogLevel        string          `json:"log_level,omitempty" reload:"true"`        // debug, info, warn or error; default info
 
