quarantine: one crash of an endpoint counts once against a request

Cause: each attempt in flight was recorded as a crash of its own, so one crash reached the threshold of four.

Change: the events of a lost endpoint have the endpoint's incarnation in place of the attempt, so that they merge at every entry, whoever saw the crash. Four different incarnations are still needed, and still enough. dispatch and jobs (entry, sidecar) record by attempt as before: their endpoints' IDs name a sidecar, not a start of its engine. Also: pipeline is formatted again.

--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -26,16 +26,16 @@
 	// Resumption is nil unless the caller takes up a stream.
 	Resumption *Resumption
 
-	Snapshot   *config.Snapshot  // in force when the call was received
-	KeyID      string            // ID of the caller's key; set by the authentication filter; empty without a key
-	Customer   string            // set by the authentication filter; empty without a key
-	RouteID    string            // set by the route filter
-	Route      config.Route      // set by the route filter
+	Snapshot *config.Snapshot // in force when the call was received
+	KeyID    string           // ID of the caller's key; set by the authentication filter; empty without a key
+	Customer string           // set by the authentication filter; empty without a key
+	RouteID  string           // set by the route filter
+	Route    config.Route     // set by the route filter
 	// NextDeployments are the further deployments of a split route, which are tried in this
 	// order if no endpoint of Route.Deployment takes the call.
 	NextDeployments []string
 	Deployment      config.Deployment // set by package route
-	Chat       *api.ChatRequest  // set by package route for model deployments
+	Chat            *api.ChatRequest  // set by package route for model deployments
 
 	// Admitted is set by package gateway once all filters have passed the call to
 	// the last handler.
--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"dandelionrelay/api"
@@ -30,8 +31,7 @@
 
 // RecordIfUnreachable records c as a crash of kind api.CrashLost if the endpoint
 // at addr, which has closed the connection of the request, accepts no new
-// connection either. The recorded attempt ID consists of the IDs of the request
-// and the endpoint. Since it is not known what else ran at the endpoint, a request
+// connection either. Since it is not known what else ran at the endpoint, a request
 // that has only such crashes is quarantined at CrashThreshold.
 func RecordIfUnreachable(t Tracker, p Prober, c Crash, addr string) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
@@ -39,7 +39,16 @@
 	if p.Reachable(ctx, addr) {
 		return
 	}
-	c.Attempt = c.Request + "/" + c.Endpoint
+	t.RecordCrash(c.lost())
+}
+
+// incarnation identifies the incarnation of the endpoint.
+func (c Crash) incarnation() string { return fmt.Sprintf("%s@%d", c.Endpoint, c.Incarnation) }
+
+// lost returns c as a crash of kind api.CrashLost. An incarnation crashes once, however many
+// attempts of the same request were in flight there: all of them have one attempt ID.
+func (c Crash) lost() Crash {
+	c.Attempt = c.incarnation()
 	c.Kind = api.CrashLost
-	t.RecordCrash(c)
+	return c
 }
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -32,7 +31,7 @@
 // in any order and any number of times.
 type Event struct {
 	Digest  Digest    `json:"digest"`
-	Attempt string    `json:"attempt"` // ID of the attempt that was in flight
+	Attempt string    `json:"attempt"` // ID of the attempt that was in flight, or the incarnation of the endpoint
 	At      time.Time `json:"at"`      // when the crash was recorded
 	// Customer is the customer that sent the request.
 	Customer string `json:"customer,omitempty"`
@@ -151,7 +150,7 @@
 		At:       now,
 		Customer: c.Customer,
 		Parts:    parts,
-		Endpoint: fmt.Sprintf("%s@%d", c.Endpoint, c.Incarnation),
+		Endpoint: c.incarnation(),
 		Begun:    c.HeaderReceived && c.Events == 0,
 	}
 	return e, t.Merge(e, now)
