quarantine, online: a request that makes endpoints fall silent is held back

Cause: a crash was recorded only if the endpoint closed the connection. A silence ended the attempt by a move to a free slot, a timeout or a caller that gave up, and was forgotten.

Change: silenceWatch checks an endpoint after 1 s without a byte. One that was not heard of by others and accepts no connection counts as unconfirmed for 8 s at all entries; four hold the request with 503, not run. The registration decides: gone is a crash, registered again is none. Endpoints found silent are suspended for other requests too.

Ruled out: to count silences as crashes. To wait for the registration alone: it expires after 3.6 s, which by the times of the case lets four and more sends through.

--- a/api/api.go
+++ b/api/api.go
@@ -88,6 +88,7 @@
 	CodeNotFound     Code = "not_found"
 	CodeRateLimited  Code = "rate_limited"
 	CodeQuarantined  Code = "quarantined"
+	CodeHeld         Code = "held"
 	CodeOverloaded   Code = "overloaded"
 	CodeDeadline     Code = "deadline_exceeded"
 	CodeNoEndpoint   Code = "no_endpoint"
--- a/gateway/endpoints.go
+++ b/gateway/endpoints.go
@@ -45,6 +45,30 @@
 	g.mu.Unlock()
 	g.assignEndpoints()
 	g.stateCold(l.Cold)
+	g.silences.SetListed(incarnationsOf(l.Listed))
+}
+
+// incarnationsOf returns a function that reports whether an incarnation is in the list.
+func incarnationsOf(list []placement.Endpoint) func(id string, startMs int64) bool {
+	starts := make(map[string]int64, len(list))
+	for _, e := range list {
+		starts[e.ID] = e.StartMs
+	}
+	return func(id string, startMs int64) bool {
+		start, ok := starts[id]
+		return ok && start == startMs
+	}
+}
+
+// EndpointRegistered records that discovery has read a registration of an endpoint, whether or
+// not it changes the list.
+func (g *Gateway) EndpointRegistered(e placement.Endpoint) {
+	if g.silences.Empty() {
+		return
+	}
+	if age, ok := g.EndpointFeed.Age(); ok {
+		g.silences.Registered(e.ID, e.StartMs, g.Clock()-age)
+	}
 }
 
 // assignEndpoints replaces the endpoints in the placement table and sets OtherCell on
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -97,6 +97,7 @@
 	coldLimits        *quota.Table // requests to cold endpoints
 	coldInUse         atomic.Bool  // a deployment has, or had, a cold rate
 	suspects          *quarantine.SharedTable
+	silences          *quarantine.Silences
 	members           *gossip.Registry
 	node              *gossip.Node
 	followers         []*keyedlog.Follower
@@ -183,6 +184,7 @@
 	g.node = gossip.NewNode(g.self(), g.members, g, g, d.Clock, d.Log)
 	g.suspects = quarantine.NewSharedTable(d.Suspects, d.Log, g.badRecordLogger("suspects"))
 	g.follow("suspects", d.Suspects, g.suspects, suspectsReadWait, suspectsMinInterval)
+	g.silences = quarantine.NewSilences(g.suspects, d.Clock, d.Log, d.Registry)
 	g.registerColdMetrics()
 	g.setUpBatch()
 	g.buildPipelines()
--- a/gateway/pipelines.go
+++ b/gateway/pipelines.go
@@ -21,6 +21,7 @@
 		Log:          g.Log,
 		Metrics:      online.NewMetrics(g.Registry),
 		Suspects:     g.suspects,
+		Silences:     g.silences,
 		ConfigFresh:  g.configFresh,
 		RecordOrigin: g.recordOrigin,
 		ConfigAge: func() time.Duration {
--- a/online/execution.go
+++ b/online/execution.go
@@ -65,6 +65,8 @@
 	intervals  eventstream.IntervalMeter // of the last endpoint's response
 
 	headerReceived bool          // the last endpoint has sent a response header
+	watch          *silenceWatch // of the last endpoint
+	watches        []*silenceWatch
 	sources        []eventSource // of the events sent to the caller, in their order
 }
 
@@ -88,6 +90,7 @@
 		step, result := ex.tryEndpoint(ctx, grant)
 		grant.Release(ex.Clock(), result, ex.intervals.Mean(minIntervalEvents))
 		if step == responseComplete {
+			ex.endWatches()
 			ex.clearSuspicion()
 			return nil
 		}
@@ -130,6 +133,7 @@
 func (ex *execution) afterEndpointLoss(cause error) nextStep {
 	ex.cause = cause
 	if upstream.ClosedByEndpoint(cause) {
+		ex.watch.end()
 		ex.reportCrash()
 	}
 	if ex.mayRetry() {
@@ -143,19 +147,23 @@
 	ex.attempts++
 	ex.headerReceived = false
 	ex.intervals = eventstream.IntervalMeter{}
+	ex.watchEndpoint()
 	x, err := ex.Pool.Do(ctx, grant.Endpoint.Address, ex.buildRequest(grant), ex.waitDeadline(ex.firstEventTimeout()))
 	if err != nil {
 		return ex.afterNoResponse(ctx, grant, err)
 	}
 	ex.headerReceived = true
+	ex.watch.heard(false)
 	r := x.Response
 	upstream.Observe(ex.Dialect, r, grant, ex.Clock(), ex.Log)
 	switch {
 	case ex.Dialect.Misdirected(r):
+		ex.watch.end()
 		ex.discard(x)
 		return tryNext, placement.Replaced
 	case upstream.StatesNotRun(ex.Dialect, r):
 		upstream.LogNotRun(ex.Log, ex.call.ID, grant.Endpoint.ID, x)
+		ex.watch.end()
 		ex.discard(x)
 		return tryNext, placement.Full
 	}
@@ -195,7 +203,13 @@
 		LastEvent: ex.response.cursor.LastID,
 	})
 	r := &upstream.Request{Method: c.R.Method, URI: c.R.RequestURI, Host: c.R.Host, Header: h, Body: c.Body, ID: c.ID}
-	r.BeforeSend = func() error { return ex.maySend(grant) }
+	r.BeforeSend = func() error {
+		if err := ex.maySend(grant); err != nil {
+			return err
+		}
+		ex.watch.begin()
+		return nil
+	}
 	if ex.route.Resumable && !ex.response.headerSent() && ex.mayHaveRun+1 < ex.route.MaxEndpoints {
 		r.AbandonCheck = time.Now().Add(time.Duration(abandonCheckShare * float64(ex.route.Goal)))
 		r.ShouldAbandon = ex.freeSlotElsewhere
@@ -259,6 +273,7 @@
 		return abort, placement.Aborted
 	}
 	if errorx.IsOfType(err, upstream.NotSent) {
+		ex.watch.end()
 		ex.Pool.CloseIdle(grant.Endpoint.Address)
 		return tryNext, placement.Failed
 	}
--- a/online/online.go
+++ b/online/online.go
@@ -29,6 +29,8 @@
 	Metrics *Metrics
 	// Suspects holds the requests during which endpoints crashed.
 	Suspects quarantine.Tracker
+	// Silences decides whether endpoints that fall silent have crashed.
+	Silences *quarantine.Silences
 	// ConfigFresh reports whether the configuration was confirmed recently enough
 	// for the call to run. It is called before each attempt is placed and right before it
 	// is sent.
@@ -43,7 +45,10 @@
 
 // Service serves calls at endpoints. Its Handle method is the last handler of the
 // pipeline.
-type Service struct{ Deps }
+type Service struct {
+	Deps
+	probes probes
+}
 
 // New returns a Service.
 func New(d Deps) *Service { return &Service{Deps: d} }
--- a/online/online_test.go
+++ b/online/online_test.go
@@ -51,14 +51,16 @@
 	dial := func(ctx context.Context, addr string) (net.Conn, error) {
 		return r.network.DialContext(ctx, "tcp", addr)
 	}
+	clock := boottime.Clock(func() time.Duration { return time.Duration(time.Now().UnixNano()) })
 	r.Service = New(Deps{
 		Table:        table,
 		Pool:         upstream.NewPool(streams.HeaderID, dial, func() {}),
 		Dialect:      streams.Dialect{},
-		Clock:        boottime.Clock(func() time.Duration { return time.Duration(time.Now().UnixNano()) }),
+		Clock:        clock,
 		Log:          zerolog.New(zerolog.SyncWriter(r.logs)),
 		Metrics:      NewMetrics(prometheus.NewRegistry()),
 		Suspects:     quarantine.NopTracker{},
+		Silences:     quarantine.NewSilences(quarantine.NopTracker{}, clock, zerolog.Nop(), prometheus.NewRegistry()),
 		ConfigFresh:  func(*pipeline.Call) bool { return r.configFresh },
 		RecordOrigin: func(string, origin.Origin) {},
 		ConfigAge:    func() time.Duration { return 0 },
--- a/online/place.go
+++ b/online/place.go
@@ -19,7 +19,7 @@
 	if !ex.ConfigFresh(ex.call) {
 		return nil, ex.configStale()
 	}
-	if ex.mayHaveRun > 0 && quarantine.Blocked(ex.Suspects, ex.call) {
+	if ex.mayHaveRun > 0 && ex.heldBack() {
 		return nil, ex.failure()
 	}
 	maxWait := MaxWait(ex.route)
@@ -42,6 +42,13 @@
 	return grant, nil
 }
 
+// heldBack reports whether the request may be sent to no further endpoint, as those that ran
+// it crashed or may have.
+func (ex *execution) heldBack() bool {
+	v := quarantine.VerdictOnCall(ex.Suspects, ex.call)
+	return v == quarantine.Quarantined || v == quarantine.Held
+}
+
 // placeWithin reserves a slot, or a place in the queue, at an endpoint of the call's deployment
 // where the request is expected to wait for no longer than maxWait.
 func (ex *execution) placeWithin(maxWait time.Duration) (*placement.Grant, *placement.Refusal) {
--- a/online/stream.go
+++ b/online/stream.go
@@ -60,6 +60,7 @@
 			x.Close()
 			return ex.afterStreamError(ctx, err)
 		}
+		ex.watch.heard(true)
 		if !e.HasID {
 			x.Close()
 			return ex.afterEndpointLoss(errorx.IllegalState.New("event without an ID in the stream")), placement.Failed
--- a/placement/grant.go
+++ b/placement/grant.go
@@ -73,6 +73,9 @@
 		t.group(e.Deployment).invalidateMedian()
 	}
 	t.applyResultToRamp(g, now, result, gap)
+	if result == Done || result == Full || result == ErrorResponse {
+		e.heardAt = now
+	}
 	switch result {
 	case Done:
 		e.consecutiveFailures = 0
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -136,6 +136,7 @@
 	rank                int                 // position of this entry in the order of entries at e
 	nearRank            int                 // the same among the entries of this data centre
 	leaving             bool                // it has said in a response that it is leaving
+	heardAt             time.Duration       // latest response header, or end of a response; 0: there was none
 	coldStated          *coldStatement      // of its registration; nil: none
 	cold                *coldState          // nil: its deployment has no cold rate
 	region              string              // of its data centre; empty: unknown
--- a/quarantine/crash_record.go
+++ b/quarantine/crash_record.go
@@ -36,7 +36,7 @@
 func newCrashRecord(d Digest, crashes []Event, v Verdict) CrashRecord {
 	r := CrashRecord{Digest: d, Quarantined: v == Quarantined}
 	for _, e := range crashes {
-		if e.Cleared {
+		if e.Cleared || e.Unconfirmed {
 			continue
 		}
 		r.Customer, r.Last = e.Customer, e.At
--- a/quarantine/mass_loss.go
+++ b/quarantine/mass_loss.go
@@ -40,6 +40,13 @@
 	return len(m.losses) > massLossThreshold && m.shareOfLosses(d) < massLossMinShare
 }
 
+// count returns the number of endpoints lost within massLossWindow before the last report.
+func (m *massLossDetector) count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.losses)
+}
+
 // shareOfLosses returns the fraction of the lost endpoints at which d was in
 // flight. The caller holds the lock.
 func (m *massLossDetector) shareOfLosses(d Digest) float64 {
--- a/quarantine/service.go
+++ b/quarantine/service.go
@@ -58,6 +58,9 @@
 		if e.Cleared {
 			_, _ = h.WriteString("cleared")
 		}
+		if e.Unconfirmed {
+			_, _ = h.WriteString("unconfirmed")
+		}
 		if len(e.Parts) > 0 {
 			_, _ = h.WriteString("parts")
 		}
--- a/quarantine/shared.go
+++ b/quarantine/shared.go
@@ -81,6 +81,23 @@
 	s.logParts()
 }
 
+// RecordSilence implements SilenceTracker.
+func (s *SharedTable) RecordSilence(c Crash) {
+	e, recorded := s.table.RecordSilence(c, time.Now())
+	s.logger.Warn().Str("request", c.Request).Str("customer", c.Customer).Str("endpoint", c.Endpoint).Stringer("digest", c.Digest).
+		Bool("recorded", recorded).Bool("held", s.Verdict(c.Digest, c.Customer) == Held).Msg("quarantine: endpoint silent and out of reach with the request in flight")
+	if recorded {
+		s.enqueue([]Event{e})
+	}
+}
+
+// WithdrawSilence implements SilenceTracker.
+func (s *SharedTable) WithdrawSilence(c Crash) {
+	if e, ok := s.table.WithdrawSilence(c); ok {
+		s.enqueue([]Event{e})
+	}
+}
+
 // PartsQuarantined implements Tracker.
 func (s *SharedTable) PartsQuarantined(parts []string) bool {
 	return s.table.PartsQuarantined(parts, time.Now())
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -39,6 +39,9 @@
 	// else.
 	Alone   bool `json:"alone,omitempty"`
 	Cleared bool `json:"cleared,omitempty"`
+	// Unconfirmed reports that the endpoint fell silent and could not be reached, and that
+	// it is not known yet whether it crashed. It counts for unconfirmedDuration.
+	Unconfirmed bool `json:"unconfirmed,omitempty"`
 
 	// An event with Parts counts against these parts of the prompt, in their order, and
 	// not against the request. Sound holds those that were shown to be sound since.
@@ -137,6 +140,35 @@
 	return e, t.Merge(e, now)
 }
 
+// RecordSilence records that the endpoint of c fell silent and may have crashed. It returns
+// the event to replicate, and false if there is none: the crash was known, or many endpoints
+// fell silent, which no request makes them do and a failure of the network does.
+func (t *Table) RecordSilence(c Crash, now time.Time) (Event, bool) {
+	if t.massLoss.record(c.Endpoint, c.Digest, now) || t.massLoss.count() > massLossThreshold {
+		return Event{}, false
+	}
+	c = c.lost()
+	e := Event{Digest: c.Digest, Attempt: c.Attempt, At: now, Customer: c.Customer, Unconfirmed: true}
+	return e, t.Merge(e, now)
+}
+
+// WithdrawSilence clears the request of the silence of an endpoint that has not crashed. It
+// returns the event to replicate, and false if there is none.
+func (t *Table) WithdrawSilence(c Crash) (Event, bool) {
+	c = c.lost()
+	s := t.shard(c.Digest)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, e := range s.digests[c.Digest] {
+		if e.Attempt == c.Attempt && e.Unconfirmed && !e.Cleared {
+			e.Cleared = true
+			s.digests[c.Digest][i] = e
+			return e, true
+		}
+	}
+	return Event{}, false
+}
+
 // RecordPartCrash records a crash against the parts of the prompt that it accuses. It
 // returns the event to replicate, and false if there is none.
 func (t *Table) RecordPartCrash(c Crash, now time.Time) (Event, bool) {
@@ -216,9 +248,11 @@
 	defer s.mu.Unlock()
 	crashes, held := s.digests[e.Digest]
 	if i := slices.IndexFunc(crashes, func(o Event) bool { return o.Attempt == e.Attempt }); i >= 0 {
-		changed = e.Cleared && !crashes[i].Cleared || e.Alone && !crashes[i].Alone
+		confirms := crashes[i].Unconfirmed && !e.Unconfirmed
+		changed = e.Cleared && !crashes[i].Cleared || e.Alone && !crashes[i].Alone || confirms
 		crashes[i].Cleared = crashes[i].Cleared || e.Cleared
 		crashes[i].Alone = crashes[i].Alone || e.Alone
+		crashes[i].Unconfirmed = crashes[i].Unconfirmed && e.Unconfirmed
 		return changed, verdict(crashes, now)
 	}
 	if !held {
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -21,15 +21,29 @@
 	RecordSoundParts(parts []string)
 }
 
-// Blocked reports whether t has quarantined the request of c or a part of its prompt.
-func Blocked(t Tracker, c *pipeline.Call) bool {
-	if t.Empty() {
-		return false
+// SilenceTracker is a Tracker that takes silences of endpoints into account.
+type SilenceTracker interface {
+	Tracker
+	// RecordSilence records that an endpoint fell silent and can't be reached with a
+	// request in flight. It may have crashed.
+	RecordSilence(Crash)
+	// WithdrawSilence records that the endpoint of a silence has not crashed.
+	WithdrawSilence(Crash)
+}
+
+// VerdictOnCall returns the verdict of t on the request of c: Quarantined also if a part of
+// its prompt is.
+func VerdictOnCall(t Tracker, c *pipeline.Call) Verdict {
+	switch {
+	case t.Empty():
+		return Clear
+	case t.PartsQuarantined(PromptParts(c)):
+		return Quarantined
 	}
-	return t.PartsQuarantined(PromptParts(c)) || t.Verdict(DigestOfCall(c), c.Customer) == Quarantined
+	return t.Verdict(DigestOfCall(c), c.Customer)
 }
 
-// NopTracker is a Tracker that records nothing.
+// NopTracker is a SilenceTracker that records nothing.
 type NopTracker struct{}
 
 // Verdict implements Tracker.
@@ -41,6 +55,12 @@
 // RecordCrash implements Tracker.
 func (NopTracker) RecordCrash(Crash) {}
 
+// RecordSilence implements SilenceTracker.
+func (NopTracker) RecordSilence(Crash) {}
+
+// WithdrawSilence implements SilenceTracker.
+func (NopTracker) WithdrawSilence(Crash) {}
+
 // RecordSuccess implements Tracker.
 func (NopTracker) RecordSuccess(Digest) {}
 
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -13,6 +13,9 @@
 	// SuspectDuration is how long a request stays a suspect after its last
 	// crash, and how long a crash counts towards the thresholds.
 	SuspectDuration = 10 * time.Minute
+	// unconfirmedDuration is how long the silence of an endpoint counts unless it is
+	// confirmed as a crash: longer than an endpoint that has crashed stays registered.
+	unconfirmedDuration = 8 * time.Second
 	// QuarantineDuration is how long a request stays quarantined after the latest
 	// crash at which it reached a threshold.
 	QuarantineDuration = 24 * time.Hour
@@ -26,6 +29,7 @@
 	Clear       Verdict = iota // run it like any other request
 	Suspect                    // a caller that isolates suspects runs it alone, at an isolation endpoint
 	Quarantined                // reject it
+	Held                       // refuse it until it is known whether endpoints crashed that fell silent with it
 )
 
 // ShouldQuarantine reports whether a request is quarantined after that many
@@ -38,18 +42,25 @@
 // verdict returns the verdict on a request with the given crashes, the oldest
 // first.
 func verdict(crashes []Event, now time.Time) Verdict {
-	var uncleared []Event
+	var uncleared, confirmed []Event
 	for _, e := range crashes {
-		if !e.Cleared {
-			uncleared = append(uncleared, e)
+		if e.Cleared || e.Unconfirmed && now.Sub(e.At) >= unconfirmedDuration {
+			continue
+		}
+		uncleared = append(uncleared, e)
+		if !e.Unconfirmed {
+			confirmed = append(confirmed, e)
 		}
 	}
-	for i, last := range uncleared {
-		if now.Sub(last.At) < QuarantineDuration && reachesThreshold(uncleared[:i+1], last.At) {
+	for i, last := range confirmed {
+		if now.Sub(last.At) < QuarantineDuration && reachesThreshold(confirmed[:i+1], last.At) {
 			return Quarantined
 		}
 	}
-	if len(uncleared) > 0 && now.Sub(uncleared[len(uncleared)-1].At) < SuspectDuration {
+	switch {
+	case len(uncleared) > len(confirmed) && reachesThreshold(uncleared, now):
+		return Held
+	case len(uncleared) > 0 && now.Sub(uncleared[len(uncleared)-1].At) < SuspectDuration:
 		return Suspect
 	}
 	return Clear
--- a/standin/streams/streams.go
+++ b/standin/streams/streams.go
@@ -209,6 +209,9 @@
 	return s
 }
 
+// Close closes the server of the endpoint and all its connections.
+func (e *Endpoint) Close() { _ = e.server.Close() } // errors of closing sockets are irrelevant here
+
 // connectionKey is the key of the context value with the name of a connection.
 type connectionKey struct{}
 
