upstream, platform: an item of a batch job can't smuggle a request

Cause: path and field names of items went into the request's head unchecked.

Evidence: TestSubmit_ItemsCantSmuggleRequests failed before.

Change: a job with such an item gets 400 with the item and the byte; upstream writes no request that isn't one, whoever made it. An item's own Host field is not sent on.

--- a/batch/item.go
+++ b/batch/item.go
@@ -47,7 +47,7 @@
 const (
 	runCompleted     outcome = "completed"
 	runFailed        outcome = "failed"   // the endpoint responded with status 500; counts as an attempt
-	runUnprocessable outcome = "hopeless" // the endpoint responded with status 422; no endpoint can run it
+	runUnprocessable outcome = "hopeless" // the endpoint responded with status 422, or the request can't be written; no endpoint can run it
 	runLost          outcome = "lost"     // no complete response; the item resumes
 	runNotExecuted   outcome = "not_run"  // the endpoint did not execute the item
 	runAborted       outcome = "yielded"  // cancelled: preempted, not owned any more, or Run has ended
@@ -139,6 +139,9 @@
 	}
 	request.BeforeSend = func() error { return r.maySend(grant) }
 	x, err := r.Pool.Do(ctx, grant.Endpoint.Address, request, time.Now().Add(it.scaledTimeout(firstEventTimeout)))
+	if errorx.IsOfType(err, upstream.Malformed) {
+		return runUnprocessable, placement.Aborted, err
+	}
 	if errorx.IsOfType(err, upstream.Refused) {
 		return runNotExecuted, placement.Aborted, err
 	}
--- a/upstream/dialect.go
+++ b/upstream/dialect.go
@@ -86,10 +86,11 @@
 }
 
 // HeaderFor returns the header of a request to an endpoint: the caller's header
-// without Authorization, Content-Length and the hop-by-hop fields, and the fields for m.
+// without Authorization, Host, Content-Length and the hop-by-hop fields, and the fields for m.
 func HeaderFor(sent http.Header, d Dialect, m RequestMetadata) http.Header {
 	h := EndToEndHeader(sent)
 	h.Del("Authorization")
+	h.Del("Host")
 	h.Del("Content-Length")
 	d.Write(h, m)
 	return h
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -98,6 +98,9 @@
 // header of the response until deadline. If ctx is done while the Exchange is open, the
 // connection is closed. Errors are of type NotSent, Abandoned or Broken.
 func (p *Pool) Do(ctx context.Context, addr string, r *Request, deadline time.Time) (*Exchange, error) {
+	if err := r.check(); err != nil {
+		return nil, Malformed.Wrap(err, "request to %s", addr)
+	}
 	c, err := p.get(ctx, addr, r.ID)
 	if err != nil {
 		return nil, NotSent.Wrap(err, "connect to %s", addr)
