online, batch: a refusal for an expected version says nothing about the endpoint

Cause: 421 has two meanings, and each was taken for another endpoint at the address.

Change: with a condition in the request, 421 leaves the endpoint as it is. An item with one waits with growing delays; it was sent every 50 ms.

--- a/batch/item.go
+++ b/batch/item.go
@@ -28,8 +28,9 @@
 	// double with each of its runs that timed out: its endpoints may be slow.
 	maxTimeoutDoublings = 3
 	// minRetryDelay is the delay before an item runs again after an endpoint
-	// was lost; it doubles with each loss since the item's last new event, up to
-	// maxRetryDelay. It also follows a run that the endpoint did not execute.
+	// was lost or did not meet a condition; it doubles with each such run since the
+	// item's last new event, up to maxRetryDelay. It also follows a run that the
+	// endpoint did not execute for another reason.
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = 2 * time.Second
 	// avoidDuration is how long an item is not placed at the endpoint where it
@@ -50,6 +51,7 @@
 	runUnprocessable outcome = "hopeless" // the endpoint responded with status 422, or the request can't be written; no endpoint can run it
 	runLost          outcome = "lost"     // no complete response; the item resumes
 	runNotExecuted   outcome = "not_run"  // the endpoint did not execute the item
+	runUnmet         outcome = "unmet"    // the endpoint does not meet a condition that the item names
 	runAborted       outcome = "yielded"  // cancelled: preempted, not owned any more, or Run has ended
 )
 
@@ -118,7 +120,7 @@
 			p.phase = phaseFinished
 			p.result = Result{State: Errored, Reason: "all attempts failed"}
 		}
-	case runLost:
+	case runLost, runUnmet:
 		p.notBefore = r.Clock() + min(minRetryDelay<<min(it.losses, 6), maxRetryDelay)
 		p.losses++
 	case runNotExecuted:
@@ -154,6 +156,8 @@
 	}
 	upstream.Observe(r.Dialect, x.Response, grant, r.Clock(), r.Log)
 	switch resp := x.Response; {
+	case r.Dialect.Misdirected(resp) && r.Dialect.Conditional(request.Header):
+		return r.readRejection(x, runUnmet, placement.Aborted)
 	case r.Dialect.Misdirected(resp):
 		return r.readRejection(x, runNotExecuted, placement.Replaced)
 	case upstream.StatesNotRun(r.Dialect, resp):
--- a/batch/metrics.go
+++ b/batch/metrics.go
@@ -40,7 +40,7 @@
 	for _, events := range []string{"none", "some"} {
 		m.preemptions.WithLabelValues(events)
 	}
-	for _, o := range []outcome{runCompleted, runFailed, runUnprocessable, runLost, runNotExecuted, runAborted} {
+	for _, o := range []outcome{runCompleted, runFailed, runUnprocessable, runLost, runNotExecuted, runUnmet, runAborted} {
 		m.runs.WithLabelValues(string(o))
 	}
 	for _, state := range []ItemState{Completed, Errored} {
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -56,7 +56,7 @@
 
 	failures      int                       // failed attempts
 	avoid         avoidedEndpoint           // endpoint of the last failed attempt
-	losses        int                       // lost runs since the last new event
+	losses        int                       // runs that were lost or met an unmet condition, since the last new event
 	timeouts      int                       // runs that timed out, up to maxTimeoutDoublings
 	oversizedRuns int                       // runs whose output exceeded the limit on stored outputs
 	missingSince  time.Duration             // time of Clock since which no slot is free at an endpoint of origin; 0: one was
--- a/batch/versions_test.go
+++ b/batch/versions_test.go
@@ -119,3 +119,20 @@
 		f.expectOneVersion(f.awaitResults(f.entries[0], "j", 6*time.Second))
 	})
 }
+
+// Guards against endpoints that get nothing more for good as items expect another version, and
+// against such items that are sent again and again without a pause.
+func TestRunner_ExpectedVersionOfOneJobTakesNoEndpointFromOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ep := newEndpoint("w", 10, 8)
+		ep.Version = "v2/"
+		f := newTestFleet(t, 1, ep)
+		expects := submission("expects", 1, 10)
+		expects.Requests[0].Header = map[string]string{streams.HeaderVersion: "v1/"}
+		f.Expect(f.entries[0].Submit(f.ctx, expects)).To(gomega.Succeed())
+		time.Sleep(10 * time.Second)
+		f.Expect(ep.Received()).To(gomega.BeNumerically("<", 15), "in 10 s")
+		f.Expect(f.entries[0].Submit(f.ctx, submission("j", 8, 10))).To(gomega.Succeed())
+		f.awaitResults(f.entries[0], "j", 5*time.Second)
+	})
+}
--- a/online/execution.go
+++ b/online/execution.go
@@ -160,6 +160,9 @@
 	case ex.Dialect.Misdirected(r):
 		ex.watch.end()
 		ex.discard(x)
+		if ex.Dialect.Conditional(ex.call.R.Header) {
+			return tryNext, placement.Aborted
+		}
 		return tryNext, placement.Replaced
 	case upstream.StatesNotRun(ex.Dialect, r):
 		upstream.LogNotRun(ex.Log, ex.call.ID, grant.Endpoint.ID, x)
--- a/standin/streams/streams.go
+++ b/standin/streams/streams.go
@@ -29,6 +29,7 @@
 	HeaderLimit     = "X-Limit"
 	HeaderLeaving   = "X-Leaving"
 	HeaderCold      = "X-Cold-Ms"
+	HeaderVersion   = "X-Version" // expected by the sender of a request
 )
 
 // Dialect implements upstream.Dialect with the header fields above.
@@ -55,6 +56,9 @@
 	return r.StatusCode == http.StatusMisdirectedRequest
 }
 
+// Conditional implements upstream.Dialect.
+func (Dialect) Conditional(h http.Header) bool { return h.Get(HeaderVersion) != "" }
+
 // Notice implements upstream.Dialect.
 func (Dialect) Notice(r *http.Response) (placement.Notice, error) {
 	limit, err := strconv.ParseFloat(r.Header.Get(HeaderLimit), 64)
@@ -248,7 +252,7 @@
 		w.WriteHeader(b.Status)
 		return
 	}
-	if r.Header.Get(HeaderEndpoint) != e.ID {
+	if v := r.Header.Get(HeaderVersion); r.Header.Get(HeaderEndpoint) != e.ID || v != "" && v != e.Version {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
--- a/upstream/dialect.go
+++ b/upstream/dialect.go
@@ -31,8 +31,12 @@
 	// and never will.
 	NotRun(r *http.Response) bool
 	// Misdirected reports whether the request reached an endpoint other than
-	// RequestMetadata.Endpoint, which has taken over its address.
+	// RequestMetadata.Endpoint, which has taken over its address, or one that does not meet a
+	// condition of the request; see Conditional.
 	Misdirected(r *http.Response) bool
+	// Conditional reports whether the header of a request names a condition of its sender,
+	// so that a Misdirected response says nothing about the endpoint.
+	Conditional(h http.Header) bool
 	// Notice returns what the endpoint says of itself in a response. A malformed field is
 	// returned as an error, and the notice is as without it; Notice.Cold says that it is
 	// malformed.
