--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -38,6 +38,8 @@
 	EndpointRamp    bool            `json:"endpoint_ramp,omitempty"`                  // endpoints that start or recover begin with few concurrent requests, see docs/design/ramps.md
 	LogLevel        string          `json:"log_level,omitempty" reload:"true"`        // debug, info, warn or error; default info
 
+	Machine
+
 	// OperatorTokenDigest is the lower-case hex SHA-256 of the token with which operators ask
 	// for explanations at MetricsAddr; empty: nobody may.
 	OperatorTokenDigest string `json:"operator_token_digest,omitempty"`
@@ -91,6 +93,7 @@
 	setDefault(&g.KeepJobs, config.Duration(DefaultKeepJobs))
 	setDefault(&g.GoneAfter, config.Duration(DefaultGoneAfter))
 	f.level("/log_level", &g.LogLevel)
+	g.Machine.check(f)
 }
 
 // checkRegions checks the regions, of which none must be empty, and of which that of the
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -30,6 +30,7 @@
 	PlatformURL string `json:"platform_url" reload:"true"`        // http://ip:port of the platform
 	LogLevel    string `json:"log_level,omitempty" reload:"true"` // debug, info, warn or error; default info
 	TLS         *TLS   `json:"tls,omitempty"`                     // between peers; default plain TCP
+	Machine
 }
 
 // TLS holds the paths of the PEM files for mutual authentication of peers.
@@ -173,6 +174,13 @@
 	}
 }
 
+// optionalAtLeast checks that value is at least least, unless it is missing.
+func (f *findings) optionalAtLeast(pointer string, value, least int) {
+	if value != 0 && value < least {
+		f.add(pointer, fmt.Sprintf("must be at least %d, not %d", least, value))
+	}
+}
+
 // level validates a log level and sets the default.
 func (f *findings) level(pointer string, value *string) {
 	setDefault(value, "info")
@@ -199,6 +207,7 @@
 	f.addr("/ops_addr", p.OpsAddr)
 	f.url("/platform_url", p.PlatformURL)
 	f.level("/log_level", &p.LogLevel)
+	p.Machine.check(f)
 	if p.TLS != nil {
 		f.required("/tls/cert_file", p.TLS.CertFile)
 		f.required("/tls/key_file", p.TLS.KeyFile)
