--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -13,7 +14,9 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 
+	"dandelionrelay/ingress"
 	"dandelionrelay/peer"
 	"dandelionrelay/settings"
 )
@@ -49,6 +52,7 @@
 		},
 		done: make(chan error, 1),
 	}
+	ingress.Attach(s.http)
 	go func() { s.done <- s.http.Serve(l) }()
 	return s
 }
@@ -103,6 +107,22 @@
 	}
 }
 
+// Machine returns what the machine grants a process with the settings m.
+func Machine(m settings.Machine) ingress.Machine {
+	descriptors := m.MaxDescriptors
+	if descriptors == 0 {
+		descriptors = settings.MinDescriptors
+		var limit unix.Rlimit
+		if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err == nil {
+			descriptors = int(min(limit.Cur, math.MaxInt32))
+		}
+	}
+	return ingress.Machine{MemoryBytes: int64(m.MemoryMB) * bytesPerMB, Descriptors: max(descriptors, settings.MinDescriptors)}
+}
+
+// bytesPerMB is the unit of the settings.
+const bytesPerMB = 1_000_000
+
 // SetLogLevel sets the level of all loggers of the process, also of those that exist.
 // An invalid level means info.
 func SetLogLevel(level string) {
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -9,6 +9,7 @@
 
 	"dandelionrelay/daemon"
 	"dandelionrelay/infra/client"
+	"dandelionrelay/ingress"
 	"dandelionrelay/ops"
 	"dandelionrelay/peer"
 	"dandelionrelay/reload"
@@ -61,10 +62,11 @@
 		Metrics: reg,
 	})
 	go reloader.Run(ctx, hangups)
+	bounds := ingress.NewProcess(daemon.Machine(s.Machine), logger, reg)
 	return e.Serve(ctx, Listeners{
-		Callers: listeners[0],
-		Peers:   security.Listener(listeners[1]),
-		Ops:     listeners[2],
+		Callers: bounds.Callers(listeners[0]),
+		Peers:   security.Listener(bounds.Peers(listeners[1])),
+		Ops:     bounds.Operators("operators", listeners[2]),
 	})
 }
 
--- /dev/null
+++ b/ingress/ledger.go
@@ -0,0 +1,112 @@
+package ingress
+
+import (
+	"container/list"
+	"time"
+)
+
+// phase is what a connection waits for.
+type phase int
+
+const (
+	phaseNone      phase = iota // not in the ledger
+	phaseIdle                   // no byte of a request has come
+	phaseReceiving              // the rest of a request is awaited
+	phaseServing                // a request is served
+	phaseClosing                // the other side is to read a refusal and to close
+)
+
+// evictable lists the phases in which a connection gives way to others, in the order in which
+// they do if their other sides have been silent for equally long.
+var evictable = []phase{phaseClosing, phaseIdle, phaseReceiving}
+
+// holder is the part of a connection that the ledger keeps.
+type holder struct {
+	conn    *Conn
+	phase   phase
+	since   time.Time     // when its other side last sent something, or was answered
+	element *list.Element // in the list of its phase
+}
+
+// ledger records what the connections of one listener hold, and decides which give way. It is
+// not safe for concurrent use.
+type ledger struct {
+	limits Limits
+	conns  int
+	queues map[phase]*list.List // of *holder by evictable phase, the longest silent first
+}
+
+func newLedger(limits Limits) *ledger {
+	l := &ledger{limits: limits, queues: make(map[phase]*list.List)}
+	for _, p := range evictable {
+		l.queues[p] = list.New()
+	}
+	return l
+}
+
+// add records h as idle. If that is one connection too many, another must be closed, which it
+// returns; this is h itself if all others are being served.
+func (l *ledger) add(h *holder, now time.Time) (evicted *holder) {
+	if l.conns >= l.limits.Conns {
+		if evicted = l.longestSilent(); evicted == nil {
+			return h
+		}
+		l.remove(evicted)
+	}
+	l.conns++
+	l.enter(h, phaseIdle, now)
+	return evicted
+}
+
+// longestSilent returns the connection that gives way to a new one, or nil if there is none.
+func (l *ledger) longestSilent() *holder {
+	var longest *holder
+	for _, p := range evictable {
+		front := l.queues[p].Front()
+		if front == nil {
+			continue
+		}
+		h := front.Value.(*holder)
+		if p == phaseClosing {
+			return h
+		}
+		if longest == nil || h.since.Before(longest.since) {
+			longest = h
+		}
+	}
+	return longest
+}
+
+// enter moves h to phase p, and to the end of the queue of that phase: its other side was
+// heard of or answered now.
+func (l *ledger) enter(h *holder, p phase, now time.Time) {
+	h.since = now
+	queue := l.queues[p]
+	if h.phase == p && queue != nil {
+		queue.MoveToBack(h.element)
+		return
+	}
+	l.leaveQueue(h)
+	h.phase = p
+	if queue != nil {
+		h.element = queue.PushBack(h)
+	}
+}
+
+func (l *ledger) leaveQueue(h *holder) {
+	if queue := l.queues[h.phase]; queue != nil {
+		queue.Remove(h.element)
+	}
+	h.element = nil
+}
+
+// remove removes h and reports whether it was in the ledger.
+func (l *ledger) remove(h *holder) bool {
+	if h.phase == phaseNone {
+		return false
+	}
+	l.leaveQueue(h)
+	h.phase = phaseNone
+	l.conns--
+	return true
+}
--- /dev/null
+++ b/ingress/ledger_test.go
@@ -0,0 +1,58 @@
+package ingress
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// testStart is the time at which the tests of the ledger begin.
+var testStart = time.Unix(1_800_000_000, 0)
+
+// at returns the time n seconds after testStart.
+func at(n int) time.Time { return testStart.Add(time.Duration(n) * time.Second) }
+
+// addHolders adds n holders a second apart, the first at at(0).
+func addHolders(g *gomega.WithT, l *ledger, n int) []*holder {
+	holders := make([]*holder, n)
+	for i := range holders {
+		holders[i] = new(holder)
+		g.Expect(l.add(holders[i], at(i))).To(gomega.BeNil())
+	}
+	return holders
+}
+
+// Guards against new connections that are turned away while silent ones stay.
+func TestLedger_LongestSilentGivesWay(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := newLedger(Limits{Conns: 4})
+	h := addHolders(g, l, 4)
+	l.enter(h[0], phaseReceiving, at(10))
+	l.enter(h[1], phaseServing, at(11))
+	l.enter(h[2], phaseReceiving, at(12))
+	l.enter(h[2], phaseReceiving, at(20)) // more of the request
+
+	g.Expect(l.add(new(holder), at(21))).To(gomega.BeIdenticalTo(h[3]), "idle since second 3")
+	g.Expect(l.add(new(holder), at(22))).To(gomega.BeIdenticalTo(h[0]), "in the middle of a request since second 10")
+	l.enter(h[2], phaseClosing, at(23))
+	g.Expect(l.add(new(holder), at(24))).To(gomega.BeIdenticalTo(h[2]), "refused already")
+	g.Expect(l.conns).To(gomega.Equal(4))
+}
+
+// Guards against requests that are served and cut for a new connection.
+func TestLedger_ServedRequestsStay(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := newLedger(Limits{Conns: 2})
+	h := addHolders(g, l, 2)
+	l.enter(h[0], phaseServing, at(3))
+	l.enter(h[1], phaseServing, at(4))
+	late := new(holder)
+	g.Expect(l.add(late, at(5))).To(gomega.BeIdenticalTo(late))
+	g.Expect(l.remove(late)).To(gomega.BeFalse())
+	l.enter(h[1], phaseIdle, at(6))
+	g.Expect(l.add(late, at(7))).To(gomega.BeIdenticalTo(h[1]))
+	g.Expect(l.remove(h[1])).To(gomega.BeFalse(), "closed already")
+	g.Expect(l.remove(late)).To(gomega.BeTrue())
+	g.Expect(l.conns).To(gomega.Equal(1))
+}
--- a/sidecar/process.go
+++ b/sidecar/process.go
@@ -15,6 +15,7 @@
 	"dandelionrelay/daemon"
 	"dandelionrelay/infra"
 	"dandelionrelay/infra/client"
+	"dandelionrelay/ingress"
 	"dandelionrelay/invariant"
 	"dandelionrelay/jobs"
 	"dandelionrelay/lane"
@@ -164,7 +165,11 @@
 		Metrics: reg,
 	})
 	go reloader.Run(ctx, hangups)
-	return p.Serve(ctx, Listeners{Entries: security.Listener(listeners[0]), Ops: listeners[1]})
+	bounds := ingress.NewProcess(daemon.Machine(s.Machine), logger, reg)
+	return p.Serve(ctx, Listeners{
+		Entries: security.Listener(bounds.Callers(listeners[0])),
+		Ops:     bounds.Operators("operators", listeners[1]),
+	})
 }
 
 // Serve serves on the listeners until ctx ends, and then drains the sidecar. It
--- a/test/system/metrics_test.go
+++ b/test/system/metrics_test.go
@@ -20,6 +20,7 @@
 	"dandelionrelay/boottime"
 	"dandelionrelay/config"
 	"dandelionrelay/gateway"
+	"dandelionrelay/ingress"
 	"dandelionrelay/invariant"
 	"dandelionrelay/ops"
 	"dandelionrelay/reload"
@@ -128,6 +129,7 @@
 	registry := prometheus.NewRegistry()
 	ops.DroppedLines(registry)
 	reload.New(&settings.Gateway{}, reload.Options[settings.Gateway]{Metrics: registry})
+	ingress.NewProcess(ingress.Machine{}, zerolog.Nop(), registry).Callers(nil)
 	log := keyed.NewLog(1)
 	g := gateway.New(gateway.Deps{
 		Providers: gateway.Providers{
