--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -27,9 +27,6 @@
 	idleTimeout       = 2 * time.Minute
 )
 
-// maxHeaderBytes is the maximum size of the headers of a request.
-const maxHeaderBytes = 64 << 10
-
 // Listen listens on the TCP address addr, an ip:port.
 func Listen(addr string) (net.Listener, error) {
 	return net.Listen("tcp", addr)
@@ -48,7 +45,7 @@
 			Handler:           handler,
 			ReadHeaderTimeout: readHeaderTimeout,
 			IdleTimeout:       idleTimeout,
-			MaxHeaderBytes:    maxHeaderBytes,
+			MaxHeaderBytes:    ingress.MaxHeadBytes,
 		},
 		done: make(chan error, 1),
 	}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"dandelionrelay/api"
 	"dandelionrelay/daemon"
 	"dandelionrelay/infra/client"
 	"dandelionrelay/ingress"
@@ -64,7 +65,7 @@
 	go reloader.Run(ctx, hangups)
 	bounds := ingress.NewProcess(daemon.Machine(s.Machine), logger, reg)
 	return e.Serve(ctx, Listeners{
-		Callers: bounds.Callers(listeners[0]),
+		Callers: bounds.Callers(listeners[0], api.WriteError, ingress.AnyHead),
 		Peers:   security.Listener(bounds.Peers(listeners[1])),
 		Ops:     bounds.Operators("operators", listeners[2]),
 	})
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -3,7 +3,9 @@
 import (
 	"crypto/tls"
 	"errors"
+	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -13,25 +15,120 @@
 type Conn struct {
 	net.Conn
 	guard  *Guard
-	holder holder      // guarded by guard.mu
-	inHead atomic.Bool // what is read belongs to the head of a request
+	holder holder // guarded by guard.mu
+
+	// inHead is set while what is read belongs to the head of a request, or to a message, and
+	// nothing of the response has been written.
+	inHead   atomic.Bool
+	secure   bool        // TLS lies above: no response can be written here
+	refused  atomic.Bool // reads fail
+	answered atomic.Bool // by respond: writes fail
+
+	closeOnce sync.Once
+	lingers   atomic.Bool // the other side is to read what respond has written
 }
 
+// errRefused is returned by reads of a connection that was refused, in a net.OpError: servers
+// respond to others.
+var errRefused = errors.New("refused at a limit of the listener")
+
+// pastDeadline interrupts reads.
+var pastDeadline = time.Unix(1, 0)
+
+// Lingering close, so that the other side can read a refusal while it still sends.
+const (
+	refusalTimeout = 100 * time.Millisecond // for writing it
+	lingerTimeout  = 500 * time.Millisecond
+	lingerBytes    = 256 << 10
+)
+
 // Read implements net.Conn.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 && c.inHead.Load() {
-		c.guard.enter(c, phaseReceiving)
+	reason, ok := ReasonMemory, !c.refused.Load()
+	if ok && n > 0 && c.inHead.Load() {
+		reason, ok = c.guard.receive(c, b[:n])
+	}
+	if ok {
+		return n, err
 	}
-	return n, err
+	c.respond(reason)
+	return 0, &net.OpError{Op: "read", Net: c.RemoteAddr().Network(), Addr: c.RemoteAddr(), Err: errRefused}
+}
+
+// Write implements net.Conn. It fails once respond has written a response, as servers may take
+// a head that breaks off for a malformed one.
+func (c *Conn) Write(b []byte) (int, error) {
+	if c.answered.Load() {
+		return 0, &net.OpError{Op: "write", Net: c.RemoteAddr().Network(), Addr: c.RemoteAddr(), Err: errRefused}
+	}
+	return c.Conn.Write(b)
+}
+
+// respond tells the other side why its request is refused, unless a handler serves it.
+func (c *Conn) respond(r Reason) {
+	if !c.inHead.CompareAndSwap(true, false) {
+		return
+	}
+	c.answered.Store(true)
+	response := c.guard.refusal
+	if r == ReasonHead {
+		response = headTooLarge
+	}
+	if c.secure || response == nil {
+		return
+	}
+	// Errors mean that the connection is closed.
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
+	_, _ = c.Conn.Write(response)
+	c.lingers.Store(true)
+}
+
+// interrupt makes reads fail.
+func (c *Conn) interrupt() {
+	c.refused.Store(true)
+	_ = c.Conn.SetReadDeadline(pastDeadline) // fails only on a closed connection
+}
+
+// SetReadDeadline implements net.Conn. It does not put off an interruption.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	err := c.Conn.SetReadDeadline(t)
+	if c.refused.Load() {
+		return c.Conn.SetReadDeadline(pastDeadline)
+	}
+	return err
+}
+
+// SetDeadline implements net.Conn. It does not put off an interruption.
+func (c *Conn) SetDeadline(t time.Time) error {
+	if err := c.Conn.SetWriteDeadline(t); err != nil {
+		return err
+	}
+	return c.SetReadDeadline(t)
 }
 
 // Close implements net.Conn.
 func (c *Conn) Close() error {
-	if !c.guard.release(c) {
-		return nil // closed already
-	}
-	return c.Conn.Close()
+	var err error
+	c.closeOnce.Do(func() {
+		if c.lingers.Load() {
+			go c.linger()
+			return
+		}
+		c.guard.release(c)
+		err = c.Conn.Close()
+	})
+	return err
+}
+
+// linger closes the connection once the other side has closed it, or after lingerTimeout.
+func (c *Conn) linger() {
+	// Errors mean that the connection is closed.
+	_ = c.CloseWrite()
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+	c.guard.release(c)
+	_ = c.Conn.Close()
 }
 
 // CloseWrite shuts down the writing side. net/http uses it before it closes a connection from
@@ -64,9 +161,6 @@
 	guard *Guard
 }
 
-// NewListener returns a Listener that accepts the connections of l.
-func NewListener(l net.Listener, g *Guard) *Listener { return &Listener{Listener: l, guard: g} }
-
 // Accept implements net.Listener. It does not return errors that pass.
 func (l *Listener) Accept() (net.Conn, error) {
 	pause := minAcceptPause
--- a/ingress/guard.go
+++ b/ingress/guard.go
@@ -1,10 +1,10 @@
 package ingress
 
 import (
+	"bytes"
 	"sync"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 )
 
@@ -16,7 +16,11 @@
 type Guard struct {
 	name    string
 	log     zerolog.Logger
-	metrics *Metrics
+	metrics *listenerMetrics
+	// headBytes returns the maximum size of the head of a request; nil: the connections carry no
+	// heads.
+	headBytes func() int64
+	refusal   []byte // response to a request that is refused for ReasonMemory; nil: none
 
 	mu      sync.Mutex
 	ledger  *ledger
@@ -28,16 +32,25 @@
 // relay_ingress_closed_total.
 type Reason string
 
-// ReasonConns means that there were too many connections.
-const ReasonConns Reason = "connections"
+const (
+	// ReasonConns means that there were too many connections.
+	ReasonConns Reason = "connections"
+	// ReasonMemory means that the requests that are received or served held too much memory.
+	ReasonMemory Reason = "memory"
+	// ReasonHead means that the head of a request was too large.
+	ReasonHead Reason = "head"
+)
 
 // reasons lists all values of Reason.
-var reasons = []Reason{ReasonConns}
+var reasons = []Reason{ReasonConns, ReasonMemory, ReasonHead}
+
+// readAheadBytes is the size of net/http's buffer: so many bytes of the body may be read
+// together with the end of a head.
+const readAheadBytes = 4 << 10
 
-// NewGuard returns a Guard with the limits l. name is the label value of its listener.
-func NewGuard(name string, l Limits, log zerolog.Logger, m *Metrics) *Guard {
-	m.add(name)
-	return &Guard{name: name, log: log, metrics: m, ledger: newLedger(l), closed: make(map[Reason]int)}
+// newGuard returns a Guard with the limits l for the named listener.
+func newGuard(name string, l Limits, log zerolog.Logger, m *metrics) *Guard {
+	return &Guard{name: name, log: log, metrics: m.of(name), ledger: newLedger(l), closed: make(map[Reason]int)}
 }
 
 // admit records a new connection. It closes the one that gives way to it.
@@ -49,31 +62,82 @@
 		_ = evicted.conn.Conn.Close() // nobody is told, as it is closed in any case
 		g.record(ReasonConns, now)
 	}
-	g.metrics.setConns(g.name, g.ledger.conns)
+	g.metrics.conns.Set(float64(g.ledger.conns))
 }
 
 // enter records that the other side of c was heard of or answered, and what c waits for now.
-func (g *Guard) enter(c *Conn, p phase) {
+// It returns false if c was refused.
+func (g *Guard) enter(c *Conn, p phase) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if c.holder.phase != phaseNone {
-		g.ledger.enter(&c.holder, p, time.Now())
+	if !c.holder.admitted() {
+		return false
+	}
+	g.ledger.enter(&c.holder, p, time.Now())
+	return true
+}
+
+// receive records that b was read of the head of a request, or of a message without one. It
+// returns the reason for which c is refused, if it is.
+func (g *Guard) receive(c *Conn, b []byte) (Reason, bool) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch c.holder.phase {
+	case phaseNone, phaseClosing:
+		return ReasonMemory, false
+	case phaseServing:
+		return "", true // net/http has read a byte ahead
+	case phaseIdle:
+		c.holder.head = 0
+	}
+	g.ledger.enter(&c.holder, phaseReceiving, now)
+	c.holder.head += int64(len(b))
+	cost := copies * int64(len(b))
+	if g.headBytes != nil {
+		if c.holder.head > g.headBytes()+readAheadBytes {
+			g.refuse(c, ReasonHead, now)
+			return ReasonHead, false
+		}
+		cost += lineBytes * int64(bytes.Count(b, []byte{'\n'}))
+	}
+	return ReasonMemory, g.reserve(c, cost, now)
+}
+
+// reserve charges n more bytes to the request of c, or refuses it. Other requests may give way.
+func (g *Guard) reserve(c *Conn, n int64, now time.Time) bool {
+	evicted, ok := g.ledger.reserve(&c.holder, n)
+	for _, h := range evicted {
+		h.conn.interrupt()
+		g.record(ReasonMemory, now)
+	}
+	if !ok {
+		g.refuse(c, ReasonMemory, now)
 	}
+	g.metrics.bytes.Set(float64(g.ledger.bytes))
+	return ok
 }
 
-// release removes c, and reports whether its socket is still open.
-func (g *Guard) release(c *Conn) bool {
+// refuse refuses the request of c, which its reader has to tell the other side.
+func (g *Guard) refuse(c *Conn, r Reason, now time.Time) {
+	g.ledger.refuse(&c.holder)
+	c.refused.Store(true)
+	g.record(r, now)
+}
+
+// release removes c.
+func (g *Guard) release(c *Conn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	open := g.ledger.remove(&c.holder)
-	g.metrics.setConns(g.name, g.ledger.conns)
-	return open
+	g.ledger.remove(&c.holder)
+	g.metrics.conns.Set(float64(g.ledger.conns))
+	g.metrics.bytes.Set(float64(g.ledger.bytes))
 }
 
 // record counts a connection that is closed for r, and logs how many were at most once in
 // logInterval.
 func (g *Guard) record(r Reason, now time.Time) {
-	g.metrics.countClosed(g.name, r)
+	g.metrics.closed[r].Inc()
 	g.closed[r]++
 	if now.Before(g.nextLog) {
 		return
@@ -86,39 +150,3 @@
 	clear(g.closed)
 	event.Msg("connections closed at a limit")
 }
-
-// Metrics are the metrics of the guards of a process.
-type Metrics struct {
-	conns  *prometheus.GaugeVec
-	closed *prometheus.CounterVec
-}
-
-// NewMetrics returns Metrics that are registered with r.
-func NewMetrics(r prometheus.Registerer) *Metrics {
-	m := &Metrics{
-		conns: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Name: "relay_ingress_connections",
-			Help: "Open connections by listener.",
-		}, []string{"listener"}),
-		closed: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "relay_ingress_closed_total",
-			Help: "Connections closed at a limit, by listener and limit.",
-		}, []string{"listener", "limit"}),
-	}
-	r.MustRegister(m.conns, m.closed)
-	return m
-}
-
-// add creates the series of a listener.
-func (m *Metrics) add(listener string) {
-	m.setConns(listener, 0)
-	for _, r := range reasons {
-		m.closed.WithLabelValues(listener, string(r))
-	}
-}
-
-func (m *Metrics) setConns(listener string, n int) { m.conns.WithLabelValues(listener).Set(float64(n)) }
-
-func (m *Metrics) countClosed(listener string, r Reason) {
-	m.closed.WithLabelValues(listener, string(r)).Inc()
-}
--- a/ingress/ledger.go
+++ b/ingress/ledger.go
@@ -26,13 +26,19 @@
 	phase   phase
 	since   time.Time     // when its other side last sent something, or was answered
 	element *list.Element // in the list of its phase
+	bytes   int64         // memory of its request
+	head    int64         // bytes read since it was idle, while these belong to a head
 }
 
+// admitted reports whether h is in the ledger and was not refused.
+func (h *holder) admitted() bool { return h.phase != phaseNone && h.phase != phaseClosing }
+
 // ledger records what the connections of one listener hold, and decides which give way. It is
 // not safe for concurrent use.
 type ledger struct {
 	limits Limits
 	conns  int
+	bytes  int64                // memory of all requests
 	queues map[phase]*list.List // of *holder by evictable phase, the longest silent first
 }
 
@@ -81,6 +87,9 @@
 // heard of or answered now.
 func (l *ledger) enter(h *holder, p phase, now time.Time) {
 	h.since = now
+	if p == phaseIdle {
+		l.free(h)
+	}
 	queue := l.queues[p]
 	if h.phase == p && queue != nil {
 		queue.MoveToBack(h.element)
@@ -93,6 +102,61 @@
 	}
 }
 
+// reserve charges n more bytes to the request of h, for which the requests evicted give way. If
+// that is not enough, it charges nothing and returns false; nothing is evicted then.
+func (l *ledger) reserve(h *holder, n int64) (evicted []*holder, ok bool) {
+	limit := l.limits.RequestBytes
+	if h.bytes+n > smallRequestBytes {
+		limit = l.limits.large()
+	}
+	if missing := l.bytes + n - limit; missing > 0 {
+		if evicted = l.victims(h, missing); evicted == nil {
+			return nil, false
+		}
+	}
+	for _, v := range evicted {
+		l.refuse(v)
+	}
+	h.bytes += n
+	l.bytes += n
+	return evicted, true
+}
+
+// refuse frees the memory of the request of h, whose connection is about to be closed.
+func (l *ledger) refuse(h *holder) {
+	l.free(h)
+	l.enter(h, phaseClosing, h.since)
+}
+
+// victims returns requests that give way to that of h and hold missing bytes or more together.
+// It returns nil if there are not enough. Requests that are being received give way: large ones
+// first, and of these the ones whose callers have been silent for longest.
+func (l *ledger) victims(h *holder, missing int64) []*holder {
+	var large, small []*holder
+	for e := l.queues[phaseReceiving].Front(); e != nil; e = e.Next() {
+		switch v := e.Value.(*holder); {
+		case v == h || v.bytes == 0:
+		case v.bytes > smallRequestBytes:
+			large = append(large, v)
+		default:
+			small = append(small, v)
+		}
+	}
+	ordered := append(large, small...)
+	for n, v := range ordered {
+		if missing -= v.bytes; missing <= 0 {
+			return ordered[:n+1]
+		}
+	}
+	return nil
+}
+
+// free releases the memory of the request of h.
+func (l *ledger) free(h *holder) {
+	l.bytes -= h.bytes
+	h.bytes = 0
+}
+
 func (l *ledger) leaveQueue(h *holder) {
 	if queue := l.queues[h.phase]; queue != nil {
 		queue.Remove(h.element)
@@ -105,6 +169,7 @@
 	if h.phase == phaseNone {
 		return false
 	}
+	l.free(h)
 	l.leaveQueue(h)
 	h.phase = phaseNone
 	l.conns--
--- a/ingress/ledger_test.go
+++ b/ingress/ledger_test.go
@@ -56,3 +56,47 @@
 	g.Expect(l.remove(late)).To(gomega.BeTrue())
 	g.Expect(l.conns).To(gomega.Equal(1))
 }
+
+// receive adds a holder that is receiving a request of n bytes since at(since).
+func receive(g *gomega.WithT, l *ledger, since int, n int64) *holder {
+	h := new(holder)
+	g.Expect(l.add(h, at(since))).To(gomega.BeNil())
+	l.enter(h, phaseReceiving, at(since))
+	evicted, ok := l.reserve(h, n)
+	g.Expect(evicted).To(gomega.BeEmpty())
+	g.Expect(ok).To(gomega.BeTrue())
+	return h
+}
+
+// Guards against requests that hold more memory than is granted, and against ordinary callers
+// that are refused while others hold memory with requests that they do not end.
+func TestLedger_UnfinishedRequestsGiveWay(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const unit = 100 << 10
+	l := newLedger(Limits{Conns: 10, RequestBytes: 8 * unit}) // 6 of them for large requests
+	small := receive(g, l, 0, 1000)
+	first := receive(g, l, 1, 2*unit)
+	second := receive(g, l, 2, 2*unit)
+	l.enter(first, phaseReceiving, at(3)) // more of the request
+
+	third := new(holder)
+	l.add(third, at(4))
+	evicted, ok := l.reserve(third, 3*unit)
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(evicted).To(gomega.Equal([]*holder{second}), "a large request whose caller is silent for longest")
+	g.Expect(second.admitted()).To(gomega.BeFalse())
+	g.Expect(l.bytes).To(gomega.BeEquivalentTo(1000 + 5*unit))
+
+	l.enter(first, phaseServing, at(5))
+	l.enter(third, phaseServing, at(5))
+	evicted, ok = l.reserve(receive(g, l, 6, 100), 2*unit)
+	g.Expect(ok).To(gomega.BeFalse(), "what is served stays, and small requests are not enough")
+	g.Expect(evicted).To(gomega.BeEmpty())
+	g.Expect(small.admitted()).To(gomega.BeTrue())
+	receive(g, l, 7, smallRequestBytes) // there is room left for small requests
+
+	l.enter(first, phaseIdle, at(8))
+	g.Expect(l.bytes).To(gomega.BeEquivalentTo(1000 + 100 + smallRequestBytes + 3*unit))
+	l.remove(third)
+	g.Expect(l.bytes).To(gomega.BeEquivalentTo(1000 + 100 + smallRequestBytes))
+}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -14,10 +14,12 @@
 func Attach(s *http.Server) {
 	next := s.Handler
 	s.ConnContext = func(ctx context.Context, raw net.Conn) context.Context {
-		if c := connOf(raw); c != nil {
-			return context.WithValue(ctx, connKey{}, c)
+		c := connOf(raw)
+		if c == nil {
+			return ctx
 		}
-		return ctx
+		c.secure = net.Conn(c) != raw
+		return context.WithValue(ctx, connKey{}, c)
 	}
 	s.ConnState = func(raw net.Conn, state http.ConnState) {
 		if c := connOf(raw); c != nil && state == http.StateIdle {
@@ -26,10 +28,16 @@
 		}
 	}
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*Conn); ok {
-			c.inHead.Store(false)
-			c.guard.enter(c, phaseServing)
+		c, ok := r.Context().Value(connKey{}).(*Conn)
+		if !ok {
+			next.ServeHTTP(w, r)
+			return
 		}
+		if !c.guard.enter(c, phaseServing) {
+			c.respond(ReasonMemory)
+			panic(http.ErrAbortHandler)
+		}
+		c.inHead.Store(false)
 		next.ServeHTTP(w, r)
 	})
 }
--- a/sidecar/process.go
+++ b/sidecar/process.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"dandelionrelay/api"
 	"dandelionrelay/config"
 	"dandelionrelay/daemon"
 	"dandelionrelay/infra"
@@ -167,7 +168,7 @@
 	go reloader.Run(ctx, hangups)
 	bounds := ingress.NewProcess(daemon.Machine(s.Machine), logger, reg)
 	return p.Serve(ctx, Listeners{
-		Entries: security.Listener(bounds.Callers(listeners[0])),
+		Entries: security.Listener(bounds.Callers(listeners[0], api.WriteError, ingress.AnyHead)),
 		Ops:     bounds.Operators("operators", listeners[1]),
 	})
 }
--- a/test/system/metrics_test.go
+++ b/test/system/metrics_test.go
@@ -16,6 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus/testutil/promlint"
 	"github.com/rs/zerolog"
 
+	"dandelionrelay/api"
 	"dandelionrelay/batch"
 	"dandelionrelay/boottime"
 	"dandelionrelay/config"
@@ -129,7 +130,7 @@
 	registry := prometheus.NewRegistry()
 	ops.DroppedLines(registry)
 	reload.New(&settings.Gateway{}, reload.Options[settings.Gateway]{Metrics: registry})
-	ingress.NewProcess(ingress.Machine{}, zerolog.Nop(), registry).Callers(nil)
+	ingress.NewProcess(ingress.Machine{}, zerolog.Nop(), registry).Callers(nil, api.WriteError, ingress.AnyHead)
 	log := keyed.NewLog(1)
 	g := gateway.New(gateway.Deps{
 		Providers: gateway.Providers{
