--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -120,6 +121,15 @@
 // bytesPerMB is the unit of the settings.
 const bytesPerMB = 1_000_000
 
+// LimitMemory makes the runtime collect garbage as often as it takes to keep to the memory that
+// the machine grants, of which the program itself and its sockets need a part. The environment
+// variable GOMEMLIMIT takes precedence.
+func LimitMemory(m settings.Machine) {
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(m.MemoryMB) * bytesPerMB / 4 * 3)
+	}
+}
+
 // SetLogLevel sets the level of all loggers of the process, also of those that exist.
 // An invalid level means info.
 func SetLogLevel(level string) {
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -33,6 +33,7 @@
 // ctx ends, then drains it and shuts it down.
 func Main(ctx context.Context, path string, s *settings.Entry, logger zerolog.Logger) error {
 	hangups := reload.Hangups()
+	daemon.LimitMemory(s.Machine)
 	security, err := daemon.LoadSecurity(s.TLS)
 	if err != nil {
 		return err
--- a/sidecar/process.go
+++ b/sidecar/process.go
@@ -132,6 +132,7 @@
 // ctx ends, and then drains it.
 func Main(ctx context.Context, path string, s *settings.Sidecar, logger zerolog.Logger) error {
 	hangups := reload.Hangups()
+	daemon.LimitMemory(s.Machine)
 	security, err := daemon.LoadSecurity(s.TLS)
 	if err != nil {
 		return err
