--- a/ingress/server.go
+++ b/ingress/server.go
@@ -41,3 +41,11 @@
 		next.ServeHTTP(w, r)
 	})
 }
+
+// MessageReceived tells the guard of c, if it has one, that a message was received whole and
+// decoded, and that the next one is awaited. Its memory no longer counts.
+func MessageReceived(c net.Conn) {
+	if guarded := connOf(c); guarded != nil {
+		guarded.guard.enter(guarded, phaseIdle)
+	}
+}
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"dandelionrelay/ingress"
 )
 
 // MaxMessageBytes is the maximum size of a request or reply that is read.
@@ -153,7 +155,13 @@
 	s.method = r.ServiceMethod
 	return err
 }
-func (s serverCodec) ReadRequestBody(body any) error { return s.readBody(body) }
+
+// ReadRequestBody implements rpc.ServerCodec.
+func (s serverCodec) ReadRequestBody(body any) error {
+	defer ingress.MessageReceived(s.conn)
+	return s.readBody(body)
+}
+
 func (s serverCodec) WriteResponse(r *rpc.Response, body any) error {
 	return s.write(r.ServiceMethod, r, body)
 }
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -9,7 +9,10 @@
 
 	"github.com/joomcode/errorx"
 	"github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
 
+	"dandelionrelay/ingress"
 	"dandelionrelay/peer"
 )
 
@@ -143,3 +146,27 @@
 		g.Expect(dials).To(gomega.Equal(2))
 	})
 }
+
+// Guards against connections of peers whose calls add up until the listener's share of the
+// memory is used up.
+func TestServer_ReceivedCallsDoNotAddUp(t *testing.T) {
+	g := gomega.NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	server := peer.NewServer()
+	server.Register("Echo", new(Echo))
+	defer server.Close()
+	machine := ingress.Machine{MemoryBytes: 16 << 20, Descriptors: 1000} // 1.5 MB for large calls
+	go server.Serve(ingress.NewProcess(machine, zerolog.Nop(), prometheus.NewRegistry()).Peers(listener))
+	pool := peer.NewPool(peer.DialTCP)
+	defer pool.Close()
+	for range 20 {
+		var out []byte
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		g.Expect(pool.Call(ctx, listener.Addr().String(), "Echo.Say", make([]byte, 400<<10), &out)).To(gomega.Succeed())
+		cancel()
+		g.Expect(out).To(gomega.HaveLen(400 << 10))
+	}
+	var out []byte
+	g.Expect(pool.Call(t.Context(), listener.Addr().String(), "Echo.Say", make([]byte, 1<<20), &out)).NotTo(gomega.Succeed())
+}
--- a/settings/machine.go
+++ b/settings/machine.go
@@ -10,8 +10,9 @@
 // Limits of Machine.
 const (
 	DefaultMemoryMB = 1024
-	// MinMemoryMB is the smallest memory in which a process with no callers fits.
-	MinMemoryMB = 64
+	// MinMemoryMB is the smallest memory of which each listener's share has room for one request
+	// or call of the largest size, 4 MiB.
+	MinMemoryMB = 96
 	// MinDescriptors leaves a process some connections beside its files.
 	MinDescriptors = 256
 )
