--- a/front/front.go
+++ b/front/front.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -13,6 +11,7 @@
 
 	"dandelionrelay/api"
 	"dandelionrelay/config"
+	"dandelionrelay/ingress"
 	"dandelionrelay/pipeline"
 )
 
@@ -60,24 +59,28 @@
 	return pipeline.WithRequestID(ctx, id)
 }
 
+// streamedBytes is the memory for which a body counts that the pipeline reads itself.
+const streamedBytes = 1 << 20
+
 // readBody reads the whole body into c.Body. It fails if the body is longer than maxBody
-// returns, or takes longer than BodyTimeout. It does nothing if the pipeline reads the
-// body itself.
+// returns, or takes longer than BodyTimeout. If the pipeline reads the body itself, it only
+// makes room for that.
 func (h *Handler) readBody(c *pipeline.Call) *api.Error {
 	if h.maxBody == nil {
-		return nil
+		var err error
+		c.R.Body, err = ingress.Stream(c.R, streamedBytes)
+		return ingress.BodyError(err)
 	}
 	control := http.NewResponseController(c.W)
 	// The error is ignored: response recorders in tests don't support deadlines,
 	// all real connections do.
 	_ = control.SetReadDeadline(c.Received.Add(BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(c.W, c.R.Body, h.maxBody()))
+	body, err := ingress.ReadBody(c.W, c.R, h.maxBody())
 	_ = control.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return api.NewError(http.StatusRequestEntityTooLarge, api.CodeTooLarge, "the body exceeds the limit of this service")
-	case err != nil:
+	if refusal := ingress.BodyError(err); refusal != nil {
+		return refusal
+	}
+	if err != nil {
 		return api.NewError(http.StatusBadRequest, api.CodeBadRequest, "the body could not be read in time")
 	}
 	c.Body = body
--- a/ingress/conn_test.go
+++ b/ingress/conn_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/onsi/gomega"
 	"github.com/prometheus/client_golang/prometheus"
@@ -42,7 +43,10 @@
 	s := &http.Server{Handler: handler}
 	Attach(s)
 	go func() { _ = s.Serve(p.Callers(l, api.WriteError, AnyHead)) }()
-	t.Cleanup(func() { _ = s.Close() })
+	t.Cleanup(func() {
+		_ = s.Close()
+		time.Sleep(time.Second) // net/http waits before it closes a connection with unread bytes
+	})
 	return l
 }
 
@@ -51,7 +55,7 @@
 	return "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a: b\r\n", n/6)
 }
 
-func response(g *gomega.WithT, c net.Conn) *http.Response {
+func response(g *gomega.WithT, c io.Reader) *http.Response {
 	r, err := http.ReadResponse(bufio.NewReader(c), nil)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	_, err = io.Copy(io.Discard, r.Body)
--- a/ingress/guard.go
+++ b/ingress/guard.go
@@ -88,8 +88,6 @@
 		return ReasonMemory, false
 	case phaseServing:
 		return "", true // net/http has read a byte ahead
-	case phaseIdle:
-		c.holder.head = 0
 	}
 	g.ledger.enter(&c.holder, phaseReceiving, now)
 	c.holder.head += int64(len(b))
@@ -101,9 +99,17 @@
 		}
 		cost += lineBytes * int64(bytes.Count(b, []byte{'\n'}))
 	}
+	c.holder.headMemory += cost
 	return ReasonMemory, g.reserve(c, cost, now)
 }
 
+// reserveBody charges n more bytes to the request of c, which a handler serves, or refuses it.
+func (g *Guard) reserveBody(c *Conn, n int64, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return c.holder.admitted() && g.reserve(c, n, now)
+}
+
 // reserve charges n more bytes to the request of c, or refuses it. Other requests may give way.
 func (g *Guard) reserve(c *Conn, n int64, now time.Time) bool {
 	evicted, ok := g.ledger.reserve(&c.holder, n)
--- a/ingress/ledger.go
+++ b/ingress/ledger.go
@@ -28,6 +28,18 @@
 	element *list.Element // in the list of its phase
 	bytes   int64         // memory of its request
 	head    int64         // bytes read since it was idle, while these belong to a head
+	// headMemory is the part of bytes that net/http holds until the connection is closed, if a
+	// handler was called.
+	headMemory int64
+	handled    bool // a handler was called
+}
+
+// releasable returns the memory that becomes free if the request of h is refused.
+func (h *holder) releasable() int64 {
+	if h.handled {
+		return h.bytes - h.headMemory
+	}
+	return h.bytes
 }
 
 // admitted reports whether h is in the ledger and was not refused.
@@ -87,8 +99,11 @@
 // heard of or answered now.
 func (l *ledger) enter(h *holder, p phase, now time.Time) {
 	h.since = now
-	if p == phaseIdle {
+	switch p {
+	case phaseIdle:
 		l.free(h)
+	case phaseServing:
+		h.handled = true
 	}
 	queue := l.queues[p]
 	if h.phase == p && queue != nil {
@@ -122,9 +137,12 @@
 	return evicted, true
 }
 
-// refuse frees the memory of the request of h, whose connection is about to be closed.
+// refuse frees what it can of the memory of the request of h, whose connection is about to be
+// closed.
 func (l *ledger) refuse(h *holder) {
-	l.free(h)
+	released := h.releasable()
+	h.bytes -= released
+	l.bytes -= released
 	l.enter(h, phaseClosing, h.since)
 }
 
@@ -135,8 +153,8 @@
 	var large, small []*holder
 	for e := l.queues[phaseReceiving].Front(); e != nil; e = e.Next() {
 		switch v := e.Value.(*holder); {
-		case v == h || v.bytes == 0:
-		case v.bytes > smallRequestBytes:
+		case v == h || v.releasable() == 0:
+		case v.releasable() > smallRequestBytes:
 			large = append(large, v)
 		default:
 			small = append(small, v)
@@ -144,7 +162,7 @@
 	}
 	ordered := append(large, small...)
 	for n, v := range ordered {
-		if missing -= v.bytes; missing <= 0 {
+		if missing -= v.releasable(); missing <= 0 {
 			return ordered[:n+1]
 		}
 	}
@@ -154,7 +172,8 @@
 // free releases the memory of the request of h.
 func (l *ledger) free(h *holder) {
 	l.bytes -= h.bytes
-	h.bytes = 0
+	h.bytes, h.headMemory, h.head = 0, 0, 0
+	h.handled = false
 }
 
 func (l *ledger) leaveQueue(h *holder) {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -28,8 +28,8 @@
 		}
 	}
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c, ok := r.Context().Value(connKey{}).(*Conn)
-		if !ok {
+		c := connFrom(r.Context())
+		if c == nil {
 			next.ServeHTTP(w, r)
 			return
 		}
--- a/jobs/accept.go
+++ b/jobs/accept.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"dandelionrelay/api"
+	"dandelionrelay/ingress"
 )
 
 // logRetryAfter is the Retry-After sent to callers while the log is
@@ -189,10 +190,10 @@
 	}
 }
 
+// readError returns the response to a request whose body could not be read.
 func readError(err error) *api.Error {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return api.NewError(http.StatusRequestEntityTooLarge, api.CodeTooLarge, err.Error())
+	if refusal := ingress.BodyError(err); refusal != nil {
+		return refusal
 	}
 	return api.NewError(http.StatusBadRequest, api.CodeBadRequest, "the body could not be read: "+err.Error())
 }
--- a/jobs/http.go
+++ b/jobs/http.go
@@ -11,6 +11,7 @@
 
 	"dandelionrelay/api"
 	"dandelionrelay/infra"
+	"dandelionrelay/ingress"
 	"dandelionrelay/pipeline"
 )
 
@@ -116,6 +117,9 @@
 		if errors.Is(err, io.EOF) {
 			return nil, "", badRequest("the form has no field file")
 		}
+		if refusal := ingress.BodyError(err); refusal != nil {
+			return nil, "", refusal
+		}
 		if err != nil {
 			return nil, "", badRequest("the form could not be read: " + err.Error())
 		}
@@ -160,7 +164,11 @@
 	var in jobRequest
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxDocumentBytes))
 	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&in); err != nil {
+	err := decoder.Decode(&in)
+	if refusal := ingress.BodyError(err); refusal != nil {
+		return refusal
+	}
+	if err != nil {
 		return badRequest("the body is not a batch document: " + err.Error())
 	}
 	params := &JobParams{Endpoint: in.Endpoint, Window: in.CompletionWindow, Metadata: in.Metadata}
--- a/sidecar/request.go
+++ b/sidecar/request.go
@@ -1,13 +1,12 @@
 package sidecar
 
 import (
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"dandelionrelay/api"
+	"dandelionrelay/ingress"
 )
 
 // defaultDeadline is the time to the deadline of requests that carry none.
@@ -57,10 +56,9 @@
 		}
 		req.Deadline = now.Add(time.Duration(ms) * time.Millisecond)
 	}
-	body, err := readBody(http.MaxBytesReader(w, r.Body, s.settings.MaxBodyBytes), r.ContentLength)
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, api.NewError(http.StatusRequestEntityTooLarge, api.CodeTooLarge, "request body is too large")
+	body, err := ingress.ReadBody(w, r, s.settings.MaxBodyBytes)
+	if refusal := ingress.BodyError(err); refusal != nil {
+		return nil, refusal
 	}
 	if err != nil {
 		return nil, api.NewError(http.StatusBadRequest, api.CodeBadRequest, "request body is cut short")
@@ -77,18 +75,3 @@
 	}
 	return float64(len(r.Body)/tokenBytes + tokens)
 }
-
-// maxPreallocatedBytes bounds the bytes that are allocated for a body before any
-// of it is read, as its Content-Length may be wrong.
-const maxPreallocatedBytes = 256 << 10
-
-// readBody reads all of r. length is its Content-Length, or -1 if that is
-// unknown.
-func readBody(r io.Reader, length int64) ([]byte, error) {
-	if length <= 0 || length > maxPreallocatedBytes {
-		return io.ReadAll(r)
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(r, body)
-	return body, err
-}
