--- a/ingress/body.go
+++ b/ingress/body.go
@@ -117,10 +117,10 @@
 
 // reserve counts n bytes of a buffer.
 func (b bodyReader) reserve(n int64) error {
-	if b.conn != nil && !b.conn.guard.reserveBody(b.conn, copies*n, time.Now()) {
-		return errRefused
+	if b.conn == nil {
+		return nil
 	}
-	return nil
+	return b.conn.guard.reserveBody(b.conn, copies*n, time.Now())
 }
 
 // grow returns buffer with more room: twice as much, but not more than length, which is the
--- a/ingress/guard.go
+++ b/ingress/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/http"
 	"sync"
 	"time"
 
@@ -103,11 +104,19 @@
 	return ReasonMemory, g.reserve(c, cost, now)
 }
 
-// reserveBody charges n more bytes to the request of c, which a handler serves, or refuses it.
-func (g *Guard) reserveBody(c *Conn, n int64, now time.Time) bool {
+// reserveBody charges n more bytes to the request of c, which a handler serves. It fails with
+// errRefused if the request is refused, and with a *http.MaxBytesError if it could not be served
+// beside no others either.
+func (g *Guard) reserveBody(c *Conn, n int64, now time.Time) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return c.holder.admitted() && g.reserve(c, n, now)
+	if most := g.ledger.limits.large(); c.holder.bytes+n > most {
+		return &http.MaxBytesError{Limit: most}
+	}
+	if !c.holder.admitted() || !g.reserve(c, n, now) {
+		return errRefused
+	}
+	return nil
 }
 
 // reserve charges n more bytes to the request of c, or refuses it. Other requests may give way.
