--- a/route/route.go
+++ b/route/route.go
@@ -2,6 +2,7 @@
 package route
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -14,6 +15,7 @@
 
 	"dandelionrelay/api"
 	"dandelionrelay/config"
+	"dandelionrelay/ingress"
 	"dandelionrelay/pipeline"
 )
 
@@ -74,6 +76,9 @@
 	return time.Duration(r.Timeout)
 }
 
+// messageBytes is the memory of a decoded message of a chat beside its texts.
+const messageBytes = 64
+
 // parseChat parses and checks the body of a chat or completions call.
 func parseChat(c *pipeline.Call) *api.Error {
 	if c.R.Method != http.MethodPost {
@@ -85,6 +90,10 @@
 				"the content type must be application/json")
 		}
 	}
+	messages := int64(bytes.Count(c.Body, []byte{'{'}))
+	if refusal := ingress.BodyError(ingress.Reserve(c.R.Context(), messageBytes*messages)); refusal != nil {
+		return refusal
+	}
 	chat := new(api.ChatRequest)
 	if err := json.Unmarshal(c.Body, chat); err != nil {
 		return badRequest(jsonErrorMessage(err))
--- a/standin/crowd/form.go
+++ b/standin/crowd/form.go
@@ -90,18 +90,22 @@
 // items are the JSON texts before and after the items of a job, fields those before and
 // after the fields of the header of an item.
 func JobForms(t Target, items, fields [2]string) []Form {
-	job := func(name string, body []byte) Form {
-		return Form{Name: name, Conns: bodyConns, send: func(w io.Writer, id string) {
-			write(w, withLength(t.head(id), len(body)))
-			_, _ = w.Write(body)
-		}}
-	}
 	return []Form{
-		job("job of many empty items", fillJSON(items, func(int) string { return "{}" })),
-		job("job of many header fields", fillJSON(fields, func(n int) string { return fmt.Sprintf(`"%06x":""`, n) })),
+		JSONForm("job of many empty items", t, items, func(int) string { return "{}" }),
+		JSONForm("job of many header fields", t, fields, func(n int) string { return fmt.Sprintf(`"%06x":""`, n) }),
 	}
 }
 
+// JSONForm returns a form of requests with a JSON body of legal size at t: around's first text,
+// as many elements as fit, and around's second text.
+func JSONForm(name string, t Target, around [2]string, element func(n int) string) Form {
+	body := fillJSON(around, element)
+	return Form{Name: name, Conns: bodyConns, send: func(w io.Writer, id string) {
+		write(w, withLength(t.head(id), len(body)))
+		_, _ = w.Write(body)
+	}}
+}
+
 // PeerForms returns forms that only a listener for calls of net/rpc, which gob encodes, takes
 // for the beginning of a message.
 func PeerForms() []Form {
--- a/test/processes/crowd_test.go
+++ b/test/processes/crowd_test.go
@@ -130,6 +130,8 @@
 func TestCrowd_Callers(t *testing.T) {
 	skipBesideOthers(t)
 	forms := crowd.Forms(crowdTarget("/v1/chat/completions"))
+	forms = append(forms, crowd.JSONForm("chat of many empty messages", crowdTarget("/v1/chat/completions"),
+		[2]string{`{"model":"assistant-small","messages":[`, `]}`}, func(int) string { return "{}" }))
 	for _, f := range crowd.Forms(crowdTarget("/v1/batches")) {
 		if strings.HasPrefix(f.Name, "large body") {
 			f.Name += " of a job"
