--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -15,6 +16,7 @@
 
 	"dandelionrelay/api"
 	"dandelionrelay/invariant"
+	"dandelionrelay/upstream"
 )
 
 // copyBufferBytes is the size of the buffers for copying responses.
@@ -157,3 +159,15 @@
 	}
 	return true
 }
+
+// detectResets returns dial with connections that do not take a reset for the end of a
+// response.
+func detectResets(dial func(ctx context.Context, network, addr string) (net.Conn, error)) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return upstream.DetectResets(c), nil
+	}
+}
--- a/sidecar/settings.go
+++ b/sidecar/settings.go
@@ -99,7 +99,7 @@
 		cold:        coldState{startedAt: time.Now()},
 		sharedCheck: sharedCheck{busy: make(chan struct{}, 1)},
 		transport: &http.Transport{
-			DialContext:        deps.Dial,
+			DialContext:        detectResets(deps.Dial),
 			DisableCompression: true,
 			// Endpoints don't name the request that an answer belongs to, so a second
 			// copy of an answer would be taken for that of the next request.
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"time"
@@ -17,6 +18,7 @@
 	left     int       // bytes that may still be read; unlimitedReads: any number
 	requests int       // sent so far
 	carried  []uint64  // hashes of the IDs of these requests
+	writes   writes    // that are concurrent with reads
 }
 
 // unlimitedReads lifts the limit on the bytes that are read from a connection.
@@ -44,16 +46,20 @@
 }
 
 // read reads data that is already in the socket buffer even if the deadline has
-// passed: this process may have been delayed rather than the endpoint.
+// passed: this process may have been delayed rather than the endpoint. It takes the end of the
+// connection for one only if no write has learnt of a reset.
 func (c *conn) read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
-		return n, err
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		if err := c.Conn.SetReadDeadline(time.Now().Add(lateReadTimeout)); err != nil {
+			return 0, err
+		}
+		n, err = c.Conn.Read(b)
 	}
-	if err := c.Conn.SetReadDeadline(time.Now().Add(lateReadTimeout)); err != nil {
-		return 0, err
+	if err == io.EOF {
+		err = c.writes.checkEnd()
 	}
-	return c.Conn.Read(b)
+	return n, err
 }
 
 func (c *conn) close() { _ = c.Conn.Close() }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -162,8 +162,10 @@
 	x.writeResult = make(chan error, 1)
 	go func() {
 		buffers := net.Buffers{head, r.Body}
-		_, err := buffers.WriteTo(x.conn.Conn)
-		x.writeResult <- err
+		x.writeResult <- x.conn.writes.do(func() error {
+			_, err := buffers.WriteTo(x.conn.Conn)
+			return err
+		})
 	}()
 	return nil
 }
