--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -61,11 +61,19 @@
 		ContentLength: int64(len(req.Body)),
 	}).WithContext(ctx)
 	resp, err := s.transport.RoundTrip(out)
-	if err == nil {
-		s.observeCold(resp.Header)
-		return resp, nil
+	if err != nil {
+		return nil, callError(ctx, sent.Load())
+	}
+	if !upstream.ValidStatus(resp.StatusCode) {
+		_ = resp.Body.Close() // the connection is not used again
+		return nil, endpointLost().WithOutcome(api.Unknown)
 	}
-	return nil, callError(ctx, sent.Load())
+	s.observeCold(resp.Header)
+	return resp, nil
+}
+
+func endpointLost() *api.Error {
+	return api.NewError(http.StatusBadGateway, api.CodeEndpointLost, "the endpoint was lost")
 }
 
 // checkStartInvariants checks the invariants that hold whenever an attempt is
@@ -91,7 +99,7 @@
 // callError returns the error of a failed call to the endpoint. sent reports
 // whether a connection was obtained for it.
 func callError(ctx context.Context, sent bool) *api.Error {
-	e := api.NewError(http.StatusBadGateway, api.CodeEndpointLost, "the endpoint was lost")
+	e := endpointLost()
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		e = api.NewError(http.StatusGatewayTimeout, api.CodeDeadline, "the deadline passed")
 	}
--- a/sidecar/reset_test.go
+++ b/sidecar/reset_test.go
@@ -103,3 +103,19 @@
 		}
 	}
 }
+
+// Guards against statuses that HTTP does not have and that pass for a response, or crash the
+// handler.
+func TestSidecar_InvalidStatus(t *testing.T) {
+	for _, status := range []string{"000", "099", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			l := endpointListener(t)
+			go serveRaw(l, func(c *net.TCPConn) { _, _ = fmt.Fprintf(c, "HTTP/1.1 %s Odd\r\nContent-Length: 2\r\n\r\nno", status) })
+			got, body, err := post(newSidecarBeside(t, l), "odd", 1)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(got).To(gomega.Equal(http.StatusBadGateway))
+			g.Expect(body).To(gomega.ContainSubstring(`"outcome":"unknown"`))
+		})
+	}
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -206,6 +206,9 @@
 		if err != nil {
 			return err
 		}
+		if !ValidStatus(response.StatusCode) {
+			return errorx.IllegalState.New("response with invalid status %d", response.StatusCode)
+		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
--- a/upstream/valid.go
+++ b/upstream/valid.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"net/http"
 	"strings"
 
 	"github.com/joomcode/errorx"
@@ -71,3 +72,9 @@
 	}
 	return nil
 }
+
+// ValidStatus reports whether a response may have the status: it is one of HTTP's (RFC 9110,
+// section 15), and the connection stays one of HTTP/1.1.
+func ValidStatus(status int) bool {
+	return status >= 100 && status <= 599 && status != http.StatusSwitchingProtocols
+}
