--- a/batch/results.go
+++ b/batch/results.go
@@ -149,3 +149,12 @@
 	}
 	return nil
 }
+
+// Bytes returns the size of all outputs of the page, in bytes.
+func (p Page) Bytes() int {
+	size := 0
+	for _, r := range p.Results {
+		size += len(r.Output)
+	}
+	return size
+}
