--- a/ingress/conn_test.go
+++ b/ingress/conn_test.go
@@ -99,3 +99,34 @@
 		g.Expect(served).To(gomega.Equal(1))
 	})
 }
+
+// Guards against a second response on a connection whose request was refused just as its last
+// byte came, so that net/http takes it for idle.
+func TestConn_RefusedOnceAnswered(t *testing.T) {
+	g := gomega.NewWithT(t)
+	client, server := net.Pipe()
+	p := NewProcess(Machine{MemoryBytes: 2 << 20, Descriptors: 1000}, zerolog.Nop(), prometheus.NewRegistry())
+	conns := pipeListener{make(chan net.Conn, 1)}
+	conns.conns <- server
+	accepted, err := p.Callers(conns, api.WriteError, AnyHead).Accept()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	c := accepted.(*Conn)
+	s := &http.Server{Handler: http.NotFoundHandler()}
+	Attach(s)
+
+	c.inHead.Store(false) // a handler serves the request
+	c.guard.mu.Lock()
+	c.guard.refuse(c, ReasonMemory, time.Now())
+	c.guard.mu.Unlock()
+	s.ConnState(c, http.StateIdle)
+	received := make(chan string)
+	go func() {
+		b, _ := io.ReadAll(client)
+		received <- string(b)
+	}()
+	go func() { _, _ = io.WriteString(client, "G") }()
+	_, err = c.Read(make([]byte, 1))
+	g.Expect(err).To(gomega.MatchError(errRefused))
+	g.Expect(c.Close()).To(gomega.Succeed())
+	g.Expect(<-received).To(gomega.BeEmpty())
+}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -22,9 +22,13 @@
 		return context.WithValue(ctx, connKey{}, c)
 	}
 	s.ConnState = func(raw net.Conn, state http.ConnState) {
-		if c := connOf(raw); c != nil && state == http.StateIdle {
+		c := connOf(raw)
+		if c == nil || state != http.StateIdle {
+			return
+		}
+		// A connection that was refused is not: nothing may follow the response that it got.
+		if c.guard.enter(c, phaseIdle) {
 			c.inHead.Store(true)
-			c.guard.enter(c, phaseIdle)
 		}
 	}
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
