--- a/sidecar/reset_test.go
+++ b/sidecar/reset_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"syscall"
 	"testing"
 	"time"
 
@@ -17,6 +16,7 @@
 	"dandelionrelay/api"
 	"dandelionrelay/config"
 	"dandelionrelay/sidecar"
+	"dandelionrelay/standin/network"
 )
 
 // resetRuns is the number of requests: which of two system calls learns of a reset is up to
@@ -56,13 +56,10 @@
 	return response.StatusCode, string(b), err
 }
 
-// endpointListener listens with a small receive buffer, so that a large request stays in the
+// endpointListener listens with small receive buffers, so that a large request stays in the
 // sender's until it is read.
 func endpointListener(t *testing.T) net.Listener {
-	small := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
-	}}
-	l, err := small.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	l, err := network.ListenSmall(t.Context())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/standin/streams/streams.go
+++ b/standin/streams/streams.go
@@ -8,70 +8,12 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httputil"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"dandelionrelay/placement"
-	"dandelionrelay/upstream"
-)
-
-// Header fields of the stand-in's dialect.
-const (
-	HeaderID        = "X-Request"
-	HeaderNotRun    = "X-Not-Run"
-	HeaderSigned    = "X-Vouched"
-	HeaderEndpoint  = "X-Endpoint"
-	HeaderCustomer  = "X-Customer"
-	HeaderRemaining = "X-Remaining-Ms"
-	HeaderLimit     = "X-Limit"
-	HeaderLeaving   = "X-Leaving"
-	HeaderCold      = "X-Cold-Ms"
-	HeaderVersion   = "X-Version" // expected by the sender of a request
 )
 
-// Dialect implements upstream.Dialect with the header fields above.
-type Dialect struct{}
-
-// Write implements upstream.Dialect.
-func (Dialect) Write(h http.Header, m upstream.RequestMetadata) {
-	if m.Request != "" {
-		h.Set(HeaderID, m.Request)
-	}
-	h.Set(HeaderEndpoint, m.Endpoint)
-	h.Set(HeaderCustomer, m.Customer)
-	h.Set(HeaderRemaining, strconv.FormatInt(m.Remaining.Milliseconds(), 10))
-	if m.Resume {
-		h.Set("Last-Event-Id", strconv.FormatInt(m.LastEvent, 10))
-	}
-}
-
-// NotRun implements upstream.Dialect.
-func (Dialect) NotRun(r *http.Response) bool { return r.Header.Get(HeaderNotRun) != "" }
-
-// Misdirected implements upstream.Dialect.
-func (Dialect) Misdirected(r *http.Response) bool {
-	return r.StatusCode == http.StatusMisdirectedRequest
-}
-
-// Conditional implements upstream.Dialect.
-func (Dialect) Conditional(h http.Header) bool { return h.Get(HeaderVersion) != "" }
-
-// Notice implements upstream.Dialect.
-func (Dialect) Notice(r *http.Response) (placement.Notice, error) {
-	limit, err := strconv.ParseFloat(r.Header.Get(HeaderLimit), 64)
-	n := placement.Notice{Limited: err == nil, Limit: limit, Leaving: r.Header.Get(HeaderLeaving) != ""}
-	if ms, err := strconv.ParseInt(r.Header.Get(HeaderCold), 10, 64); err == nil {
-		n.Cold = placement.ColdNotice{Given: true, Left: time.Duration(ms) * time.Millisecond}
-	}
-	return n, nil
-}
-
-// Signed implements upstream.Dialect.
-func (Dialect) Signed(r *http.Response) bool { return r.Header.Get(HeaderSigned) != "" }
-
 // Behaviour is how the endpoint handles one request. The zero value sends a complete
 // response.
 type Behaviour struct {
@@ -313,90 +255,3 @@
 	}
 	e.stream(w, r, id, last, b)
 }
-
-// streamUnframed sends a response that ends with its connection.
-func (e *Endpoint) streamUnframed(w http.ResponseWriter, id string, last int, b Behaviour) {
-	c, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return
-	}
-	defer func() { _ = c.Close() }()
-	_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\n")
-	_ = w.Header().Write(c) // write errors mean that the caller has left
-	_, _ = fmt.Fprint(c, "\r\n")
-	delay := e.FirstEventDelay
-	for n := last + 1; n <= e.Events && b.EndAfter >= 0; n++ {
-		time.Sleep(delay)
-		delay = e.EventInterval
-		text := e.event(id, n)
-		if b.EndAfter > 0 && n-last > b.EndAfter {
-			_, _ = fmt.Fprint(c, text[:len(text)-3])
-			return
-		}
-		if _, err := fmt.Fprint(c, text); err != nil {
-			return
-		}
-	}
-}
-
-// streamAfter writes b.Before to the connection, and then a response in chunks.
-func (e *Endpoint) streamAfter(w http.ResponseWriter, r *http.Request, id string, last int, b Behaviour) {
-	c, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return
-	}
-	defer func() { _ = c.Close() }()
-	// Write errors mean that the caller has left.
-	_, _ = fmt.Fprint(c, b.Before, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n")
-	_ = w.Header().Write(c)
-	_, _ = fmt.Fprint(c, "\r\n")
-	body := httputil.NewChunkedWriter(c)
-	e.stream(&rawWriter{Writer: body}, r, id, last, b)
-	_ = body.Close()
-	_, _ = fmt.Fprint(c, "\r\n")
-}
-
-// rawWriter is a ResponseWriter for a body whose head is written already.
-type rawWriter struct{ io.Writer }
-
-// Header implements http.ResponseWriter.
-func (*rawWriter) Header() http.Header { return nil }
-
-// WriteHeader implements http.ResponseWriter.
-func (*rawWriter) WriteHeader(int) {}
-
-// Flush implements http.Flusher.
-func (*rawWriter) Flush() {}
-
-func (e *Endpoint) stream(w http.ResponseWriter, r *http.Request, id string, last int, b Behaviour) {
-	if b.Insert != "" && b.InsertAfter == 0 {
-		_, _ = io.WriteString(w, b.Insert)
-		if b.EndAfterInsert {
-			return
-		}
-	}
-	delay := e.FirstEventDelay
-	for n := last + 1; n <= e.Events || b.Endless; n++ {
-		select {
-		case <-time.After(delay):
-		case <-r.Context().Done():
-			return
-		}
-		delay = e.EventInterval
-		_, _ = w.Write([]byte(e.event(id, n)))
-		_ = http.NewResponseController(w).Flush()
-		if b.Insert != "" && b.InsertAfter == n-last {
-			_, _ = io.WriteString(w, b.Insert)
-			if b.EndAfterInsert {
-				return
-			}
-		}
-		if b.AbortAfter == n-last {
-			panic(http.ErrAbortHandler)
-		}
-		if b.StallAfter == n-last {
-			<-r.Context().Done()
-			return
-		}
-	}
-}
--- a/upstream/reset_test.go
+++ b/upstream/reset_test.go
@@ -7,25 +7,22 @@
 	"io"
 	"net"
 	"net/http"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
-	"golang.org/x/sys/unix"
+
+	"dandelionrelay/standin/network"
 )
 
 // resetRuns is the number of exchanges of each case: which of two system calls learns of a
 // reset is up to the kernel.
 const resetRuns = 12
 
-// listenSmall listens for connections with a small receive buffer, so that a large request
-// stays in the sender's until it is read.
+// listenSmall listens with small receive buffers, so that a large request stays in the sender's
+// until it is read.
 func listenSmall(t *testing.T) net.Listener {
-	small := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 4<<10) })
-	}}
-	l, err := small.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	l, err := network.ListenSmall(t.Context())
 	if err != nil {
 		t.Fatal(err)
 	}
