--- a/ingress/refusal.go
+++ b/ingress/refusal.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dandelionrelay/api"
+	"dandelionrelay/pipeline"
 )
 
 // retryAfter is the Retry-After of a request that is refused for ReasonMemory.
@@ -24,29 +25,13 @@
 
 // rawResponse returns the bytes of the response that write writes, which closes the connection.
 func rawResponse(write func(http.ResponseWriter)) []byte {
-	r := &recorder{header: make(http.Header)}
-	write(r)
+	b := pipeline.NewBufferedResponse()
+	write(b)
 	response := &http.Response{
-		StatusCode: r.status, ProtoMajor: 1, ProtoMinor: 1, Header: r.header, Close: true,
-		Body: io.NopCloser(&r.body), ContentLength: int64(r.body.Len()),
+		StatusCode: b.Status, ProtoMajor: 1, ProtoMinor: 1, Header: b.Header(), Close: true,
+		Body: io.NopCloser(&b.Body), ContentLength: int64(b.Body.Len()),
 	}
 	var raw bytes.Buffer
 	_ = response.Write(&raw) // a Buffer takes everything
 	return raw.Bytes()
 }
-
-// recorder is an http.ResponseWriter that keeps the response.
-type recorder struct {
-	header http.Header
-	status int
-	body   bytes.Buffer
-}
-
-// Header implements http.ResponseWriter.
-func (r *recorder) Header() http.Header { return r.header }
-
-// WriteHeader implements http.ResponseWriter.
-func (r *recorder) WriteHeader(status int) { r.status = status }
-
-// Write implements http.ResponseWriter.
-func (r *recorder) Write(b []byte) (int, error) { return r.body.Write(b) }
