--- a/ingress/body_test.go
+++ b/ingress/body_test.go
@@ -33,8 +33,9 @@
 	return fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", announced, strings.Repeat("x", sent))
 }
 
-// send sends text on a new connection to l.
+// send sends text on a new connection to l, once the requests before have ended.
 func send(l pipeListener, text string) io.ReadWriter {
+	synctest.Wait()
 	c := l.dial()
 	go func() { _, _ = io.WriteString(c, text) }()
 	synctest.Wait()
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -31,6 +31,10 @@
 // respond to others.
 var errRefused = errors.New("refused at a limit of the listener")
 
+// writePieceBytes is the part of a response of which the other side must take something before
+// it counts as silent.
+const writePieceBytes = 64 << 10
+
 // pastDeadline interrupts reads.
 var pastDeadline = time.Unix(1, 0)
 
@@ -55,13 +59,23 @@
 	return 0, &net.OpError{Op: "read", Net: c.RemoteAddr().Network(), Addr: c.RemoteAddr(), Err: errRefused}
 }
 
-// Write implements net.Conn. It fails once respond has written a response, as servers may take
-// a head that breaks off for a malformed one.
+// Write implements net.Conn. The connection may give way to others while the other side takes
+// nothing. It fails once respond has written a response, as servers may take a head that breaks
+// off for a malformed one.
 func (c *Conn) Write(b []byte) (int, error) {
 	if c.answered.Load() {
 		return 0, &net.OpError{Op: "write", Net: c.RemoteAddr().Network(), Addr: c.RemoteAddr(), Err: errRefused}
 	}
-	return c.Conn.Write(b)
+	defer c.guard.endWrite(c)
+	written := 0
+	for {
+		c.guard.beginWrite(c)
+		n, err := c.Conn.Write(b[written:min(len(b), written+writePieceBytes)])
+		written += n
+		if err != nil || written == len(b) {
+			return written, err
+		}
+	}
 }
 
 // respond tells the other side why its request is refused, unless a handler serves it.
--- a/ingress/guard.go
+++ b/ingress/guard.go
@@ -78,6 +78,25 @@
 	return true
 }
 
+// beginWrite records that the other side of c, whose request is served, is to take a part of the
+// response.
+func (g *Guard) beginWrite(c *Conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.holder.phase == phaseServing || c.holder.phase == phaseWriting {
+		g.ledger.enter(&c.holder, phaseWriting, time.Now())
+	}
+}
+
+// endWrite records that the other side of c has taken that part, or that the write has failed.
+func (g *Guard) endWrite(c *Conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.holder.phase == phaseWriting {
+		g.ledger.enter(&c.holder, phaseServing, time.Now())
+	}
+}
+
 // receive records that b was read of the head of a request, or of a message without one. It
 // returns the reason for which c is refused, if it is.
 func (g *Guard) receive(c *Conn, b []byte) (Reason, bool) {
@@ -121,9 +140,13 @@
 
 // reserve charges n more bytes to the request of c, or refuses it. Other requests may give way.
 func (g *Guard) reserve(c *Conn, n int64, now time.Time) bool {
-	evicted, ok := g.ledger.reserve(&c.holder, n)
+	evicted, ok := g.ledger.reserve(&c.holder, n, now)
 	for _, h := range evicted {
-		h.conn.interrupt()
+		if h.phase == phaseNone {
+			_ = h.conn.Conn.Close() // its write fails, which is all that is left to do
+		} else {
+			h.conn.interrupt()
+		}
 		g.record(ReasonMemory, now)
 	}
 	if !ok {
--- a/ingress/ledger.go
+++ b/ingress/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"slices"
 	"time"
 )
 
@@ -13,12 +14,16 @@
 	phaseIdle                   // no byte of a request has come
 	phaseReceiving              // the rest of a request is awaited
 	phaseServing                // a request is served
+	phaseWriting                // the other side is to take a part of the response
 	phaseClosing                // the other side is to read a refusal and to close
 )
 
-// evictable lists the phases in which a connection gives way to others, in the order in which
-// they do if their other sides have been silent for equally long.
-var evictable = []phase{phaseClosing, phaseIdle, phaseReceiving}
+// evictable lists the phases in which a connection may give way to others.
+var evictable = []phase{phaseClosing, phaseIdle, phaseReceiving, phaseWriting}
+
+// writeStall is the time after which the other side of a connection has stalled that takes
+// nothing of a response.
+const writeStall = time.Second
 
 // holder is the part of a connection that the ledger keeps.
 type holder struct {
@@ -36,7 +41,7 @@
 
 // releasable returns the memory that becomes free if the request of h is refused.
 func (h *holder) releasable() int64 {
-	if h.handled {
+	if h.handled && h.phase != phaseWriting {
 		return h.bytes - h.headMemory
 	}
 	return h.bytes
@@ -66,7 +71,7 @@
 // returns; this is h itself if all others are being served.
 func (l *ledger) add(h *holder, now time.Time) (evicted *holder) {
 	if l.conns >= l.limits.Conns {
-		if evicted = l.longestSilent(); evicted == nil {
+		if evicted = l.longestSilent(now); evicted == nil {
 			return h
 		}
 		l.remove(evicted)
@@ -77,7 +82,7 @@
 }
 
 // longestSilent returns the connection that gives way to a new one, or nil if there is none.
-func (l *ledger) longestSilent() *holder {
+func (l *ledger) longestSilent(now time.Time) *holder {
 	var longest *holder
 	for _, p := range evictable {
 		front := l.queues[p].Front()
@@ -88,6 +93,9 @@
 		if p == phaseClosing {
 			return h
 		}
+		if p == phaseWriting && now.Sub(h.since) < writeStall {
+			continue
+		}
 		if longest == nil || h.since.Before(longest.since) {
 			longest = h
 		}
@@ -119,18 +127,22 @@
 
 // reserve charges n more bytes to the request of h, for which the requests evicted give way. If
 // that is not enough, it charges nothing and returns false; nothing is evicted then.
-func (l *ledger) reserve(h *holder, n int64) (evicted []*holder, ok bool) {
+func (l *ledger) reserve(h *holder, n int64, now time.Time) (evicted []*holder, ok bool) {
 	limit := l.limits.RequestBytes
 	if h.bytes+n > smallRequestBytes {
 		limit = l.limits.large()
 	}
 	if missing := l.bytes + n - limit; missing > 0 {
-		if evicted = l.victims(h, missing); evicted == nil {
+		if evicted = l.victims(h, missing, now); evicted == nil {
 			return nil, false
 		}
 	}
 	for _, v := range evicted {
-		l.refuse(v)
+		if v.phase == phaseWriting {
+			l.remove(v) // there is no other response for its request
+		} else {
+			l.refuse(v)
+		}
 	}
 	h.bytes += n
 	l.bytes += n
@@ -147,10 +159,16 @@
 }
 
 // victims returns requests that give way to that of h and hold missing bytes or more together.
-// It returns nil if there are not enough. Requests that are being received give way: large ones
-// first, and of these the ones whose callers have been silent for longest.
-func (l *ledger) victims(h *holder, missing int64) []*holder {
-	var large, small []*holder
+// It returns nil if there are not enough. Requests give way whose callers have stalled while
+// they are answered, and those that are being received: large ones first, and of these the ones
+// whose callers have been silent for longest.
+func (l *ledger) victims(h *holder, missing int64, now time.Time) []*holder {
+	var stalled, large, small []*holder
+	for e := l.queues[phaseWriting].Front(); e != nil; e = e.Next() {
+		if v := e.Value.(*holder); now.Sub(v.since) >= writeStall && v.bytes > 0 {
+			stalled = append(stalled, v)
+		}
+	}
 	for e := l.queues[phaseReceiving].Front(); e != nil; e = e.Next() {
 		switch v := e.Value.(*holder); {
 		case v == h || v.releasable() == 0:
@@ -160,7 +178,7 @@
 			small = append(small, v)
 		}
 	}
-	ordered := append(large, small...)
+	ordered := slices.Concat(stalled, large, small)
 	for n, v := range ordered {
 		if missing -= v.releasable(); missing <= 0 {
 			return ordered[:n+1]
--- a/ingress/ledger_test.go
+++ b/ingress/ledger_test.go
@@ -62,7 +62,7 @@
 	h := new(holder)
 	g.Expect(l.add(h, at(since))).To(gomega.BeNil())
 	l.enter(h, phaseReceiving, at(since))
-	evicted, ok := l.reserve(h, n)
+	evicted, ok := l.reserve(h, n, at(4))
 	g.Expect(evicted).To(gomega.BeEmpty())
 	g.Expect(ok).To(gomega.BeTrue())
 	return h
@@ -81,7 +81,7 @@
 
 	third := new(holder)
 	l.add(third, at(4))
-	evicted, ok := l.reserve(third, 3*unit)
+	evicted, ok := l.reserve(third, 3*unit, at(4))
 	g.Expect(ok).To(gomega.BeTrue())
 	g.Expect(evicted).To(gomega.Equal([]*holder{second}), "a large request whose caller is silent for longest")
 	g.Expect(second.admitted()).To(gomega.BeFalse())
@@ -89,7 +89,7 @@
 
 	l.enter(first, phaseServing, at(5))
 	l.enter(third, phaseServing, at(5))
-	evicted, ok = l.reserve(receive(g, l, 6, 100), 2*unit)
+	evicted, ok = l.reserve(receive(g, l, 6, 100), 2*unit, at(4))
 	g.Expect(ok).To(gomega.BeFalse(), "what is served stays, and small requests are not enough")
 	g.Expect(evicted).To(gomega.BeEmpty())
 	g.Expect(small.admitted()).To(gomega.BeTrue())
@@ -100,3 +100,30 @@
 	l.remove(third)
 	g.Expect(l.bytes).To(gomega.BeEquivalentTo(1000 + 100 + smallRequestBytes))
 }
+
+// Guards against callers that do not read responses and so keep others out: their connections
+// and the memory of their requests.
+func TestLedger_StalledCallersGiveWay(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const unit = 100 << 10
+	l := newLedger(Limits{Conns: 3, RequestBytes: 8 * unit})
+	stalled, slow := receive(g, l, 0, 3*unit), receive(g, l, 0, 3*unit)
+	l.enter(stalled, phaseServing, at(1))
+	l.enter(stalled, phaseWriting, at(2))
+	l.enter(slow, phaseWriting, at(3)) // takes the response, though slowly
+
+	next := new(holder)
+	g.Expect(l.add(next, at(3))).To(gomega.BeNil())
+	evicted, ok := l.reserve(next, 2*unit, at(3))
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(evicted).To(gomega.Equal([]*holder{stalled}))
+	g.Expect(stalled.phase).To(gomega.Equal(phaseNone))
+	g.Expect(l.bytes).To(gomega.BeEquivalentTo(5 * unit))
+
+	l.enter(next, phaseServing, at(3))
+	g.Expect(l.add(new(holder), at(3))).To(gomega.BeNil())
+	l.enter(l.queues[phaseIdle].Front().Value.(*holder), phaseServing, at(3))
+	late := new(holder)
+	g.Expect(l.add(late, at(3))).To(gomega.BeIdenticalTo(late), "all others are served")
+	g.Expect(l.add(late, at(4))).To(gomega.BeIdenticalTo(slow), "has taken nothing for a second")
+}
--- a/standin/crowd/crowd.go
+++ b/standin/crowd/crowd.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -12,6 +13,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"dandelionrelay/standin/network"
 )
 
 // dialTimeout is the time within which a connection must open. Attempts at a process that
@@ -21,6 +24,9 @@
 // acceptTimeout is long, as tests with crowds do not check latencies.
 const acceptTimeout = time.Minute
 
+// unreadTimeout is the time for which forms whose responses are not read send requests.
+const unreadTimeout = 2 * time.Second
+
 // maxConcurrentDials keeps the listener's queue of new connections from overflowing.
 const maxConcurrentDials = 64
 
@@ -43,23 +49,50 @@
 		id := ids(i)
 		c.sending.Go(func() {
 			dials <- struct{}{}
-			conn, err := net.DialTimeout("tcp", addr, dialTimeout)
+			conn, err := form.dial(addr)
 			<-dials
 			if err != nil {
 				return
 			}
-			c.hold(conn, id)
+			c.hold(conn, id, form.unread)
 			form.send(conn, id)
 		})
 	}
 	return c
 }
 
-// hold keeps conn open until Close, and records the status of the response to the request id.
-func (c *Crowd) hold(conn net.Conn, id string) {
+// dial opens a connection.
+func (f Form) dial(addr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	if f.unread {
+		return network.DialSmall(ctx, addr)
+	}
+	return new(net.Dialer).DialContext(ctx, "tcp", addr)
+}
+
+// settleTime is the time within which a process fills the buffers of the kernel with responses
+// that are not read.
+const settleTime = 15 * time.Second
+
+// Settle waits until a process to which all was sent has come to hold what it will hold.
+func (f Form) Settle() {
+	if f.unread {
+		time.Sleep(settleTime)
+	}
+}
+
+// hold keeps conn open until Close. It records the status of the response to the request id,
+// unless responses are not read.
+func (c *Crowd) hold(conn net.Conn, id string, unread bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.conns = append(c.conns, conn)
+	if unread {
+		// The process stops reading before everything is sent.
+		_ = conn.SetWriteDeadline(time.Now().Add(unreadTimeout))
+		return
+	}
 	c.receiving.Go(func() {
 		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 		if err != nil {
--- a/standin/crowd/form.go
+++ b/standin/crowd/form.go
@@ -13,11 +13,14 @@
 	BodyBytes = 4 << 20
 )
 
-// Sizes of what a crowd sends, in bytes.
+// Sizes of what a crowd sends, in bytes, and numbers.
 const (
 	chunkBytes = 1 << 10
 	// endlessBytes is sent by forms without end, unless the connection is closed before.
 	endlessBytes = 1 << 20
+	// unreadRequests is the number of requests of a connection that does not read: their
+	// responses do not fit in the buffers of the kernel.
+	unreadRequests = 20_000
 	// oversizedHeadBytes is the size of a head over the limit.
 	oversizedHeadBytes = 5 * HeadBytes / 2
 )
@@ -40,6 +43,8 @@
 	// Conns is the number of connections that a crowd of this form opens.
 	Conns int
 	send  func(w io.Writer, id string)
+	// unread says that responses are not read, and hardly taken by the kernel.
+	unread bool
 }
 
 // Numbers of connections of a crowd.
@@ -86,6 +91,13 @@
 	}
 }
 
+// UnreadForm returns a form of many small requests on each connection, one behind the other,
+// whose responses are not read.
+func UnreadForm(t Target) Form {
+	requests := strings.Repeat("GET "+t.Path+" HTTP/1.1\r\nHost: "+t.Host+"\r\n\r\n", unreadRequests)
+	return Form{Name: "unread responses", Conns: manyConns, unread: true, send: func(w io.Writer, _ string) { write(w, requests) }}
+}
+
 // JobForms returns forms of batch jobs of legal size that are expensive to decode, at t.
 // items are the JSON texts before and after the items of a job, fields those before and
 // after the fields of the header of an item.
--- a/test/processes/crowd_test.go
+++ b/test/processes/crowd_test.go
@@ -82,6 +82,7 @@
 	watcher := crowd.Watch(pid)
 	clients := crowd.Open(c.addr(port), form.Conns, form, func(n int) string { return fmt.Sprintf("crowd-%06d", n) })
 	clients.AwaitSent()
+	form.Settle()
 	c.Expect(crowd.AwaitAccepted(c.addr(port))).To(Succeed())
 	c.answersOrdinaryRequest()
 	peak, err := watcher.Peak()
@@ -130,7 +131,7 @@
 func TestCrowd_Callers(t *testing.T) {
 	skipBesideOthers(t)
 	forms := crowd.Forms(crowdTarget("/v1/chat/completions"))
-	forms = append(forms, crowd.JSONForm("chat of many empty messages", crowdTarget("/v1/chat/completions"),
+	forms = append(forms, crowd.UnreadForm(crowdTarget("/none")), crowd.JSONForm("chat of many empty messages", crowdTarget("/v1/chat/completions"),
 		[2]string{`{"model":"assistant-small","messages":[`, `]}`}, func(int) string { return "{}" }))
 	for _, f := range crowd.Forms(crowdTarget("/v1/batches")) {
 		if strings.HasPrefix(f.Name, "large body") {
