--- a/ingress/ledger.go
+++ b/ingress/ledger.go
@@ -67,8 +67,8 @@
 	return l
 }
 
-// add records h as idle. If that is one connection too many, another must be closed, which it
-// returns; this is h itself if all others are being served.
+// add records h as idle. If that is one connection too many, it returns the one that is to be
+// closed, which is h itself, not recorded, if all others are being served.
 func (l *ledger) add(h *holder, now time.Time) (evicted *holder) {
 	if l.conns >= l.limits.Conns {
 		if evicted = l.longestSilent(now); evicted == nil {
--- a/standin/crowd/crowd.go
+++ b/standin/crowd/crowd.go
@@ -39,8 +39,8 @@
 	statuses map[string]int // final status by request ID
 }
 
-// Open opens n connections to the TCP address addr and sends what form returns for a
-// request with the given ID on each of them. Connections that are refused or closed are not
+// Open opens n connections to the TCP address addr and sends what form says on each of them,
+// for a request with the ID that ids returns for its number. Connections that are refused or closed are not
 // opened again.
 func Open(addr string, n int, form Form, ids func(n int) string) *Crowd {
 	c := &Crowd{statuses: make(map[string]int)}
@@ -119,8 +119,8 @@
 	if err := conn.SetDeadline(time.Now().Add(acceptTimeout)); err != nil {
 		return err
 	}
-	// Servers of net/rpc cannot decode so long a line and close the connection. Any other end means that
-	// the connection was accepted as well.
+	// Servers of net/rpc cannot decode so long a line and close the connection. Any other end
+	// means that the connection was accepted as well.
 	_, err = fmt.Fprintf(conn, "GET / HTTP/1.0\r\nX: %0128d\r\n\r\n", 0)
 	if err == nil {
 		_, err = io.Copy(io.Discard, conn)
