--- a/settings/machine.go
+++ b/settings/machine.go
@@ -10,9 +10,8 @@
 // Limits of Machine.
 const (
 	DefaultMemoryMB = 1024
-	// MinMemoryMB is the smallest memory of which each listener's share has room for one request
-	// or call of the largest size, 4 MiB.
-	MinMemoryMB = 96
+	// MinMemoryMB is the smallest memory in which an entry without callers fits.
+	MinMemoryMB = 32
 	// MinDescriptors leaves a process some connections beside its files.
 	MinDescriptors = 256
 )
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -159,3 +159,21 @@
 	}
 	g.Expect(pointers).To(Equal([]string{"/regions/a", "/regions/b~1c"}))
 }
+
+// Guards against an entry that does not start on a small machine, and against limits in which
+// none fits.
+func TestLoadGateway_Machine(t *testing.T) {
+	g := NewWithT(t)
+	load := func(fields string) (*settings.Gateway, error) {
+		return settings.LoadGateway(writeSettings(t, `{"id":"a","data_centre":"a","callers_addr":"127.0.0.1:1","ready_addr":"127.0.0.1:2",
+			"metrics_addr":"127.0.0.1:3","peers_addr":"127.0.0.1:4","store_addr":"127.0.0.1:5"`+fields+`}`))
+	}
+	s, err := load(`,"memory_mb":32,"max_descriptors":256`)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.Machine).To(Equal(settings.Machine{MemoryMB: 32, MaxDescriptors: 256}))
+	s, err = load("")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.Machine).To(Equal(settings.Machine{MemoryMB: settings.DefaultMemoryMB}))
+	_, err = load(`,"memory_mb":31,"max_descriptors":-1`)
+	g.Expect(err).To(MatchError(And(ContainSubstring("/memory_mb"), ContainSubstring("/max_descriptors"))))
+}
